--- /dev/null
+++ b/kqr-entry/src/callers/jobs.rs
@@ -0,0 +1,188 @@
+use std::{str::FromStr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use kqr_http::{BodyError, BodyLimits, json_reply, read_body};
+use kqr_jobs::{JobState, Outcome, Submission, TaskSpec};
+use kqr_telemetry::EventKind;
+use kqr_types::{Attempt, JobKey, TeamName};
+use kqr_wire::{
+    callers::{JobAnswerBody, JobBody},
+    headers,
+};
+use percent_encoding::percent_decode_str;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::problem::Problem;
+use crate::{daemon::Entry, engine::Answer};
+
+/// Limits of a submission's body.
+const LIMITS: BodyLimits = BodyLimits {
+    bytes: 4 << 20,
+    time: Duration::from_secs(10),
+};
+/// Deadline of a caller that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest deadline that a caller may name.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+/// Team of a caller that names none.
+const DEFAULT_TEAM: &str = "default";
+
+type Reply = Result<Response<Full<Bytes>>, Problem>;
+
+/// Answers `POST /v1/jobs`.
+pub async fn submit(entry: &Entry, req: Request<Incoming>) -> Reply {
+    let is_waiting = parse_wait(req.uri().query())?;
+    let (parts, body) = req.into_parts();
+    let submission = parse_submission(&parts.headers, body).await?;
+    if !entry.engine.table.serves(&submission.service) {
+        let detail = format!("no target serves {}", submission.service);
+        return Err(Problem::not_found("service", detail));
+    }
+    let mut event = entry.engine.events.event(EventKind::Submitted);
+    event.key = Some(submission.key.clone());
+    entry.engine.events.record(event);
+    let key = submission.key.clone();
+    let answer = entry.submit(submission, is_waiting).await;
+    let mut event = entry.engine.events.event(EventKind::Answered);
+    event.key = Some(key);
+    event.detail = answer.as_ref().err().map(ToString::to_string);
+    entry.engine.events.record(event);
+    reply(answer)
+}
+
+/// Answers `GET /v1/jobs/{key}`.
+pub async fn lookup(entry: &Entry, key: &str) -> Reply {
+    reply(entry.lookup(parse_key(key)?).await)
+}
+
+/// Answers `DELETE /v1/jobs/{key}`.
+pub async fn cancel(entry: &Entry, key: &str) -> Reply {
+    reply(entry.cancel(parse_key(key)?).await)
+}
+
+fn reply(answer: Answer) -> Reply {
+    let answer = answer?;
+    let status = match (answer.state, answer.outcome()) {
+        (JobState::Complete | JobState::Cancelled, _) => StatusCode::OK,
+        (JobState::Running, _) => StatusCode::ACCEPTED,
+        (JobState::Failed, Outcome::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (JobState::Failed, Outcome::MayHaveRun | Outcome::Ran) => StatusCode::BAD_GATEWAY,
+    };
+    Ok(json_reply(
+        status,
+        "application/json",
+        &JobAnswerBody::from(answer),
+    ))
+}
+
+fn parse_wait(query: Option<&str>) -> Result<bool, Problem> {
+    match query {
+        None | Some("" | "wait=true") => Ok(true),
+        Some("wait=false") => Ok(false),
+        Some(other) => Err(Problem::bad_request(
+            "query",
+            format!("expected wait=true or wait=false, got {other:?}"),
+        )),
+    }
+}
+
+fn parse_key(text: &str) -> Result<JobKey, Problem> {
+    let decoded = percent_decode_str(text).decode_utf8();
+    let decoded = decoded.map_err(|_| Problem::bad_request("key", "the key is not valid UTF-8"))?;
+    decoded
+        .parse()
+        .map_err(|error: kqr_types::ParseError| Problem::bad_request("key", error.to_string()))
+}
+
+async fn parse_submission(fields: &HeaderMap, body: Incoming) -> Result<Submission, Problem> {
+    let key: Option<JobKey> = parse_field(fields, headers::IDEMPOTENCY_KEY)?;
+    let key = key.ok_or_else(|| {
+        Problem::bad_request(
+            headers::IDEMPOTENCY_KEY,
+            "the header is missing: expected a key that names the submission",
+        )
+    })?;
+    let attempt: Option<Attempt> = parse_field(fields, headers::ATTEMPT)?;
+    if attempt == Some(Attempt(0)) {
+        return Err(Problem::bad_request(
+            headers::ATTEMPT,
+            "expected a whole number from 1",
+        ));
+    }
+    let deadline = parse_deadline(fields)?;
+    let team: Option<TeamName> = parse_field(fields, headers::TEAM)?;
+    let team = match team {
+        Some(team) => team,
+        None => DEFAULT_TEAM
+            .parse()
+            .map_err(|_| Problem::bad_request(headers::TEAM, "no default team"))?,
+    };
+    let bytes = read_body(body, LIMITS).await?;
+    let body: JobBody = serde_json::from_slice(&bytes)
+        .map_err(|cause| Problem::from(BodyError::Malformed(cause.to_string())))?;
+    if body.tasks.is_empty() || body.tasks.len() > Submission::MAX_TASKS {
+        let detail = format!(
+            "expected 1 to {} tasks, got {}",
+            Submission::MAX_TASKS,
+            body.tasks.len()
+        );
+        return Err(Problem::bad_request("tasks", detail));
+    }
+    let fingerprint = xxh3_64(&bytes);
+    let mut tasks = Vec::with_capacity(body.tasks.len());
+    for task in body.tasks {
+        tasks.push(TaskSpec {
+            class: task.class,
+            payload: task.payload,
+            run_time: task.run_time_ms.map(Duration::from_millis),
+            cores: task.cores,
+            memory: task.memory,
+            accelerators: task.accelerators,
+        });
+    }
+    Ok(Submission {
+        key,
+        attempt,
+        team,
+        service: body.service,
+        deadline,
+        fingerprint,
+        tasks,
+    })
+}
+
+/// Parses the deadline that a caller named, or returns the default.
+pub fn parse_deadline(fields: &HeaderMap) -> Result<Duration, Problem> {
+    let Some(millis) = parse_field::<u64>(fields, headers::DEADLINE_MS)? else {
+        return Ok(DEFAULT_DEADLINE);
+    };
+    let deadline = Duration::from_millis(millis);
+    if deadline.is_zero() || deadline > MAX_DEADLINE {
+        let detail = format!(
+            "expected 1 to {} milliseconds, got {millis}",
+            MAX_DEADLINE.as_millis()
+        );
+        return Err(Problem::bad_request(headers::DEADLINE_MS, detail));
+    }
+    Ok(deadline)
+}
+
+/// Parses a header field, if it is present.
+pub fn parse_field<T>(fields: &HeaderMap, name: &'static str) -> Result<Option<T>, Problem>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = fields.get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| Problem::bad_request(name, "expected visible ASCII characters"))?;
+    let parsed = text
+        .parse()
+        .map_err(|error| Problem::bad_request(name, format!("{error}")))?;
+    Ok(Some(parsed))
+}
--- /dev/null
+++ b/kqr-entry/src/callers/mod.rs
@@ -0,0 +1,59 @@
+//! The callers' interface.
+
+mod jobs;
+mod problem;
+mod relay;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::{Either, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use kqr_http::text_reply;
+
+use self::problem::Problem;
+pub use self::relay::{Relay, RelayBody};
+use crate::daemon::Entry;
+
+/// Body of a reply to a caller: built here, or relayed from a target.
+pub type ReplyBody = Either<Full<Bytes>, RelayBody>;
+
+/// Answers one request of a caller.
+pub async fn handle(entry: Arc<Entry>, req: Request<Incoming>, _peer: SocketAddr) -> Response<ReplyBody> {
+    let path = req.uri().path().to_owned();
+    let method = req.method().clone();
+    if let Some(rest) = path.strip_prefix("/v1/services/") {
+        return match relay::relay(&entry, rest, req).await {
+            Ok(reply) => reply,
+            Err(problem) => problem.into_reply().map(Either::Left),
+        };
+    }
+    let reply = match (&method, path.as_str()) {
+        (&Method::POST, "/v1/jobs") => jobs::submit(&entry, req).await,
+        (&Method::GET, "/healthz") => Ok(text_reply(StatusCode::OK, "ok")),
+        (&Method::GET, "/readyz") => Ok(readiness(&entry)),
+        (&Method::GET, "/metrics") => Ok(text_reply(StatusCode::OK, metrics(&entry))),
+        _ => match (&method, path.strip_prefix("/v1/jobs/")) {
+            (&Method::GET, Some(key)) => jobs::lookup(&entry, key).await,
+            (&Method::DELETE, Some(key)) => jobs::cancel(&entry, key).await,
+            _ => Err(Problem::not_found(
+                "path",
+                "expected /v1/jobs, /v1/jobs/{key} or /v1/services/{service}/{path}",
+            )),
+        },
+    };
+    reply.unwrap_or_else(Problem::into_reply).map(Either::Left)
+}
+
+fn readiness(entry: &Entry) -> Response<Full<Bytes>> {
+    if entry.shutdown.is_cancelled() {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
+    }
+    text_reply(StatusCode::OK, "ready")
+}
+
+fn metrics(entry: &Entry) -> String {
+    let waiting = entry.engine.waiting_tasks();
+    let live = entry.engine.live_jobs();
+    format!("kqr_waiting_tasks {waiting}\nkqr_live_jobs {live}\n")
+}
--- /dev/null
+++ b/kqr-entry/src/homes.rs
@@ -0,0 +1,79 @@
+use std::collections::BTreeSet;
+
+use kqr_settings::bootstrap::{Bootstrap, Instance, Role};
+use kqr_types::{DataCentre, InstanceId, JobKey};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The rule that names the home of each key.
+#[derive(Debug)]
+pub struct Homes {
+    own: InstanceId,
+    entries: Vec<Instance>,
+    data_centres: BTreeSet<DataCentre>,
+}
+
+impl Homes {
+    /// Creates the rule over the entries of the region of `own`.
+    pub fn new(bootstrap: &Bootstrap, own: &Instance) -> Self {
+        let region_of = |name: &DataCentre| {
+            bootstrap
+                .data_centres
+                .iter()
+                .find(|site| site.name == *name)
+                .map(|site| site.region.clone())
+        };
+        let region = region_of(&own.data_centre);
+        let mut entries = Vec::new();
+        let mut data_centres = BTreeSet::new();
+        for instance in &bootstrap.instances {
+            if instance.role != Role::Entry || region_of(&instance.data_centre) != region {
+                continue;
+            }
+            data_centres.insert(instance.data_centre.clone());
+            entries.push(instance.clone());
+        }
+        Self {
+            own: own.id.clone(),
+            entries,
+            data_centres,
+        }
+    }
+
+    /// Returns the home of `key`, or `None` if it is this instance.
+    pub fn remote_home(&self, key: &JobKey) -> Option<&Instance> {
+        let site = self.data_centre(key)?;
+        let members = self.entries.iter().filter(|entry| entry.data_centre == *site);
+        let home = members.max_by_key(|entry| score(key, entry.id.as_str()))?;
+        (home.id != self.own).then_some(home)
+    }
+
+    /// Returns the other entries of the data centre of this instance.
+    pub fn siblings(&self) -> Vec<&Instance> {
+        let own = self.entries.iter().find(|entry| entry.id == self.own);
+        let is_sibling = |entry: &&Instance| {
+            entry.id != self.own && own.is_some_and(|own| own.data_centre == entry.data_centre)
+        };
+        self.entries.iter().filter(is_sibling).collect()
+    }
+
+    /// Returns the home data centre: the one that a prefix names, or the one chosen by hash.
+    fn data_centre(&self, key: &JobKey) -> Option<&DataCentre> {
+        if let Some((prefix, _)) = key.as_str().split_once('/')
+            && let Some(site) = self.data_centres.iter().find(|site| site.as_str() == prefix)
+        {
+            return Some(site);
+        }
+        self.data_centres
+            .iter()
+            .max_by_key(|site| score(key, site.as_str()))
+    }
+}
+
+/// Returns the rendezvous weight of `candidate` for `key`.
+fn score(key: &JobKey, candidate: &str) -> u64 {
+    let mut text = Vec::with_capacity(key.as_str().len() + 1 + candidate.len());
+    text.extend_from_slice(key.as_str().as_bytes());
+    text.push(0);
+    text.extend_from_slice(candidate.as_bytes());
+    xxh3_64(&text)
+}
--- /dev/null
+++ b/kqr-entry/src/starter.rs
@@ -0,0 +1,198 @@
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode, Uri};
+use kqr_http::{Client, ClientError, ClientOptions};
+use kqr_jobs::{StartTask, TaskEnd, TaskResult};
+use kqr_placement::Target;
+use kqr_types::{AttemptId, TargetId};
+use kqr_wire::targets::{AttemptBody, AttemptState, StartBody};
+
+use crate::engine::Engine;
+
+/// Run time that is assumed for a task without a declared one.
+const DEFAULT_RUN_TIME: Duration = Duration::from_millis(500);
+/// Shortest time that an exchange may take before the attempt is asked for on another connection.
+const MIN_EXCHANGE_TIME: Duration = Duration::from_secs(2);
+/// Multiple of the declared run time that an exchange may take.
+const EXCHANGE_FACTOR: u32 = 4;
+/// Lease of a task, over its start.
+const LEASE: Duration = Duration::from_secs(60);
+/// Longest time that a question about an attempt waits for its end.
+const QUESTION_WAIT: Duration = Duration::from_secs(1);
+/// Longest time for one question.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a question that got no answer.
+const QUESTION_PAUSE: Duration = Duration::from_millis(200);
+
+/// The client that starts tasks at targets and finds out how they ended.
+#[derive(Debug)]
+pub struct Starter {
+    pooled: Client,
+    fresh: Client,
+}
+
+impl Starter {
+    /// Creates the client.
+    pub fn new() -> Self {
+        let options = ClientOptions::default();
+        // A question about a lost exchange must not use a connection that may be silent as well.
+        let fresh = ClientOptions {
+            idle_timeout: Duration::ZERO,
+            ..options
+        };
+        Self {
+            pooled: Client::new(options),
+            fresh: Client::new(fresh),
+        }
+    }
+
+    /// Starts an attempt and returns how it ended. The start is sent once.
+    pub async fn run(&self, engine: &Arc<Engine>, start: &StartTask) -> TaskEnd {
+        let end = |result, run_time| TaskEnd {
+            key: start.key.clone(),
+            attempt: start.attempt,
+            result,
+            run_time,
+        };
+        let Some(target) = engine.table.get(&start.target) else {
+            return end(
+                TaskResult::NotStarted(format!("target {} has left", start.target)),
+                None,
+            );
+        };
+        let Some(uri) = target_uri(&target, "/v1/tasks") else {
+            return end(
+                TaskResult::NotStarted(format!("target {} has no usable address", start.target)),
+                None,
+            );
+        };
+        let expected = start
+            .spec
+            .run_time
+            .unwrap_or(DEFAULT_RUN_TIME)
+            .div_f64(target.speed.get());
+        let limit = MIN_EXCHANGE_TIME.max(expected * EXCHANGE_FACTOR);
+        let sent = self
+            .pooled
+            .json(Method::POST, uri, Some(&start_body(start)), limit)
+            .await;
+        let answer = match sent {
+            Ok((status, bytes)) => parse_attempt(status, &bytes),
+            Err(ClientError::NotSent(cause)) => return end(TaskResult::NotStarted(cause), None),
+            Err(ClientError::MaybeSent(cause)) => Err(cause),
+        };
+        let answer = match answer {
+            Ok(answer) if answer.attempt_id == start.attempt => answer,
+            Ok(_) => {
+                self.resolve(engine, start, &target, "the answer belongs to another attempt")
+                    .await
+            }
+            Err(cause) => self.resolve(engine, start, &target, &cause).await,
+        };
+        let run_time = Duration::from_micros(answer.run_time_us);
+        if answer.state == AttemptState::Completed {
+            let declared = start.spec.run_time.unwrap_or(Duration::ZERO);
+            target.speed.observe(declared, run_time);
+        }
+        end(task_result(answer), Some(run_time))
+    }
+
+    /// Stops an attempt; its end arrives through the exchange that started it.
+    pub async fn stop(&self, engine: &Arc<Engine>, attempt: AttemptId, target: &TargetId) {
+        let Some(target) = engine.table.get(target) else {
+            return;
+        };
+        if let Err(cause) = self.act(&target, attempt).await {
+            log::warn!("stopping {attempt} at {}: {cause}", target.announcement.id);
+        }
+    }
+
+    /// Finds out how an attempt ended whose exchange was lost. An attempt that never arrived is fenced, so that a
+    /// late start is refused by the target.
+    async fn resolve(&self, engine: &Engine, start: &StartTask, target: &Target, cause: &str) -> AttemptBody {
+        log::info!("asking {} for attempt {}: {cause}", start.target, start.attempt);
+        loop {
+            let answer = match self.ask(target, start.attempt).await {
+                Ok(answer) if answer.state == AttemptState::NeverSeen => {
+                    self.act(target, start.attempt).await
+                }
+                other => other,
+            };
+            match answer {
+                Ok(answer) if answer.state == AttemptState::Running => continue,
+                Ok(answer) if answer.state != AttemptState::NeverSeen => return answer,
+                Ok(_) => {}
+                Err(cause) => log::debug!("asking {} for attempt {}: {cause}", start.target, start.attempt),
+            }
+            let is_same_life = engine
+                .table
+                .get(&start.target)
+                .is_some_and(|present| present.announcement.incarnation == target.announcement.incarnation);
+            if !is_same_life {
+                let reason = Some(format!("target {} was lost: {cause}", start.target));
+                let attempt_id = start.attempt;
+                let state = AttemptState::NeverSeen;
+                return AttemptBody {
+                    attempt_id,
+                    state,
+                    result: None,
+                    reason,
+                    run_time_us: 0,
+                };
+            }
+            tokio::time::sleep(QUESTION_PAUSE).await;
+        }
+    }
+
+    async fn ask(&self, target: &Target, attempt: AttemptId) -> Result<AttemptBody, String> {
+        let path = format!("/v1/tasks/{attempt}?wait_ms={}", QUESTION_WAIT.as_millis());
+        self.question(Method::GET, target, &path).await
+    }
+
+    async fn act(&self, target: &Target, attempt: AttemptId) -> Result<AttemptBody, String> {
+        self.question(Method::POST, target, &format!("/v1/tasks/{attempt}/stop"))
+            .await
+    }
+
+    async fn question(&self, method: Method, target: &Target, path: &str) -> Result<AttemptBody, String> {
+        let uri = target_uri(target, path).ok_or("no usable address")?;
+        let answered = self.fresh.json::<()>(method, uri, None, QUESTION_TIMEOUT).await;
+        let (status, bytes) = answered.map_err(|error| error.to_string())?;
+        parse_attempt(status, &bytes)
+    }
+}
+
+fn target_uri(target: &Target, path: &str) -> Option<Uri> {
+    format!("http://{}{path}", target.announcement.address)
+        .parse()
+        .ok()
+}
+
+fn start_body(start: &StartTask) -> StartBody {
+    StartBody {
+        key: start.key.clone(),
+        task: start.attempt.task,
+        attempt: start.attempt.attempt,
+        attempt_id: start.attempt.to_string(),
+        service: start.service.clone(),
+        class: start.spec.class.clone(),
+        payload: start.spec.payload.clone(),
+        start_within_ms: start.start_within.as_millis() as u64,
+        lease_ms: LEASE.as_millis() as u64,
+    }
+}
+
+fn parse_attempt(status: StatusCode, bytes: &Bytes) -> Result<AttemptBody, String> {
+    serde_json::from_slice(bytes).map_err(|error| format!("status {status} with an unknown body: {error}"))
+}
+
+fn task_result(answer: AttemptBody) -> TaskResult {
+    let reason = answer.reason.unwrap_or_else(|| "no reason was given".to_owned());
+    match answer.state {
+        AttemptState::Completed => TaskResult::Completed(answer.result.unwrap_or_default()),
+        AttemptState::Failed => TaskResult::Failed(reason),
+        AttemptState::NotStarted => TaskResult::NotStarted(reason),
+        AttemptState::Running | AttemptState::NeverSeen => TaskResult::Unknown(reason),
+    }
+}
--- /dev/null
+++ b/kqr-http/src/body.rs
@@ -0,0 +1,102 @@
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{Response, StatusCode, body::Body, header};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Limits of a body that is read whole.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Largest body, in bytes.
+    pub bytes: usize,
+    /// Longest time until the whole body has arrived.
+    pub time: Duration,
+}
+
+/// Why a body could not be read.
+#[derive(Debug)]
+pub enum BodyError {
+    /// The body is larger than the limit, in bytes.
+    TooLarge(usize),
+    /// The body did not arrive within the time limit.
+    TooSlow(Duration),
+    /// The connection ended within the body.
+    Broken(String),
+    /// The body is not the expected JSON.
+    Malformed(String),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge(limit) => write!(f, "the body is larger than {limit} bytes"),
+            Self::TooSlow(limit) => write!(f, "the body did not arrive within {limit:?}"),
+            Self::Broken(cause) => write!(f, "the body ended early: {cause}"),
+            Self::Malformed(cause) => write!(f, "the body is not the expected JSON: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// Reads a body whole.
+///
+/// # Errors
+///
+/// Fails if the body exceeds a limit or ends early.
+pub async fn read_body<B>(body: B, limits: BodyLimits) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let collected = tokio::time::timeout(limits.time, Limited::new(body, limits.bytes).collect()).await;
+    match collected {
+        Err(_) => Err(BodyError::TooSlow(limits.time)),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge(limits.bytes)),
+        Ok(Err(error)) => Err(BodyError::Broken(error.to_string())),
+    }
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// Fails if the body exceeds a limit, ends early, or is not the JSON of a `T`.
+pub async fn read_json<T, B>(body: B, limits: BodyLimits) -> Result<T, BodyError>
+where
+    T: DeserializeOwned,
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let bytes = read_body(body, limits).await?;
+    serde_json::from_slice(&bytes).map_err(|cause| BodyError::Malformed(cause.to_string()))
+}
+
+/// Builds a reply with a JSON body.
+pub fn json_reply<T>(status: StatusCode, content_type: &'static str, body: &T) -> Response<Full<Bytes>>
+where
+    T: Serialize,
+{
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut reply = Response::new(Full::new(Bytes::from(bytes)));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static(content_type),
+    );
+    reply
+}
+
+/// Builds a reply with a text body.
+pub fn text_reply(status: StatusCode, text: impl Into<String>) -> Response<Full<Bytes>> {
+    let mut reply = Response::new(Full::new(Bytes::from(text.into())));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Builds a reply without a body.
+pub fn empty_reply(status: StatusCode) -> Response<Full<Bytes>> {
+    text_reply(status, String::new())
+}
--- /dev/null
+++ b/kqr-http/src/client.rs
@@ -0,0 +1,181 @@
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method, Request, Response, StatusCode, Uri,
+    body::{Body, Incoming},
+    header,
+};
+use hyper_util::{
+    client::legacy::{Client as Pool, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::Serialize;
+
+use crate::{BodyError, BodyLimits, read_body};
+
+/// Options of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientOptions {
+    /// Longest time for opening a connection.
+    pub connect_timeout: Duration,
+    /// Time after which an unused connection is closed.
+    pub idle_timeout: Duration,
+    /// Largest answer that is read whole, in bytes.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(20),
+            max_answer_bytes: 16 << 20,
+        }
+    }
+}
+
+/// Why a call failed.
+#[derive(Debug)]
+pub enum ClientError {
+    /// No connection was opened; nothing was sent.
+    NotSent(String),
+    /// The request may have been sent, but no whole answer arrived.
+    MaybeSent(String),
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Self::MaybeSent(cause) => write!(f, "maybe sent: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+/// An HTTP client with a pool of connections. It never sends a request twice.
+#[derive(Debug)]
+pub struct Client<B = Full<Bytes>> {
+    pool: Pool<HttpConnector, B>,
+    options: ClientOptions,
+}
+
+impl<B> Clone for Client<B> {
+    fn clone(&self) -> Self {
+        Self {
+            pool: self.pool.clone(),
+            options: self.options,
+        }
+    }
+}
+
+impl<B> Client<B>
+where
+    B: Body + Send + Unpin + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    /// Creates a client.
+    pub fn new(options: ClientOptions) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(options.connect_timeout));
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(options.idle_timeout)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pool, options }
+    }
+
+    /// Sends `req` once and returns the head of the answer with its body as a stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection was opened or no answer arrived.
+    pub async fn send(&self, req: Request<B>) -> Result<Response<Incoming>, ClientError> {
+        self.pool.request(req).await.map_err(|error| {
+            let cause = describe(&error);
+            if error.is_connect() {
+                ClientError::NotSent(cause)
+            } else {
+                ClientError::MaybeSent(cause)
+            }
+        })
+    }
+}
+
+impl Client<Full<Bytes>> {
+    /// Sends `body` as JSON once and reads the whole answer within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection was opened or no whole answer arrived in time.
+    pub async fn json<T>(
+        &self,
+        method: Method,
+        uri: Uri,
+        body: Option<&T>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), ClientError>
+    where
+        T: Serialize,
+    {
+        let bytes = match body {
+            Some(body) => {
+                serde_json::to_vec(body).map_err(|error| ClientError::NotSent(error.to_string()))?
+            }
+            None => Vec::new(),
+        };
+        let req = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(bytes)))
+            .map_err(|error| ClientError::NotSent(error.to_string()))?;
+        self.whole(req, limit).await
+    }
+
+    /// Sends `req` once and reads the whole answer within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection was opened or no whole answer arrived in time.
+    pub async fn whole(
+        &self,
+        req: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), ClientError> {
+        let exchange = async {
+            let reply = self.send(req).await?;
+            let status = reply.status();
+            let limits = BodyLimits {
+                bytes: self.options.max_answer_bytes,
+                time: limit,
+            };
+            let bytes = read_body(reply.into_body(), limits).await;
+            bytes
+                .map(|bytes| (status, bytes))
+                .map_err(|error: BodyError| ClientError::MaybeSent(error.to_string()))
+        };
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(ClientError::MaybeSent(format!("no answer within {limit:?}"))),
+        }
+    }
+}
+
+/// Joins an error with its causes.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/kqr-http/src/lib.rs
@@ -0,0 +1,11 @@
+//! HTTP plumbing on hyper: a server with graceful shutdown, a client with time limits, bounded JSON bodies.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{BodyError, BodyLimits, empty_reply, json_reply, read_body, read_json, text_reply};
+pub use client::{Client, ClientError, ClientOptions};
+pub use server::{ServerOptions, serve};
--- /dev/null
+++ b/kqr-http/src/server.rs
@@ -0,0 +1,92 @@
+use std::{convert::Infallible, future::Future, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    service::service_fn,
+};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Options of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerOptions {
+    /// Longest time until the head of a request has arrived.
+    pub head_timeout: Duration,
+    /// Longest time that open exchanges may take after the shutdown began.
+    pub grace: Duration,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            head_timeout: Duration::from_secs(10),
+            grace: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Pause after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves connections of `listener` until `shutdown` is cancelled and the open exchanges have ended.
+///
+/// Returns whether each open exchange ended within the grace time.
+pub async fn serve<H, F, B>(
+    listener: TcpListener,
+    options: ServerOptions,
+    shutdown: CancellationToken,
+    handler: H,
+) -> bool
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.head_timeout);
+    builder.http2().timer(TokioTimer::new());
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => break,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("accepting a connection: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |req| {
+            let reply = handler(req, peer);
+            async move { Ok::<_, Infallible>(reply.await) }
+        });
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection from {peer}: {error}");
+            }
+        });
+    }
+    drop(listener);
+    tokio::time::timeout(options.grace, graceful.shutdown())
+        .await
+        .is_ok()
+}
--- /dev/null
+++ b/kqr-jobs/src/input.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+use kqr_types::{AttemptId, JobKey, TargetId, TaskIndex};
+
+use crate::{CallerId, NotAccepted, Outcome, Submission};
+
+/// A submission together with the caller that waits for its answer.
+#[derive(Clone, Debug)]
+pub struct Submit {
+    /// The waiting caller, or `None` if nobody waits.
+    pub caller: Option<CallerId>,
+    /// The submission.
+    pub submission: Submission,
+}
+
+/// How an attempt ended, as far as this is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskResult {
+    /// The target completed the task.
+    Completed(String),
+    /// The target ran the task and it failed.
+    Failed(String),
+    /// The target did not start the task and never will.
+    NotStarted(String),
+    /// The target was lost after it may have started the task.
+    Unknown(String),
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct TaskEnd {
+    /// Key of the job.
+    pub key: JobKey,
+    /// The attempt that ended.
+    pub attempt: AttemptId,
+    /// How it ended.
+    pub result: TaskResult,
+    /// Run time that the target reported.
+    pub run_time: Option<Duration>,
+}
+
+/// An input of the job machine.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A caller submits or resubmits a job.
+    Submit(Submit),
+    /// Placement found a target with a free slot for a waiting task.
+    Placed {
+        /// Key of the job.
+        key: JobKey,
+        /// The task.
+        task: TaskIndex,
+        /// The target that will run it.
+        target: TargetId,
+    },
+    /// Admission refuses a waiting task; it was never offered to a target in this round.
+    Refused {
+        /// Key of the job.
+        key: JobKey,
+        /// The task.
+        task: TaskIndex,
+        /// Why it was refused.
+        refusal: NotAccepted,
+    },
+    /// An attempt ended.
+    Ended(TaskEnd),
+    /// A caller cancels a job.
+    Cancel {
+        /// Key of the job.
+        key: JobKey,
+        /// The caller that waits for the answer.
+        caller: CallerId,
+    },
+    /// A caller asks for the answer or the state of a job.
+    Lookup {
+        /// Key of the job.
+        key: JobKey,
+        /// The asking caller.
+        caller: CallerId,
+    },
+    /// A waiting caller has gone.
+    Detach {
+        /// Key of the job.
+        key: JobKey,
+        /// The caller that has gone.
+        caller: CallerId,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+impl TaskResult {
+    /// Returns what the result says of whether the task was run.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Completed(_) | Self::Failed(_) => Outcome::Ran,
+            Self::NotStarted(_) => Outcome::NotRun,
+            Self::Unknown(_) => Outcome::MayHaveRun,
+        }
+    }
+}
--- /dev/null
+++ b/kqr-standin/src/attempts.rs
@@ -0,0 +1,140 @@
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, PoisonError},
+};
+
+use kqr_types::{AttemptId, KeyDigest, TaskIndex};
+use kqr_wire::targets::{AttemptBody, AttemptState};
+use serde::{Deserialize, Serialize};
+
+/// A task that was started more than once.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DuplicateStart {
+    /// Digest of the job's key.
+    pub job: KeyDigest,
+    /// Position of the task.
+    pub task: TaskIndex,
+    /// Number of starts.
+    pub starts: u32,
+}
+
+/// Body of `GET /standin/starts`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct StartsBody {
+    /// Each attempt that was started, in order.
+    pub attempts: Vec<String>,
+    /// Tasks that were started more than once here.
+    pub duplicates: Vec<DuplicateStart>,
+    /// Starts that were refused.
+    pub refused: u64,
+    /// Questions about attempts.
+    pub questions: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    states: BTreeMap<AttemptId, AttemptBody>,
+    started: Vec<AttemptId>,
+    refused: u64,
+    questions: u64,
+}
+
+/// The attempts that a stand-in has seen.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    inner: Mutex<Inner>,
+}
+
+impl Attempts {
+    /// Records the start of `attempt`, or returns its state if it was seen before.
+    ///
+    /// # Errors
+    ///
+    /// Returns the known state of an attempt that was started or fenced before.
+    pub fn start(&self, attempt: AttemptId) -> Result<(), AttemptBody> {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = inner.states.get(&attempt) {
+            return Err(known.clone());
+        }
+        inner.states.insert(attempt, body(attempt, AttemptState::Running));
+        inner.started.push(attempt);
+        Ok(())
+    }
+
+    /// Records the end of an attempt, unless it was stopped before.
+    pub fn finish(&self, ended: AttemptBody) -> AttemptBody {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = inner
+            .states
+            .entry(ended.attempt_id)
+            .or_insert_with(|| ended.clone());
+        if state.state == AttemptState::Running {
+            *state = ended;
+        }
+        state.clone()
+    }
+
+    /// Counts a refused start and returns its answer.
+    pub fn refuse(&self, attempt: AttemptId, reason: &str) -> AttemptBody {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.refused += 1;
+        let mut answer = body(attempt, AttemptState::NotStarted);
+        answer.reason = Some(reason.to_owned());
+        answer
+    }
+
+    /// Returns the state of an attempt.
+    pub fn state(&self, attempt: AttemptId) -> AttemptBody {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.questions += 1;
+        let known = inner.states.get(&attempt).cloned();
+        known.unwrap_or_else(|| body(attempt, AttemptState::NeverSeen))
+    }
+
+    /// Stops a running attempt, or fences one that was never seen, so that a late start is refused.
+    pub fn stop(&self, attempt: AttemptId) -> AttemptBody {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = inner
+            .states
+            .entry(attempt)
+            .or_insert_with(|| body(attempt, AttemptState::NotStarted));
+        if known.state == AttemptState::Running {
+            known.state = AttemptState::Failed;
+            known.reason = Some("stopped".to_owned());
+        }
+        known.clone()
+    }
+
+    /// Returns the starts so far.
+    pub fn starts(&self) -> StartsBody {
+        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts: BTreeMap<(KeyDigest, TaskIndex), u32> = BTreeMap::new();
+        for attempt in &inner.started {
+            *counts.entry((attempt.job, attempt.task)).or_default() += 1;
+        }
+        let mut duplicates = Vec::new();
+        for ((job, task), starts) in counts {
+            if starts > 1 {
+                duplicates.push(DuplicateStart { job, task, starts });
+            }
+        }
+        let attempts = inner.started.iter().map(ToString::to_string).collect();
+        StartsBody {
+            attempts,
+            duplicates,
+            refused: inner.refused,
+            questions: inner.questions,
+        }
+    }
+}
+
+/// Returns an answer about `attempt` without a result.
+pub fn body(attempt: AttemptId, state: AttemptState) -> AttemptBody {
+    AttemptBody {
+        attempt_id: attempt,
+        state,
+        result: None,
+        reason: None,
+        run_time_us: 0,
+    }
+}
--- /dev/null
+++ b/kqr-wire/src/lib.rs
@@ -0,0 +1,8 @@
+//! Messages and services between callers, targets and the processes of kumquatroad.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod callers;
+pub mod headers;
+pub mod siblings;
+pub mod targets;
