--- a/kqr-entry/src/homes.rs
+++ b/kqr-entry/src/homes.rs
@@ -1,8 +1,7 @@
 use std::collections::BTreeSet;
 
 use kqr_settings::bootstrap::{Bootstrap, Instance, Role};
-use kqr_types::{DataCentre, InstanceId, JobKey};
-use xxhash_rust::xxh3::xxh3_64;
+use kqr_types::{DataCentre, InstanceId, JobKey, rendezvous_weight};
 
 /// The rule that names the home of each key.
 #[derive(Debug)]
@@ -43,7 +42,7 @@
     pub fn remote_home(&self, key: &JobKey) -> Option<&Instance> {
         let site = self.data_centre(key)?;
         let members = self.entries.iter().filter(|entry| entry.data_centre == *site);
-        let home = members.max_by_key(|entry| score(key, entry.id.as_str()))?;
+        let home = members.max_by_key(|entry| rendezvous_weight(key.as_str(), entry.id.as_str(), 1))?;
         (home.id != self.own).then_some(home)
     }
 
@@ -65,15 +64,6 @@
         }
         self.data_centres
             .iter()
-            .max_by_key(|site| score(key, site.as_str()))
+            .max_by_key(|site| rendezvous_weight(key.as_str(), site.as_str(), 1))
     }
 }
-
-/// Returns the rendezvous weight of `candidate` for `key`.
-fn score(key: &JobKey, candidate: &str) -> u64 {
-    let mut text = Vec::with_capacity(key.as_str().len() + 1 + candidate.len());
-    text.extend_from_slice(key.as_str().as_bytes());
-    text.push(0);
-    text.extend_from_slice(candidate.as_bytes());
-    xxh3_64(&text)
-}
--- a/kqr-types/src/lib.rs
+++ b/kqr-types/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod attempt_id;
 mod byte_size;
+mod cell_view;
 mod counters;
 mod instant;
 mod key_digest;
@@ -13,6 +14,7 @@
 
 pub use attempt_id::AttemptId;
 pub use byte_size::ByteSize;
+pub use cell_view::{CellMember, CellView, MemberState, rendezvous_weight};
 pub use counters::{Attempt, Epoch, Incarnation, Slots, TaskIndex};
 pub use instant::Instant;
 pub use key_digest::KeyDigest;
--- a/kqr-types/tests/round_trips.rs
+++ b/kqr-types/tests/round_trips.rs
@@ -1,6 +1,9 @@
 //! Each parsed form is read back as the value that was written, and malformed text is refused.
 
-use kqr_types::{Attempt, AttemptId, ByteSize, JobKey, KeyDigest, Rate, TaskIndex};
+use kqr_types::{
+    Attempt, AttemptId, ByteSize, CellMember, CellView, Epoch, Incarnation, JobKey, KeyDigest, MemberState,
+    Rate, TaskIndex,
+};
 use quickcheck::quickcheck;
 
 quickcheck! {
@@ -40,3 +43,41 @@
         assert!(text.parse::<Rate>().is_err(), "{text:?} was accepted");
     }
 }
+
+#[test]
+fn rendezvous_gives_keys_by_weight_and_moves_only_the_keys_of_a_lost_member() {
+    let member = |id: &str, weight| CellMember {
+        id: id.parse().unwrap(),
+        incarnation: Incarnation(1),
+        weight,
+        state: MemberState::Full,
+    };
+    let all = CellView {
+        epoch: Epoch(1),
+        members: vec![member("a", 1), member("b", 1), member("c", 2)],
+    };
+    let rest = CellView {
+        epoch: Epoch(2),
+        members: all.members[1..].to_vec(),
+    };
+    let mut homes = std::collections::BTreeMap::<String, u32>::new();
+    for number in 0..4000 {
+        let key = format!("key-{number}");
+        let order = all.order(&key);
+        *homes.entry(order[0].id.to_string()).or_default() += 1;
+        let heir = if order[0].id.as_str() == "a" {
+            order[1]
+        } else {
+            order[0]
+        };
+        assert_eq!(
+            rest.home(&key).unwrap().id,
+            heir.id,
+            "the first follower must inherit {key}"
+        );
+    }
+    assert!(
+        (1800..2200).contains(&homes["c"]),
+        "weight 2 of 4 must get about half of the keys: {homes:?}"
+    );
+}
