--- a/kqr-directory/src/bucket.rs
+++ b/kqr-directory/src/bucket.rs
@@ -3,7 +3,7 @@
 use kqr_types::{Instant, TargetId};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Age, AgedRecord, BucketBeat, Record};
+use crate::{Age, AgedRecord, BucketBeat, GONE_AFTER, Output, Record, SUSPECT_AFTER};
 
 /// Number of buckets that the targets are divided into.
 pub const BUCKETS: usize = 32;
@@ -53,11 +53,6 @@
         self.known.get_mut(id)
     }
 
-    /// Returns all targets for a change of what is not part of the digest.
-    pub fn known_mut(&mut self) -> impl Iterator<Item = &mut Known> {
-        self.known.values_mut()
-    }
-
     /// Adds or replaces a target.
     pub fn put(&mut self, now: Instant, known: Known) {
         self.remove(now, &known.record.id().clone());
@@ -73,6 +68,34 @@
         Some(known)
     }
 
+    /// Suspects targets by the age of their renewals, and removes and returns those that are gone. If `is_cut_off`,
+    /// only leaving targets are removed.
+    pub fn expire(&mut self, now: Instant, is_cut_off: bool, outputs: &mut Vec<Output>) -> Vec<Known> {
+        let mut gone = Vec::new();
+        for (id, known) in &mut self.known {
+            let age = now.since(known.heard);
+            if age >= GONE_AFTER && (known.record.is_leaving || !is_cut_off) {
+                gone.push(id.clone());
+                continue;
+            }
+            if age < SUSPECT_AFTER || known.is_suspect {
+                continue;
+            }
+            known.is_suspect = true;
+            if !known.record.is_leaving {
+                outputs.push(Output::Suspect(id.clone()));
+            }
+        }
+        gone.iter().filter_map(|id| self.remove(now, id)).collect()
+    }
+
+    /// Makes no target older than a fresh suspect.
+    pub fn reprieve(&mut self, now: Instant) {
+        for known in self.known.values_mut() {
+            known.heard = known.heard.max(now - SUSPECT_AFTER);
+        }
+    }
+
     /// Returns the part of a beat about this bucket.
     pub fn beat(&self, now: Instant) -> BucketBeat {
         let mut ages = vec![0; self.known.len().div_ceil(2)];
--- a/kqr-directory/src/directory.rs
+++ b/kqr-directory/src/directory.rs
@@ -3,14 +3,11 @@
     time::Duration,
 };
 
-use kqr_placement::Announcement;
-use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
+use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    Age, AgedRecord, BucketBeat, GONE_AFTER, Input, Message, Output, Record, SUSPECT_AFTER,
-    bucket::{BUCKETS, Bucket, Known, bucket_of},
-    peer::Peer,
-    tombstones::Tombstones,
+    Age, AgedRecord, BucketBeat, Input, Message, Output, Record, bucket::BUCKETS, peer::Peer,
+    targets::Targets,
 };
 
 /// Time between two beats.
@@ -27,9 +24,8 @@
 /// The targets of one data centre as one of its entries sees them.
 #[derive(Clone, Debug)]
 pub struct Directory {
-    buckets: Vec<Bucket>,
-    tombstones: Tombstones,
-    early_leaves: BTreeMap<TargetId, Instant>,
+    own: InstanceId,
+    targets: Targets,
     peers: BTreeMap<InstanceId, Peer>,
     change: u64,
     next_beat: Instant,
@@ -40,12 +36,11 @@
 }
 
 impl Directory {
-    /// Creates an empty directory.
-    pub fn new(now: Instant) -> Self {
+    /// Creates an empty directory of the entry `own`.
+    pub fn new(own: InstanceId, now: Instant) -> Self {
         Self {
-            buckets: vec![Bucket::default(); BUCKETS],
-            tombstones: Tombstones::default(),
-            early_leaves: BTreeMap::new(),
+            own,
+            targets: Targets::new(),
             peers: BTreeMap::new(),
             change: 0,
             next_beat: now,
@@ -61,9 +56,16 @@
         match input {
             Input::Announced(announcement) => {
                 self.note_input(now);
-                self.announced(now, announcement, outputs);
+                let id = announcement.id.clone();
+                if self.targets.announce(now, announcement, outputs) {
+                    self.spread(&id);
+                }
+            }
+            Input::Leaving { id, incarnation } => {
+                if self.targets.leave(now, &id, incarnation, outputs) {
+                    self.spread(&id);
+                }
             }
-            Input::Leaving { id, incarnation } => self.leaving(now, id, incarnation, outputs),
             Input::Peer { from, message } => {
                 self.note_input(now);
                 self.message(now, &from, message, outputs);
@@ -76,7 +78,11 @@
 
     /// Returns the number of targets.
     pub fn len(&self) -> usize {
-        self.buckets.iter().map(|bucket| bucket.known().len()).sum()
+        self.targets
+            .buckets()
+            .iter()
+            .map(|bucket| bucket.known().len())
+            .sum()
     }
 
     /// Returns whether no target is known.
@@ -86,67 +92,18 @@
 
     /// Returns the record of a target.
     pub fn get(&self, id: &TargetId) -> Option<&Record> {
-        let known = self.buckets[bucket_of(id)].known().get(id)?;
-        Some(&known.record)
+        self.targets.get(id).map(|known| &known.record)
     }
 
     /// Returns a digest of all records, equal at entries that know the same.
     pub fn digest(&self) -> u64 {
         let mut digest = 0_u64;
-        for bucket in &self.buckets {
+        for bucket in self.targets.buckets() {
             digest = digest.rotate_left(5) ^ u64::from(bucket.digest());
         }
         digest
     }
 
-    fn announced(&mut self, now: Instant, announcement: Announcement, outputs: &mut Vec<Output>) {
-        let id = announcement.id.clone();
-        if self.tombstones.covers(&id, announcement.incarnation) {
-            return;
-        }
-        let mut record = Record::new(announcement);
-        if let Some(known) = self.buckets[bucket_of(&id)].known().get(&id) {
-            let old = &known.record;
-            if record.announcement.incarnation < old.announcement.incarnation {
-                return;
-            }
-            if record.announcement.incarnation == old.announcement.incarnation {
-                if old.is_leaving || record.announcement == old.announcement {
-                    self.renew(&id, now, now, outputs);
-                    return;
-                }
-                record.revision = old.revision + 1;
-            }
-        }
-        self.put(now, record, now, outputs);
-        self.spread(&id);
-    }
-
-    fn leaving(
-        &mut self,
-        now: Instant,
-        id: TargetId,
-        incarnation: Option<Incarnation>,
-        outputs: &mut Vec<Output>,
-    ) {
-        let Some(known) = self.buckets[bucket_of(&id)].known().get(&id) else {
-            self.early_leaves.insert(id, now);
-            return;
-        };
-        let present = known.record.announcement.incarnation;
-        if incarnation.is_some_and(|incarnation| incarnation < present) {
-            return;
-        }
-        if known.record.is_leaving {
-            self.renew(&id, now, now, outputs);
-            return;
-        }
-        let mut record = known.record.clone();
-        record.is_leaving = true;
-        self.put(now, record, now, outputs);
-        self.spread(&id);
-    }
-
     fn message(&mut self, now: Instant, from: &InstanceId, message: Message, outputs: &mut Vec<Output>) {
         match message {
             Message::Delta { number, records } => {
@@ -161,16 +118,7 @@
                 }
             }
             Message::Beat(beats) => self.beat_received(now, from, &beats, outputs),
-            Message::Pull { buckets } => {
-                let mut records = Vec::new();
-                for number in buckets {
-                    let Some(bucket) = self.buckets.get(usize::from(number)) else {
-                        continue;
-                    };
-                    records.extend(bucket.aged(now));
-                }
-                outputs.push(send(from, Message::Pulled(records)));
-            }
+            Message::Pull { buckets } => outputs.push(send(from, self.pulled(now, &buckets))),
             Message::Pulled(records) => {
                 for AgedRecord { record, age } in records {
                     if !age.is_expired() {
@@ -181,6 +129,13 @@
         }
     }
 
+    fn merge(&mut self, now: Instant, record: Record, heard: Instant, outputs: &mut Vec<Output>) {
+        let id = record.id().clone();
+        if self.targets.merge(now, record, heard, outputs) {
+            self.spread(&id);
+        }
+    }
+
     fn beat_received(
         &mut self,
         now: Instant,
@@ -190,7 +145,7 @@
     ) {
         let mut differing = Vec::new();
         for (number, beat) in beats.iter().enumerate().take(BUCKETS) {
-            let bucket = &self.buckets[number];
+            let bucket = &self.targets.buckets()[number];
             if bucket.digest() != beat.digest {
                 if now.since(bucket.changed()) >= SETTLE || bucket.known().is_empty() {
                     differing.push(number as u8);
@@ -204,7 +159,7 @@
                 };
                 let age = Age::from_bits(byte >> (4 * (position % 2)));
                 if !age.is_expired() {
-                    self.renew(id, now, age.heard(now), outputs);
+                    self.targets.renew(id, now, age.heard(now), outputs);
                 }
             }
         }
@@ -220,60 +175,14 @@
         outputs.push(send(from, Message::Pull { buckets }));
     }
 
-    /// Takes in a record of a sibling.
-    fn merge(&mut self, now: Instant, mut record: Record, heard: Instant, outputs: &mut Vec<Output>) {
-        let id = record.id().clone();
-        if self.tombstones.covers(&id, record.announcement.incarnation) {
-            return;
-        }
-        let is_left_early = self.early_leaves.remove(&id).is_some() && !record.is_leaving;
-        record.is_leaving |= is_left_early;
-        let known = self.buckets[bucket_of(&id)].known().get(&id);
-        if known.is_some_and(|known| known.record.version() >= record.version()) {
-            self.renew(&id, now, heard, outputs);
-            return;
-        }
-        self.put(now, record, heard, outputs);
-        if is_left_early {
-            self.spread(&id);
-        }
-    }
-
-    /// Stores a record that is newer than the known one and reports it.
-    fn put(&mut self, now: Instant, record: Record, heard: Instant, outputs: &mut Vec<Output>) {
-        let bucket = &mut self.buckets[bucket_of(record.id())];
-        let old = bucket.known().get(record.id());
-        let is_new = old.is_none_or(|old| old.record.announcement != record.announcement);
-        let same_life =
-            old.filter(|old| old.record.announcement.incarnation == record.announcement.incarnation);
-        let heard = same_life.map_or(heard, |old| heard.max(old.heard));
-        if is_new || !record.is_leaving {
-            outputs.push(Output::Present(record.announcement.clone()));
-        }
-        if record.is_leaving {
-            outputs.push(Output::Leaving(record.id().clone()));
-        }
-        let known = Known {
-            record,
-            heard,
-            is_suspect: false,
-        };
-        bucket.put(now, known);
-    }
-
-    /// Notes a renewal of a target at `heard`.
-    fn renew(&mut self, id: &TargetId, now: Instant, heard: Instant, outputs: &mut Vec<Output>) {
-        let Some(known) = self.buckets[bucket_of(id)].get_mut(id) else {
-            return;
-        };
-        known.heard = known.heard.max(heard);
-        if !known.is_suspect || now.since(known.heard) >= SUSPECT_AFTER {
-            return;
-        }
-        known.is_suspect = false;
-        if !known.record.is_leaving {
-            outputs.push(Output::Present(known.record.announcement.clone()));
+    fn pulled(&self, now: Instant, buckets: &[u8]) -> Message {
+        let mut records = Vec::new();
+        for number in buckets {
+            if let Some(bucket) = self.targets.buckets().get(usize::from(*number)) {
+                records.extend(bucket.aged(now));
+            }
         }
+        Message::Pulled(records)
     }
 
     /// Notes that the siblings have to learn of a target.
@@ -288,18 +197,15 @@
         for (to, peer) in &mut self.peers {
             let mut records = Vec::new();
             for id in peer.due(now) {
-                if let Some(known) = self.buckets[bucket_of(&id)].known().get(&id) {
+                if let Some(known) = self.targets.get(&id) {
                     records.push(known.record.clone());
                 }
             }
             if records.is_empty() {
                 continue;
             }
-            let message = Message::Delta {
-                number: self.change,
-                records,
-            };
-            outputs.push(send(to, message));
+            let number = self.change;
+            outputs.push(send(to, Message::Delta { number, records }));
         }
     }
 
@@ -318,51 +224,23 @@
 
     fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.is_cut_off |= now.since(self.last_input) >= CUT_OFF_AFTER;
-        self.expire(now, outputs);
-        self.tombstones.expire(now);
-        self.early_leaves.retain(|_, at| now.since(*at) < GONE_AFTER);
+        self.targets.expire(now, self.is_cut_off, outputs);
         if now >= self.next_beat {
             self.next_beat = now + BEAT_EVERY;
             self.beat(now, outputs);
         }
     }
 
-    fn expire(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        for bucket in &mut self.buckets {
-            let mut gone = Vec::new();
-            for known in bucket.known_mut() {
-                let age = now.since(known.heard);
-                if age >= GONE_AFTER && (known.record.is_leaving || !self.is_cut_off) {
-                    gone.push(known.record.id().clone());
-                    continue;
-                }
-                if age < SUSPECT_AFTER || known.is_suspect {
-                    continue;
-                }
-                known.is_suspect = true;
-                if !known.record.is_leaving {
-                    outputs.push(Output::Suspect(known.record.id().clone()));
-                }
-            }
-            for id in gone {
-                let Some(known) = bucket.remove(now, &id) else {
-                    continue;
-                };
-                if known.record.is_leaving {
-                    let incarnation = known.record.announcement.incarnation;
-                    self.tombstones.insert(now, id.clone(), incarnation);
-                }
-                outputs.push(Output::Gone(id));
-            }
-        }
-    }
-
     fn beat(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let peers: Vec<&InstanceId> = self.peers.keys().collect();
+        // The entries start at different places of the ring, so that each gets as many beats as it sends.
+        let after = self.peers.range(self.own.clone()..);
+        let before = self.peers.range(..self.own.clone());
+        let peers: Vec<&InstanceId> = after.chain(before).map(|(id, _)| id).collect();
         if peers.is_empty() {
             return;
         }
-        let beats: Vec<BucketBeat> = self.buckets.iter().map(|bucket| bucket.beat(now)).collect();
+        let buckets = self.targets.buckets();
+        let beats: Vec<BucketBeat> = buckets.iter().map(|bucket| bucket.beat(now)).collect();
         for offset in 0..BEAT_FANOUT.min(peers.len()) {
             let to = peers[(self.beat_turn + offset) % peers.len()];
             outputs.push(send(to, Message::Beat(beats.clone())));
@@ -373,14 +251,9 @@
     /// Notes a sign of life from outside. After a cut, each target gets the time of a suspect to be heard of again.
     fn note_input(&mut self, now: Instant) {
         self.last_input = now;
-        if !self.is_cut_off {
-            return;
-        }
-        self.is_cut_off = false;
-        for bucket in &mut self.buckets {
-            for known in bucket.known_mut() {
-                known.heard = known.heard.max(now - SUSPECT_AFTER);
-            }
+        if self.is_cut_off {
+            self.is_cut_off = false;
+            self.targets.reprieve(now);
         }
     }
 }
--- a/kqr-directory/src/lib.rs
+++ b/kqr-directory/src/lib.rs
@@ -13,6 +13,7 @@
 mod output;
 mod peer;
 mod record;
+mod targets;
 mod tombstones;
 
 pub use age::Age;
@@ -27,6 +28,8 @@
 /// Longest time between two renewals of a target that keeps it from being suspected.
 pub const RENEW_WITHIN: Duration = Duration::from_secs(3);
 /// Age of the last renewal from which a target is suspected.
-pub const SUSPECT_AFTER: Duration = Duration::from_secs(8);
+pub const SUSPECT_AFTER: Duration = Duration::from_secs(10);
+/// Age of the last renewal below which a suspected target is trusted again.
+pub const TRUSTED_BELOW: Duration = Duration::from_secs(7);
 /// Age of the last renewal from which a target is gone.
 pub const GONE_AFTER: Duration = Duration::from_secs(15);
