--- a/kqr-directory/tests/spreading.rs
+++ b/kqr-directory/tests/spreading.rs
@@ -267,14 +267,6 @@
                 }
             }
         });
-        if !net.is_equal_everywhere() {
-            for n in 0..12 {
-                let id = target(n, 1).id;
-                for e in &net.entries {
-                    println!("{n} {:?}", e.get(&id).map(|r| r.version()));
-                }
-            }
-        }
         assert!(net.is_equal_everywhere(), "seed {seed}");
     }
 }
