feat: order events by a hybrid logical clock, bound their files, add metrics

Events carry a time that is merged on receipt; files are rotated; dropped events are counted and told in the file. Metrics go through opentelemetry with label values from fixed sets.

--- a/kqr-telemetry/src/event.rs
+++ b/kqr-telemetry/src/event.rs
@@ -1,6 +1,10 @@
-use kqr_types::{AttemptId, InstanceId, JobKey, TargetId};
+use std::{fmt, str::FromStr};
+
+use kqr_types::{AttemptId, InstanceId, JobKey, ParseError, TargetId};
 use serde::{Deserialize, Serialize};
 
+use crate::HybridTime;
+
 /// Kind of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -31,13 +35,67 @@
     SettingsApplied,
     /// A new epoch of the cell is in force.
     EpochInstalled,
+    /// Start intents were replicated to the followers of a key.
+    IntentsReplicated,
+    /// A job was cancelled.
+    Cancelled,
+    /// A follower took over the keys of a lost home.
+    TakenOver,
+    /// A silent connection was replaced.
+    LinkReplaced,
+    /// Events were dropped because the writer was behind or the file could not be written.
+    EventsDropped,
+}
+
+impl EventKind {
+    /// Returns the name of the kind, as in the event files.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::ProcessStarted => "process-started",
+            Self::ProcessStopped => "process-stopped",
+            Self::Submitted => "submitted",
+            Self::Forwarded => "forwarded",
+            Self::TaskStarted => "task-started",
+            Self::TaskEnded => "task-ended",
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::Relayed => "relayed",
+            Self::TargetAnnounced => "target-announced",
+            Self::TargetLeft => "target-left",
+            Self::SettingsApplied => "settings-applied",
+            Self::EpochInstalled => "epoch-installed",
+            Self::IntentsReplicated => "intents-replicated",
+            Self::Cancelled => "cancelled",
+            Self::TakenOver => "taken-over",
+            Self::LinkReplaced => "link-replaced",
+            Self::EventsDropped => "events-dropped",
+        }
+    }
+}
+
+impl fmt::Display for EventKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl FromStr for EventKind {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let parsed = serde_json::from_value(serde_json::Value::from(text));
+        parsed.map_err(|_| ParseError::new("event kind", text, "a kind such as task-started"))
+    }
 }
 
 /// One entry of the time line.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event {
     /// Wall-clock time in microseconds since the Unix epoch.
     pub unix_us: u64,
+    /// Time that orders the event after all events that its process knew of. Zero in files that lack it.
+    #[serde(default)]
+    pub time: HybridTime,
     /// Number of the event in its process.
     pub sequence: u64,
     /// Process that recorded the event.
--- a/kqr-telemetry/src/event_log.rs
+++ b/kqr-telemetry/src/event_log.rs
@@ -1,86 +1,117 @@
 use std::{
-    fs::{File, OpenOptions},
-    io::{BufWriter, Write},
     path::Path,
     sync::{
+        Arc,
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel},
+        mpsc::{SyncSender, sync_channel},
     },
-    time::{Duration, SystemTime},
+    time::SystemTime,
 };
 
 use eyre::WrapErr;
 use kqr_types::InstanceId;
 
-use crate::{Event, EventKind};
+use crate::{
+    Event, EventKind, HybridClock, HybridTime, RotationOptions,
+    event_writer::{EventWriter, Message},
+    rotating_file::RotatingFile,
+};
 
 /// Events that may wait for the writer before new ones are dropped.
 const QUEUED_EVENTS: usize = 65_536;
-/// Longest time that a written event stays in the buffer.
-const FLUSH_AFTER: Duration = Duration::from_millis(200);
-
-/// A message to the writer thread.
-enum Message {
-    /// Writes an event.
-    Write(Event),
-    /// Flushes the file and confirms it.
-    Flush(SyncSender<()>),
-}
 
-/// Writer of the events of one process, as JSON lines.
+/// Recorder of the events of one process, as JSON lines in a rotated file.
 #[derive(Debug)]
 pub struct EventLog {
+    stamp: Arc<Stamp>,
+    dropped: Arc<AtomicU64>,
+    tx: Option<SyncSender<Message>>,
+}
+
+/// What gives each event of a process its place.
+#[derive(Debug)]
+pub struct Stamp {
     instance: InstanceId,
+    clock: HybridClock,
     sequence: AtomicU64,
-    dropped: AtomicU64,
-    tx: Option<SyncSender<Message>>,
+}
+
+impl Stamp {
+    /// Returns an event of `kind` with the present time.
+    pub fn event(&self, kind: EventKind) -> Event {
+        let unix_us = unix_us();
+        Event {
+            unix_us,
+            time: self.clock.read(unix_us),
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            instance: self.instance.clone(),
+            kind,
+            key: None,
+            attempt: None,
+            target: None,
+            peer: None,
+            detail: None,
+        }
+    }
 }
 
 impl EventLog {
     /// Creates a log that drops every event.
     pub fn disabled(instance: InstanceId) -> Self {
-        Self {
+        let stamp = Stamp {
             instance,
+            clock: HybridClock::new(),
             sequence: AtomicU64::new(0),
-            dropped: AtomicU64::new(0),
+        };
+        Self {
+            stamp: Arc::new(stamp),
+            dropped: Arc::new(AtomicU64::new(0)),
             tx: None,
         }
     }
 
-    /// Opens the log at `path` for appending.
+    /// Opens the log at `path` for appending, with the default bounds.
     ///
     /// # Errors
     ///
     /// Fails if the file can't be opened or the writer thread can't be started.
     pub fn open(instance: InstanceId, path: &Path) -> eyre::Result<Self> {
-        let file = OpenOptions::new().create(true).append(true).open(path);
+        Self::open_bounded(instance, path, RotationOptions::default())
+    }
+
+    /// Opens the log at `path` for appending, within the bounds of `options`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be opened or the writer thread can't be started.
+    pub fn open_bounded(instance: InstanceId, path: &Path, options: RotationOptions) -> eyre::Result<Self> {
+        let file = RotatingFile::open(path, options);
         let file = file.wrap_err_with(|| format!("opening the event file {}", path.display()))?;
         let (tx, rx) = sync_channel(QUEUED_EVENTS);
+        let mut log = Self::disabled(instance);
+        let writer = EventWriter::new(file, Arc::clone(&log.stamp), Arc::clone(&log.dropped));
         std::thread::Builder::new()
             .name("events".to_owned())
-            .spawn(move || write_events(file, &rx))
+            .spawn(move || writer.run(&rx))
             .wrap_err("starting the event writer")?;
-        let mut log = Self::disabled(instance);
         log.tx = Some(tx);
         Ok(log)
     }
 
     /// Returns an event of `kind` with the present time.
     pub fn event(&self, kind: EventKind) -> Event {
-        let unix = SystemTime::now()
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .unwrap_or_default();
-        Event {
-            unix_us: unix.as_micros() as u64,
-            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-            instance: self.instance.clone(),
-            kind,
-            key: None,
-            attempt: None,
-            target: None,
-            peer: None,
-            detail: None,
-        }
+        self.stamp.event(kind)
+    }
+
+    /// Returns the time for a message that is about to be sent.
+    pub fn time(&self) -> HybridTime {
+        self.stamp.clock.read(unix_us())
+    }
+
+    /// Takes in the time of a received message, so that later events are ordered after it. Returns false if it is too
+    /// far ahead of the own clock to be followed.
+    pub fn merge(&self, received: HybridTime) -> bool {
+        self.stamp.clock.merge(unix_us(), received)
     }
 
     /// Records `event`, or counts it as dropped if the writer is behind.
@@ -106,31 +137,7 @@
     }
 }
 
-fn write_events(file: File, rx: &Receiver<Message>) {
-    let mut out = BufWriter::new(file);
-    loop {
-        match rx.recv_timeout(FLUSH_AFTER) {
-            Ok(Message::Write(event)) => write_event(&mut out, &event),
-            Ok(Message::Flush(done)) => {
-                flush(&mut out);
-                let _ = done.send(());
-            }
-            Err(RecvTimeoutError::Timeout) => flush(&mut out),
-            Err(RecvTimeoutError::Disconnected) => break,
-        }
-    }
-    flush(&mut out);
-}
-
-fn write_event(out: &mut BufWriter<File>, event: &Event) {
-    let written = serde_json::to_writer(&mut *out, event).map_err(std::io::Error::from);
-    if let Err(error) = written.and_then(|()| out.write_all(b"\n")) {
-        log::error!("writing an event: {error}");
-    }
-}
-
-fn flush(out: &mut BufWriter<File>) {
-    if let Err(error) = out.flush() {
-        log::error!("flushing the event file: {error}");
-    }
+fn unix_us() -> u64 {
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    unix.unwrap_or_default().as_micros() as u64
 }
--- /dev/null
+++ b/kqr-telemetry/src/labels.rs
@@ -0,0 +1,98 @@
+//! Fixed sets of label values. No label takes its value from a caller's text.
+
+/// How a submission or a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AnswerClass {
+    /// A complete answer within the caller's deadline.
+    InTime,
+    /// A complete answer after the caller's deadline.
+    Late,
+    /// Failed or refused; nothing was run.
+    NotRun,
+    /// Failed or refused; work may have been run.
+    MayHaveRun,
+    /// Failed after work was run.
+    Ran,
+}
+
+impl AnswerClass {
+    /// Returns the label value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::InTime => "in-time",
+            Self::Late => "late",
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::Ran => "ran",
+        }
+    }
+}
+
+/// Kind of work of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkKind {
+    /// A job.
+    Job,
+    /// A relayed request.
+    Request,
+}
+
+impl WorkKind {
+    /// Returns the label value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Job => "job",
+            Self::Request => "request",
+        }
+    }
+}
+
+/// Expected length of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TaskLength {
+    /// Within the quantiles of its class.
+    Short,
+    /// Past them.
+    Long,
+}
+
+impl TaskLength {
+    /// Returns the label value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Short => "short",
+            Self::Long => "long",
+        }
+    }
+}
+
+/// A message beyond the one start and one answer of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WastedMessage {
+    /// A submission or a task was forwarded to a sibling.
+    Forward,
+    /// A target refused a start.
+    Refusal,
+    /// A target was asked about an attempt.
+    Question,
+    /// An idempotent request was sent again.
+    Retry,
+    /// An idempotent request was sent to a second target before the first answered.
+    Hedge,
+    /// Slots of another data centre were borrowed.
+    Borrow,
+}
+
+impl WastedMessage {
+    /// Returns the label value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Forward => "forward",
+            Self::Refusal => "refusal",
+            Self::Question => "question",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+            Self::Borrow => "borrow",
+        }
+    }
+}
--- a/kqr-telemetry/src/lib.rs
+++ b/kqr-telemetry/src/lib.rs
@@ -1,11 +1,24 @@
-//! Structured logs and time-line events.
+//! Structured logs, time-line events and metrics.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 mod event;
 mod event_log;
+mod event_writer;
+mod hybrid_clock;
+mod hybrid_time;
+mod labels;
+mod level;
 mod logging;
+mod metrics;
+mod rotating_file;
 
 pub use event::{Event, EventKind};
 pub use event_log::EventLog;
+pub use hybrid_clock::HybridClock;
+pub use hybrid_time::HybridTime;
+pub use labels::{AnswerClass, TaskLength, WastedMessage, WorkKind};
+pub use level::Level;
 pub use logging::init_logging;
+pub use metrics::Metrics;
+pub use rotating_file::RotationOptions;
--- /dev/null
+++ b/kqr-telemetry/src/metrics.rs
@@ -0,0 +1,201 @@
+use std::time::Duration;
+
+use eyre::WrapErr;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::{AnswerClass, Level, TaskLength, WastedMessage, WorkKind};
+
+/// Bounds of the buckets of times, in seconds.
+const SECONDS: [f64; 15] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0,
+];
+/// Bounds of the buckets of ratios.
+const RATIOS: [f64; 12] = [1.0, 1.02, 1.05, 1.1, 1.2, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0];
+
+/// The metrics of one process. Their number is fixed, whatever callers send.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    response: Histogram<f64>,
+    over_ideal: Histogram<f64>,
+    queue_wait: Histogram<f64>,
+    forward: Histogram<f64>,
+    sync: Histogram<f64>,
+    settings_delay: Histogram<f64>,
+    answers: Counter<u64>,
+    starts: Counter<u64>,
+    wasted: Counter<u64>,
+    sibling_bytes: Counter<u64>,
+    dropped_events: Gauge<u64>,
+    levels: Vec<Gauge<u64>>,
+}
+
+impl Metrics {
+    /// Creates the metrics of a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be registered.
+    pub fn new() -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .without_units()
+            .build()
+            .wrap_err("registering the metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("kqr");
+        let levels = Level::ALL.map(|level| gauge(&meter, level.name(), level.description()));
+        Ok(Self {
+            registry,
+            response: histogram(
+                &meter,
+                "kqr_response_seconds",
+                "Response time from arrival to answer",
+                &SECONDS,
+            ),
+            over_ideal: histogram(
+                &meter,
+                "kqr_response_over_ideal",
+                "Response time over the longest run time of the job's tasks",
+                &RATIOS,
+            ),
+            queue_wait: histogram(
+                &meter,
+                "kqr_queue_wait_seconds",
+                "Wait of a task for a slot",
+                &SECONDS,
+            ),
+            forward: histogram(
+                &meter,
+                "kqr_forward_seconds",
+                "Round trip of a call to a sibling",
+                &SECONDS,
+            ),
+            sync: histogram(&meter, "kqr_sync_seconds", "Time of a synced write", &SECONDS),
+            settings_delay: histogram(
+                &meter,
+                "kqr_settings_delay_seconds",
+                "Time from the acceptance of a change to its application here",
+                &SECONDS,
+            ),
+            answers: counter(&meter, "kqr_answers", "Answers and refusals to callers"),
+            starts: counter(&meter, "kqr_task_starts", "Task starts sent to targets"),
+            wasted: counter(
+                &meter,
+                "kqr_wasted_messages",
+                "Messages beyond one start and one answer a task",
+            ),
+            sibling_bytes: counter(
+                &meter,
+                "kqr_sibling_bytes",
+                "Bytes of membership and directory messages sent",
+            ),
+            dropped_events: gauge(&meter, "kqr_dropped_events", "Time-line events that were dropped"),
+            levels: levels.into(),
+            provider,
+        })
+    }
+
+    /// Counts an answer or a refusal to a caller.
+    pub fn answered(&self, kind: WorkKind, class: AnswerClass, response: Duration) {
+        let kind = KeyValue::new("kind", kind.as_str());
+        let class = KeyValue::new("class", class.as_str());
+        self.response
+            .record(response.as_secs_f64(), std::slice::from_ref(&kind));
+        self.answers.add(1, &[kind, class]);
+    }
+
+    /// Records how long a complete job took in relation to the longest run time of its tasks.
+    pub fn compared_to_ideal(&self, response: Duration, ideal: Duration) {
+        if !ideal.is_zero() {
+            self.over_ideal.record(response.div_duration_f64(ideal), &[]);
+        }
+    }
+
+    /// Records that a task got a slot after `wait`.
+    pub fn task_started(&self, length: TaskLength, wait: Duration) {
+        self.starts.add(1, &[]);
+        let length = KeyValue::new("length", length.as_str());
+        self.queue_wait.record(wait.as_secs_f64(), &[length]);
+    }
+
+    /// Counts a message beyond the one start and one answer of a task.
+    pub fn wasted(&self, message: WastedMessage) {
+        self.wasted.add(1, &[KeyValue::new("message", message.as_str())]);
+    }
+
+    /// Records the round trip of a call to a sibling.
+    pub fn sibling_called(&self, round_trip: Duration) {
+        self.forward.record(round_trip.as_secs_f64(), &[]);
+    }
+
+    /// Counts bytes of membership and directory messages that were sent.
+    pub fn sibling_bytes(&self, bytes: u64) {
+        self.sibling_bytes.add(bytes, &[]);
+    }
+
+    /// Records the time of a synced write.
+    pub fn synced(&self, time: Duration) {
+        self.sync.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records how long after its acceptance a change of the settings was applied here.
+    pub fn settings_applied(&self, delay: Duration) {
+        self.settings_delay.record(delay.as_secs_f64(), &[]);
+    }
+
+    /// Sets a level to its present value.
+    pub fn set(&self, level: Level, value: u64) {
+        if let Some(gauge) = self.levels.get(level as usize) {
+            gauge.record(value, &[]);
+        }
+    }
+
+    /// Sets the number of time-line events that were dropped.
+    pub fn set_dropped_events(&self, dropped: u64) {
+        self.dropped_events.record(dropped, &[]);
+    }
+
+    /// Returns all metrics in the text format of `GET /metrics`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn text(&self) -> eyre::Result<String> {
+        let text = TextEncoder::new().encode_to_string(&self.registry.gather());
+        text.wrap_err("encoding the metrics")
+    }
+
+    /// Stops collecting.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the library can't stop.
+    pub fn close(self) -> eyre::Result<()> {
+        self.provider.shutdown().wrap_err("stopping the metrics")
+    }
+}
+
+fn histogram(meter: &Meter, name: &'static str, description: &'static str, bounds: &[f64]) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_boundaries(bounds.to_vec())
+        .build()
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(description).build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
--- /dev/null
+++ b/kqr-telemetry/tests/events.rs
@@ -0,0 +1,127 @@
+//! Order, bounds and losses of events.
+
+use std::{fs, path::Path, sync::Arc};
+
+use kqr_telemetry::{Event, EventKind, EventLog, HybridClock, HybridTime, RotationOptions};
+use kqr_types::ByteSize;
+use quickcheck::quickcheck;
+
+quickcheck! {
+    fn hybrid_time(unix_us: u64, logical: u16) -> bool {
+        let text = format!("{}.{}", unix_us >> 12, logical >> 4);
+        text.parse::<HybridTime>().is_ok_and(|time| time.to_string() == text && time.unix_us() == unix_us >> 12)
+    }
+
+    fn readings_grow(walls: Vec<u32>, received: Vec<u32>) -> bool {
+        let clock = HybridClock::new();
+        let mut last = HybridTime::default();
+        for (wall, received) in walls.iter().zip(&received) {
+            let received = HybridTime::at(u64::from(*received));
+            let is_followed = clock.merge(u64::from(*wall), received);
+            let time = clock.read(u64::from(*wall));
+            if time <= last || is_followed && time <= received {
+                return false;
+            }
+            last = time;
+        }
+        true
+    }
+}
+
+#[test]
+fn malformed_and_far_readings_are_refused() {
+    for text in ["", "1", "1.", ".1", "-1.0", "1.4096", "18446744073709551615.0"] {
+        assert!(text.parse::<HybridTime>().is_err(), "{text:?} was accepted");
+    }
+    let clock = HybridClock::new();
+    assert!(
+        !clock.merge(1_000_000, HybridTime::at(62_000_000)),
+        "a clock that is a minute ahead is not followed"
+    );
+    assert_eq!(clock.read(1_000_000).unix_us(), 1_000_000);
+}
+
+#[test]
+fn kinds_have_the_same_name_in_files_and_on_the_command_line() {
+    for kind in [
+        EventKind::ProcessStarted,
+        EventKind::TaskStarted,
+        EventKind::EventsDropped,
+    ] {
+        assert_eq!(serde_json::to_value(kind).unwrap(), kind.to_string());
+        assert_eq!(kind.to_string().parse(), Ok(kind));
+    }
+}
+
+fn read(path: &Path) -> Vec<Event> {
+    let text = fs::read_to_string(path).unwrap_or_default();
+    text.lines()
+        .filter_map(|line| serde_json::from_str(line).ok())
+        .collect()
+}
+
+#[test]
+fn files_are_bounded_and_keep_the_latest_events() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("a.jsonl");
+    let options = RotationOptions {
+        file_bytes: ByteSize(4096),
+        kept_files: 2,
+    };
+    let log = EventLog::open_bounded("entry-1".parse().unwrap(), &path, options).unwrap();
+    for _ in 0..500 {
+        log.record(log.event(EventKind::Submitted));
+    }
+    log.flush();
+    let mut sequences = Vec::new();
+    for name in ["a.jsonl.2", "a.jsonl.1", "a.jsonl"] {
+        let file = folder.path().join(name);
+        assert!(fs::metadata(&file).unwrap().len() <= 4096, "{name} is bounded");
+        sequences.extend(read(&file).iter().map(|event| event.sequence));
+    }
+    assert_eq!(fs::read_dir(folder.path()).unwrap().count(), 3);
+    assert_eq!(sequences.last(), Some(&499));
+    assert!(
+        sequences.windows(2).all(|pair| pair[1] == pair[0] + 1),
+        "no event is missing between files"
+    );
+}
+
+#[test]
+fn each_recorded_event_is_written_or_counted() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("a.jsonl");
+    let log = Arc::new(EventLog::open("entry-1".parse().unwrap(), &path).unwrap());
+    let mut threads = Vec::new();
+    for _ in 0..4 {
+        let log = Arc::clone(&log);
+        threads.push(std::thread::spawn(move || {
+            for _ in 0..40_000 {
+                log.record(log.event(EventKind::TaskStarted));
+            }
+        }));
+    }
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    log.flush();
+    let events = read(&path);
+    let written = events
+        .iter()
+        .filter(|event| event.kind == EventKind::TaskStarted)
+        .count() as u64;
+    assert_eq!(written + log.dropped(), 160_000);
+    let is_told = events.iter().any(|event| event.kind == EventKind::EventsDropped);
+    assert_eq!(is_told, log.dropped() > 0, "a loss is told in the file");
+}
+
+#[test]
+fn a_torn_line_of_an_earlier_process_spoils_no_later_event() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("a.jsonl");
+    fs::write(&path, "{\"unix_us\":1,\"seq").unwrap();
+    let log = EventLog::open("entry-1".parse().unwrap(), &path).unwrap();
+    log.record(log.event(EventKind::ProcessStarted));
+    log.flush();
+    assert_eq!(read(&path).len(), 1);
+}
--- /dev/null
+++ b/kqr-telemetry/tests/metrics.rs
@@ -0,0 +1,70 @@
+//! The text of the metrics and their fixed number.
+
+use std::{fs, time::Duration};
+
+use kqr_telemetry::{AnswerClass, Level, Metrics, TaskLength, WastedMessage, WorkKind};
+
+fn filled() -> Metrics {
+    let metrics = Metrics::new().unwrap();
+    metrics.answered(WorkKind::Job, AnswerClass::InTime, Duration::from_millis(120));
+    metrics.answered(WorkKind::Request, AnswerClass::NotRun, Duration::from_millis(1));
+    metrics.compared_to_ideal(Duration::from_millis(120), Duration::from_millis(100));
+    metrics.task_started(TaskLength::Short, Duration::from_millis(3));
+    metrics.wasted(WastedMessage::Forward);
+    metrics.sibling_called(Duration::from_millis(1));
+    metrics.sibling_bytes(400);
+    metrics.synced(Duration::from_millis(4));
+    metrics.settings_applied(Duration::from_millis(300));
+    metrics.set_dropped_events(0);
+    for (number, level) in Level::ALL.into_iter().enumerate() {
+        metrics.set(level, 100 + number as u64);
+    }
+    metrics
+}
+
+#[test]
+fn what_is_recorded_shows_in_the_text() {
+    let text = filled().text().unwrap();
+    let has = |parts: &[&str]| {
+        text.lines()
+            .any(|line| parts.iter().all(|part| line.contains(part)))
+    };
+    assert!(
+        has(&["kqr_answers_total{", "class=\"in-time\"", "kind=\"job\"", "} 1"]),
+        "{text}"
+    );
+    assert!(
+        has(&["kqr_response_over_ideal_bucket{", "le=\"1.2\"", "} 1"]),
+        "{text}"
+    );
+    assert!(
+        has(&["kqr_response_over_ideal_bucket{", "le=\"1.1\"", "} 0"]),
+        "{text}"
+    );
+    assert!(
+        has(&["kqr_wasted_messages_total{", "message=\"forward\"", "} 1"]),
+        "{text}"
+    );
+    for (number, level) in Level::ALL.into_iter().enumerate() {
+        assert!(
+            has(&[&format!("{}{{", level.name()), &format!("}} {}", 100 + number)]),
+            "{level:?} in {text}"
+        );
+    }
+}
+
+#[test]
+fn the_operators_page_lists_each_metric() {
+    let page = fs::read_to_string("../docs/operators/metrics.md").unwrap();
+    let text = filled().text().unwrap();
+    for line in text.lines() {
+        let Some(rest) = line.strip_prefix("# TYPE ") else {
+            continue;
+        };
+        let name = rest.split(' ').next().unwrap();
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} is missing on the page"
+        );
+    }
+}
