--- /dev/null
+++ b/kqr-timeline/src/html.rs
@@ -0,0 +1,196 @@
+use std::{collections::BTreeMap, fmt::Write};
+
+use kqr_telemetry::{Event, EventKind};
+use kqr_types::InstanceId;
+
+use crate::{Timeline, table::concerns};
+
+/// Width of the drawing, in pixels.
+const WIDTH: f64 = 1200.0;
+/// Width of the names left of the lanes, in pixels.
+const NAMES: f64 = 200.0;
+/// Height of a lane, in pixels.
+const LANE: f64 = 36.0;
+/// Height of the scale above the lanes, in pixels.
+const SCALE: f64 = 28.0;
+/// Marks of the scale.
+const MARKS: u32 = 10;
+/// Most events that are drawn and listed; a filter shows the others.
+const MAX_EVENTS: usize = 5000;
+
+const STYLE: &str = "body{font:14px system-ui,sans-serif;margin:1.5em;color:#222}\
+table{border-collapse:collapse;font-size:12px}td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #e4e4e4}\
+td:first-child{text-align:right;font-variant-numeric:tabular-nums}text{font:12px system-ui,sans-serif}\
+.lane{stroke:#ccc}.mark{stroke:#eee}.way{stroke:#999;stroke-width:.7}.warning{color:#a00}.key span{margin-right:1em}";
+
+/// Formats the time line as one self-contained page with a lane for each process.
+pub fn to_html(timeline: &Timeline) -> String {
+    let shown = &timeline.events[..timeline.events.len().min(MAX_EVENTS)];
+    let mut page = String::from("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">");
+    let _ = write!(
+        page,
+        "<title>Time line</title><style>{STYLE}</style></head><body>\n<h1>Time line</h1>\n"
+    );
+    for warning in timeline.warnings() {
+        let _ = writeln!(page, "<p class=\"warning\">{}</p>", escape(&warning));
+    }
+    if shown.len() < timeline.events.len() {
+        let all = timeline.events.len();
+        let _ = writeln!(
+            page,
+            "<p class=\"warning\">The first {MAX_EVENTS} of {all} events are shown.</p>"
+        );
+    }
+    if shown.is_empty() {
+        page.push_str("<p>No event matches.</p>\n");
+    } else {
+        Drawing::new(timeline, shown).write(&mut page);
+        write_list(&mut page, shown);
+    }
+    page.push_str("</body></html>\n");
+    page
+}
+
+/// The lanes of a time line.
+struct Drawing<'a> {
+    events: &'a [Event],
+    lanes: BTreeMap<&'a InstanceId, usize>,
+    first: u64,
+    span: u64,
+}
+
+impl<'a> Drawing<'a> {
+    fn new(timeline: &'a Timeline, events: &'a [Event]) -> Self {
+        let lanes = timeline.instances().into_iter().zip(0..).collect();
+        let first = first_us(events);
+        let last = events.iter().map(Event::placed_us).max().unwrap_or(first);
+        Self {
+            events,
+            lanes,
+            first,
+            span: (last - first).max(1),
+        }
+    }
+
+    fn x(&self, event: &Event) -> f64 {
+        let part = (event.placed_us() - self.first) as f64 / self.span as f64;
+        NAMES + part * (WIDTH - NAMES - 20.0)
+    }
+
+    fn y(&self, instance: &InstanceId) -> Option<f64> {
+        let lane = self.lanes.get(instance)?;
+        Some(SCALE + LANE * (*lane as f64 + 0.5))
+    }
+
+    fn write(&self, page: &mut String) {
+        let height = SCALE + LANE * self.lanes.len() as f64 + 8.0;
+        let _ = writeln!(page, "<svg width=\"{WIDTH}\" height=\"{height}\" role=\"img\">");
+        self.write_scale(page, height);
+        for (instance, lane) in &self.lanes {
+            let y = SCALE + LANE * (*lane as f64 + 0.5);
+            let _ = writeln!(
+                page,
+                "<line class=\"lane\" x1=\"{NAMES}\" x2=\"{WIDTH}\" y1=\"{y}\" y2=\"{y}\"/><text x=\"4\" y=\"{}\">{}</text>",
+                y + 4.0,
+                escape(instance.as_str())
+            );
+        }
+        for event in self.events {
+            self.write_event(page, event);
+        }
+        page.push_str("</svg>\n");
+        self.write_legend(page);
+    }
+
+    fn write_scale(&self, page: &mut String, height: f64) {
+        for mark in 0..=MARKS {
+            let part = f64::from(mark) / f64::from(MARKS);
+            let x = NAMES + part * (WIDTH - NAMES - 20.0);
+            let millis = part * self.span as f64 / 1000.0;
+            let _ = writeln!(
+                page,
+                "<line class=\"mark\" x1=\"{x:.1}\" x2=\"{x:.1}\" y1=\"{SCALE}\" y2=\"{height}\"/>\
+                 <text x=\"{x:.1}\" y=\"16\" text-anchor=\"middle\">{millis:.1} ms</text>"
+            );
+        }
+    }
+
+    fn write_event(&self, page: &mut String, event: &Event) {
+        let Some(y) = self.y(&event.instance) else { return };
+        let x = self.x(event);
+        if let Some(other) = event.peer.as_ref().and_then(|peer| self.y(peer)) {
+            let _ = writeln!(
+                page,
+                "<line class=\"way\" x1=\"{x:.1}\" x2=\"{x:.1}\" y1=\"{y}\" y2=\"{other}\"/>"
+            );
+        }
+        let millis = (event.placed_us() - self.first) as f64 / 1000.0;
+        let _ = writeln!(
+            page,
+            "<circle cx=\"{x:.1}\" cy=\"{y}\" r=\"4\" fill=\"{}\"><title>{millis:.3} ms {} {}</title></circle>",
+            colour(event.kind),
+            event.kind,
+            escape(&concerns(event))
+        );
+    }
+
+    fn write_legend(&self, page: &mut String) {
+        let kinds: BTreeMap<EventKind, usize> =
+            self.events.iter().fold(BTreeMap::new(), |mut kinds, event| {
+                *kinds.entry(event.kind).or_default() += 1;
+                kinds
+            });
+        page.push_str("<p class=\"key\">");
+        for (kind, count) in kinds {
+            let _ = write!(
+                page,
+                "<span style=\"color:{}\">&#9679; {kind} ({count})</span>",
+                colour(kind)
+            );
+        }
+        page.push_str("</p>\n");
+    }
+}
+
+fn write_list(page: &mut String, events: &[Event]) {
+    let first = first_us(events);
+    page.push_str("<table><tr><th>ms</th><th>process</th><th>event</th><th>concerns</th></tr>\n");
+    for event in events {
+        let _ = writeln!(
+            page,
+            "<tr><td>{:.3}</td><td>{}</td><td style=\"color:{}\">{}</td><td>{}</td></tr>",
+            (event.placed_us() - first) as f64 / 1000.0,
+            escape(event.instance.as_str()),
+            colour(event.kind),
+            event.kind,
+            escape(&concerns(event))
+        );
+    }
+    page.push_str("</table>\n");
+}
+
+fn first_us(events: &[Event]) -> u64 {
+    events.iter().map(Event::placed_us).min().unwrap_or(0)
+}
+
+const fn colour(kind: EventKind) -> &'static str {
+    match kind {
+        EventKind::ProcessStarted | EventKind::ProcessStopped => "#555555",
+        EventKind::Submitted => "#1f77b4",
+        EventKind::Forwarded | EventKind::LinkReplaced => "#9467bd",
+        EventKind::IntentsReplicated => "#17809c",
+        EventKind::TaskStarted => "#2a7f2a",
+        EventKind::TaskEnded => "#7a9a01",
+        EventKind::Answered => "#0b4f8a",
+        EventKind::Refused | EventKind::Cancelled => "#c62828",
+        EventKind::Relayed => "#8c564b",
+        EventKind::TargetAnnounced | EventKind::TargetLeft => "#b8860b",
+        EventKind::SettingsApplied | EventKind::EpochInstalled | EventKind::TakenOver => "#c2388a",
+        EventKind::EventsDropped => "#ff0000",
+    }
+}
+
+fn escape(text: &str) -> String {
+    let text = text.replace('&', "&amp;").replace('<', "&lt;");
+    text.replace('>', "&gt;").replace('"', "&quot;")
+}
