--- a/kqr-timeline/src/table.rs
+++ b/kqr-timeline/src/table.rs
@@ -10,12 +10,7 @@
     for warning in timeline.warnings() {
         let _ = writeln!(text, "# {warning}");
     }
-    let first = timeline
-        .events
-        .iter()
-        .map(|event| event.placed_us())
-        .min()
-        .unwrap_or(0);
+    let first = timeline.events.iter().map(Event::placed_us).min().unwrap_or(0);
     let width = timeline
         .instances()
         .iter()
