--- a/kqr-load/src/report.rs
+++ b/kqr-load/src/report.rs
@@ -1,77 +1,122 @@
-use std::fmt::Write;
+use serde::{Deserialize, Serialize};
 
-use hdrhistogram::Histogram;
+use crate::Quantiles;
 
-use crate::check::Starts;
-
-/// Result of a run.
-#[derive(Debug)]
-pub struct Report {
-    /// Jobs that were submitted.
-    pub jobs: u64,
-    /// Jobs with a complete answer.
+/// Counts of how work ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Jobs and requests that arrived.
+    pub arrived: u64,
+    /// Complete answers.
     pub complete: u64,
-    /// Jobs that failed or were refused, by what is known of whether they were run.
+    /// Complete answers within the deadline.
+    pub in_time: u64,
+    /// Failed or refused; nothing was run.
     pub not_run: u64,
-    /// Jobs of which it is not known whether they were run.
+    /// Failed or refused; it may have been run.
     pub may_have_run: u64,
-    /// Jobs that were run and failed.
+    /// Run and failed.
     pub ran: u64,
-    /// Jobs without any answer.
+    /// Without any answer.
     pub unanswered: u64,
-    /// Answers that were not whole.
-    pub partial: u64,
-    /// Submissions that were sent again to another entry.
+    /// Cancelled by a wave, whatever the answer.
+    pub cancelled: u64,
+}
+
+/// What broke a promise. Each must be 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Broken {
+    /// Answers that were not the whole answer to their request.
+    pub partial_answers: u64,
+    /// Starts of tasks beyond the first.
+    pub duplicate_starts: u64,
+    /// Tasks that were started although they were answered as not run.
+    pub false_not_run: u64,
+    /// Runs of non-idempotent requests beyond the first.
+    pub repeated_requests: u64,
+    /// Requests that were run although they were answered as not run.
+    pub false_request_not_run: u64,
+}
+
+/// One second of the run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Second {
+    /// Jobs and requests that arrived.
+    pub arrived: u64,
+    /// Answers in time, by the second of the answer.
+    pub in_time: u64,
+    /// Refusals that said "not run", tries that were sent again included.
+    pub refused_not_run: u64,
+    /// Refusals that said "may have run".
+    pub refused_may_have_run: u64,
+    /// Median of response over ideal of the jobs that arrived.
+    pub over_ideal_p50: f64,
+    /// Quantile 0.99 of response over ideal of the jobs that arrived.
+    pub over_ideal_p99: f64,
+}
+
+/// One phase of the run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PhaseReport {
+    /// Name of the phase.
+    pub name: String,
+    /// Length in seconds.
+    pub seconds: f64,
+    /// How the work that arrived in it ended.
+    pub counts: Counts,
+    /// Response over ideal of the jobs that arrived in it.
+    pub over_ideal: Quantiles,
+}
+
+/// A point of the distribution of response over ideal.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DistributionPoint {
+    /// Quantile.
+    pub quantile: f64,
+    /// Response over ideal.
+    pub ratio: f64,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the experiment.
+    pub name: String,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// How the jobs ended.
+    pub jobs: Counts,
+    /// How the single requests ended.
+    pub requests: Counts,
+    /// What broke a promise.
+    pub broken: Broken,
+    /// Tries beyond the first.
     pub resubmitted: u64,
-    /// Response times from the intended arrival, in microseconds.
-    pub response: Histogram<u64>,
-    /// Response over the longest run time of the job's tasks, in thousandths.
-    pub over_ideal: Histogram<u64>,
     /// Tasks of the submitted jobs.
     pub tasks: u64,
-    /// What the stand-ins counted.
-    pub starts: Starts,
+    /// Starts of tasks at the stand-ins.
+    pub starts: u64,
+    /// Refused starts and questions about attempts at the stand-ins.
+    pub wasted: u64,
+    /// Response times of complete jobs from their intended arrival, in milliseconds.
+    pub job_response_ms: Quantiles,
+    /// Response times of complete requests from their intended arrival, in milliseconds.
+    pub request_response_ms: Quantiles,
+    /// Response over the longest run time of the job's tasks.
+    pub over_ideal: Quantiles,
+    /// Distribution of response over ideal.
+    pub distribution: Vec<DistributionPoint>,
+    /// Phases of the run.
+    pub phases: Vec<PhaseReport>,
+    /// Seconds of the run.
+    pub seconds: Vec<Second>,
 }
 
 impl Report {
-    /// Returns whether a promise was broken.
+    /// Returns whether a promise was broken or no work was answered at all.
     pub fn is_broken(&self) -> bool {
-        self.partial > 0 || self.starts.duplicates > 0 || self.complete == 0
+        let arrived = self.jobs.arrived + self.requests.arrived;
+        let complete = self.jobs.complete + self.requests.complete;
+        self.broken != Broken::default() || arrived > 0 && complete == 0
     }
-
-    /// Formats the report for a terminal.
-    pub fn to_text(&self) -> String {
-        let mut text = String::new();
-        let wasted = self.starts.refused + self.starts.questions;
-        let lines = [
-            ("jobs submitted", self.jobs.to_string()),
-            ("complete answers", self.complete.to_string()),
-            ("failed or refused, not run", self.not_run.to_string()),
-            ("failed or refused, may have run", self.may_have_run.to_string()),
-            ("failed, ran", self.ran.to_string()),
-            ("without an answer", self.unanswered.to_string()),
-            ("sent again to another entry", self.resubmitted.to_string()),
-            (
-                "tasks / starts",
-                format!("{} / {}", self.tasks, self.starts.started),
-            ),
-            ("wasted messages at targets", wasted.to_string()),
-            ("response p50 / p99 ms", quantiles(&self.response, 1000.0)),
-            (
-                "response over ideal p50 / p99",
-                quantiles(&self.over_ideal, 1000.0),
-            ),
-            ("partial answers", self.partial.to_string()),
-            ("duplicate starts", self.starts.duplicates.to_string()),
-        ];
-        for (name, value) in lines {
-            let _ = writeln!(text, "{name:<34} {value}");
-        }
-        text
-    }
-}
-
-fn quantiles(histogram: &Histogram<u64>, divisor: f64) -> String {
-    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / divisor;
-    format!("{:.2} / {:.2}", at(0.5), at(0.99))
 }
--- a/kqr-standin/src/api.rs
+++ b/kqr-standin/src/api.rs
@@ -256,6 +256,7 @@
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no free slot");
     }
     let line = format!("{} {}", req.method(), req.uri());
+    standin.attempts.requested(req.uri().to_string());
     let read = read_body(req.into_body(), LIMITS).await;
     standin.used.fetch_sub(1, Ordering::AcqRel);
     match read {
--- a/kqr-standin/src/attempts.rs
+++ b/kqr-standin/src/attempts.rs
@@ -23,6 +23,9 @@
 pub struct StartsBody {
     /// Each attempt that was started, in order.
     pub attempts: Vec<String>,
+    /// Path and query of each single request that was run, in order.
+    #[serde(default)]
+    pub requests: Vec<String>,
     /// Tasks that were started more than once here.
     pub duplicates: Vec<DuplicateStart>,
     /// Starts that were refused.
@@ -35,6 +38,7 @@
 struct Inner {
     states: BTreeMap<AttemptId, AttemptBody>,
     started: Vec<AttemptId>,
+    requests: Vec<String>,
     refused: u64,
     questions: u64,
 }
@@ -74,6 +78,12 @@
         state.clone()
     }
 
+    /// Records that a single request was run.
+    pub fn requested(&self, path: String) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.requests.push(path);
+    }
+
     /// Counts a refused start and returns its answer.
     pub fn refuse(&self, attempt: AttemptId, reason: &str) -> AttemptBody {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
@@ -121,6 +131,7 @@
         let attempts = inner.started.iter().map(ToString::to_string).collect();
         StartsBody {
             attempts,
+            requests: inner.requests.clone(),
             duplicates,
             refused: inner.refused,
             questions: inner.questions,
