--- a/kqr-entry/src/callers/jobs.rs
+++ b/kqr-entry/src/callers/jobs.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::problem::Problem;
-use crate::{daemon::Entry, engine::Answer};
+use crate::{engine::Answer, entry::Entry};
 
 /// Limits of a submission's body.
 const LIMITS: BodyLimits = BodyLimits {
--- a/kqr-entry/src/callers/mod.rs
+++ b/kqr-entry/src/callers/mod.rs
@@ -13,7 +13,7 @@
 
 use self::problem::Problem;
 pub use self::relay::{Relay, RelayBody};
-use crate::daemon::Entry;
+use crate::entry::Entry;
 
 /// Body of a reply to a caller: built here, or relayed from a target.
 pub type ReplyBody = Either<Full<Bytes>, RelayBody>;
--- a/kqr-entry/src/callers/relay.rs
+++ b/kqr-entry/src/callers/relay.rs
@@ -19,7 +19,7 @@
 use kqr_wire::headers;
 
 use super::{ReplyBody, jobs, problem::Problem};
-use crate::daemon::Entry;
+use crate::entry::Entry;
 
 /// Expected run time of a request.
 const EXPECTED_RUN_TIME: Duration = Duration::from_millis(100);
--- a/kqr-entry/src/options.rs
+++ b/kqr-entry/src/options.rs
@@ -16,6 +16,12 @@
     /// File for the events of the time line.
     #[arg(long)]
     pub events: Option<PathBuf>,
+    /// Time in which callers are still accepted after SIGTERM while the readiness is off.
+    #[arg(long, default_value = "1s")]
+    pub drain_delay: humantime::Duration,
+    /// Longest time that accepted work may take after that.
+    #[arg(long, default_value = "30s")]
+    pub grace: humantime::Duration,
     /// Least severity that is logged.
     #[arg(long, default_value = "info")]
     pub log_level: log::LevelFilter,
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -13,7 +13,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{daemon::Entry, targets};
+use crate::{entry::Entry, targets};
 
 /// The calls that this entry answers to its siblings.
 #[derive(Clone)]
--- a/kqr-entry/src/targets.rs
+++ b/kqr-entry/src/targets.rs
@@ -11,7 +11,7 @@
 use kqr_types::TargetId;
 use kqr_wire::targets::AnnouncedBody;
 
-use crate::daemon::Entry;
+use crate::entry::Entry;
 
 /// Time within which a target must renew its announcement.
 const RENEW_WITHIN: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/kqr-entry/tests/support/mod.rs
@@ -0,0 +1,188 @@
+//! A small system within the test process: entries and stand-ins on loopback ports.
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use clap::Parser;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use kqr_entry::{Running, ShutdownLimits};
+use kqr_http::{Client, ClientOptions};
+use kqr_settings::bootstrap::Bootstrap;
+use kqr_telemetry::EventLog;
+use kqr_wire::callers::{JobAnswerBody, ProblemBody};
+
+/// Longest time for one exchange of a test.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Listeners of one entry.
+pub struct Addresses {
+    pub callers: SocketAddr,
+    pub targets: SocketAddr,
+}
+
+/// Entries and stand-ins.
+pub struct System {
+    pub bootstrap: Bootstrap,
+    pub addresses: Vec<Addresses>,
+    pub entries: Vec<Option<Running>>,
+    pub standins: Vec<kqr_standin::Running>,
+    pub client: Client,
+}
+
+/// A whole answer.
+pub struct Reply {
+    pub status: StatusCode,
+    pub bytes: Bytes,
+}
+
+impl Reply {
+    pub fn answer(&self) -> JobAnswerBody {
+        serde_json::from_slice(&self.bytes).unwrap_or_else(|_| panic!("not an answer: {}", self.text()))
+    }
+
+    pub fn problem(&self) -> ProblemBody {
+        serde_json::from_slice(&self.bytes).unwrap_or_else(|_| panic!("not a problem: {}", self.text()))
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+}
+
+fn free_address() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+impl System {
+    /// Starts one entry for each name in `data_centres`.
+    pub async fn start(data_centres: &[&str]) -> Self {
+        let mut yaml = String::from("data_centres:\n");
+        let names: std::collections::BTreeSet<&&str> = data_centres.iter().collect();
+        for name in names {
+            yaml += &format!("  - {{ name: {name}, region: test }}\n");
+        }
+        yaml += "instances:\n";
+        let mut addresses = Vec::new();
+        for (index, data_centre) in data_centres.iter().enumerate() {
+            let own = Addresses {
+                callers: free_address(),
+                targets: free_address(),
+            };
+            yaml += &format!(
+                "  - {{ id: entry-{index}, role: entry, data_centre: {data_centre}, peers: '{}', callers: '{}', targets: '{}' }}\n",
+                free_address(),
+                own.callers,
+                own.targets,
+            );
+            addresses.push(own);
+        }
+        let bootstrap = Bootstrap::parse("test", &yaml).unwrap();
+        let mut system = Self {
+            bootstrap,
+            addresses,
+            entries: Vec::new(),
+            standins: Vec::new(),
+            client: Client::new(ClientOptions::default()),
+        };
+        for index in 0..data_centres.len() {
+            let entry = system.start_entry(index).await;
+            system.entries.push(Some(entry));
+        }
+        system
+    }
+
+    /// Starts the entry with `index`.
+    pub async fn start_entry(&self, index: usize) -> Running {
+        let own = self.bootstrap.instances[index].clone();
+        let events = EventLog::disabled(own.id.clone());
+        let limits = ShutdownLimits {
+            drain_delay: Duration::from_millis(300),
+            grace: Duration::from_secs(10),
+        };
+        Running::start(&self.bootstrap, own, events, limits)
+            .await
+            .unwrap()
+    }
+
+    /// Starts a stand-in that announces itself at the entry with `index`, and waits until each entry of the data
+    /// centre knows it.
+    pub async fn add_standin(&mut self, index: usize, id: &str, more: &[&str]) {
+        let target = self.addresses[index].targets.to_string();
+        let mut line = vec![
+            "kqr-standin",
+            "--id",
+            id,
+            "--service",
+            "press",
+            "--entry",
+            &target,
+        ];
+        line.extend(more);
+        let options = kqr_standin::Options::parse_from(line);
+        self.standins
+            .push(kqr_standin::Running::start(options).await.unwrap());
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+
+    /// Sends one request to the entry with `index`.
+    pub async fn send(
+        &self,
+        index: usize,
+        method: Method,
+        path: &str,
+        fields: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
+        let uri = format!("http://{}{path}", self.addresses[index].callers);
+        let mut builder = Request::builder().method(method).uri(uri);
+        for (name, value) in fields {
+            builder = builder.header(*name, *value);
+        }
+        let req = builder.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
+        let (status, bytes) = self.client.whole(req, LIMIT).await.unwrap();
+        Reply { status, bytes }
+    }
+
+    /// Submits a job with tasks of the given run times.
+    pub async fn submit(&self, index: usize, key: &str, run_ms: &[u64]) -> Reply {
+        self.send(
+            index,
+            Method::POST,
+            "/v1/jobs",
+            &[("idempotency-key", key)],
+            &job(run_ms),
+        )
+        .await
+    }
+
+    /// Returns the number of starts at all stand-ins, and those beyond the first of a task.
+    pub fn starts(&self) -> (usize, usize) {
+        let mut tasks = std::collections::BTreeSet::new();
+        let mut starts = 0;
+        for standin in &self.standins {
+            for attempt in standin.standin.starts().attempts {
+                let task = attempt.rsplit_once('-').unwrap().0.to_owned();
+                tasks.insert(task);
+                starts += 1;
+            }
+        }
+        (starts, starts - tasks.len())
+    }
+}
+
+/// Returns the body of a job with tasks of the given run times.
+pub fn job(run_ms: &[u64]) -> String {
+    let mut tasks = Vec::new();
+    for (index, run_ms) in run_ms.iter().enumerate() {
+        let payload = format!("{{\\\"run_ms\\\":{run_ms},\\\"echo\\\":\\\"e{index}\\\"}}");
+        tasks.push(format!(
+            "{{\"class\":\"proof\",\"payload\":\"{payload}\",\"run_time_ms\":{run_ms}}}"
+        ));
+    }
+    format!("{{\"service\":\"press\",\"tasks\":[{}]}}", tasks.join(","))
+}
--- a/kqr-standin/src/api.rs
+++ b/kqr-standin/src/api.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    attempts::{Attempts, body},
+    attempts::{Attempts, StartsBody, body},
     behaviour::Behaviour,
     options::Options,
 };
@@ -80,6 +80,16 @@
             .clone()
     }
 
+    /// Replaces the faults.
+    pub fn behave(&self, behaviour: Behaviour) {
+        *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
+    }
+
+    /// Returns the starts so far.
+    pub fn starts(&self) -> StartsBody {
+        self.attempts.starts()
+    }
+
     /// Returns what the target tells of itself.
     pub fn announcement(&self) -> Announcement {
         let options = &self.options;
@@ -145,7 +155,7 @@
         (&Method::PUT, ["standin", "behaviour"]) => {
             match read_json::<Behaviour, _>(req.into_body(), LIMITS).await {
                 Ok(behaviour) => {
-                    *standin.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
+                    standin.behave(behaviour);
                     text_reply(StatusCode::OK, "ok")
                 }
                 Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
--- a/kqr-standin/src/attempts.rs
+++ b/kqr-standin/src/attempts.rs
@@ -25,6 +25,8 @@
     pub attempts: Vec<String>,
     /// Tasks that were started more than once here.
     pub duplicates: Vec<DuplicateStart>,
+    /// Attempts that were run to their end.
+    pub finished: u64,
     /// Starts that were refused.
     pub refused: u64,
     /// Questions about attempts.
@@ -35,6 +37,7 @@
 struct Inner {
     states: BTreeMap<AttemptId, AttemptBody>,
     started: Vec<AttemptId>,
+    finished: u64,
     refused: u64,
     questions: u64,
 }
@@ -64,14 +67,13 @@
     /// Records the end of an attempt, unless it was stopped before.
     pub fn finish(&self, ended: AttemptBody) -> AttemptBody {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
-        let state = inner
-            .states
-            .entry(ended.attempt_id)
-            .or_insert_with(|| ended.clone());
-        if state.state == AttemptState::Running {
-            *state = ended;
+        let known = inner.states.get(&ended.attempt_id).cloned();
+        if let Some(known) = known.filter(|known| known.state != AttemptState::Running) {
+            return known;
         }
-        state.clone()
+        inner.states.insert(ended.attempt_id, ended.clone());
+        inner.finished += 1;
+        ended
     }
 
     /// Counts a refused start and returns its answer.
@@ -122,6 +124,7 @@
         StartsBody {
             attempts,
             duplicates,
+            finished: inner.finished,
             refused: inner.refused,
             questions: inner.questions,
         }
