--- a/kqr-entry/src/callers/problem.rs
+++ b/kqr-entry/src/callers/problem.rs
@@ -44,6 +44,12 @@
         problem
     }
 
+    /// Says that the work may have run, since an earlier try ended without an answer.
+    pub fn after_uncertain_try(mut self) -> Self {
+        self.body.outcome = Outcome::MayHaveRun;
+        self
+    }
+
     fn new(status: StatusCode, kind: &str, field: Option<&str>, detail: String) -> Self {
         let body = ProblemBody {
             kind: kind.to_owned(),
--- a/kqr-entry/src/queue.rs
+++ b/kqr-entry/src/queue.rs
@@ -43,11 +43,15 @@
         let mut dispatched = Vec::new();
         let mut blocked = Vec::new();
         let mut kept = VecDeque::new();
-        while let Some(task) = self.waiting.pop_front() {
+        while let Some(mut task) = self.waiting.pop_front() {
             if blocked.contains(&task.service) {
                 kept.push_back(task);
                 continue;
             }
+            if is_all_avoided(table, &task) {
+                // A target that was tried is better than none.
+                task.avoid.clear();
+            }
             let demand = Demand {
                 cores: task.spec.cores,
                 memory: task.spec.memory,
@@ -68,3 +72,18 @@
         dispatched
     }
 }
+
+/// Returns whether each worker of the service was tried by the task.
+fn is_all_avoided(table: &Table, task: &WaitingTask) -> bool {
+    if task.avoid.is_empty() {
+        return false;
+    }
+    for target in table.targets() {
+        let own = &target.announcement;
+        let is_candidate = own.service == task.service && own.kind == TargetKind::Worker;
+        if is_candidate && !task.avoid.contains(&own.id) {
+            return false;
+        }
+    }
+    true
+}
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -61,26 +61,27 @@
 impl System {
     /// Starts one entry for each name in `data_centres`.
     pub async fn start(data_centres: &[&str]) -> Self {
-        let mut yaml = String::from("data_centres:\n");
+        let mut lines = vec!["data_centres:".to_owned()];
         let names: std::collections::BTreeSet<&&str> = data_centres.iter().collect();
         for name in names {
-            yaml += &format!("  - {{ name: {name}, region: test }}\n");
+            lines.push(format!("  - {{ name: {name}, region: test }}"));
         }
-        yaml += "instances:\n";
+        lines.push("instances:".to_owned());
         let mut addresses = Vec::new();
         for (index, data_centre) in data_centres.iter().enumerate() {
             let own = Addresses {
                 callers: free_address(),
                 targets: free_address(),
             };
-            yaml += &format!(
-                "  - {{ id: entry-{index}, role: entry, data_centre: {data_centre}, peers: '{}', callers: '{}', targets: '{}' }}\n",
-                free_address(),
-                own.callers,
-                own.targets,
-            );
+            lines.push(format!("  - id: entry-{index}"));
+            lines.push("    role: entry".to_owned());
+            lines.push(format!("    data_centre: {data_centre}"));
+            lines.push(format!("    peers: {}", free_address()));
+            lines.push(format!("    callers: {}", own.callers));
+            lines.push(format!("    targets: {}", own.targets));
             addresses.push(own);
         }
+        let yaml = lines.join("\n");
         let bootstrap = Bootstrap::parse("test", &yaml).unwrap();
         let mut system = Self {
             bootstrap,
--- /dev/null
+++ b/kqr-entry/tests/targets.rs
@@ -0,0 +1,148 @@
+//! Faults of targets: no task starts twice, answers are complete or failed, "not run" is true.
+
+mod support;
+
+use std::time::Duration;
+
+use hyper::Method;
+use kqr_jobs::{JobState, Outcome};
+use kqr_standin::Behaviour;
+use support::{System, job};
+
+async fn system(workers: usize) -> System {
+    let mut system = System::start(&["a"]).await;
+    for number in 0..workers {
+        system.add_standin(0, &format!("worker-{number}"), &[]).await;
+    }
+    system
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_are_asked_for_and_nothing_starts_twice() {
+    let system = system(2).await;
+    for standin in &system.standins {
+        standin.standin.behave(Behaviour {
+            loses_every: 2,
+            ..Behaviour::default()
+        });
+    }
+    let reply = system.submit(0, "k", &[50; 12]).await;
+    let answer = reply.answer();
+    assert_eq!(answer.state, JobState::Complete, "{}", reply.text());
+    for (index, task) in answer.tasks.iter().enumerate() {
+        assert_eq!(task.result, Some(format!("k#{index}:e{index}")));
+    }
+    assert_eq!(system.starts(), (12, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_open_connections_do_not_strand_a_job() {
+    let system = system(1).await;
+    assert_eq!(
+        system.submit(0, "before", &[10; 8]).await.answer().state,
+        JobState::Complete
+    );
+    system.standins[0].standin.silence_open_connections();
+    let reply = system.submit(0, "after", &[10; 8]).await;
+    assert_eq!(reply.answer().state, JobState::Complete, "{}", reply.text());
+    assert_eq!(system.starts(), (16, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_starts_go_to_another_target() {
+    let system = system(2).await;
+    system.standins[0].standin.behave(Behaviour {
+        refuses: true,
+        ..Behaviour::default()
+    });
+    let reply = system.submit(0, "k", &[10; 10]).await;
+    assert_eq!(reply.answer().state, JobState::Complete, "{}", reply.text());
+    assert_eq!(system.starts(), (10, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_task_fails_the_job_without_results() {
+    let system = system(1).await;
+    system.standins[0].standin.behave(Behaviour {
+        fails_everything: true,
+        ..Behaviour::default()
+    });
+    let reply = system.submit(0, "k", &[10; 3]).await;
+    let answer = reply.answer();
+    assert_eq!((answer.state, answer.outcome), (JobState::Failed, Outcome::Ran));
+    assert!(
+        answer.tasks.iter().all(|task| task.result.is_none()),
+        "a failed answer holds no results"
+    );
+    let again = system.submit(0, "k", &[10; 3]).await;
+    assert_eq!(again.answer(), answer, "a resubmission finds the same answer");
+    assert_eq!(system.starts().1, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_sent_many_times_at_once_starts_once() {
+    let system = system(2).await;
+    let calls = (0..10).map(|_| system.submit(0, "k", &[100; 5]));
+    for reply in futures::future::join_all(calls).await {
+        assert_eq!(reply.answer().state, JobState::Complete, "{}", reply.text());
+    }
+    assert_eq!(system.starts(), (5, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_job_starts_nothing_more() {
+    let system = system(1).await;
+    let fields = [("idempotency-key", "k")];
+    system
+        .send(0, Method::POST, "/v1/jobs?wait=false", &fields, &job(&[400; 40]))
+        .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let reply = system.send(0, Method::DELETE, "/v1/jobs/k", &[], "").await;
+    let answer = reply.answer();
+    assert_eq!(answer.state, JobState::Cancelled, "{}", reply.text());
+    let not_run = answer
+        .tasks
+        .iter()
+        .filter(|task| task.outcome == Outcome::NotRun)
+        .count();
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let (starts, duplicates) = system.starts();
+    assert_eq!(
+        (starts, duplicates),
+        (40 - not_run, 0),
+        "what was told not to have run must not have been started"
+    );
+    let again = system.submit(0, "k", &[400; 40]).await;
+    assert_eq!(
+        again.answer().state,
+        JobState::Cancelled,
+        "a key that was cancelled starts nothing"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_target_gets_no_new_work_and_its_running_work_ends() {
+    let mut system = system(2).await;
+    let running = system.submit(0, "running", &[1200; 16]);
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        system.standins[0].standin.behave(Behaviour {
+            drains: true,
+            ..Behaviour::default()
+        });
+    };
+    let (reply, ()) = tokio::join!(running, leave);
+    assert_eq!(reply.answer().state, JobState::Complete, "{}", reply.text());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = system.standins[0].standin.starts();
+    assert_eq!(
+        system.submit(0, "later", &[10; 20]).await.answer().state,
+        JobState::Complete
+    );
+    let after = system.standins[0].standin.starts();
+    assert_eq!(
+        (after.attempts.len(), after.refused),
+        (before.attempts.len(), before.refused)
+    );
+    let _ = system.standins.pop();
+}
--- a/kqr-standin/src/api.rs
+++ b/kqr-standin/src/api.rs
@@ -1,7 +1,8 @@
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
@@ -57,6 +58,9 @@
     behaviour: Mutex<Behaviour>,
     used: AtomicU32,
     answers: AtomicU64,
+    requests: AtomicU64,
+    open_peers: Mutex<BTreeSet<SocketAddr>>,
+    silent_peers: Mutex<BTreeSet<SocketAddr>>,
 }
 
 impl Standin {
@@ -69,6 +73,9 @@
             behaviour: Mutex::default(),
             used: AtomicU32::new(0),
             answers: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+            open_peers: Mutex::default(),
+            silent_peers: Mutex::default(),
         }
     }
 
@@ -82,7 +89,7 @@
 
     /// Replaces the faults.
     pub fn behave(&self, behaviour: Behaviour) {
-        *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
+        *lock(&self.behaviour) = behaviour;
     }
 
     /// Returns the starts so far.
@@ -90,6 +97,22 @@
         self.attempts.starts()
     }
 
+    /// Returns the number of requests that arrived, tasks aside.
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Lets each connection that is open now go silent for good, while new ones are served.
+    pub fn silence_open_connections(&self) {
+        let open = lock(&self.open_peers).clone();
+        lock(&self.silent_peers).extend(open);
+    }
+
+    fn is_silent(&self, peer: SocketAddr) -> bool {
+        lock(&self.open_peers).insert(peer);
+        self.behaviour().is_silent || lock(&self.silent_peers).contains(&peer)
+    }
+
     /// Returns what the target tells of itself.
     pub fn announcement(&self) -> Announcement {
         let options = &self.options;
@@ -123,13 +146,13 @@
 }
 
 /// Answers one request.
-pub async fn handle(standin: Arc<Standin>, req: Request<Incoming>) -> Reply {
+pub async fn handle(standin: Arc<Standin>, req: Request<Incoming>, peer: SocketAddr) -> Reply {
     let path = req.uri().path().to_owned();
     let segments: Vec<&str> = path.split('/').filter(|segment| !segment.is_empty()).collect();
     if segments.first() == Some(&"standin") {
         return control(&standin, &segments, req).await;
     }
-    if standin.behaviour().is_silent {
+    if standin.is_silent(peer) {
         tokio::time::sleep(SILENCE).await;
     }
     match (req.method(), segments.as_slice()) {
@@ -152,6 +175,10 @@
         (&Method::GET, ["standin", "starts"]) => {
             json_reply(StatusCode::OK, "application/json", &standin.attempts.starts())
         }
+        (&Method::POST, ["standin", "silence"]) => {
+            standin.silence_open_connections();
+            text_reply(StatusCode::OK, "ok")
+        }
         (&Method::PUT, ["standin", "behaviour"]) => {
             match read_json::<Behaviour, _>(req.into_body(), LIMITS).await {
                 Ok(behaviour) => {
@@ -262,13 +289,13 @@
 }
 
 async fn echo(standin: &Standin, req: Request<Incoming>) -> Reply {
+    standin.requests.fetch_add(1, Ordering::Relaxed);
     if !standin.take_slot() {
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no free slot");
     }
+    let _slot = UsedSlot(standin);
     let line = format!("{} {}", req.method(), req.uri());
-    let read = read_body(req.into_body(), LIMITS).await;
-    standin.used.fetch_sub(1, Ordering::AcqRel);
-    match read {
+    match read_body(req.into_body(), LIMITS).await {
         Ok(bytes) => {
             let text = format!(
                 "{}\n{line}\n{}",
@@ -280,3 +307,17 @@
         Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
     }
 }
+
+/// A slot in use, free again when it is dropped.
+struct UsedSlot<'a>(&'a Standin);
+
+impl Drop for UsedSlot<'_> {
+    fn drop(&mut self) {
+        self.0.used.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Locks `mutex`, also if a holder panicked.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/kqr-standin/src/running.rs
+++ b/kqr-standin/src/running.rs
@@ -37,7 +37,7 @@
         let announcer = tokio::spawn(announcer::run(Arc::clone(&standin), shutdown.clone()));
         let handler = {
             let standin = Arc::clone(&standin);
-            move |req, _peer| api::handle(Arc::clone(&standin), req)
+            move |req, peer| api::handle(Arc::clone(&standin), req, peer)
         };
         let options = kqr_http::ServerOptions::default();
         let served = tokio::spawn(kqr_http::serve(listener, options, shutdown.clone(), handler));
