--- a/kqr-entry/src/engine.rs
+++ b/kqr-entry/src/engine.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Gives waiting tasks to free slots, later on another thread.
+    pub fn dispatch_soon(self: &Arc<Self>) {
+        let engine = Arc::clone(self);
+        tokio::spawn(async move { engine.dispatch() });
+    }
+
     /// Gives back a slot that was taken for a task.
     pub fn release_slot(self: &Arc<Self>, target: &TargetId) {
         if let Some(target) = self.table.get(target) {
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -1,11 +1,10 @@
 use std::{sync::Arc, time::Duration};
 
 use kqr_jobs::{NotAccepted, Outcome, RefusalReason, Submission};
-use kqr_placement::Announcement;
 use kqr_settings::bootstrap::Instance;
 use kqr_telemetry::EventKind;
-use kqr_types::{JobKey, TargetId};
-use kqr_wire::siblings::SiblingClient;
+use kqr_types::{Incarnation, InstanceId, JobKey};
+use kqr_wire::{mail::Mail, siblings::SiblingClient};
 use tarpc::{client::RpcError, context};
 use tokio_util::sync::CancellationToken;
 
@@ -13,13 +12,12 @@
     callers::Relay,
     engine::{Answer, Engine},
     homes::Homes,
+    registry::Registry,
     sibling_links::SiblingLinks,
 };
 
 /// Time that a sibling has on top of the caller's deadline.
 const FORWARD_MARGIN: Duration = Duration::from_secs(5);
-/// Longest time for spreading an announcement.
-const SPREAD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The parts of a running entry.
 #[derive(Debug)]
@@ -30,8 +28,10 @@
     pub engine: Arc<Engine>,
     /// The rule that names the home of each key.
     pub homes: Homes,
+    /// The targets of the data centre.
+    pub registry: Registry,
     /// Connections to siblings.
-    pub links: SiblingLinks,
+    pub links: Arc<SiblingLinks>,
     /// The client that relays requests.
     pub relay: Relay,
     /// Cancelled when the shutdown begins.
@@ -82,34 +82,22 @@
         .await
     }
 
-    /// Tells the siblings of a target that was announced here.
-    pub fn spread_announcement(self: &Arc<Self>, announcement: &Announcement) {
-        for sibling in self.homes.siblings() {
-            let (entry, sibling, announcement) = (Arc::clone(self), sibling.clone(), announcement.clone());
-            tokio::spawn(async move {
-                let Ok(client) = entry.links.get(&sibling.id, sibling.peers).await else {
-                    return;
-                };
-                if client.announced(spread_context(), announcement).await.is_err() {
-                    entry.links.forget(&sibling.id).await;
-                }
-            });
+    /// Takes in a message of another entry's machines.
+    pub fn take_mail(&self, from: &InstanceId, _incarnation: Incarnation, mail: Mail) {
+        match mail {
+            Mail::Directory(message) => {
+                self.registry.handle(kqr_directory::Input::Peer {
+                    from: from.clone(),
+                    message,
+                });
+            }
         }
     }
 
-    /// Tells the siblings of a target that leaves.
-    pub fn spread_leave(self: &Arc<Self>, id: &TargetId) {
-        for sibling in self.homes.siblings() {
-            let (entry, sibling, id) = (Arc::clone(self), sibling.clone(), id.clone());
-            tokio::spawn(async move {
-                let Ok(client) = entry.links.get(&sibling.id, sibling.peers).await else {
-                    return;
-                };
-                if client.left(spread_context(), id).await.is_err() {
-                    entry.links.forget(&sibling.id).await;
-                }
-            });
-        }
+    /// Lets the machines see that time has passed.
+    pub fn tick(&self) {
+        self.engine.tick();
+        self.registry.handle(kqr_directory::Input::Tick);
     }
 
     async fn client(&self, home: &Instance) -> Result<SiblingClient, NotAccepted> {
@@ -148,9 +136,3 @@
     cx.deadline = std::time::Instant::now() + deadline + FORWARD_MARGIN;
     cx
 }
-
-fn spread_context() -> context::Context {
-    let mut cx = context::current();
-    cx.deadline = std::time::Instant::now() + SPREAD_TIMEOUT;
-    cx
-}
--- a/kqr-entry/src/homes.rs
+++ b/kqr-entry/src/homes.rs
@@ -55,6 +55,15 @@
         self.entries.iter().filter(is_sibling).collect()
     }
 
+    /// Returns all other entries of the region.
+    pub fn others(&self) -> Vec<Instance> {
+        self.entries
+            .iter()
+            .filter(|entry| entry.id != self.own)
+            .cloned()
+            .collect()
+    }
+
     /// Returns the home data centre: the one that a prefix names, or the one chosen by hash.
     fn data_centre(&self, key: &JobKey) -> Option<&DataCentre> {
         if let Some((prefix, _)) = key.as_str().split_once('/')
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -1,9 +1,17 @@
-use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    future::Future,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use eyre::{OptionExt, WrapErr};
+use kqr_directory::Directory;
 use kqr_http::ServerOptions;
 use kqr_settings::bootstrap::{Bootstrap, Instance};
 use kqr_telemetry::{EventKind, EventLog};
+use kqr_types::{Incarnation, InstanceId};
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
@@ -13,6 +21,8 @@
     engine::Engine,
     entry::Entry,
     homes::Homes,
+    outbox::Outbox,
+    registry::Registry,
     sibling_links::SiblingLinks,
     sibling_server, targets,
 };
@@ -55,14 +65,7 @@
         events.record(events.event(EventKind::ProcessStarted));
         let callers_address = own.callers.ok_or_eyre("the instance has no callers' listener")?;
         let targets_address = own.targets.ok_or_eyre("the instance has no targets' listener")?;
-        let entry = Arc::new(Entry {
-            homes: Homes::new(bootstrap, &own),
-            own,
-            engine: Arc::new(Engine::new(Clock::new(), events)),
-            links: SiblingLinks::default(),
-            relay: Relay::new(),
-            shutdown: CancellationToken::new(),
-        });
+        let entry = Arc::new(build(bootstrap, own, events));
         let stop_accepting = CancellationToken::new();
         let stop_serving = CancellationToken::new();
         let siblings = sibling_server::listen(Arc::clone(&entry), stop_serving.clone()).await;
@@ -116,6 +119,40 @@
     }
 }
 
+/// Puts the parts of an entry together.
+fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog) -> Entry {
+    let clock = Clock::new();
+    let homes = Homes::new(bootstrap, &own);
+    let siblings: BTreeSet<InstanceId> = homes
+        .siblings()
+        .iter()
+        .map(|sibling| sibling.id.clone())
+        .collect();
+    let links = Arc::new(SiblingLinks::default());
+    let outbox = Arc::new(Outbox::start(&own.id, new_incarnation(), &homes.others(), &links));
+    let engine = Arc::new(Engine::new(clock, events));
+    let directory = Directory::new(own.id.clone(), clock.now());
+    let registry = Registry::new(directory, Arc::clone(&engine), outbox);
+    registry.handle(kqr_directory::Input::Peers(siblings));
+    Entry {
+        homes,
+        own,
+        engine,
+        registry,
+        links,
+        relay: Relay::new(),
+        shutdown: CancellationToken::new(),
+    }
+}
+
+/// Returns the number of this life. It grows with each restart as long as the wall clock does.
+fn new_incarnation() -> Incarnation {
+    let unix = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation(unix.as_micros() as u64)
+}
+
 async fn serve<H, F, B>(
     entry: &Arc<Entry>,
     address: SocketAddr,
@@ -150,7 +187,7 @@
     let mut interval = tokio::time::interval(TICK);
     loop {
         tokio::select! {
-            _ = interval.tick() => entry.engine.tick(),
+            _ = interval.tick() => entry.tick(),
             () = shutdown.cancelled() => return,
         }
     }
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -2,9 +2,8 @@
 
 use futures::StreamExt;
 use kqr_jobs::{JobAnswer, NotAccepted, Submission};
-use kqr_placement::Announcement;
-use kqr_types::{InstanceId, JobKey, TargetId};
-use kqr_wire::siblings::Sibling;
+use kqr_types::{Incarnation, InstanceId, JobKey};
+use kqr_wire::{mail::Mail, siblings::Sibling};
 use tarpc::{
     context::Context,
     serde_transport::tcp,
@@ -13,7 +12,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{entry::Entry, targets};
+use crate::entry::Entry;
 
 /// The calls that this entry answers to its siblings.
 #[derive(Clone)]
@@ -39,12 +38,10 @@
         self.entry.engine.cancel(key).await
     }
 
-    async fn announced(self, _: Context, announcement: Announcement) {
-        targets::take_announcement(&self.entry, &announcement);
-    }
-
-    async fn left(self, _: Context, target: TargetId) {
-        targets::take_leave(&self.entry, &target);
+    async fn deliver(self, _: Context, from: InstanceId, incarnation: Incarnation, mails: Vec<Mail>) {
+        for mail in mails {
+            self.entry.take_mail(&from, incarnation, mail);
+        }
     }
 
     async fn ping(self, _: Context) -> InstanceId {
--- a/kqr-standin/src/announcer.rs
+++ b/kqr-standin/src/announcer.rs
@@ -35,7 +35,10 @@
         } else {
             (
                 Method::DELETE,
-                format!("http://{entry}/v1/targets/{}", standin.options.id),
+                format!(
+                    "http://{entry}/v1/targets/{}?incarnation={}",
+                    standin.options.id, standin.options.incarnation
+                ),
             )
         };
         let Ok(uri) = path.parse() else { continue };
--- a/kqr-wire/src/lib.rs
+++ b/kqr-wire/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod callers;
 pub mod headers;
+pub mod mail;
 pub mod siblings;
 pub mod targets;
--- /dev/null
+++ b/kqr-wire/src/mail.rs
@@ -0,0 +1,10 @@
+//! Messages of the decision machines, carried in batches between entries.
+
+use serde::{Deserialize, Serialize};
+
+/// One message between the machines of two entries. It may be lost, repeated or overtaken by others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Mail {
+    /// A message between the directories of targets.
+    Directory(kqr_directory::Message),
+}
--- a/kqr-wire/src/siblings.rs
+++ b/kqr-wire/src/siblings.rs
@@ -1,8 +1,9 @@
 //! Hot calls between entries, carried by tarpc.
 
 use kqr_jobs::{JobAnswer, NotAccepted, Submission};
-use kqr_placement::Announcement;
-use kqr_types::{InstanceId, JobKey, TargetId};
+use kqr_types::{Incarnation, InstanceId, JobKey};
+
+use crate::mail::Mail;
 
 /// Calls that an entry answers to its sibling entries.
 #[tarpc::service]
@@ -13,10 +14,8 @@
     async fn lookup(key: JobKey) -> Result<JobAnswer, NotAccepted>;
     /// Cancels a job and returns its answer.
     async fn cancel(key: JobKey) -> Result<JobAnswer, NotAccepted>;
-    /// Tells of a target that was announced at the calling entry.
-    async fn announced(announcement: Announcement);
-    /// Tells of a target that leaves.
-    async fn left(target: TargetId);
+    /// Hands over messages of the caller's machines, in the life of the caller that is named.
+    async fn deliver(from: InstanceId, incarnation: Incarnation, mails: Vec<Mail>);
     /// Returns the identity of the called entry.
     async fn ping() -> InstanceId;
 }
