--- a/kqr-entry/src/engine.rs
+++ b/kqr-entry/src/engine.rs
@@ -6,21 +6,18 @@
     },
 };
 
+use kqr_admission::{AdmissionQueue, Ended, Output as QueueOutput, Verdict};
 use kqr_jobs::{
     CallerId, Input, JobAnswer, Machine, NotAccepted, Outcome, Output, RefusalReason, StartTask, Submission,
-    Submit,
+    Submit, TaskEnd, TaskResult, WaitingTask,
 };
 use kqr_placement::Table;
 use kqr_telemetry::{EventKind, EventLog};
-use kqr_types::{JobKey, KeyDigest, TargetId};
+use kqr_types::{JobKey, KeyDigest};
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
-use crate::{
-    clock::Clock,
-    queue::{Dispatched, Queue},
-    starter::Starter,
-};
+use crate::{clock::Clock, starter::Starter};
 
 /// Number of parts that the jobs are divided into, each with a lock of its own.
 const SHARDS: usize = 16;
@@ -41,7 +38,7 @@
     pub tracker: TaskTracker,
     starter: Starter,
     shards: Vec<Mutex<Machine>>,
-    queue: Mutex<Queue>,
+    queue: Mutex<AdmissionQueue>,
     callers: Mutex<BTreeMap<CallerId, oneshot::Sender<Answer>>>,
     next_caller: AtomicU64,
 }
@@ -59,33 +56,28 @@
             tracker: TaskTracker::new(),
             starter: Starter::new(),
             shards,
-            queue: Mutex::default(),
+            queue: Mutex::new(AdmissionQueue::new(kqr_admission::Options::default())),
             callers: Mutex::default(),
             next_caller: AtomicU64::new(1),
         }
     }
 
     /// Submits a job and waits for its answer, or for its present state if `is_waiting` is false.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the job is new and can't be accepted.
     pub async fn submit(self: &Arc<Self>, submission: Submission, is_waiting: bool) -> Answer {
         let key = submission.key.clone();
         if !is_waiting {
-            self.handle(
-                &key,
-                Input::Submit(Submit {
-                    caller: None,
-                    submission,
-                }),
-            );
+            self.admit(None, submission)?;
             return self.lookup(key).await;
         }
         let (caller, rx) = self.new_caller();
-        self.handle(
-            &key,
-            Input::Submit(Submit {
-                caller: Some(caller),
-                submission,
-            }),
-        );
+        if let Err(refusal) = self.admit(Some(caller), submission) {
+            lock(&self.callers).remove(&caller);
+            return Err(refusal);
+        }
         self.wait(&key, caller, rx).await
     }
 
@@ -122,23 +114,49 @@
             lock(&self.shards[index]).handle(self.clock.now(), Input::Tick, &mut outputs);
             self.perform(outputs);
         }
+        let mut outputs = Vec::new();
+        lock(&self.queue).tick(self.clock.now(), &self.table, &mut outputs);
+        self.perform_queue(outputs);
         self.dispatch();
     }
 
     /// Hands an input to the machine of `key` and performs its effects.
     pub fn handle(self: &Arc<Self>, key: &JobKey, input: Input) {
-        let shard = KeyDigest::of(key).0 as usize % SHARDS;
         let mut outputs = Vec::new();
-        lock(&self.shards[shard]).handle(self.clock.now(), input, &mut outputs);
+        self.shard(key).handle(self.clock.now(), input, &mut outputs);
         self.perform(outputs);
     }
 
+    /// Hands a submission to the machine of its key. A job that is not known yet must pass the admission.
+    fn admit(self: &Arc<Self>, caller: Option<CallerId>, submission: Submission) -> Result<(), NotAccepted> {
+        let now = self.clock.now();
+        let mut outputs = Vec::new();
+        let mut machine = self.shard(&submission.key);
+        if !machine.knows(&submission.key) {
+            lock(&self.queue).admit(now, &self.table, &submission)?;
+        }
+        machine.handle(now, Input::Submit(Submit { caller, submission }), &mut outputs);
+        drop(machine);
+        self.perform(outputs);
+        Ok(())
+    }
+
+    fn shard(&self, key: &JobKey) -> MutexGuard<'_, Machine> {
+        lock(&self.shards[KeyDigest::of(key).0 as usize % SHARDS])
+    }
+
     /// Gives waiting tasks to free slots.
     pub fn dispatch(self: &Arc<Self>) {
-        let dispatched = lock(&self.queue).dispatch(&self.table);
-        for item in dispatched {
-            match item {
-                Dispatched::Placed(task, target) => {
+        let mut outputs = Vec::new();
+        lock(&self.queue).dispatch(self.clock.now(), &self.table, &mut outputs);
+        self.perform_queue(outputs);
+    }
+
+    /// Performs the effects of the queue.
+    fn perform_queue(self: &Arc<Self>, outputs: Vec<QueueOutput>) {
+        for output in outputs {
+            match output {
+                QueueOutput::Placed(task, target) => {
                     let input = Input::Placed {
                         key: task.key.clone(),
                         task: task.task,
@@ -146,40 +164,38 @@
                     };
                     self.handle(&task.key, input);
                 }
-                Dispatched::Impossible(task, failure) => {
+                QueueOutput::Impossible(task, failure) => {
                     let refusal = NotAccepted {
                         reason: RefusalReason::NoSuitableTarget,
                         outcome: Outcome::NotRun,
                         retry_after: None,
-                        detail: format!(
-                            "no target of service {} can run the task: {failure:?}",
-                            task.service
-                        ),
-                    };
-                    let input = Input::Refused {
-                        key: task.key.clone(),
-                        task: task.task,
-                        refusal,
+                        detail: format!("service {}: {failure}", task.service),
                     };
-                    self.handle(&task.key, input);
+                    self.refuse(&task, refusal);
+                }
+                QueueOutput::Refused(task, refusal) => self.refuse(&task, refusal),
+                QueueOutput::Throttle { key, task, target } => {
+                    log::debug!("task {task} of {key} at {target} is long and should make room");
                 }
             }
         }
     }
 
+    fn refuse(self: &Arc<Self>, task: &WaitingTask, refusal: NotAccepted) {
+        let input = Input::Refused {
+            key: task.key.clone(),
+            task: task.task,
+            refusal,
+        };
+        self.handle(&task.key, input);
+    }
+
     /// Gives waiting tasks to free slots, later on another thread.
     pub fn dispatch_soon(self: &Arc<Self>) {
         let engine = Arc::clone(self);
         tokio::spawn(async move { engine.dispatch() });
     }
 
-    /// Gives back a slot that was taken for a task.
-    pub fn release_slot(self: &Arc<Self>, target: &TargetId) {
-        if let Some(target) = self.table.get(target) {
-            target.release_slot();
-        }
-    }
-
     /// Returns the number of waiting tasks.
     pub fn waiting_tasks(&self) -> usize {
         lock(&self.queue).len()
@@ -195,12 +211,12 @@
         for output in outputs {
             match output {
                 Output::Enqueue(tasks) => {
-                    lock(&self.queue).push(tasks);
+                    lock(&self.queue).push(self.clock.now(), &self.table, tasks);
                     is_dispatch_due = true;
                 }
-                Output::Withdraw { key } => lock(&self.queue).withdraw(&key),
+                Output::Withdraw { key } => lock(&self.queue).withdraw([&key]),
                 Output::ReleaseSlot { target } => {
-                    self.release_slot(&target);
+                    self.table.release(&target);
                     is_dispatch_due = true;
                 }
                 Output::Start(start) => self.start(*start),
@@ -236,12 +252,32 @@
             event.target = Some(start.target.clone());
             event.detail = Some(end.result.outcome().to_string());
             engine.events.record(event);
-            engine.release_slot(&start.target);
+            engine.learn(&start, &end);
             engine.handle(&start.key, Input::Ended(end));
             engine.dispatch();
         });
     }
 
+    /// Gives back the slot of an ended attempt and learns from its end.
+    fn learn(&self, start: &StartTask, end: &TaskEnd) {
+        let verdict = match end.result {
+            TaskResult::Completed(_) => Verdict::Completed,
+            TaskResult::Failed(_) => Verdict::Failed,
+            TaskResult::NotStarted(_) => Verdict::NotStarted,
+            TaskResult::Unknown(_) => Verdict::Unknown,
+        };
+        let ended = Ended {
+            key: start.key.clone(),
+            task: start.attempt.task,
+            service: start.service.clone(),
+            class: start.spec.class.clone(),
+            target: start.target.clone(),
+            verdict,
+            run_time: end.run_time,
+        };
+        lock(&self.queue).ended(self.clock.now(), &self.table, &ended);
+    }
+
     fn new_caller(&self) -> (CallerId, oneshot::Receiver<Answer>) {
         let caller = CallerId(self.next_caller.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = oneshot::channel();
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -10,7 +10,6 @@
 mod homes;
 mod options;
 mod outbox;
-mod queue;
 mod registry;
 mod running;
 mod sibling_links;
--- a/kqr-entry/src/registry.rs
+++ b/kqr-entry/src/registry.rs
@@ -48,7 +48,7 @@
             }
             Output::Suspect(id) => log::info!("target {id} is suspected"),
             Output::Leaving(id) => {
-                self.engine.table.remove(&id);
+                self.engine.table.set_leaving(&id);
                 self.record(EventKind::TargetLeft, &id);
             }
             Output::Gone(id) => {
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -28,7 +28,10 @@
 };
 
 /// Time between two ticks of the machines.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time between two updates of the order of targets by their learned speeds.
+const REFRESH: Duration = Duration::from_secs(1);
 
 /// Time limits of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
@@ -185,9 +188,11 @@
 
 async fn tick(entry: Arc<Entry>, shutdown: CancellationToken) {
     let mut interval = tokio::time::interval(TICK);
+    let mut refresh = tokio::time::interval(REFRESH);
     loop {
         tokio::select! {
             _ = interval.tick() => entry.tick(),
+            _ = refresh.tick() => entry.engine.table.refresh(),
             () = shutdown.cancelled() => return,
         }
     }
--- a/kqr-jobs/src/machine.rs
+++ b/kqr-jobs/src/machine.rs
@@ -30,6 +30,11 @@
         self.jobs.len() - self.ended.len()
     }
 
+    /// Returns whether a job with `key` is known.
+    pub fn knows(&self, key: &JobKey) -> bool {
+        self.jobs.contains_key(key)
+    }
+
     /// Returns the number of ended jobs that are remembered.
     pub fn remembered_jobs(&self) -> usize {
         self.ended.len()
