--- a/kqr-jobs/src/answer.rs
+++ b/kqr-jobs/src/answer.rs
@@ -15,6 +15,16 @@
     Ran,
 }
 
+impl Outcome {
+    /// Returns the outcome of several tasks as a whole: `Ran` if any was run, `NotRun` only if none was or may have been.
+    pub fn of_all<Outcomes>(outcomes: Outcomes) -> Self
+    where
+        Outcomes: IntoIterator<Item = Self>,
+    {
+        outcomes.into_iter().max().unwrap_or(Self::NotRun)
+    }
+}
+
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -26,7 +36,7 @@
 }
 
 /// State of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum JobState {
     /// Tasks wait or run.
@@ -40,7 +50,7 @@
 }
 
 /// The part of a job's answer that belongs to one task.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskAnswer {
     /// Position of the task.
     pub task: TaskIndex,
@@ -53,7 +63,7 @@
 }
 
 /// The whole answer of a job, or its present state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobAnswer {
     /// Key of the job.
     pub key: JobKey,
@@ -66,22 +76,12 @@
 impl JobAnswer {
     /// Returns the outcome of the job as a whole: `NotRun` only if no task was run.
     pub fn outcome(&self) -> Outcome {
-        let all = |wanted| self.tasks.iter().all(|task| task.outcome == wanted);
-        if all(Outcome::NotRun) {
-            return Outcome::NotRun;
-        }
-        if all(Outcome::Ran) {
-            return Outcome::Ran;
-        }
-        if self.tasks.iter().any(|task| task.outcome == Outcome::Ran) {
-            return Outcome::Ran;
-        }
-        Outcome::MayHaveRun
+        Outcome::of_all(self.tasks.iter().map(|task| task.outcome))
     }
 }
 
 /// Reason of a refusal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalReason {
     /// The key was used before with another body.
@@ -98,14 +98,14 @@
     NotReady,
     /// The instance is shutting down.
     ShuttingDown,
-    /// An earlier try may have been lost with the state of its data centre.
+    /// An earlier try may have been lost with the state of its data centre, or its answer is no longer kept.
     HistoryLost,
     /// No job with the key is known.
     UnknownKey,
 }
 
 /// A refusal: the submission was not accepted here.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NotAccepted {
     /// Why the submission was refused.
     pub reason: RefusalReason,
--- a/kqr-jobs/src/input.rs
+++ b/kqr-jobs/src/input.rs
@@ -1,11 +1,12 @@
 use std::time::Duration;
 
-use kqr_types::{AttemptId, JobKey, TargetId, TaskIndex};
+use kqr_types::{AttemptId, CellView, Incarnation, Instant, InstanceId, JobKey, TargetId, TaskIndex};
+use serde::{Deserialize, Serialize};
 
-use crate::{CallerId, NotAccepted, Outcome, Submission};
+use crate::{CallerId, JobMessage, NotAccepted, Outcome, Submission};
 
 /// A submission together with the caller that waits for its answer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Submit {
     /// The waiting caller, or `None` if nobody waits.
     pub caller: Option<CallerId>,
@@ -14,7 +15,7 @@
 }
 
 /// How an attempt ended, as far as this is known.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum TaskResult {
     /// The target completed the task.
     Completed(String),
@@ -27,7 +28,7 @@
 }
 
 /// The end of an attempt.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskEnd {
     /// Key of the job.
     pub key: JobKey,
@@ -40,7 +41,7 @@
 }
 
 /// An input of the job machine.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Input {
     /// A caller submits or resubmits a job.
     Submit(Submit),
@@ -52,6 +53,8 @@
         task: TaskIndex,
         /// The target that will run it.
         target: TargetId,
+        /// The life of the target that announced the slot.
+        incarnation: Incarnation,
     },
     /// Admission refuses a waiting task; it was never offered to a target in this round.
     Refused {
@@ -85,6 +88,25 @@
         /// The caller that has gone.
         caller: CallerId,
     },
+    /// The cell agreed on a membership. It is installed here only after the leases of members that are not in it
+    /// have ended.
+    Epoch(CellView),
+    /// The lease of this member was extended.
+    Lease {
+        /// End of the lease on this member's clock, with clock drift allowed for.
+        until: Instant,
+    },
+    /// A message of another member arrived.
+    Peer {
+        /// The sender.
+        from: InstanceId,
+        /// The life of the sender.
+        incarnation: Incarnation,
+        /// The message.
+        message: JobMessage,
+    },
+    /// A batch of inputs is complete: what they changed is sent to the other members.
+    Flush,
     /// Time has passed.
     Tick,
 }
--- a/kqr-jobs/src/job.rs
+++ b/kqr-jobs/src/job.rs
@@ -1,14 +1,14 @@
 use kqr_types::{AttemptId, Instant, KeyDigest, TaskIndex};
 
 use crate::{
-    CallerId, JobAnswer, JobState, Submission, TaskAnswer, TaskResult, WaitingTask,
-    task::{Phase, Task},
+    CallerId, JobAnswer, JobRecord, JobState, Outcome, Phase, Submission, TaskAnswer, TaskResult, WaitingTask,
+    task::Task,
 };
 
 /// State of one job.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Job {
-    /// The submission that created the job.
+    /// The submission that created the job; without its tasks once the job has ended.
     pub submission: Submission,
     /// Digest of the key.
     pub digest: KeyDigest,
@@ -20,6 +20,10 @@
     pub callers: Vec<CallerId>,
     /// Whether a caller cancelled the job.
     pub is_cancelled: bool,
+    /// Whether each follower has the final state.
+    pub is_settled: bool,
+    /// Whether the whole record was sent to the followers of this epoch.
+    pub is_pushed: bool,
     /// Instant of the end of the last task.
     pub ended: Option<Instant>,
 }
@@ -37,16 +41,69 @@
             tasks,
             callers: Vec::new(),
             is_cancelled: false,
+            is_settled: false,
+            is_pushed: false,
             ended: None,
         }
     }
 
+    /// Creates a job from a copy that arrived at `now`.
+    pub fn from_record(now: Instant, record: JobRecord) -> Self {
+        let mut job = Self {
+            digest: KeyDigest::of(&record.submission.key),
+            submission: record.submission,
+            deadline: now + record.remaining,
+            tasks: record.tasks.into_iter().map(Task::from).collect(),
+            callers: Vec::new(),
+            is_cancelled: record.is_cancelled,
+            is_settled: record.is_settled,
+            is_pushed: false,
+            ended: None,
+        };
+        job.note_end(now);
+        job
+    }
+
+    /// Returns the copy for other members.
+    pub fn record(&self, now: Instant) -> JobRecord {
+        JobRecord {
+            submission: self.submission.clone(),
+            remaining: self.deadline.since(now),
+            tasks: self.tasks.iter().map(|task| task.record.clone()).collect(),
+            is_cancelled: self.is_cancelled,
+            is_settled: self.is_settled,
+        }
+    }
+
+    /// Takes over what `record` knows beyond the own state; the record of the home is preferred.
+    pub fn merge(&mut self, now: Instant, record: JobRecord, is_preferred: bool) {
+        if self.is_settled {
+            return;
+        }
+        for (task, other) in self.tasks.iter_mut().zip(record.tasks) {
+            task.merge(other, is_preferred || record.is_settled);
+        }
+        self.is_cancelled |= record.is_cancelled;
+        self.is_settled = record.is_settled;
+        self.note_end(now);
+    }
+
+    /// Records the end of the job if each task has its final result; returns whether it ended just now.
+    pub fn note_end(&mut self, now: Instant) -> bool {
+        if self.ended.is_some() || !self.tasks.iter().all(Task::is_ended) {
+            return false;
+        }
+        self.ended = Some(now);
+        self.submission.tasks = Vec::new();
+        true
+    }
+
     /// Returns the identity of the current attempt of `task`.
     pub fn attempt_id(&self, task: TaskIndex) -> AttemptId {
         AttemptId {
             job: self.digest,
             task,
-            attempt: self.tasks[usize::from(task.0)].attempt,
+            attempt: self.tasks[usize::from(task.0)].record.attempt,
         }
     }
 
@@ -64,38 +121,44 @@
         }
     }
 
-    /// Returns whether each task has its final result.
-    pub fn is_ended(&self) -> bool {
-        self.tasks.iter().all(Task::is_ended)
+    /// Returns whether a task ended without being completed, so that no further task may start.
+    pub fn is_doomed(&self) -> bool {
+        let is_lost = |task: &Task| {
+            matches!(&task.record.phase, Phase::Ended(result) if !matches!(result, TaskResult::Completed(_)))
+        };
+        self.is_cancelled || self.tasks.iter().any(is_lost)
     }
 
     /// Returns the state of the job.
     pub fn state(&self) -> JobState {
-        if !self.is_ended() {
+        if self.ended.is_none() {
             return JobState::Running;
         }
-        let is_complete = self
-            .tasks
-            .iter()
-            .all(|task| matches!(task.phase, Phase::Ended(TaskResult::Completed(_))));
-        match (is_complete, self.is_cancelled) {
+        let is_completed =
+            |task: &Task| matches!(task.record.phase, Phase::Ended(TaskResult::Completed(_)));
+        match (self.tasks.iter().all(is_completed), self.is_cancelled) {
             (true, _) => JobState::Complete,
             (false, true) => JobState::Cancelled,
             (false, false) => JobState::Failed,
         }
     }
 
+    /// Returns what is known of whether the job was run.
+    pub fn outcome(&self) -> Outcome {
+        Outcome::of_all(self.tasks.iter().map(Task::outcome))
+    }
+
     /// Returns the answer; results are part of complete answers only.
     pub fn answer(&self) -> JobAnswer {
         let state = self.state();
         let mut tasks = Vec::with_capacity(self.tasks.len());
         for (index, task) in self.tasks.iter().enumerate() {
-            let (result, reason) = match &task.phase {
+            let (result, reason) = match &task.record.phase {
                 Phase::Ended(TaskResult::Completed(result)) => (Some(result), None),
                 Phase::Ended(
                     TaskResult::Failed(reason) | TaskResult::NotStarted(reason) | TaskResult::Unknown(reason),
                 ) => (None, Some(reason)),
-                Phase::Waiting | Phase::Intended(_) => (None, None),
+                Phase::Waiting | Phase::Intended { .. } => (None, None),
             };
             tasks.push(TaskAnswer {
                 task: TaskIndex(index as u16),
--- a/kqr-jobs/src/lib.rs
+++ b/kqr-jobs/src/lib.rs
@@ -1,21 +1,36 @@
 //! Claims, task life and answers of jobs, as a deterministic state machine without input or output.
 //!
 //! The machine is driven by [`Machine::handle`]: time and inputs are arguments, effects are returned as outputs.
+//! The home of a key replicates its records to followers, and starts a task only when each follower has the intent.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 mod answer;
+mod cell;
+mod fault;
+mod gate;
 mod input;
 mod job;
+mod link;
 mod machine;
+mod member;
+mod message;
 mod options;
 mod output;
+mod refusal;
+mod state_size;
 mod submission;
 mod task;
+mod tombstones;
 
 pub use answer::{JobAnswer, JobState, NotAccepted, Outcome, RefusalReason, TaskAnswer};
+pub use cell::home_order;
+pub use fault::Fault;
 pub use input::{Input, Submit, TaskEnd, TaskResult};
 pub use machine::Machine;
+pub use member::Member;
+pub use message::{JobMessage, JobRecord, Phase, Seal, TaskRecord, Update};
 pub use options::Options;
 pub use output::{CallerId, Output, StartTask, WaitingTask};
+pub use state_size::StateSize;
 pub use submission::{Submission, TaskSpec};
--- /dev/null
+++ b/kqr-jobs/src/link.rs
@@ -0,0 +1,98 @@
+use std::collections::VecDeque;
+
+use kqr_types::{Epoch, Instant};
+
+use crate::{JobMessage, Update};
+
+/// Most updates of one message.
+const UPDATES_PER_MESSAGE: usize = 512;
+/// Most updates that are sent and not yet acknowledged.
+const WINDOW: usize = 8 * UPDATES_PER_MESSAGE;
+
+/// The streams between this member and one other member in one epoch.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Link {
+    /// Updates that were not acknowledged, in order.
+    queued: VecDeque<Update>,
+    /// Position of the first of `queued`; each earlier update was acknowledged.
+    acked: u64,
+    /// Number of updates at the front of `queued` that were sent.
+    sent: usize,
+    /// Instant of the last progress or repetition.
+    touched: Instant,
+    /// Position of the next update of the other member's stream.
+    received: u64,
+}
+
+impl Link {
+    /// Appends an update to the stream.
+    pub fn push(&mut self, update: Update) {
+        self.queued.push_back(update);
+    }
+
+    /// Returns the position after the last update of the stream.
+    pub fn end(&self) -> u64 {
+        self.acked + self.queued.len() as u64
+    }
+
+    /// Returns the position before which each update was acknowledged.
+    pub fn acked(&self) -> u64 {
+        self.acked
+    }
+
+    /// Returns the messages for what was not sent yet, as far as the window allows.
+    pub fn unsent(&mut self, now: Instant, epoch: Epoch) -> Vec<JobMessage> {
+        let mut messages = Vec::new();
+        while self.sent < self.queued.len() && self.sent < WINDOW {
+            if self.sent == 0 {
+                self.touched = now;
+            }
+            let until = self.queued.len().min(self.sent + UPDATES_PER_MESSAGE);
+            messages.push(JobMessage::Updates {
+                epoch,
+                first: self.acked + self.sent as u64,
+                updates: self.queued.range(self.sent..until).cloned().collect(),
+            });
+            self.sent = until;
+        }
+        messages
+    }
+
+    /// Marks what was sent as lost if the other member acknowledged nothing since `limit`.
+    pub fn rewind(&mut self, limit: Instant) {
+        if self.sent > 0 && self.touched <= limit {
+            self.sent = 0;
+        }
+    }
+
+    /// Handles an acknowledgement.
+    pub fn acknowledge(&mut self, now: Instant, next: u64) {
+        let count = next.saturating_sub(self.acked).min(self.queued.len() as u64) as usize;
+        if count == 0 {
+            return;
+        }
+        self.queued.drain(..count);
+        self.acked += count as u64;
+        self.sent = self.sent.saturating_sub(count);
+        self.touched = now;
+    }
+
+    /// Returns those of `updates` that are next in the other member's stream; none if there is a gap.
+    pub fn receive(&mut self, first: u64, updates: Vec<Update>) -> Vec<Update> {
+        let end = first + updates.len() as u64;
+        if first > self.received || end <= self.received {
+            return Vec::new();
+        }
+        let known = (self.received - first) as usize;
+        self.received = end;
+        updates.into_iter().skip(known).collect()
+    }
+
+    /// Returns the acknowledgement of what was received.
+    pub fn ack(&self, epoch: Epoch) -> JobMessage {
+        JobMessage::Ack {
+            epoch,
+            next: self.received,
+        }
+    }
+}
--- /dev/null
+++ b/kqr-jobs/src/machine/calls.rs
@@ -0,0 +1,161 @@
+//! Calls of callers: submissions, cancellations and questions.
+
+use std::time::Duration;
+
+use kqr_types::{Instant, JobKey, KeyDigest};
+
+use super::Machine;
+use crate::{
+    CallerId, NotAccepted, Output, Phase, Submission, Submit, gate::Effect, job::Job, refusal,
+};
+
+impl Machine {
+    pub(super) fn submit(&mut self, now: Instant, submit: Submit, outputs: &mut Vec<Output>) {
+        let Submit { caller, submission } = submit;
+        let digest = KeyDigest::of(&submission.key);
+        let refused = match self.jobs.get(&digest) {
+            Some(job) if job.submission.fingerprint != submission.fingerprint => Some(refusal::key_reused()),
+            Some(_) => None,
+            None => self.objection(now, digest, &submission),
+        };
+        if let Some(refused) = refused {
+            reply(caller, Err(refused), outputs);
+            return;
+        }
+        if self.jobs.contains_key(&digest) {
+            self.join(digest, caller, outputs);
+            return;
+        }
+        let mut job = Job::new(now, submission);
+        job.callers.extend(caller);
+        self.jobs.insert(digest, job);
+        self.live.insert(digest);
+        self.change(digest);
+        self.enqueue_waiting(digest, outputs);
+    }
+
+    /// Returns why a submission with an unknown key can't be accepted.
+    fn objection(&self, now: Instant, digest: KeyDigest, submission: &Submission) -> Option<NotAccepted> {
+        if let Some(outcome) = self.tombstones.get(digest) {
+            return Some(refusal::forgotten(outcome));
+        }
+        if !self.cell.is_own(digest) {
+            return Some(refusal::not_ready("the key has another home"));
+        }
+        if !self.can_act(now) {
+            return Some(refusal::not_ready("the home of the key has no lease or is taking over"));
+        }
+        let age = self.cell.history.map_or(Duration::ZERO, |since| now.since(since));
+        let is_resubmission = submission.attempt.is_some_and(|attempt| attempt.0 >= 2);
+        let needed = if is_resubmission {
+            self.options.retention + self.options.tombstone_retention
+        } else {
+            self.options.cold_start_window
+        };
+        (age < needed).then(refusal::history_lost)
+    }
+
+    /// Lets a caller wait for the answer of a known job, or answers at once if each follower has the answer.
+    fn join(&mut self, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
+        let is_own = self.cell.is_own(digest);
+        let is_active = self.cell.is_active;
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(caller) = caller else { return };
+        if job.is_settled {
+            reply(Some(caller), Ok(job.answer()), outputs);
+            return;
+        }
+        if !is_own {
+            reply(Some(caller), Err(refusal::not_ready("the key has another home")), outputs);
+            return;
+        }
+        if job.ended.is_none() || !is_active {
+            job.callers.push(caller);
+            return;
+        }
+        self.gate(digest, Effect::Reply(caller));
+    }
+
+    pub(super) fn cancel(&mut self, now: Instant, key: &JobKey, caller: CallerId, outputs: &mut Vec<Output>) {
+        let digest = KeyDigest::of(key);
+        let can_act = self.can_act(now);
+        let is_own = self.cell.is_own(digest);
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            reply(Some(caller), Err(self.unknown(digest, key)), outputs);
+            return;
+        };
+        if job.ended.is_some() {
+            self.join(digest, Some(caller), outputs);
+            return;
+        }
+        if !is_own || !can_act {
+            reply(Some(caller), Err(refusal::not_ready("the home of the key is changing")), outputs);
+            return;
+        }
+        job.callers.push(caller);
+        if job.is_cancelled {
+            return;
+        }
+        job.is_cancelled = true;
+        self.change(digest).is_cancelled = true;
+        self.abandon_unstarted(digest, "the job was cancelled", outputs);
+        self.stop_running(digest, outputs);
+        self.finish(now, digest);
+    }
+
+    /// Asks the targets of a cancelled job to stop what runs.
+    pub(super) fn stop_running(&self, digest: KeyDigest, outputs: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get(&digest) else { return };
+        for (index, task) in job.tasks.iter().enumerate() {
+            let Phase::Intended { target, .. } = &task.record.phase else {
+                continue;
+            };
+            outputs.push(Output::Stop {
+                attempt: job.attempt_id(kqr_types::TaskIndex(index as u16)),
+                target: target.clone(),
+            });
+        }
+    }
+
+    pub(super) fn lookup(&self, now: Instant, key: &JobKey, caller: CallerId, outputs: &mut Vec<Output>) {
+        let digest = KeyDigest::of(key);
+        let Some(job) = self.jobs.get(&digest) else {
+            reply(Some(caller), Err(self.unknown(digest, key)), outputs);
+            return;
+        };
+        let is_visible = job.is_settled || (job.ended.is_none() && self.cell.is_own(digest) && self.can_act(now));
+        let answer = if is_visible {
+            Ok(job.answer())
+        } else {
+            Err(refusal::not_ready("the answer is not yet known to each follower"))
+        };
+        reply(Some(caller), answer, outputs);
+    }
+
+    fn unknown(&self, digest: KeyDigest, key: &JobKey) -> NotAccepted {
+        match self.tombstones.get(digest) {
+            Some(outcome) => refusal::forgotten(outcome),
+            None => refusal::unknown_key(key),
+        }
+    }
+
+    pub(super) fn detach(&mut self, key: &JobKey, caller: CallerId) {
+        let digest = KeyDigest::of(key);
+        if let Some(job) = self.jobs.get_mut(&digest) {
+            job.callers.retain(|other| *other != caller);
+        }
+        self.gates
+            .retain(|gate| gate.job != digest || gate.effect != Effect::Reply(caller));
+    }
+}
+
+/// Puts out an answer if a caller waits for it.
+pub(super) fn reply(
+    caller: Option<CallerId>,
+    answer: Result<crate::JobAnswer, NotAccepted>,
+    outputs: &mut Vec<Output>,
+) {
+    if let Some(caller) = caller {
+        outputs.push(Output::Reply { caller, answer });
+    }
+}
--- /dev/null
+++ b/kqr-jobs/src/machine/epochs.rs
@@ -0,0 +1,239 @@
+//! Change of the epoch: sealing of the old one, transfer of records, takeover.
+
+use std::collections::BTreeSet;
+
+use kqr_types::{CellView, Instant, InstanceId, KeyDigest, MemberState};
+
+use super::{Change, Machine, calls::reply};
+use crate::{
+    CallerId, Fault, Output, Phase, Seal, Update, gate::Effect, job::Job, refusal,
+    tombstones::Tombstone,
+};
+
+impl Machine {
+    /// Leaves the old epoch and enters the one of `view`.
+    pub(super) fn install(&mut self, now: Instant, view: CellView, outputs: &mut Vec<Output>) {
+        if view.epoch <= self.cell.view.epoch {
+            return;
+        }
+        self.suspend(outputs);
+        let live = self.live.iter().copied();
+        let owned: BTreeSet<KeyDigest> = live.filter(|digest| self.cell.is_own(*digest)).collect();
+        self.cell.install(view);
+        if !self.cell.is_full() {
+            self.forget_all(outputs);
+            return;
+        }
+        self.leave_jobs(&owned, outputs);
+        self.send_offers(now);
+        let seal = Seal {
+            open: self.cell.open.clone(),
+            history: self.cell.history.map(|since| now.since(since)),
+        };
+        let others = self.other_full_members();
+        self.cell.push(&others, &Update::Sealed(seal));
+        self.try_activate(now, outputs);
+    }
+
+    /// Takes back each effect that was not put out, so that nothing more happens under the old epoch.
+    fn suspend(&mut self, outputs: &mut Vec<Output>) {
+        let live: Vec<KeyDigest> = self.live.iter().copied().collect();
+        for digest in live {
+            self.revoke_starts(digest, outputs);
+            let Some(job) = self.jobs.get(&digest) else { continue };
+            let is_queued = job.tasks.iter().any(crate::task::Task::is_waiting);
+            if self.cell.is_active && is_queued && self.cell.is_own(digest) {
+                outputs.push(Output::Withdraw {
+                    key: job.submission.key.clone(),
+                });
+            }
+        }
+        for gate in std::mem::take(&mut self.gates) {
+            if let (Effect::Reply(caller), Some(job)) = (gate.effect, self.jobs.get_mut(&gate.job)) {
+                job.callers.push(caller);
+            }
+        }
+        self.changes.clear();
+        self.is_mark_due = false;
+    }
+
+    /// Forgets everything: this member was left out, or must copy what it missed.
+    fn forget_all(&mut self, outputs: &mut Vec<Output>) {
+        for job in self.jobs.values_mut() {
+            refuse_callers(&mut job.callers, outputs);
+        }
+        self.jobs.clear();
+        self.live.clear();
+        self.remembered.clear();
+        self.remembered_bytes = 0;
+        self.tombstones = crate::tombstones::Tombstones::default();
+        self.tombstone_updates.clear();
+        self.cell.history = None;
+        self.cell.open = vec![self.cell.view.clone()];
+        if self.options.has(Fault::ResyncSkipped) && self.cell.own_state() == Some(MemberState::Syncing) {
+            self.cell.history = Some(Instant(0));
+            self.cell.open.clear();
+            outputs.push(Output::Synced {
+                epoch: self.cell.view.epoch,
+            });
+        }
+    }
+
+    /// Gives up the jobs that have another home now. `owned` are those that had this home before.
+    fn leave_jobs(&mut self, owned: &BTreeSet<KeyDigest>, outputs: &mut Vec<Output>) {
+        for (digest, job) in &mut self.jobs {
+            job.is_pushed = false;
+            let is_own = self.cell.is_own(*digest);
+            if !is_own {
+                refuse_callers(&mut job.callers, outputs);
+            }
+            if is_own && owned.contains(digest) {
+                continue;
+            }
+            for task in &mut job.tasks {
+                task.is_driven = false;
+            }
+        }
+    }
+
+    /// Sends records to the full members that hold them in the new epoch and may not know them.
+    fn send_offers(&mut self, now: Instant) {
+        let others = self.other_full_members();
+        let is_receiver = |id: &InstanceId| others.contains(id);
+        for (digest, job) in &self.jobs {
+            let mut receivers = self.cell.copies(*digest);
+            receivers.retain(is_receiver);
+            if job.is_settled {
+                receivers.retain(|id| self.cell.is_settled_copy_due(id, *digest));
+            }
+            if !receivers.is_empty() {
+                let update = Update::Record(Box::new(job.record(now)));
+                self.cell.push(&receivers, &update);
+            }
+        }
+        let unsent = std::mem::take(&mut self.tombstone_updates);
+        for tombstone in self.tombstones.iter() {
+            let mut receivers = self.cell.copies(tombstone.job);
+            receivers.retain(is_receiver);
+            if !unsent.contains_key(&tombstone.job) {
+                receivers.retain(|id| self.cell.is_settled_copy_due(id, tombstone.job));
+            }
+            self.cell.push(&receivers, &tombstone_update(now, tombstone));
+        }
+    }
+
+    fn other_full_members(&self) -> BTreeSet<InstanceId> {
+        let others = self.cell.full_members();
+        others
+            .filter(|member| member.id != self.cell.own.id)
+            .map(|member| member.id.clone())
+            .collect()
+    }
+
+    /// Starts to act as a home once each full member has sealed the old epoch.
+    pub(super) fn try_activate(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let is_sealed = self.cell.is_sealed() || self.options.has(Fault::HomeBeforeSeal);
+        if self.cell.is_active || !self.cell.is_full() || !is_sealed {
+            return;
+        }
+        self.cell.activate(now);
+        if self.options.has(Fault::ColdStartIgnored) || self.options.has(Fault::HomeBeforeSeal) {
+            self.cell.history = Some(Instant(0));
+        }
+        self.copy_to_syncing(now);
+        let owned = self.jobs.keys().copied();
+        let owned: Vec<KeyDigest> = owned.filter(|digest| self.cell.is_own(*digest)).collect();
+        for digest in owned {
+            self.resume(now, digest, outputs);
+        }
+        self.is_mark_due = true;
+    }
+
+    /// Sends the settled records of this home to members that copy what they missed. Others follow with their jobs.
+    fn copy_to_syncing(&mut self, now: Instant) {
+        let others = self.other_full_members();
+        let receivers = |cell: &crate::cell::Cell, digest| {
+            let copies = cell.copies(digest).into_iter();
+            copies.filter(|id| !others.contains(id)).collect::<Vec<_>>()
+        };
+        for (digest, job) in &self.jobs {
+            if job.is_settled && self.cell.is_own(*digest) {
+                let update = Update::Record(Box::new(job.record(now)));
+                let receivers = receivers(&self.cell, *digest);
+                self.cell.push(&receivers, &update);
+            }
+        }
+        for tombstone in self.tombstones.iter() {
+            if self.cell.is_own(tombstone.job) {
+                let receivers = receivers(&self.cell, tombstone.job);
+                self.cell.push(&receivers, &tombstone_update(now, tombstone));
+            }
+        }
+    }
+
+    /// Goes on with a job at the start of an epoch.
+    fn resume(&mut self, now: Instant, digest: KeyDigest, outputs: &mut Vec<Output>) {
+        let is_unfenced = self.options.has(Fault::FenceSkipped);
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        if job.is_settled {
+            return;
+        }
+        self.changes.insert(digest, Change::default());
+        if job.ended.is_some() {
+            self.finish(now, digest);
+            return;
+        }
+        let is_doomed = job.is_doomed();
+        let is_cancelled = job.is_cancelled;
+        ask_targets(job, is_unfenced, outputs);
+        if is_cancelled {
+            self.stop_running(digest, outputs);
+        }
+        if is_doomed {
+            self.abandon_unstarted(digest, "another task of the job was not completed", outputs);
+            self.finish(now, digest);
+            return;
+        }
+        self.enqueue_waiting(digest, outputs);
+    }
+}
+
+/// Asks for the attempts that an earlier home may have started.
+fn ask_targets(job: &mut Job, is_unfenced: bool, outputs: &mut Vec<Output>) {
+    for index in 0..job.tasks.len() {
+        let attempt = job.attempt_id(kqr_types::TaskIndex(index as u16));
+        let task = &mut job.tasks[index];
+        let Phase::Intended { target, incarnation } = &task.record.phase else {
+            continue;
+        };
+        if task.is_driven {
+            continue;
+        }
+        if is_unfenced {
+            task.record.phase = Phase::Waiting;
+            continue;
+        }
+        outputs.push(Output::Query {
+            key: job.submission.key.clone(),
+            attempt,
+            target: target.clone(),
+            incarnation: *incarnation,
+        });
+        task.is_driven = true;
+    }
+}
+
+fn refuse_callers(callers: &mut Vec<CallerId>, outputs: &mut Vec<Output>) {
+    for caller in callers.drain(..) {
+        let refused = refusal::not_ready("the key has another home now");
+        reply(Some(caller), Err(refused), outputs);
+    }
+}
+
+fn tombstone_update(now: Instant, tombstone: Tombstone) -> Update {
+    Update::Tombstone {
+        job: tombstone.job,
+        outcome: tombstone.outcome,
+        remaining: tombstone.until.since(now),
+    }
+}
--- /dev/null
+++ b/kqr-jobs/src/machine/mod.rs
@@ -0,0 +1,158 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use kqr_types::{ByteSize, CellView, Instant, JobKey, KeyDigest, TaskIndex};
+
+use crate::{
+    Fault, Input, Member, Options, Output, StateSize, Update, cell::Cell, gate::Gate, job::Job, state_size,
+    tombstones::Tombstones,
+};
+
+mod calls;
+mod epochs;
+mod peers;
+mod release;
+mod retention;
+mod tasks;
+
+/// The jobs of one shard of an instance: those that it is the home of, and copies of those of other members.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Machine {
+    options: Options,
+    cell: Cell,
+    jobs: BTreeMap<KeyDigest, Job>,
+    live: BTreeSet<KeyDigest>,
+    remembered: BTreeSet<Remembered>,
+    remembered_bytes: u64,
+    tombstones: Tombstones,
+    changes: BTreeMap<KeyDigest, Change>,
+    tombstone_updates: BTreeMap<KeyDigest, Update>,
+    gates: Vec<Gate>,
+    is_mark_due: bool,
+}
+
+/// An ended job whose answer is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Remembered {
+    ended: Instant,
+    job: KeyDigest,
+    bytes: u64,
+}
+
+/// Changes of one job that were not sent to its followers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Change {
+    tasks: BTreeSet<TaskIndex>,
+    is_cancelled: bool,
+    is_settled: bool,
+}
+
+impl Machine {
+    /// Creates a machine without jobs. It starts nothing before it knows a cell and has a lease.
+    pub fn new(member: Member, options: Options) -> Self {
+        Self {
+            options,
+            cell: Cell::new(member),
+            jobs: BTreeMap::new(),
+            live: BTreeSet::new(),
+            remembered: BTreeSet::new(),
+            remembered_bytes: 0,
+            tombstones: Tombstones::default(),
+            changes: BTreeMap::new(),
+            tombstone_updates: BTreeMap::new(),
+            gates: Vec::new(),
+            is_mark_due: false,
+        }
+    }
+
+    /// Returns the number of jobs that have not ended, copies included.
+    pub fn live_jobs(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Returns the number of ended jobs that are remembered, copies included.
+    pub fn remembered_jobs(&self) -> usize {
+        self.remembered.len()
+    }
+
+    /// Returns the installed view of the cell.
+    pub fn view(&self) -> &CellView {
+        &self.cell.view
+    }
+
+    /// Returns whether this member may act as a home in its epoch, apart from its lease.
+    pub fn is_active(&self) -> bool {
+        self.cell.is_active
+    }
+
+    /// Returns whether the copies of all members are complete in this epoch.
+    pub fn is_complete(&self) -> bool {
+        self.cell.is_complete()
+    }
+
+    /// Returns an estimate of the memory that the records take.
+    pub fn state_size(&self) -> StateSize {
+        let live = self.live.iter().filter_map(|job| self.jobs.get(job));
+        StateSize {
+            live_jobs: self.live.len(),
+            live_bytes: ByteSize(live.map(state_size::job_bytes).sum()),
+            remembered_jobs: self.remembered.len(),
+            remembered_bytes: ByteSize(self.remembered_bytes),
+            tombstones: self.tombstones.len(),
+            tombstone_bytes: StateSize::of_tombstones(self.tombstones.len()),
+        }
+    }
+
+    /// Handles `input` at `now` and appends the effects to `outputs`.
+    ///
+    /// Starts, answers and messages are put out by [`Input::Flush`] at the earliest.
+    pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
+        match input {
+            Input::Submit(submit) => self.submit(now, submit, outputs),
+            Input::Placed {
+                key,
+                task,
+                target,
+                incarnation,
+            } => self.placed(now, &key, task, target, incarnation, outputs),
+            Input::Refused { key, task, refusal } => {
+                self.refused(now, KeyDigest::of(&key), task, refusal.detail, outputs);
+            }
+            Input::Ended(end) => self.ended(now, end, outputs),
+            Input::Cancel { key, caller } => self.cancel(now, &key, caller, outputs),
+            Input::Lookup { key, caller } => self.lookup(now, &key, caller, outputs),
+            Input::Detach { key, caller } => self.detach(&key, caller),
+            Input::Epoch(view) => self.install(now, view, outputs),
+            Input::Lease { until } => {
+                self.cell.lease_until = self.cell.lease_until.max(until);
+                self.release(now, outputs);
+            }
+            Input::Peer {
+                from,
+                incarnation,
+                message,
+            } => self.receive(now, &from, incarnation, message, outputs),
+            Input::Flush => self.flush(now, outputs),
+            Input::Tick => self.tick(now, outputs),
+        }
+    }
+
+    /// Returns the change of `job` that goes out with the next flush.
+    fn change(&mut self, job: KeyDigest) -> &mut Change {
+        self.changes.entry(job).or_default()
+    }
+
+    /// Returns whether the machine may accept jobs now.
+    fn can_act(&self, now: Instant) -> bool {
+        let is_unleased = self.options.has(Fault::NoLeaseCheck) && self.cell.is_active;
+        self.cell.can_act(now) || is_unleased
+    }
+
+    /// Returns the job with `key` if this member is its home.
+    fn own_job(&mut self, key: &JobKey) -> Option<&mut Job> {
+        let digest = KeyDigest::of(key);
+        if !self.cell.is_own(digest) {
+            return None;
+        }
+        self.jobs.get_mut(&digest)
+    }
+}
--- /dev/null
+++ b/kqr-jobs/src/machine/release.rs
@@ -0,0 +1,106 @@
+//! Effects that wait for acknowledgements.
+
+use kqr_types::{AttemptId, Instant, KeyDigest};
+
+use super::{Machine, calls::reply};
+use crate::{
+    CallerId, Fault, Output, Phase, StartTask, TaskResult,
+    gate::{Effect, Gate},
+};
+
+impl Machine {
+    /// Holds an effect back until the followers of `job` know what it follows from.
+    pub(super) fn gate(&mut self, job: KeyDigest, effect: Effect) {
+        self.gates.push(Gate {
+            job,
+            needs: None,
+            effect,
+        });
+    }
+
+    /// Notes which positions of the streams must be acknowledged before the held effects.
+    pub(super) fn stamp_gates(&mut self) {
+        for gate in &mut self.gates {
+            if gate.needs.is_some() {
+                continue;
+            }
+            let followers = self.cell.followers(gate.job).into_iter();
+            let position = |id| {
+                let end = self.cell.links.get(&id).map(crate::link::Link::end)?;
+                Some((id, end))
+            };
+            gate.needs = Some(followers.filter_map(position).collect());
+        }
+    }
+
+    /// Puts out the effects that each follower has acknowledged the cause of, while the lease holds.
+    pub(super) fn release(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if !self.can_act(now) {
+            return;
+        }
+        for gate in std::mem::take(&mut self.gates) {
+            if !self.is_ready(&gate) {
+                self.gates.push(gate);
+                continue;
+            }
+            match gate.effect {
+                Effect::Start(attempt) => self.start(now, gate.job, attempt, outputs),
+                Effect::Reply(caller) => self.answer(gate.job, caller, outputs),
+                Effect::Settle => self.settle(gate.job),
+            }
+        }
+    }
+
+    fn is_ready(&self, gate: &Gate) -> bool {
+        let is_skipped = match gate.effect {
+            Effect::Start(_) => self.options.has(Fault::StartBeforeAck),
+            Effect::Reply(_) => self.options.has(Fault::ReplyBeforeAck),
+            Effect::Settle => false,
+        };
+        let Some(needs) = &gate.needs else { return false };
+        let is_acked = |(id, position): (_, &u64)| {
+            let link = self.cell.links.get(id);
+            link.is_some_and(|link| link.acked() >= *position)
+        };
+        is_skipped || needs.iter().all(is_acked)
+    }
+
+    fn start(&mut self, now: Instant, digest: KeyDigest, attempt: AttemptId, outputs: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        if job.attempt_id(attempt.task) != attempt {
+            return;
+        }
+        let index = usize::from(attempt.task.0);
+        let Phase::Intended { target, incarnation } = job.tasks[index].record.phase.clone() else {
+            return;
+        };
+        if job.deadline <= now {
+            outputs.push(Output::ReleaseSlot { target });
+            let result = TaskResult::NotStarted("the deadline passed before the start".to_owned());
+            self.end_task(now, digest, attempt.task, result, outputs);
+            return;
+        }
+        job.tasks[index].is_driven = true;
+        outputs.push(Output::Start(Box::new(StartTask {
+            key: job.submission.key.clone(),
+            attempt,
+            target,
+            incarnation,
+            service: job.submission.service.clone(),
+            start_within: self.options.start_within.min(job.deadline.since(now)),
+            spec: job.submission.tasks[index].clone(),
+        })));
+    }
+
+    fn answer(&self, digest: KeyDigest, caller: CallerId, outputs: &mut Vec<Output>) {
+        if let Some(job) = self.jobs.get(&digest) {
+            reply(Some(caller), Ok(job.answer()), outputs);
+        }
+    }
+
+    fn settle(&mut self, digest: KeyDigest) {
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        job.is_settled = true;
+        self.change(digest).is_settled = true;
+    }
+}
--- /dev/null
+++ b/kqr-jobs/src/machine/tasks.rs
@@ -0,0 +1,240 @@
+//! The life of tasks at their home.
+
+use kqr_types::{Incarnation, Instant, JobKey, KeyDigest, TargetId, TaskIndex};
+
+use super::{Machine, Remembered, calls::reply};
+use crate::{
+    Fault, JobState, Output, Phase, TaskEnd, TaskResult, gate::Effect, state_size::job_bytes,
+};
+
+/// Reason of a task that found no slot in time.
+const TOO_LATE: &str = "the deadline passed before a slot was free";
+
+impl Machine {
+    pub(super) fn placed(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        task: TaskIndex,
+        target: TargetId,
+        incarnation: Incarnation,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_active = self.cell.is_active;
+        let waiting = self.own_job(key).filter(|job| is_active && is_waiting(job, task));
+        let Some(job) = waiting else {
+            outputs.push(Output::ReleaseSlot { target });
+            return;
+        };
+        let digest = job.digest;
+        if job.deadline <= now {
+            outputs.push(Output::ReleaseSlot { target });
+            self.end_task(now, digest, task, TaskResult::NotStarted(TOO_LATE.to_owned()), outputs);
+            return;
+        }
+        let record = &mut job.tasks[usize::from(task.0)].record;
+        record.attempt = record.attempt.next();
+        record.phase = Phase::Intended { target, incarnation };
+        let attempt = job.attempt_id(task);
+        self.change(digest).tasks.insert(task);
+        self.gate(digest, Effect::Start(attempt));
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        now: Instant,
+        digest: KeyDigest,
+        task: TaskIndex,
+        reason: String,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_own = self.cell.is_own(digest) && self.cell.is_active;
+        let is_waiting = self.jobs.get(&digest).is_some_and(|job| is_waiting(job, task));
+        if is_own && is_waiting {
+            self.end_task(now, digest, task, TaskResult::NotStarted(reason), outputs);
+        }
+    }
+
+    pub(super) fn ended(&mut self, now: Instant, end: TaskEnd, outputs: &mut Vec<Output>) {
+        let task = end.attempt.task;
+        let offers = self.options.offers_per_task;
+        let is_active = self.cell.is_active;
+        let Some(job) = self.own_job(&end.key) else { return };
+        let digest = job.digest;
+        let is_present = usize::from(task.0) < job.tasks.len() && job.attempt_id(task) == end.attempt;
+        if !is_present {
+            return;
+        }
+        let is_doomed = job.is_doomed() || job.deadline <= now;
+        let state = &mut job.tasks[usize::from(task.0)];
+        let Phase::Intended { target, .. } = &state.record.phase else {
+            return;
+        };
+        if !state.is_driven {
+            return;
+        }
+        let target = target.clone();
+        state.avoid.push(target);
+        let is_startable = match &end.result {
+            TaskResult::NotStarted(_) => state.record.attempt.0 < offers,
+            TaskResult::Failed(_) | TaskResult::Completed(_) | TaskResult::Unknown(_) => false,
+        };
+        if !is_startable || is_doomed {
+            self.end_task(now, digest, task, end.result, outputs);
+            return;
+        }
+        state.record.phase = Phase::Waiting;
+        state.is_driven = false;
+        if is_active {
+            outputs.push(Output::Enqueue(vec![job.waiting_task(task)]));
+        }
+        self.change(digest).tasks.insert(task);
+    }
+
+    pub(super) fn end_task(
+        &mut self,
+        now: Instant,
+        digest: KeyDigest,
+        task: TaskIndex,
+        result: TaskResult,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let is_completed = matches!(result, TaskResult::Completed(_));
+        job.tasks[usize::from(task.0)].record.phase = Phase::Ended(result);
+        self.change(digest).tasks.insert(task);
+        if !is_completed {
+            self.abandon_unstarted(digest, "another task of the job was not completed", outputs);
+        }
+        self.finish(now, digest);
+        if self.options.has(Fault::AnswerWithFirstTask) {
+            self.answer_early(digest, outputs);
+        }
+    }
+
+    /// Answers with the tasks that have ended, as if they were all.
+    fn answer_early(&mut self, digest: KeyDigest, outputs: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        for caller in std::mem::take(&mut job.callers) {
+            let mut answer = job.answer();
+            answer.state = JobState::Complete;
+            reply(Some(caller), Ok(answer), outputs);
+        }
+    }
+
+    /// Ends the tasks that were not started, so that nothing more is started for the job.
+    pub(super) fn abandon_unstarted(&mut self, digest: KeyDigest, reason: &str, outputs: &mut Vec<Output>) {
+        if !self.cell.is_active {
+            return;
+        }
+        self.revoke_starts(digest, outputs);
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let mut abandoned = Vec::new();
+        for (index, task) in job.tasks.iter_mut().enumerate() {
+            if task.is_waiting() {
+                task.record.phase = Phase::Ended(TaskResult::NotStarted(reason.to_owned()));
+                abandoned.push(TaskIndex(index as u16));
+            }
+        }
+        if abandoned.is_empty() {
+            return;
+        }
+        outputs.push(Output::Withdraw {
+            key: job.submission.key.clone(),
+        });
+        self.change(digest).tasks.extend(abandoned);
+    }
+
+    /// Takes back the starts of a job that were not put out; their tasks wait again.
+    pub(super) fn revoke_starts(&mut self, digest: KeyDigest, outputs: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        self.gates.retain(|gate| {
+            let Effect::Start(attempt) = gate.effect else {
+                return true;
+            };
+            if gate.job != digest {
+                return true;
+            }
+            let task = &mut job.tasks[usize::from(attempt.task.0)];
+            if let Phase::Intended { target, .. } = &task.record.phase {
+                outputs.push(Output::ReleaseSlot {
+                    target: target.clone(),
+                });
+            }
+            task.record.phase = Phase::Waiting;
+            false
+        });
+    }
+
+    /// Puts the waiting tasks of a job into the queue.
+    pub(super) fn enqueue_waiting(&self, digest: KeyDigest, outputs: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get(&digest) else { return };
+        let mut waiting = Vec::with_capacity(job.tasks.len());
+        for (index, task) in job.tasks.iter().enumerate() {
+            if task.is_waiting() {
+                waiting.push(job.waiting_task(TaskIndex(index as u16)));
+            }
+        }
+        if !waiting.is_empty() {
+            outputs.push(Output::Enqueue(waiting));
+        }
+    }
+
+    /// Prepares the answer of a job whose tasks have all ended.
+    pub(super) fn finish(&mut self, now: Instant, digest: KeyDigest) {
+        self.note_end(now, digest);
+        let is_active = self.cell.is_active;
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        if !is_active || job.ended.is_none() || job.is_settled {
+            return;
+        }
+        for caller in std::mem::take(&mut job.callers) {
+            self.gate(digest, Effect::Reply(caller));
+        }
+        self.gate(digest, Effect::Settle);
+    }
+
+    /// Counts a job that has just ended among the remembered ones.
+    pub(super) fn note_end(&mut self, now: Instant, digest: KeyDigest) {
+        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        job.note_end(now);
+        let Some(ended) = job.ended else { return };
+        if !self.live.remove(&digest) {
+            return;
+        }
+        let bytes = job_bytes(job);
+        self.remembered_bytes += bytes;
+        self.remembered.insert(Remembered {
+            ended,
+            job: digest,
+            bytes,
+        });
+    }
+
+    /// Ends waiting tasks whose deadline has passed.
+    pub(super) fn expire_waiting(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if !self.cell.is_active {
+            return;
+        }
+        let mut expired = Vec::new();
+        for digest in &self.live {
+            let Some(job) = self.jobs.get(digest) else { continue };
+            if job.deadline > now || !self.cell.is_own(*digest) {
+                continue;
+            }
+            let Some(index) = job.tasks.iter().position(crate::task::Task::is_waiting) else {
+                continue;
+            };
+            expired.push((*digest, TaskIndex(index as u16)));
+        }
+        for (digest, task) in expired {
+            self.end_task(now, digest, task, TaskResult::NotStarted(TOO_LATE.to_owned()), outputs);
+        }
+    }
+}
+
+fn is_waiting(job: &crate::job::Job, task: TaskIndex) -> bool {
+    job.tasks
+        .get(usize::from(task.0))
+        .is_some_and(crate::task::Task::is_waiting)
+}
--- /dev/null
+++ b/kqr-jobs/src/message.rs
@@ -0,0 +1,116 @@
+use std::time::Duration;
+
+use kqr_types::{Attempt, CellView, Epoch, Incarnation, KeyDigest, TargetId, TaskIndex};
+use serde::{Deserialize, Serialize};
+
+use crate::{Outcome, Submission, TaskResult};
+
+/// A message between the job machines of two members of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum JobMessage {
+    /// Changes of the sender's records, in order.
+    Updates {
+        /// Epoch of the sender.
+        epoch: Epoch,
+        /// Position of the first update in the sender's stream of this epoch.
+        first: u64,
+        /// The updates.
+        updates: Vec<Update>,
+    },
+    /// Updates that were applied.
+    Ack {
+        /// Epoch of the sender.
+        epoch: Epoch,
+        /// Position of the first update that was not applied.
+        next: u64,
+    },
+}
+
+/// One change in a stream between two members.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Update {
+    /// The whole record of a job: a claim with its first intents, or a copy.
+    Record(Box<JobRecord>),
+    /// The state of one task: an intent, an outcome, or the return to the queue.
+    Task {
+        /// The job.
+        job: KeyDigest,
+        /// Position of the task.
+        task: TaskIndex,
+        /// The state.
+        state: TaskRecord,
+    },
+    /// A caller cancelled the job.
+    Cancelled {
+        /// The job.
+        job: KeyDigest,
+    },
+    /// Each follower has the final state of the job.
+    Settled {
+        /// The job.
+        job: KeyDigest,
+    },
+    /// Only the outcome of an ended job is remembered.
+    Tombstone {
+        /// The job.
+        job: KeyDigest,
+        /// What is known of whether it was run.
+        outcome: Outcome,
+        /// Time for which it is remembered.
+        remaining: Duration,
+    },
+    /// The sender acts no more under earlier epochs, and sent all that the receiver must know of them.
+    Sealed(Seal),
+    /// The receivers of the sender's records have acknowledged their copies.
+    Complete,
+}
+
+/// What a member knows of earlier epochs when it enters a new one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Seal {
+    /// Views under which tasks may have been started since the sender last knew all of its records to be whole.
+    pub open: Vec<CellView>,
+    /// Age of the history that the sender's records cover, or `None` if they cover none.
+    pub history: Option<Duration>,
+}
+
+/// A job as it is copied to other members.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The submission; without its tasks if the job has ended.
+    pub submission: Submission,
+    /// Time until the caller's deadline.
+    pub remaining: Duration,
+    /// One state for each task.
+    pub tasks: Vec<TaskRecord>,
+    /// Whether a caller cancelled the job.
+    pub is_cancelled: bool,
+    /// Whether each follower has the final state.
+    pub is_settled: bool,
+}
+
+/// State of one task as it is copied to other members. States are ordered by progress: the higher attempt is later,
+/// and at the same attempt the later phase.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// Number of the last attempt; 0 before the first.
+    pub attempt: Attempt,
+    /// Place of the task in its life.
+    pub phase: Phase,
+}
+
+/// Place of a task in its life, in the order of one attempt.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Phase {
+    /// An intent was recorded; the target may run the attempt.
+    Intended {
+        /// The target.
+        target: TargetId,
+        /// The life of the target.
+        incarnation: Incarnation,
+    },
+    /// The last attempt was not started; the task waits for a slot.
+    Waiting,
+    /// Ended with a result that is final.
+    Ended(TaskResult),
+}
--- a/kqr-jobs/src/output.rs
+++ b/kqr-jobs/src/output.rs
@@ -1,16 +1,18 @@
 use std::time::Duration;
 
-use kqr_types::{AttemptId, Instant, JobKey, ServiceName, TargetId, TaskIndex, TeamName};
+use kqr_types::{
+    AttemptId, Epoch, Incarnation, Instant, InstanceId, JobKey, ServiceName, TargetId, TaskIndex, TeamName,
+};
 use serde::{Deserialize, Serialize};
 
-use crate::{JobAnswer, NotAccepted, TaskSpec};
+use crate::{JobAnswer, JobMessage, NotAccepted, TaskSpec};
 
 /// A waiting caller of this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallerId(pub u64);
 
 /// A task that waits for a slot.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WaitingTask {
     /// Key of the job.
     pub key: JobKey,
@@ -29,7 +31,7 @@
 }
 
 /// The start of an attempt at its target.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StartTask {
     /// Key of the job.
     pub key: JobKey,
@@ -37,6 +39,8 @@
     pub attempt: AttemptId,
     /// The target.
     pub target: TargetId,
+    /// The life of the target that the attempt is meant for; another life must not run it.
+    pub incarnation: Incarnation,
     /// Service that runs the task.
     pub service: ServiceName,
     /// Time within which the target may start the task.
@@ -46,7 +50,7 @@
 }
 
 /// An effect of the job machine.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Output {
     /// Tasks wait for slots.
     Enqueue(Vec<WaitingTask>),
@@ -69,6 +73,32 @@
         /// The target that runs it.
         target: TargetId,
     },
+    /// An attempt of an earlier home may have been started: its target must be asked until the end is known.
+    ///
+    /// An attempt that the same life of the target never saw is fenced there and has not been started. If that life
+    /// of the target has ended, the result is unknown. The result is handed back by [`crate::Input::Ended`].
+    Query {
+        /// Key of the job.
+        key: JobKey,
+        /// The attempt.
+        attempt: AttemptId,
+        /// The target that may run it.
+        target: TargetId,
+        /// The life of the target that the attempt was meant for.
+        incarnation: Incarnation,
+    },
+    /// A message goes to another member. It may be lost, duplicated or overtaken.
+    Send {
+        /// The receiver.
+        to: InstanceId,
+        /// The message.
+        message: JobMessage,
+    },
+    /// This member has copied what it missed and can become a full member.
+    Synced {
+        /// The epoch in which the copy was completed.
+        epoch: Epoch,
+    },
     /// A caller gets an answer.
     Reply {
         /// The caller.
--- /dev/null
+++ b/kqr-jobs/src/state_size.rs
@@ -0,0 +1,57 @@
+use kqr_types::ByteSize;
+
+use crate::{Phase, TaskResult, TaskSpec, job::Job, task::Task};
+
+/// Bytes that a map of the standard library and the allocator add to an entry.
+const ENTRY_BYTES: usize = 48;
+/// Bytes of one tombstone: digest and outcome, in tree nodes that are two thirds full.
+const TOMBSTONE_BYTES: usize = 30;
+
+/// Estimate of the memory that the records take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateSize {
+    /// Jobs that have not ended.
+    pub live_jobs: usize,
+    /// Memory of those jobs.
+    pub live_bytes: ByteSize,
+    /// Ended jobs whose answers are kept.
+    pub remembered_jobs: usize,
+    /// Memory of those jobs.
+    pub remembered_bytes: ByteSize,
+    /// Forgotten jobs whose outcomes are kept.
+    pub tombstones: usize,
+    /// Memory of those outcomes.
+    pub tombstone_bytes: ByteSize,
+}
+
+impl StateSize {
+    /// Returns the memory of `count` tombstones.
+    pub fn of_tombstones(count: usize) -> ByteSize {
+        ByteSize((count * TOMBSTONE_BYTES) as u64)
+    }
+}
+
+/// Returns the memory of one job, live or ended.
+pub(crate) fn job_bytes(job: &Job) -> u64 {
+    let specs: usize = job.submission.tasks.iter().map(spec_bytes).sum();
+    let tasks: usize = job.tasks.iter().map(task_bytes).sum();
+    let key = job.submission.key.as_str().len();
+    (size_of::<Job>() + ENTRY_BYTES + key + specs + tasks) as u64
+}
+
+fn spec_bytes(spec: &TaskSpec) -> usize {
+    size_of::<TaskSpec>() + spec.payload.len()
+}
+
+fn task_bytes(task: &Task) -> usize {
+    let text = match &task.record.phase {
+        Phase::Ended(
+            TaskResult::Completed(text)
+            | TaskResult::Failed(text)
+            | TaskResult::NotStarted(text)
+            | TaskResult::Unknown(text),
+        ) => text.len(),
+        Phase::Waiting | Phase::Intended { .. } => 0,
+    };
+    size_of::<Task>() + text
+}
--- a/kqr-jobs/src/submission.rs
+++ b/kqr-jobs/src/submission.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// One task of a submission as its caller declared it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskSpec {
     /// Class of tasks with similar run times.
     pub class: ClassName,
@@ -21,7 +21,7 @@
 }
 
 /// A job as its caller submitted it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Submission {
     /// Idempotency key of the submission.
     pub key: JobKey,
--- a/kqr-types/src/cell_view.rs
+++ b/kqr-types/src/cell_view.rs
@@ -4,7 +4,7 @@
 use crate::{Epoch, Incarnation, InstanceId};
 
 /// Whether a member of a cell may be the home of keys.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberState {
     /// The member copies what it missed; it is neither home nor counted follower.
@@ -14,7 +14,7 @@
 }
 
 /// One member of a cell in one of its lives.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellMember {
     /// Instance.
     pub id: InstanceId,
@@ -27,7 +27,7 @@
 }
 
 /// The agreed membership of a cell in one epoch. Members are ordered by id.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellView {
     /// Number of the epoch.
     pub epoch: Epoch,
