--- a/kqr-entry/src/engine.rs
+++ b/kqr-entry/src/engine.rs
@@ -4,15 +4,18 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use kqr_jobs::{
-    CallerId, Input, JobAnswer, Machine, NotAccepted, Outcome, Output, RefusalReason, StartTask, Submission,
-    Submit,
+    CallerId, Input, JobAnswer, Machine, Member, NotAccepted, Outcome, Output, RefusalReason, StartTask,
+    Submission, Submit,
 };
 use kqr_placement::Table;
 use kqr_telemetry::{EventKind, EventLog};
-use kqr_types::{JobKey, KeyDigest, TargetId};
+use kqr_types::{
+    CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, MemberState, TargetId,
+};
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
@@ -48,9 +51,9 @@
 
 impl Engine {
     /// Creates an engine without jobs and targets.
-    pub fn new(clock: Clock, events: EventLog) -> Self {
+    pub fn new(clock: Clock, events: EventLog, own: InstanceId) -> Self {
         let shards = (0..SHARDS)
-            .map(|_| Mutex::new(Machine::new(kqr_jobs::Options::default())))
+            .map(|_| Mutex::new(solitary_machine(clock.now(), own.clone())))
             .collect();
         Self {
             clock,
@@ -119,7 +122,11 @@
     pub fn tick(self: &Arc<Self>) {
         for index in 0..SHARDS {
             let mut outputs = Vec::new();
-            lock(&self.shards[index]).handle(self.clock.now(), Input::Tick, &mut outputs);
+            let now = self.clock.now();
+            let mut machine = lock(&self.shards[index]);
+            machine.handle(now, Input::Tick, &mut outputs);
+            machine.handle(now, Input::Flush, &mut outputs);
+            drop(machine);
             self.perform(outputs);
         }
         self.dispatch();
@@ -129,7 +136,11 @@
     pub fn handle(self: &Arc<Self>, key: &JobKey, input: Input) {
         let shard = KeyDigest::of(key).0 as usize % SHARDS;
         let mut outputs = Vec::new();
-        lock(&self.shards[shard]).handle(self.clock.now(), input, &mut outputs);
+        let now = self.clock.now();
+        let mut machine = lock(&self.shards[shard]);
+        machine.handle(now, input, &mut outputs);
+        machine.handle(now, Input::Flush, &mut outputs);
+        drop(machine);
         self.perform(outputs);
     }
 
@@ -138,11 +149,12 @@
         let dispatched = lock(&self.queue).dispatch(&self.table);
         for item in dispatched {
             match item {
-                Dispatched::Placed(task, target) => {
+                Dispatched::Placed(task, target, incarnation) => {
                     let input = Input::Placed {
                         key: task.key.clone(),
                         task: task.task,
                         target,
+                        incarnation,
                     };
                     self.handle(&task.key, input);
                 }
@@ -203,6 +215,8 @@
                     let stop = async move { engine.starter.stop(&engine, attempt, &target).await };
                     self.tracker.spawn(stop);
                 }
+                // The cell has one member: there is no peer, and no earlier home.
+                Output::Query { .. } | Output::Send { .. } | Output::Synced { .. } => {}
                 Output::Reply { caller, answer } => {
                     if let Some(tx) = lock(&self.callers).remove(&caller) {
                         let _ = tx.send(answer);
@@ -284,6 +298,33 @@
     }
 }
 
+/// Creates a machine whose cell has this instance as its only member.
+fn solitary_machine(now: Instant, own: InstanceId) -> Machine {
+    let options = kqr_jobs::Options {
+        cold_start_window: Duration::ZERO,
+        ..kqr_jobs::Options::default()
+    };
+    let member = Member {
+        id: own,
+        incarnation: Incarnation(1),
+    };
+    let view = CellView {
+        epoch: Epoch(1),
+        members: vec![CellMember {
+            id: member.id.clone(),
+            incarnation: member.incarnation,
+            weight: 1,
+            state: MemberState::Full,
+        }],
+    };
+    let mut machine = Machine::new(member, options);
+    let mut outputs = Vec::new();
+    machine.handle(now, Input::Epoch(view), &mut outputs);
+    machine.handle(now, Input::Lease { until: Instant::MAX }, &mut outputs);
+    machine.handle(now, Input::Flush, &mut outputs);
+    machine
+}
+
 /// Locks `mutex`, also if a holder panicked.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/kqr-entry/src/queue.rs
+++ b/kqr-entry/src/queue.rs
@@ -2,7 +2,7 @@
 
 use kqr_jobs::WaitingTask;
 use kqr_placement::{Demand, PickFailure, Table, TargetKind};
-use kqr_types::{JobKey, TargetId};
+use kqr_types::{Incarnation, JobKey, TargetId};
 
 /// Expected run time of a task whose caller declared none.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(200);
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub enum Dispatched {
     /// A slot of the target was taken for it.
-    Placed(WaitingTask, TargetId),
+    Placed(WaitingTask, TargetId, Incarnation),
     /// No target can ever run it.
     Impossible(WaitingTask, PickFailure),
 }
@@ -60,7 +60,11 @@
                 avoid: &task.avoid,
             };
             match table.pick(&task.service, TargetKind::Worker, &demand) {
-                Ok(target) => dispatched.push(Dispatched::Placed(task, target.announcement.id.clone())),
+                Ok(target) => dispatched.push(Dispatched::Placed(
+                    task,
+                    target.announcement.id.clone(),
+                    target.announcement.incarnation,
+                )),
                 Err(PickFailure::AllBusy) => {
                     blocked.push(task.service.clone());
                     kept.push_back(task);
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -57,8 +57,8 @@
         let targets_address = own.targets.ok_or_eyre("the instance has no targets' listener")?;
         let entry = Arc::new(Entry {
             homes: Homes::new(bootstrap, &own),
+            engine: Arc::new(Engine::new(Clock::new(), events, own.id.clone())),
             own,
-            engine: Arc::new(Engine::new(Clock::new(), events)),
             links: SiblingLinks::default(),
             relay: Relay::new(),
             shutdown: CancellationToken::new(),
--- a/kqr-jobs/src/cell.rs
+++ b/kqr-jobs/src/cell.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use kqr_types::{CellMember, CellView, Instant, InstanceId, KeyDigest, MemberState};
+use kqr_types::{CellMember, CellView, InstanceId, Instant, KeyDigest, MemberState};
 
 use crate::{Member, Seal, Update, link::Link};
 
@@ -202,9 +202,9 @@
                     continue;
                 }
                 full += 1;
-                let is_present = self.full_members().any(|present| {
-                    present.id == member.id && present.incarnation == member.incarnation
-                });
+                let is_present = self
+                    .full_members()
+                    .any(|present| present.id == member.id && present.incarnation == member.incarnation);
                 lost += usize::from(!is_present);
             }
             if lost >= COPIES.min(full) {
--- a/kqr-jobs/src/input.rs
+++ b/kqr-jobs/src/input.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use kqr_types::{AttemptId, CellView, Incarnation, Instant, InstanceId, JobKey, TargetId, TaskIndex};
+use kqr_types::{AttemptId, CellView, Incarnation, InstanceId, Instant, JobKey, TargetId, TaskIndex};
 use serde::{Deserialize, Serialize};
 
 use crate::{CallerId, JobMessage, NotAccepted, Outcome, Submission};
--- a/kqr-jobs/src/job.rs
+++ b/kqr-jobs/src/job.rs
@@ -1,8 +1,8 @@
 use kqr_types::{AttemptId, Instant, KeyDigest, TaskIndex};
 
 use crate::{
-    CallerId, JobAnswer, JobRecord, JobState, Outcome, Phase, Submission, TaskAnswer, TaskResult, WaitingTask,
-    task::Task,
+    CallerId, JobAnswer, JobRecord, JobState, Outcome, Phase, Submission, TaskAnswer, TaskResult,
+    WaitingTask, task::Task,
 };
 
 /// State of one job.
@@ -123,9 +123,7 @@
 
     /// Returns whether a task ended without being completed, so that no further task may start.
     pub fn is_doomed(&self) -> bool {
-        let is_lost = |task: &Task| {
-            matches!(&task.record.phase, Phase::Ended(result) if !matches!(result, TaskResult::Completed(_)))
-        };
+        let is_lost = |task: &Task| matches!(&task.record.phase, Phase::Ended(result) if !matches!(result, TaskResult::Completed(_)));
         self.is_cancelled || self.tasks.iter().any(is_lost)
     }
 
@@ -134,8 +132,7 @@
         if self.ended.is_none() {
             return JobState::Running;
         }
-        let is_completed =
-            |task: &Task| matches!(task.record.phase, Phase::Ended(TaskResult::Completed(_)));
+        let is_completed = |task: &Task| matches!(task.record.phase, Phase::Ended(TaskResult::Completed(_)));
         match (self.tasks.iter().all(is_completed), self.is_cancelled) {
             (true, _) => JobState::Complete,
             (false, true) => JobState::Cancelled,
--- a/kqr-jobs/src/machine/calls.rs
+++ b/kqr-jobs/src/machine/calls.rs
@@ -5,9 +5,7 @@
 use kqr_types::{Instant, JobKey, KeyDigest};
 
 use super::Machine;
-use crate::{
-    CallerId, NotAccepted, Output, Phase, Submission, Submit, gate::Effect, job::Job, refusal,
-};
+use crate::{CallerId, NotAccepted, Output, Phase, Submission, Submit, gate::Effect, job::Job, refusal};
 
 impl Machine {
     pub(super) fn submit(&mut self, now: Instant, submit: Submit, outputs: &mut Vec<Output>) {
@@ -43,7 +41,9 @@
             return Some(refusal::not_ready("the key has another home"));
         }
         if !self.can_act(now) {
-            return Some(refusal::not_ready("the home of the key has no lease or is taking over"));
+            return Some(refusal::not_ready(
+                "the home of the key has no lease or is taking over",
+            ));
         }
         let age = self.cell.history.map_or(Duration::ZERO, |since| now.since(since));
         let is_resubmission = submission.attempt.is_some_and(|attempt| attempt.0 >= 2);
@@ -59,14 +59,20 @@
     fn join(&mut self, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
         let is_own = self.cell.is_own(digest);
         let is_active = self.cell.is_active;
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         let Some(caller) = caller else { return };
         if job.is_settled {
             reply(Some(caller), Ok(job.answer()), outputs);
             return;
         }
         if !is_own {
-            reply(Some(caller), Err(refusal::not_ready("the key has another home")), outputs);
+            reply(
+                Some(caller),
+                Err(refusal::not_ready("the key has another home")),
+                outputs,
+            );
             return;
         }
         if job.ended.is_none() || !is_active {
@@ -89,7 +95,11 @@
             return;
         }
         if !is_own || !can_act {
-            reply(Some(caller), Err(refusal::not_ready("the home of the key is changing")), outputs);
+            reply(
+                Some(caller),
+                Err(refusal::not_ready("the home of the key is changing")),
+                outputs,
+            );
             return;
         }
         job.callers.push(caller);
@@ -123,7 +133,8 @@
             reply(Some(caller), Err(self.unknown(digest, key)), outputs);
             return;
         };
-        let is_visible = job.is_settled || (job.ended.is_none() && self.cell.is_own(digest) && self.can_act(now));
+        let is_visible =
+            job.is_settled || (job.ended.is_none() && self.cell.is_own(digest) && self.can_act(now));
         let answer = if is_visible {
             Ok(job.answer())
         } else {
--- a/kqr-jobs/src/machine/epochs.rs
+++ b/kqr-jobs/src/machine/epochs.rs
@@ -2,12 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use kqr_types::{CellView, Instant, InstanceId, KeyDigest, MemberState};
+use kqr_types::{CellView, InstanceId, Instant, KeyDigest, MemberState};
 
 use super::{Change, Machine, calls::reply};
 use crate::{
-    CallerId, Fault, Output, Phase, Seal, Update, gate::Effect, job::Job, refusal,
-    tombstones::Tombstone,
+    CallerId, Fault, Output, Phase, Seal, Update, gate::Effect, job::Job, refusal, tombstones::Tombstone,
 };
 
 impl Machine {
@@ -40,7 +39,9 @@
         let live: Vec<KeyDigest> = self.live.iter().copied().collect();
         for digest in live {
             self.revoke_starts(digest, outputs);
-            let Some(job) = self.jobs.get(&digest) else { continue };
+            let Some(job) = self.jobs.get(&digest) else {
+                continue;
+            };
             let is_queued = job.tasks.iter().any(crate::task::Task::is_waiting);
             if self.cell.is_active && is_queued && self.cell.is_own(digest) {
                 outputs.push(Output::Withdraw {
@@ -174,7 +175,9 @@
     /// Goes on with a job at the start of an epoch.
     fn resume(&mut self, now: Instant, digest: KeyDigest, outputs: &mut Vec<Output>) {
         let is_unfenced = self.options.has(Fault::FenceSkipped);
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         if job.is_settled {
             return;
         }
--- a/kqr-jobs/src/machine/peers.rs
+++ b/kqr-jobs/src/machine/peers.rs
@@ -1,6 +1,6 @@
 //! Replication between the members of a cell.
 
-use kqr_types::{Incarnation, Instant, InstanceId, KeyDigest, MemberState};
+use kqr_types::{Incarnation, InstanceId, Instant, KeyDigest, MemberState};
 
 use super::{Change, Machine};
 use crate::{JobMessage, JobRecord, Output, Update, job::Job};
@@ -20,7 +20,9 @@
             return;
         }
         let present = self.cell.view.epoch;
-        let Some(link) = self.cell.links.get_mut(from) else { return };
+        let Some(link) = self.cell.links.get_mut(from) else {
+            return;
+        };
         match message {
             JobMessage::Updates {
                 epoch,
@@ -49,7 +51,9 @@
         match update {
             Update::Record(record) => self.apply_record(now, from, *record),
             Update::Task { job, task, state } => {
-                let Some(copy) = self.copy_of(from, job) else { return };
+                let Some(copy) = self.copy_of(from, job) else {
+                    return;
+                };
                 if let Some(task) = copy.tasks.get_mut(usize::from(task.0)) {
                     task.merge(state, true);
                 }
@@ -145,7 +149,9 @@
     /// Sends what changed of a job to the members that hold copies.
     fn push_change(&mut self, now: Instant, digest: KeyDigest, change: &Change) {
         let copies = self.cell.copies(digest);
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         if !job.is_pushed {
             job.is_pushed = true;
             let update = Update::Record(Box::new(job.record(now)));
@@ -216,6 +222,7 @@
             self.remove(digest);
         }
         let cell = &self.cell;
-        self.tombstones.retain(|digest| cell.copies(digest).contains(&own));
+        self.tombstones
+            .retain(|digest| cell.copies(digest).contains(&own));
     }
 }
--- a/kqr-jobs/src/machine/release.rs
+++ b/kqr-jobs/src/machine/release.rs
@@ -66,7 +66,9 @@
     }
 
     fn start(&mut self, now: Instant, digest: KeyDigest, attempt: AttemptId, outputs: &mut Vec<Output>) {
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         if job.attempt_id(attempt.task) != attempt {
             return;
         }
@@ -99,7 +101,9 @@
     }
 
     fn settle(&mut self, digest: KeyDigest) {
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         job.is_settled = true;
         self.change(digest).is_settled = true;
     }
--- a/kqr-jobs/src/machine/retention.rs
+++ b/kqr-jobs/src/machine/retention.rs
@@ -24,7 +24,9 @@
     /// Replaces answers that are too old or too many by tombstones. The home decides, its followers are told.
     fn forget(&mut self, now: Instant) {
         let mut excess_jobs = self.remembered.len().saturating_sub(self.options.retained_jobs);
-        let mut excess_bytes = self.remembered_bytes.saturating_sub(self.options.retained_bytes.0);
+        let mut excess_bytes = self
+            .remembered_bytes
+            .saturating_sub(self.options.retained_bytes.0);
         let mut due = Vec::new();
         for remembered in &self.remembered {
             let is_old = now.since(remembered.ended) >= self.options.retention;
@@ -40,7 +42,9 @@
             excess_bytes = excess_bytes.saturating_sub(remembered.bytes);
         }
         for digest in due {
-            let Some(job) = self.jobs.get(&digest) else { continue };
+            let Some(job) = self.jobs.get(&digest) else {
+                continue;
+            };
             let update = Update::Tombstone {
                 job: digest,
                 outcome: job.outcome(),
@@ -60,7 +64,9 @@
     /// Forgets a job.
     pub(super) fn remove(&mut self, digest: KeyDigest) {
         self.live.remove(&digest);
-        let Some(job) = self.jobs.remove(&digest) else { return };
+        let Some(job) = self.jobs.remove(&digest) else {
+            return;
+        };
         let Some(ended) = job.ended else { return };
         let from = Remembered {
             ended,
--- a/kqr-jobs/src/machine/tasks.rs
+++ b/kqr-jobs/src/machine/tasks.rs
@@ -3,9 +3,7 @@
 use kqr_types::{Incarnation, Instant, JobKey, KeyDigest, TargetId, TaskIndex};
 
 use super::{Machine, Remembered, calls::reply};
-use crate::{
-    Fault, JobState, Output, Phase, TaskEnd, TaskResult, gate::Effect, state_size::job_bytes,
-};
+use crate::{Fault, JobState, Output, Phase, TaskEnd, TaskResult, gate::Effect, state_size::job_bytes};
 
 /// Reason of a task that found no slot in time.
 const TOO_LATE: &str = "the deadline passed before a slot was free";
@@ -29,7 +27,13 @@
         let digest = job.digest;
         if job.deadline <= now {
             outputs.push(Output::ReleaseSlot { target });
-            self.end_task(now, digest, task, TaskResult::NotStarted(TOO_LATE.to_owned()), outputs);
+            self.end_task(
+                now,
+                digest,
+                task,
+                TaskResult::NotStarted(TOO_LATE.to_owned()),
+                outputs,
+            );
             return;
         }
         let record = &mut job.tasks[usize::from(task.0)].record;
@@ -99,7 +103,9 @@
         result: TaskResult,
         outputs: &mut Vec<Output>,
     ) {
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         let is_completed = matches!(result, TaskResult::Completed(_));
         job.tasks[usize::from(task.0)].record.phase = Phase::Ended(result);
         self.change(digest).tasks.insert(task);
@@ -114,7 +120,9 @@
 
     /// Answers with the tasks that have ended, as if they were all.
     fn answer_early(&mut self, digest: KeyDigest, outputs: &mut Vec<Output>) {
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         for caller in std::mem::take(&mut job.callers) {
             let mut answer = job.answer();
             answer.state = JobState::Complete;
@@ -128,7 +136,9 @@
             return;
         }
         self.revoke_starts(digest, outputs);
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         let mut abandoned = Vec::new();
         for (index, task) in job.tasks.iter_mut().enumerate() {
             if task.is_waiting() {
@@ -147,7 +157,9 @@
 
     /// Takes back the starts of a job that were not put out; their tasks wait again.
     pub(super) fn revoke_starts(&mut self, digest: KeyDigest, outputs: &mut Vec<Output>) {
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         self.gates.retain(|gate| {
             let Effect::Start(attempt) = gate.effect else {
                 return true;
@@ -184,7 +196,9 @@
     pub(super) fn finish(&mut self, now: Instant, digest: KeyDigest) {
         self.note_end(now, digest);
         let is_active = self.cell.is_active;
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         if !is_active || job.ended.is_none() || job.is_settled {
             return;
         }
@@ -196,7 +210,9 @@
 
     /// Counts a job that has just ended among the remembered ones.
     pub(super) fn note_end(&mut self, now: Instant, digest: KeyDigest) {
-        let Some(job) = self.jobs.get_mut(&digest) else { return };
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
         job.note_end(now);
         let Some(ended) = job.ended else { return };
         if !self.live.remove(&digest) {
@@ -218,7 +234,9 @@
         }
         let mut expired = Vec::new();
         for digest in &self.live {
-            let Some(job) = self.jobs.get(digest) else { continue };
+            let Some(job) = self.jobs.get(digest) else {
+                continue;
+            };
             if job.deadline > now || !self.cell.is_own(*digest) {
                 continue;
             }
@@ -228,7 +246,13 @@
             expired.push((*digest, TaskIndex(index as u16)));
         }
         for (digest, task) in expired {
-            self.end_task(now, digest, task, TaskResult::NotStarted(TOO_LATE.to_owned()), outputs);
+            self.end_task(
+                now,
+                digest,
+                task,
+                TaskResult::NotStarted(TOO_LATE.to_owned()),
+                outputs,
+            );
         }
     }
 }
--- a/kqr-jobs/src/output.rs
+++ b/kqr-jobs/src/output.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use kqr_types::{
-    AttemptId, Epoch, Incarnation, Instant, InstanceId, JobKey, ServiceName, TargetId, TaskIndex, TeamName,
+    AttemptId, Epoch, Incarnation, InstanceId, Instant, JobKey, ServiceName, TargetId, TaskIndex, TeamName,
 };
 use serde::{Deserialize, Serialize};
 
