--- a/kqr-entry/src/callers/mod.rs
+++ b/kqr-entry/src/callers/mod.rs
@@ -54,6 +54,6 @@
 
 fn metrics(entry: &Entry) -> String {
     let waiting = entry.engine.waiting_tasks();
-    let live = entry.engine.live_jobs();
+    let live = entry.engine.homed_jobs();
     format!("kqr_waiting_tasks {waiting}\nkqr_live_jobs {live}\n")
 }
--- a/kqr-entry/src/daemon.rs
+++ b/kqr-entry/src/daemon.rs
@@ -5,10 +5,7 @@
 use kqr_telemetry::EventLog;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::{
-    options::Options,
-    running::{Running, ShutdownLimits},
-};
+use crate::{limits::Limits, options::Options, running::Running};
 
 /// Runs an entry until SIGTERM, then ends what was accepted. A second SIGTERM ends at once.
 ///
@@ -23,9 +20,10 @@
         Some(path) => EventLog::open(own.id.clone(), path)?,
         None => EventLog::disabled(own.id.clone()),
     };
-    let limits = ShutdownLimits {
+    let limits = Limits {
         drain_delay: options.drain_delay.into(),
         grace: options.grace.into(),
+        cold_start_window: options.cold_start_window.into(),
     };
     let running = Running::start(&bootstrap, own, events, limits).await?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("waiting for SIGTERM")?;
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     callers::Relay,
-    engine::{Answer, Engine},
+    engine::{Answer, Engine, ShardIndex},
     homes::Homes,
     registry::Registry,
     sibling_links::SiblingLinks,
@@ -83,8 +83,12 @@
     }
 
     /// Takes in a message of another entry's machines.
-    pub fn take_mail(&self, from: &InstanceId, _incarnation: Incarnation, mail: Mail) {
+    pub fn take_mail(&self, from: &InstanceId, incarnation: Incarnation, mail: Mail) {
         match mail {
+            Mail::Jobs { shard, message } => {
+                let shard = ShardIndex(usize::from(shard));
+                self.engine.receive(shard, from.clone(), incarnation, message);
+            }
             Mail::Directory(message) => {
                 self.registry.handle(kqr_directory::Input::Peer {
                     from: from.clone(),
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod entry;
 mod homes;
+mod limits;
 mod options;
 mod outbox;
 mod registry;
@@ -18,5 +19,6 @@
 mod targets;
 
 pub use daemon::run;
+pub use limits::Limits;
 pub use options::Options;
-pub use running::{Running, ShutdownLimits};
+pub use running::Running;
--- a/kqr-entry/src/outbox.rs
+++ b/kqr-entry/src/outbox.rs
@@ -1,7 +1,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use kqr_jobs::Member;
 use kqr_settings::bootstrap::Instance;
-use kqr_types::{Incarnation, InstanceId};
+use kqr_types::InstanceId;
 use kqr_wire::mail::Mail;
 use tarpc::context;
 use tokio::sync::{Semaphore, mpsc};
@@ -26,27 +27,20 @@
 /// One peer and the identity under which it is written to.
 #[derive(Clone, Debug)]
 struct Lane {
-    own: InstanceId,
-    incarnation: Incarnation,
+    own: Member,
     peer: InstanceId,
     address: SocketAddr,
     links: Arc<SiblingLinks>,
 }
 
 impl Outbox {
-    /// Starts to write to `peers` as `own` in its life `incarnation`.
-    pub fn start(
-        own: &InstanceId,
-        incarnation: Incarnation,
-        peers: &[Instance],
-        links: &Arc<SiblingLinks>,
-    ) -> Self {
+    /// Starts to write to `peers` as `own`.
+    pub fn start(own: &Member, peers: &[Instance], links: &Arc<SiblingLinks>) -> Self {
         let mut senders = BTreeMap::new();
         for peer in peers {
             let (tx, rx) = mpsc::channel(QUEUED_MAILS);
             let lane = Lane {
                 own: own.clone(),
-                incarnation,
                 peer: peer.id.clone(),
                 address: peer.peers,
                 links: Arc::clone(links),
@@ -98,7 +92,7 @@
         let mut cx = context::current();
         cx.deadline = std::time::Instant::now() + SILENT_AFTER;
         if let Err(error) = client
-            .deliver(cx, self.own.clone(), self.incarnation, batch)
+            .deliver(cx, self.own.id.clone(), self.own.incarnation, batch)
             .await
         {
             log::debug!("sending to {}: {error}", self.peer);
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -9,9 +9,10 @@
 use eyre::{OptionExt, WrapErr};
 use kqr_directory::Directory;
 use kqr_http::ServerOptions;
+use kqr_jobs::Member;
 use kqr_settings::bootstrap::{Bootstrap, Instance};
 use kqr_telemetry::{EventKind, EventLog};
-use kqr_types::{Incarnation, InstanceId};
+use kqr_types::{CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, MemberState};
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +22,7 @@
     engine::Engine,
     entry::Entry,
     homes::Homes,
+    limits::Limits,
     outbox::Outbox,
     registry::Registry,
     sibling_links::SiblingLinks,
@@ -33,20 +35,11 @@
 /// Time between two updates of the order of targets by their learned speeds.
 const REFRESH: Duration = Duration::from_secs(1);
 
-/// Time limits of a graceful shutdown.
-#[derive(Clone, Copy, Debug)]
-pub struct ShutdownLimits {
-    /// Time in which callers are still accepted while the readiness is off, so that the balancer sees it.
-    pub drain_delay: Duration,
-    /// Longest time that accepted work may take after that.
-    pub grace: Duration,
-}
-
 /// A running entry.
 #[derive(Debug)]
 pub struct Running {
     entry: Arc<Entry>,
-    limits: ShutdownLimits,
+    limits: Limits,
     stop_accepting: CancellationToken,
     stop_serving: CancellationToken,
     callers: JoinHandle<bool>,
@@ -63,12 +56,12 @@
         bootstrap: &Bootstrap,
         own: Instance,
         events: EventLog,
-        limits: ShutdownLimits,
+        limits: Limits,
     ) -> eyre::Result<Self> {
         events.record(events.event(EventKind::ProcessStarted));
         let callers_address = own.callers.ok_or_eyre("the instance has no callers' listener")?;
         let targets_address = own.targets.ok_or_eyre("the instance has no targets' listener")?;
-        let entry = Arc::new(build(bootstrap, own, events));
+        let entry = Arc::new(build(bootstrap, own, events, limits));
         let stop_accepting = CancellationToken::new();
         let stop_serving = CancellationToken::new();
         let siblings = sibling_server::listen(Arc::clone(&entry), stop_serving.clone()).await;
@@ -100,7 +93,7 @@
         self.stop_accepting.cancel();
         let finish = async {
             let _ = self.callers.await;
-            while engine.live_jobs() > 0 {
+            while engine.homed_jobs() > 0 {
                 tokio::time::sleep(TICK).await;
             }
             engine.tracker.close();
@@ -123,7 +116,7 @@
 }
 
 /// Puts the parts of an entry together.
-fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog) -> Entry {
+fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> Entry {
     let clock = Clock::new();
     let homes = Homes::new(bootstrap, &own);
     let siblings: BTreeSet<InstanceId> = homes
@@ -132,8 +125,19 @@
         .map(|sibling| sibling.id.clone())
         .collect();
     let links = Arc::new(SiblingLinks::default());
-    let outbox = Arc::new(Outbox::start(&own.id, new_incarnation(), &homes.others(), &links));
-    let engine = Arc::new(Engine::new(clock, events));
+    let member = Member {
+        id: own.id.clone(),
+        incarnation: new_incarnation(),
+    };
+    let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links));
+    let engine = Arc::new(Engine::new(
+        clock,
+        events,
+        &member,
+        limits.cold_start_window,
+        Arc::clone(&outbox),
+    ));
+    install_solitary_cell(&engine, &member);
     let directory = Directory::new(own.id.clone(), clock.now());
     let registry = Registry::new(directory, Arc::clone(&engine), outbox);
     registry.handle(kqr_directory::Input::Peers(siblings));
@@ -148,6 +152,21 @@
     }
 }
 
+/// Lets an entry that shares its keys with no other one act as their home.
+fn install_solitary_cell(engine: &Arc<Engine>, own: &Member) {
+    let member = CellMember {
+        id: own.id.clone(),
+        incarnation: own.incarnation,
+        weight: 1,
+        state: MemberState::Full,
+    };
+    engine.install(&CellView {
+        epoch: Epoch(1),
+        members: vec![member],
+    });
+    engine.extend_lease(Instant::MAX);
+}
+
 /// Returns the number of this life. It grows with each restart as long as the wall clock does.
 fn new_incarnation() -> Incarnation {
     let unix = SystemTime::now()
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use clap::Parser;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
-use kqr_entry::{Running, ShutdownLimits};
+use kqr_entry::{Limits, Running};
 use kqr_http::{Client, ClientOptions};
 use kqr_settings::bootstrap::Bootstrap;
 use kqr_telemetry::EventLog;
@@ -29,6 +29,7 @@
     pub entries: Vec<Option<Running>>,
     pub standins: Vec<kqr_standin::Running>,
     pub client: Client,
+    pub cold_start_window: Duration,
 }
 
 /// A whole answer.
@@ -89,6 +90,7 @@
             entries: Vec::new(),
             standins: Vec::new(),
             client: Client::new(ClientOptions::default()),
+            cold_start_window: Duration::ZERO,
         };
         for index in 0..data_centres.len() {
             let entry = system.start_entry(index).await;
@@ -101,9 +103,10 @@
     pub async fn start_entry(&self, index: usize) -> Running {
         let own = self.bootstrap.instances[index].clone();
         let events = EventLog::disabled(own.id.clone());
-        let limits = ShutdownLimits {
+        let limits = Limits {
             drain_delay: Duration::from_millis(300),
             grace: Duration::from_secs(10),
+            cold_start_window: self.cold_start_window,
         };
         Running::start(&self.bootstrap, own, events, limits)
             .await
--- a/kqr-standin/src/api.rs
+++ b/kqr-standin/src/api.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    attempts::{Attempts, StartsBody, body},
+    attempts::{Attempts, StartsBody},
     behaviour::Behaviour,
     options::Options,
 };
@@ -67,9 +67,9 @@
     /// Creates the state of a stand-in that listens on `address`.
     pub fn new(options: Options, address: SocketAddr) -> Self {
         Self {
+            attempts: Attempts::new(options.incarnation),
             options,
             address,
-            attempts: Attempts::default(),
             behaviour: Mutex::default(),
             used: AtomicU32::new(0),
             answers: AtomicU64::new(0),
@@ -200,6 +200,12 @@
     let Ok(attempt) = start.attempt_id.parse::<AttemptId>() else {
         return text_reply(StatusCode::BAD_REQUEST, "attempt_id is malformed");
     };
+    if start.incarnation != standin.options.incarnation {
+        let answer = standin
+            .attempts
+            .refuse(attempt, "the attempt is meant for another life of this target");
+        return json_reply(StatusCode::CONFLICT, "application/json", &answer);
+    }
     let behaviour = standin.behaviour();
     if behaviour.refuses || behaviour.drains {
         let answer = standin.attempts.refuse(attempt, "refused");
@@ -229,7 +235,7 @@
         echo: start.payload.clone(),
     });
     let run_time = standin.run_time(&payload);
-    let mut ended = body(attempt, AttemptState::Completed);
+    let mut ended = standin.attempts.body(attempt, AttemptState::Completed);
     if is_failing {
         ended.state = AttemptState::Failed;
         ended.reason = Some("told to fail".to_owned());
--- a/kqr-wire/src/mail.rs
+++ b/kqr-wire/src/mail.rs
@@ -7,4 +7,11 @@
 pub enum Mail {
     /// A message between the directories of targets.
     Directory(kqr_directory::Message),
+    /// A message between the job machines of the same shard.
+    Jobs {
+        /// Index of the shard.
+        shard: u16,
+        /// Message.
+        message: kqr_jobs::JobMessage,
+    },
 }
