--- /dev/null
+++ b/kqr-entry/src/engine/effects.rs
@@ -0,0 +1,199 @@
+//! Performs the effects of the job machines and of the queue.
+
+use std::sync::Arc;
+
+use kqr_admission::{Ended, Output as QueueOutput, Verdict};
+use kqr_jobs::{
+    Input, NotAccepted, Outcome, Output, RefusalReason, StartTask, TaskEnd, TaskResult, WaitingTask,
+};
+use kqr_telemetry::EventKind;
+use kqr_types::{AttemptId, Incarnation, JobKey, TargetId};
+use kqr_wire::mail::Mail;
+
+use super::{Engine, lock, shard_of, work::ShardIndex, work::Work};
+
+impl Engine {
+    /// Hands an input to the machine of a shard. Its effects are added to `work`.
+    pub(super) fn apply(&self, shard: ShardIndex, input: Input, work: &mut Work) {
+        let mut outputs = Vec::new();
+        lock(&self.shards[shard.0]).handle(self.clock.now(), input, &mut outputs);
+        work.note_change(shard);
+        work.add(shard, outputs);
+    }
+
+    /// Performs effects until none is left. Changes are sent to the other members after waiting tasks were placed, so
+    /// that a submission and its first placements travel in one message.
+    pub(super) fn settle(self: &Arc<Self>, mut work: Work) {
+        loop {
+            while let Some((shard, output)) = work.next_output() {
+                self.perform(shard, output, &mut work);
+            }
+            if std::mem::take(&mut work.is_dispatch_due) {
+                let mut outputs = Vec::new();
+                lock(&self.queue).dispatch(self.clock.now(), &self.table, &mut outputs);
+                self.perform_queue(outputs, &mut work);
+                continue;
+            }
+            let Some(shard) = work.next_unflushed() else {
+                return;
+            };
+            let mut outputs = Vec::new();
+            lock(&self.shards[shard.0]).handle(self.clock.now(), Input::Flush, &mut outputs);
+            work.add(shard, outputs);
+        }
+    }
+
+    fn perform(self: &Arc<Self>, shard: ShardIndex, output: Output, work: &mut Work) {
+        match output {
+            Output::Enqueue(tasks) => {
+                lock(&self.queue).push(self.clock.now(), &self.table, tasks);
+                work.is_dispatch_due = true;
+            }
+            Output::Withdraw { key } => lock(&self.queue).withdraw([&key]),
+            Output::ReleaseSlot { target } => {
+                self.table.release(&target);
+                work.is_dispatch_due = true;
+            }
+            Output::Start(start) => self.start(*start),
+            Output::Stop { attempt, target } => {
+                let engine = Arc::clone(self);
+                self.tracker
+                    .spawn(async move { engine.starter.stop(&engine, attempt, &target).await });
+            }
+            Output::Query {
+                key,
+                attempt,
+                target,
+                incarnation,
+            } => self.query(key, attempt, target, incarnation),
+            Output::Send { to, message } => self.outbox.post(
+                &to,
+                Mail::Jobs {
+                    shard: shard.0 as u16,
+                    message,
+                },
+            ),
+            Output::Synced { epoch } => {
+                if let Some(epoch) = lock(&self.sync_reports).report(shard, epoch) {
+                    self.synced.send_replace(epoch);
+                }
+            }
+            Output::Reply { caller, answer } => self.waiters.answer(caller, answer),
+        }
+    }
+
+    /// Performs the effects of the queue.
+    pub(super) fn perform_queue(&self, outputs: Vec<QueueOutput>, work: &mut Work) {
+        for output in outputs {
+            match output {
+                QueueOutput::Placed(task, target) => {
+                    let present = self.table.get(&target);
+                    // A target that left in the meantime has no life to match, so that its start is not sent.
+                    let incarnation =
+                        present.map_or(Incarnation::default(), |present| present.announcement.incarnation);
+                    let input = Input::Placed {
+                        key: task.key.clone(),
+                        task: task.task,
+                        target,
+                        incarnation,
+                    };
+                    self.apply(shard_of(&task.key), input, work);
+                }
+                QueueOutput::Impossible(task, failure) => {
+                    let refusal = NotAccepted {
+                        reason: RefusalReason::NoSuitableTarget,
+                        outcome: Outcome::NotRun,
+                        retry_after: None,
+                        detail: format!("service {}: {failure}", task.service),
+                    };
+                    self.refuse(&task, refusal, work);
+                }
+                QueueOutput::Refused(task, refusal) => self.refuse(&task, refusal, work),
+                QueueOutput::Throttle { key, task, target } => {
+                    log::debug!("task {task} of {key} at {target} is long and should make room");
+                }
+            }
+        }
+    }
+
+    fn refuse(&self, task: &WaitingTask, refusal: NotAccepted, work: &mut Work) {
+        let input = Input::Refused {
+            key: task.key.clone(),
+            task: task.task,
+            refusal,
+        };
+        self.apply(shard_of(&task.key), input, work);
+    }
+
+    fn start(self: &Arc<Self>, start: StartTask) {
+        self.record_attempt(
+            EventKind::TaskStarted,
+            &start.key,
+            start.attempt,
+            &start.target,
+            None,
+        );
+        let engine = Arc::clone(self);
+        self.tracker.spawn(async move {
+            let end = engine.starter.run(&engine, &start).await;
+            engine.learn(&start, &end);
+            engine.end(&start.target, end);
+        });
+    }
+
+    /// Finds out what became of an attempt of an earlier home.
+    fn query(self: &Arc<Self>, key: JobKey, attempt: AttemptId, target: TargetId, incarnation: Incarnation) {
+        let engine = Arc::clone(self);
+        self.tracker.spawn(async move {
+            let end = engine
+                .starter
+                .query(&engine, key, attempt, &target, incarnation)
+                .await;
+            engine.end(&target, end);
+        });
+    }
+
+    fn end(self: &Arc<Self>, target: &TargetId, end: TaskEnd) {
+        let detail = Some(end.result.outcome().to_string());
+        self.record_attempt(EventKind::TaskEnded, &end.key, end.attempt, target, detail);
+        let mut work = Work::with_dispatch();
+        self.apply(shard_of(&end.key), Input::Ended(end), &mut work);
+        self.settle(work);
+    }
+
+    /// Gives back the slot of an ended attempt and learns from its end.
+    fn learn(&self, start: &StartTask, end: &TaskEnd) {
+        let verdict = match end.result {
+            TaskResult::Completed(_) => Verdict::Completed,
+            TaskResult::Failed(_) => Verdict::Failed,
+            TaskResult::NotStarted(_) => Verdict::NotStarted,
+            TaskResult::Unknown(_) => Verdict::Unknown,
+        };
+        let ended = Ended {
+            key: start.key.clone(),
+            task: start.attempt.task,
+            service: start.service.clone(),
+            class: start.spec.class.clone(),
+            target: start.target.clone(),
+            verdict,
+            run_time: end.run_time,
+        };
+        lock(&self.queue).ended(self.clock.now(), &self.table, &ended);
+    }
+
+    fn record_attempt(
+        &self,
+        kind: EventKind,
+        key: &JobKey,
+        attempt: AttemptId,
+        target: &TargetId,
+        detail: Option<String>,
+    ) {
+        let mut event = self.events.event(kind);
+        event.key = Some(key.clone());
+        event.attempt = Some(attempt);
+        event.target = Some(target.clone());
+        event.detail = detail;
+        self.events.record(event);
+    }
+}
--- /dev/null
+++ b/kqr-entry/src/limits.rs
@@ -0,0 +1,13 @@
+use std::time::Duration;
+
+/// Time limits of an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time in which callers are still accepted while the readiness is off, so that the balancer sees it.
+    pub drain_delay: Duration,
+    /// Longest time that accepted work may take after that.
+    pub grace: Duration,
+    /// Time after the loss of a data centre's records in which each unknown key is refused, since an earlier try of it
+    /// may have run.
+    pub cold_start_window: Duration,
+}
--- /dev/null
+++ b/kqr-entry/src/running.rs
@@ -0,0 +1,218 @@
+use std::{
+    collections::BTreeSet,
+    future::Future,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use eyre::{OptionExt, WrapErr};
+use kqr_directory::Directory;
+use kqr_http::ServerOptions;
+use kqr_jobs::Member;
+use kqr_settings::bootstrap::{Bootstrap, Instance};
+use kqr_telemetry::{EventKind, EventLog};
+use kqr_types::{CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, MemberState};
+use tokio::{net::TcpListener, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    callers::{self, Relay},
+    clock::Clock,
+    engine::Engine,
+    entry::Entry,
+    homes::Homes,
+    limits::Limits,
+    outbox::Outbox,
+    registry::Registry,
+    sibling_links::SiblingLinks,
+    sibling_server, targets,
+};
+
+/// Time between two ticks of the machines.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time between two updates of the order of targets by their learned speeds.
+const REFRESH: Duration = Duration::from_secs(1);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Running {
+    entry: Arc<Entry>,
+    limits: Limits,
+    stop_accepting: CancellationToken,
+    stop_serving: CancellationToken,
+    callers: JoinHandle<bool>,
+    servers: Vec<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Opens the listeners of `own` and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is missing or a listener can't be opened.
+    pub async fn start(
+        bootstrap: &Bootstrap,
+        own: Instance,
+        events: EventLog,
+        limits: Limits,
+    ) -> eyre::Result<Self> {
+        events.record(events.event(EventKind::ProcessStarted));
+        let callers_address = own.callers.ok_or_eyre("the instance has no callers' listener")?;
+        let targets_address = own.targets.ok_or_eyre("the instance has no targets' listener")?;
+        let entry = Arc::new(build(bootstrap, own, events, limits));
+        let stop_accepting = CancellationToken::new();
+        let stop_serving = CancellationToken::new();
+        let siblings = sibling_server::listen(Arc::clone(&entry), stop_serving.clone()).await;
+        let siblings = siblings.wrap_err_with(|| format!("listening on {} for siblings", entry.own.peers))?;
+        let grace = limits.grace;
+        let callers = serve(&entry, callers_address, &stop_accepting, grace, callers::handle).await?;
+        let targets = serve(&entry, targets_address, &stop_serving, grace, targets::handle).await?;
+        let mut servers = vec![tokio::spawn(siblings)];
+        servers.push(tokio::spawn(async move {
+            let _ = targets.await;
+        }));
+        servers.push(tokio::spawn(tick(Arc::clone(&entry), stop_serving.clone())));
+        log::info!("serving callers on {callers_address} and targets on {targets_address}");
+        Ok(Self {
+            entry,
+            limits,
+            stop_accepting,
+            stop_serving,
+            callers,
+            servers,
+        })
+    }
+
+    /// Ends accepted work, then the servers. Returns whether all accepted work ended within the grace time.
+    pub async fn close(self) -> bool {
+        let engine = &self.entry.engine;
+        self.entry.shutdown.cancel();
+        tokio::time::sleep(self.limits.drain_delay).await;
+        self.stop_accepting.cancel();
+        let finish = async {
+            let _ = self.callers.await;
+            while engine.homed_jobs() > 0 {
+                tokio::time::sleep(TICK).await;
+            }
+            engine.tracker.close();
+            engine.tracker.wait().await;
+        };
+        let is_finished = tokio::time::timeout(self.limits.grace, finish).await.is_ok();
+        if !is_finished {
+            log::error!("accepted work did not end within {:?}", self.limits.grace);
+        }
+        self.stop_serving.cancel();
+        for server in self.servers {
+            let _ = server.await;
+        }
+        engine
+            .events
+            .record(engine.events.event(EventKind::ProcessStopped));
+        engine.events.flush();
+        is_finished
+    }
+}
+
+/// Puts the parts of an entry together.
+fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> Entry {
+    let clock = Clock::new();
+    let homes = Homes::new(bootstrap, &own);
+    let siblings: BTreeSet<InstanceId> = homes
+        .siblings()
+        .iter()
+        .map(|sibling| sibling.id.clone())
+        .collect();
+    let links = Arc::new(SiblingLinks::default());
+    let member = Member {
+        id: own.id.clone(),
+        incarnation: new_incarnation(),
+    };
+    let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links));
+    let engine = Arc::new(Engine::new(
+        clock,
+        events,
+        &member,
+        limits.cold_start_window,
+        Arc::clone(&outbox),
+    ));
+    install_solitary_cell(&engine, &member);
+    let directory = Directory::new(own.id.clone(), clock.now());
+    let registry = Registry::new(directory, Arc::clone(&engine), outbox);
+    registry.handle(kqr_directory::Input::Peers(siblings));
+    Entry {
+        homes,
+        own,
+        engine,
+        registry,
+        links,
+        relay: Relay::new(),
+        shutdown: CancellationToken::new(),
+    }
+}
+
+/// Lets an entry that shares its keys with no other one act as their home.
+fn install_solitary_cell(engine: &Arc<Engine>, own: &Member) {
+    let member = CellMember {
+        id: own.id.clone(),
+        incarnation: own.incarnation,
+        weight: 1,
+        state: MemberState::Full,
+    };
+    engine.install(&CellView {
+        epoch: Epoch(1),
+        members: vec![member],
+    });
+    engine.extend_lease(Instant::MAX);
+}
+
+/// Returns the number of this life. It grows with each restart as long as the wall clock does.
+fn new_incarnation() -> Incarnation {
+    let unix = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation(unix.as_micros() as u64)
+}
+
+async fn serve<H, F, B>(
+    entry: &Arc<Entry>,
+    address: SocketAddr,
+    shutdown: &CancellationToken,
+    grace: Duration,
+    handler: H,
+) -> eyre::Result<JoinHandle<bool>>
+where
+    H: Fn(Arc<Entry>, hyper::Request<hyper::body::Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = hyper::Response<B>> + Send + 'static,
+    B: hyper::body::Body<Data = bytes::Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("listening on {address}"))?;
+    let entry = Arc::clone(entry);
+    let options = ServerOptions {
+        grace,
+        ..ServerOptions::default()
+    };
+    let handler = move |req, peer| handler(Arc::clone(&entry), req, peer);
+    Ok(tokio::spawn(kqr_http::serve(
+        listener,
+        options,
+        shutdown.clone(),
+        handler,
+    )))
+}
+
+async fn tick(entry: Arc<Entry>, shutdown: CancellationToken) {
+    let mut interval = tokio::time::interval(TICK);
+    let mut refresh = tokio::time::interval(REFRESH);
+    loop {
+        tokio::select! {
+            _ = interval.tick() => entry.tick(),
+            _ = refresh.tick() => entry.engine.table.refresh(),
+            () = shutdown.cancelled() => return,
+        }
+    }
+}
--- /dev/null
+++ b/kqr-wire/src/mail.rs
@@ -0,0 +1,17 @@
+//! Messages of the decision machines, carried in batches between entries.
+
+use serde::{Deserialize, Serialize};
+
+/// One message between the machines of two entries. It may be lost, repeated or overtaken by others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Mail {
+    /// A message between the directories of targets.
+    Directory(kqr_directory::Message),
+    /// A message between the job machines of the same shard.
+    Jobs {
+        /// Index of the shard.
+        shard: u16,
+        /// Message.
+        message: kqr_jobs::JobMessage,
+    },
+}
--- a/kqr-wire/src/targets.rs
+++ b/kqr-wire/src/targets.rs
@@ -1,6 +1,6 @@
 //! Bodies of the targets' interface.
 
-use kqr_types::{Attempt, AttemptId, ClassName, JobKey, ServiceName, TaskIndex};
+use kqr_types::{Attempt, AttemptId, ClassName, Incarnation, JobKey, ServiceName, TaskIndex};
 use serde::{Deserialize, Serialize};
 
 /// Body of `POST /v1/tasks` at a worker.
@@ -14,6 +14,8 @@
     pub attempt: Attempt,
     /// Identity of the attempt.
     pub attempt_id: String,
+    /// Life of the worker that the attempt is meant for; another life must refuse it.
+    pub incarnation: Incarnation,
     /// Service that the task belongs to.
     pub service: ServiceName,
     /// Class of the task.
@@ -47,6 +49,8 @@
 pub struct AttemptBody {
     /// Identity of the attempt.
     pub attempt_id: AttemptId,
+    /// Life of the worker that answers.
+    pub incarnation: Incarnation,
     /// State of the attempt.
     pub state: AttemptState,
     /// Result of a completed attempt.
