--- a/kqr-entry/src/callers/jobs.rs
+++ b/kqr-entry/src/callers/jobs.rs
@@ -10,12 +10,13 @@
 use kqr_wire::{
     callers::{JobAnswerBody, JobBody},
     headers,
+    siblings::JobCall,
 };
 use percent_encoding::percent_decode_str;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::problem::Problem;
-use crate::{engine::Answer, entry::Entry};
+use crate::{engine::Answer, entry::Entry, routing::MAX_HOPS};
 
 /// Limits of a submission's body.
 const LIMITS: BodyLimits = BodyLimits {
@@ -44,7 +45,7 @@
     event.key = Some(submission.key.clone());
     entry.engine.events.record(event);
     let key = submission.key.clone();
-    let answer = entry.submit(submission, is_waiting).await;
+    let answer = entry.call(JobCall::Submit { submission, is_waiting }, MAX_HOPS).await;
     let mut event = entry.engine.events.event(EventKind::Answered);
     event.key = Some(key);
     event.detail = answer.as_ref().err().map(ToString::to_string);
@@ -54,12 +55,12 @@
 
 /// Answers `GET /v1/jobs/{key}`.
 pub async fn lookup(entry: &Entry, key: &str) -> Reply {
-    reply(entry.lookup(parse_key(key)?).await)
+    reply(entry.call(JobCall::Lookup(parse_key(key)?), MAX_HOPS).await)
 }
 
 /// Answers `DELETE /v1/jobs/{key}`.
 pub async fn cancel(entry: &Entry, key: &str) -> Reply {
-    reply(entry.cancel(parse_key(key)?).await)
+    reply(entry.call(JobCall::Cancel(parse_key(key)?), MAX_HOPS).await)
 }
 
 fn reply(answer: Answer) -> Reply {
--- a/kqr-entry/src/callers/mod.rs
+++ b/kqr-entry/src/callers/mod.rs
@@ -49,6 +49,9 @@
     if entry.shutdown.is_cancelled() {
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
     }
+    if !entry.engine.is_ready() {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "the cell of the data centre has not admitted this entry");
+    }
     text_reply(StatusCode::OK, "ready")
 }
 
--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use kqr_admission::AdmissionQueue;
 use kqr_jobs::{
     CallerId, Input, JobMessage, Machine, Member, NotAccepted, Outcome, RefusalReason, Submission, Submit,
@@ -45,6 +46,7 @@
     waiters: Waiters,
     sync_reports: Mutex<SyncReports>,
     synced: watch::Sender<Epoch>,
+    view: ArcSwap<CellView>,
 }
 
 impl Engine {
@@ -73,6 +75,7 @@
             waiters: Waiters::default(),
             sync_reports: Mutex::new(SyncReports::new(SHARDS)),
             synced: watch::Sender::new(Epoch(0)),
+            view: ArcSwap::default(),
         }
     }
 
@@ -134,6 +137,17 @@
     /// Installs a view of the cell.
     pub fn install(self: &Arc<Self>, view: &CellView) {
         self.handle_all(&Input::Epoch(view.clone()));
+        self.view.store(Arc::new(view.clone()));
+    }
+
+    /// Returns the view of the cell that was installed last.
+    pub fn view(&self) -> Arc<CellView> {
+        self.view.load_full()
+    }
+
+    /// Returns whether this member may act as the home of keys.
+    pub fn is_ready(&self) -> bool {
+        self.shards.iter().all(|shard| lock(shard).is_active())
     }
 
     /// Extends the lease of this member.
@@ -207,7 +221,7 @@
         let now = self.clock.now();
         let mut outputs = Vec::new();
         let mut machine = lock(&self.shards[shard.0]);
-        if !machine.knows(&submission.key) {
+        if machine.is_new(now, &submission)? {
             lock(&self.queue).admit(now, &self.table, &submission)?;
         }
         machine.handle(now, Input::Submit(Submit { caller, submission }), &mut outputs);
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs)]
 
 mod callers;
+mod cell_seat;
 mod clock;
 mod daemon;
 mod engine;
@@ -12,6 +13,7 @@
 mod options;
 mod outbox;
 mod registry;
+mod routing;
 mod running;
 mod sibling_links;
 mod sibling_server;
--- a/kqr-entry/src/outbox.rs
+++ b/kqr-entry/src/outbox.rs
@@ -82,8 +82,8 @@
 
     /// Sends one batch. A connection that fails or stays silent is replaced by the next call.
     async fn send(&self, batch: Vec<Mail>) {
-        let client = match self.links.get(&self.peer, self.address).await {
-            Ok(client) => client,
+        let link = match self.links.get(&self.peer, self.address).await {
+            Ok(link) => link,
             Err(error) => {
                 log::debug!("connecting to {}: {error}", self.peer);
                 return;
@@ -91,12 +91,10 @@
         };
         let mut cx = context::current();
         cx.deadline = std::time::Instant::now() + SILENT_AFTER;
-        if let Err(error) = client
-            .deliver(cx, self.own.id.clone(), self.own.incarnation, batch)
-            .await
-        {
+        let own = &self.own;
+        if let Err(error) = link.client.deliver(cx, own.id.clone(), own.incarnation, batch).await {
             log::debug!("sending to {}: {error}", self.peer);
-            self.links.forget(&self.peer).await;
+            self.links.forget(&self.peer, &link);
         }
     }
 }
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -1,5 +1,4 @@
 use std::{
-    collections::BTreeSet,
     future::Future,
     net::SocketAddr,
     sync::Arc,
@@ -18,6 +17,7 @@
 
 use crate::{
     callers::{self, Relay},
+    cell_seat::CellSeats,
     clock::Clock,
     engine::Engine,
     entry::Entry,
@@ -98,6 +98,7 @@
             }
             engine.tracker.close();
             engine.tracker.wait().await;
+            self.entry.seats.leave().await;
         };
         let is_finished = tokio::time::timeout(self.limits.grace, finish).await.is_ok();
         if !is_finished {
@@ -119,11 +120,7 @@
 fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> Entry {
     let clock = Clock::new();
     let homes = Homes::new(bootstrap, &own);
-    let siblings: BTreeSet<InstanceId> = homes
-        .siblings()
-        .iter()
-        .map(|sibling| sibling.id.clone())
-        .collect();
+    let siblings = homes.siblings();
     let links = Arc::new(SiblingLinks::default());
     let member = Member {
         id: own.id.clone(),
@@ -137,7 +134,7 @@
         limits.cold_start_window,
         Arc::clone(&outbox),
     ));
-    install_solitary_cell(&engine, &member);
+    let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
     let directory = Directory::new(own.id.clone(), clock.now());
     let registry = Registry::new(directory, Arc::clone(&engine), outbox);
     registry.handle(kqr_directory::Input::Peers(siblings));
@@ -145,6 +142,7 @@
         homes,
         own,
         engine,
+        seats,
         registry,
         links,
         relay: Relay::new(),
@@ -152,21 +150,6 @@
     }
 }
 
-/// Lets an entry that shares its keys with no other one act as their home.
-fn install_solitary_cell(engine: &Arc<Engine>, own: &Member) {
-    let member = CellMember {
-        id: own.id.clone(),
-        incarnation: own.incarnation,
-        weight: 1,
-        state: MemberState::Full,
-    };
-    engine.install(&CellView {
-        epoch: Epoch(1),
-        members: vec![member],
-    });
-    engine.extend_lease(Instant::MAX);
-}
-
 /// Returns the number of this life. It grows with each restart as long as the wall clock does.
 fn new_incarnation() -> Incarnation {
     let unix = SystemTime::now()
--- a/kqr-entry/src/sibling_links.rs
+++ b/kqr-entry/src/sibling_links.rs
@@ -1,17 +1,33 @@
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use kqr_types::InstanceId;
 use kqr_wire::siblings::SiblingClient;
 use tarpc::{client, serde_transport::tcp, tokio_serde::formats::Bincode};
-use tokio::sync::Mutex;
+use tokio_util::sync::CancellationToken;
 
 /// Longest time for opening a connection to a sibling.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest message between siblings, in bytes.
+pub const MAX_FRAME_BYTES: usize = 64 << 20;
+
+/// An open connection to a sibling entry.
+#[derive(Clone, Debug)]
+pub struct SiblingLink {
+    /// Calls to the sibling.
+    pub client: SiblingClient,
+    /// Cancelled when the connection was found to be broken or silent; open calls get no answer then.
+    pub lost: CancellationToken,
+}
 
 /// Connections to sibling entries, opened on first use.
 #[derive(Debug, Default)]
 pub struct SiblingLinks {
-    clients: Mutex<BTreeMap<InstanceId, SiblingClient>>,
+    links: Mutex<BTreeMap<InstanceId, SiblingLink>>,
 }
 
 impl SiblingLinks {
@@ -20,26 +36,31 @@
     /// # Errors
     ///
     /// Fails if no connection can be opened; nothing was sent then.
-    pub async fn get(&self, peer: &InstanceId, address: SocketAddr) -> Result<SiblingClient, std::io::Error> {
-        if let Some(client) = self.clients.lock().await.get(peer) {
-            return Ok(client.clone());
+    pub async fn get(&self, peer: &InstanceId, address: SocketAddr) -> std::io::Result<SiblingLink> {
+        if let Some(link) = self.lock().get(peer) {
+            return Ok(link.clone());
         }
-        let connecting = tcp::connect(address, Bincode::default);
+        let mut connecting = tcp::connect(address, Bincode::default);
+        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
         let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
-            .map_err(|_| {
-                std::io::Error::new(
-                    std::io::ErrorKind::TimedOut,
-                    "the connection was not opened in time",
-                )
-            })??;
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let client = SiblingClient::new(client::Config::default(), transport).spawn();
-        self.clients.lock().await.insert(peer.clone(), client.clone());
-        Ok(client)
+        let link = SiblingLink { client, lost: CancellationToken::new() };
+        // Of two connections that were opened at the same time, one is kept for all.
+        Ok(self.lock().entry(peer.clone()).or_insert(link).clone())
+    }
+
+    /// Gives up a connection to `peer`, so that its open calls end and the next call opens a new one.
+    pub fn forget(&self, peer: &InstanceId, link: &SiblingLink) {
+        link.lost.cancel();
+        let mut links = self.lock();
+        if links.get(peer).is_some_and(|present| present.lost.is_cancelled()) {
+            links.remove(peer);
+        }
     }
 
-    /// Forgets the connection to `peer`, so that the next call opens a new one.
-    pub async fn forget(&self, peer: &InstanceId) {
-        self.clients.lock().await.remove(peer);
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, SiblingLink>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -1,9 +1,12 @@
 use std::{future::Future, sync::Arc};
 
 use futures::StreamExt;
-use kqr_jobs::{JobAnswer, NotAccepted, Submission};
-use kqr_types::{Incarnation, InstanceId, JobKey};
-use kqr_wire::{mail::Mail, siblings::Sibling};
+use kqr_jobs::{JobAnswer, NotAccepted};
+use kqr_types::{Incarnation, InstanceId};
+use kqr_wire::{
+    mail::Mail,
+    siblings::{JobCall, Sibling},
+};
 use tarpc::{
     context::Context,
     serde_transport::tcp,
@@ -12,7 +15,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::entry::Entry;
+use crate::{entry::Entry, sibling_links::MAX_FRAME_BYTES};
 
 /// The calls that this entry answers to its siblings.
 #[derive(Clone)]
@@ -21,21 +24,8 @@
 }
 
 impl Sibling for SiblingServer {
-    async fn submit(
-        self,
-        _: Context,
-        submission: Submission,
-        is_waiting: bool,
-    ) -> Result<JobAnswer, NotAccepted> {
-        self.entry.engine.submit(submission, is_waiting).await
-    }
-
-    async fn lookup(self, _: Context, key: JobKey) -> Result<JobAnswer, NotAccepted> {
-        self.entry.engine.lookup(key).await
-    }
-
-    async fn cancel(self, _: Context, key: JobKey) -> Result<JobAnswer, NotAccepted> {
-        self.entry.engine.cancel(key).await
+    async fn job(self, _: Context, call: JobCall, hops: u8) -> Result<JobAnswer, NotAccepted> {
+        self.entry.call(call, hops).await
     }
 
     async fn deliver(self, _: Context, from: InstanceId, incarnation: Incarnation, mails: Vec<Mail>) {
@@ -59,7 +49,7 @@
     shutdown: CancellationToken,
 ) -> std::io::Result<impl Future<Output = ()>> {
     let mut incoming = tcp::listen(entry.own.peers, Bincode::default).await?;
-    incoming.config_mut().max_frame_length(64 << 20);
+    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
     Ok(async move {
         loop {
             let accepted = tokio::select! {
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -96,6 +96,9 @@
             let entry = system.start_entry(index).await;
             system.entries.push(Some(entry));
         }
+        for index in 0..data_centres.len() {
+            system.wait_until_ready(index).await;
+        }
         system
     }
 
@@ -113,6 +116,18 @@
             .unwrap()
     }
 
+    /// Waits until the cell has admitted the entry with `index`.
+    pub async fn wait_until_ready(&self, index: usize) {
+        for _ in 0..200 {
+            let reply = self.send(index, Method::GET, "/readyz", &[], "").await;
+            if reply.status.is_success() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("entry {index} did not become ready");
+    }
+
     /// Starts a stand-in that announces itself at the entry with `index`, and waits until each entry of the data
     /// centre knows it.
     pub async fn add_standin(&mut self, index: usize, id: &str, more: &[&str]) {
--- a/kqr-jobs/src/machine/calls.rs
+++ b/kqr-jobs/src/machine/calls.rs
@@ -32,6 +32,22 @@
         self.enqueue_waiting(digest, outputs);
     }
 
+    /// Returns whether `submission` would create a job here: its key is unknown and this member may act as its home.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a submission with an unknown key that can't be accepted.
+    pub fn is_new(&self, now: Instant, submission: &Submission) -> Result<bool, NotAccepted> {
+        let digest = KeyDigest::of(&submission.key);
+        if self.jobs.contains_key(&digest) {
+            return Ok(false);
+        }
+        match self.objection(now, digest, submission) {
+            Some(refusal) => Err(refusal),
+            None => Ok(true),
+        }
+    }
+
     /// Returns why a submission with an unknown key can't be accepted.
     fn objection(&self, now: Instant, digest: KeyDigest, submission: &Submission) -> Option<NotAccepted> {
         if let Some(outcome) = self.tombstones.get(digest) {
@@ -45,6 +61,9 @@
                 "the home of the key has no lease or is taking over",
             ));
         }
+        if self.options.cold_start_window.is_zero() {
+            return None;
+        }
         let age = self.cell.history.map_or(Duration::ZERO, |since| now.since(since));
         let is_resubmission = submission.attempt.is_some_and(|attempt| attempt.0 >= 2);
         let needed = if is_resubmission {
--- a/kqr-jobs/src/machine/mod.rs
+++ b/kqr-jobs/src/machine/mod.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use kqr_types::{ByteSize, CellView, Instant, JobKey, KeyDigest, TaskIndex};
+use kqr_types::{ByteSize, CellView, Instant, KeyDigest, TaskIndex};
 
 use crate::{
     Fault, Input, Member, Options, Output, StateSize, Update, cell::Cell, gate::Gate, job::Job, state_size,
@@ -69,12 +69,6 @@
         self.live.len()
     }
 
-    /// Returns whether the job with `key`, or its outcome, is known.
-    pub fn knows(&self, key: &JobKey) -> bool {
-        let job = KeyDigest::of(key);
-        self.jobs.contains_key(&job) || self.tombstones.get(job).is_some()
-    }
-
     /// Returns the number of jobs that have not ended and that this member is the home of.
     pub fn homed_jobs(&self) -> usize {
         self.live.iter().filter(|job| self.cell.is_own(**job)).count()
--- a/kqr-jobs/src/options.rs
+++ b/kqr-jobs/src/options.rs
@@ -16,7 +16,7 @@
     /// How long the outcome of a forgotten job is remembered.
     pub tombstone_retention: Duration,
     /// How long after the loss of its records a cell refuses each key that it does not know. It must be longer than a
-    /// copy of a submission can be on its way.
+    /// copy of a submission can be on its way. Zero tells that there is no earlier history, as in a new data centre.
     pub cold_start_window: Duration,
     /// How long after its intent a task may still start on its target.
     pub start_within: Duration,
--- a/kqr-wire/src/mail.rs
+++ b/kqr-wire/src/mail.rs
@@ -1,10 +1,18 @@
 //! Messages of the decision machines, carried in batches between entries.
 
+use kqr_types::DataCentre;
 use serde::{Deserialize, Serialize};
 
 /// One message between the machines of two entries. It may be lost, repeated or overtaken by others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Mail {
+    /// A message between the instances of the cell of a data centre.
+    Cell {
+        /// Data centre of the cell.
+        data_centre: DataCentre,
+        /// Message.
+        message: kqr_membership::CellMessage,
+    },
     /// A message between the directories of targets.
     Directory(kqr_directory::Message),
     /// A message between the job machines of the same shard.
--- a/kqr-wire/src/siblings.rs
+++ b/kqr-wire/src/siblings.rs
@@ -2,18 +2,41 @@
 
 use kqr_jobs::{JobAnswer, NotAccepted, Submission};
 use kqr_types::{Incarnation, InstanceId, JobKey};
+use serde::{Deserialize, Serialize};
 
 use crate::mail::Mail;
 
+/// A call about a job that is answered by the home of its key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum JobCall {
+    /// Submits a job.
+    Submit {
+        /// The submission. Its deadline is what is left of the caller's.
+        submission: Submission,
+        /// Whether the caller waits for the answer, or is told the present state.
+        is_waiting: bool,
+    },
+    /// Returns the answer or the present state of a job.
+    Lookup(JobKey),
+    /// Cancels a job and returns its answer.
+    Cancel(JobKey),
+}
+
+impl JobCall {
+    /// Returns the key of the job.
+    pub fn key(&self) -> &JobKey {
+        match self {
+            Self::Submit { submission, .. } => &submission.key,
+            Self::Lookup(key) | Self::Cancel(key) => key,
+        }
+    }
+}
+
 /// Calls that an entry answers to its sibling entries.
 #[tarpc::service]
 pub trait Sibling {
-    /// Submits a job at the home of its key and waits for the answer, or returns the present state at once.
-    async fn submit(submission: Submission, is_waiting: bool) -> Result<JobAnswer, NotAccepted>;
-    /// Returns the answer or the present state of a job.
-    async fn lookup(key: JobKey) -> Result<JobAnswer, NotAccepted>;
-    /// Cancels a job and returns its answer.
-    async fn cancel(key: JobKey) -> Result<JobAnswer, NotAccepted>;
+    /// Answers a call about a job, or forwards it if `hops` forwards are left.
+    async fn job(call: JobCall, hops: u8) -> Result<JobAnswer, NotAccepted>;
     /// Hands over messages of the caller's machines, in the life of the caller that is named.
     async fn deliver(from: InstanceId, incarnation: Incarnation, mails: Vec<Mail>);
     /// Returns the identity of the called entry.
