--- /dev/null
+++ b/kqr-agreement/src/changing.rs
@@ -0,0 +1,55 @@
+use kqr_types::Instant;
+
+use crate::{
+    Configuration, Machine, Output, Payload, ProposalResult, Refusal, RequestId, VoterChange, VoterId,
+};
+
+impl Machine {
+    /// Appends the configuration after `change`, or refuses it.
+    pub(crate) fn change_voters(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        change: &VoterChange,
+        outputs: &mut Vec<Output>,
+    ) {
+        match self.allowed_change(change) {
+            Ok(configuration) => {
+                self.propose(now, request, Payload::Configuration(configuration), outputs);
+            }
+            Err(refusal) => outputs.push(Output::Proposed {
+                request,
+                result: ProposalResult::Refused(refusal),
+            }),
+        }
+    }
+
+    fn allowed_change(&self, change: &VoterChange) -> Result<Configuration, Refusal> {
+        let Some(leading) = &self.leading else {
+            return Err(Refusal::NotLeader {
+                leader: self.leader.clone(),
+            });
+        };
+        let is_settled = self.log.configuration_index() <= self.commit && leading.first_index <= self.commit;
+        if !is_settled {
+            return Err(Refusal::ChangePending);
+        }
+        let next = self.log.configuration().changed(change);
+        let configuration = next.ok_or(Refusal::ChangeInvalid)?;
+        if let VoterChange::Promote(learner) = change
+            && !self.has_caught_up(learner)
+        {
+            return Err(Refusal::LearnerBehind);
+        }
+        Ok(configuration)
+    }
+
+    fn has_caught_up(&self, learner: &VoterId) -> bool {
+        let matched = self
+            .leading
+            .as_ref()
+            .and_then(|leading| leading.progress.get(learner))
+            .map(|progress| progress.matched);
+        matched.is_some_and(|index| index.0 + self.options.learner_lag >= self.log.last_index().0)
+    }
+}
--- /dev/null
+++ b/kqr-agreement/src/election.rs
@@ -0,0 +1,165 @@
+use std::time::Duration;
+
+use kqr_types::Instant;
+
+use crate::{Body, Index, Machine, Output, Record, Role, Term, VoterId};
+
+/// Term and index of a log's last entry, in the order in which logs are compared.
+type LastEntry = (Term, Index);
+
+impl Machine {
+    /// Begins to ask for votes, first without a change of term.
+    pub(crate) fn campaign(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.reset_election(now);
+        if !self.log.configuration().is_voter(&self.own) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes.clear();
+        let campaign = self.log.term().next();
+        let body = Body::PreVote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        self.ask_voters(campaign, &body, outputs);
+        let own = self.own.clone();
+        self.count_pre_vote(now, &own, campaign, true, outputs);
+    }
+
+    pub(crate) fn answer_pre_vote(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        campaign: Term,
+        last: LastEntry,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_granted =
+            campaign > self.log.term() && self.is_up_to_date(last) && !self.has_heard_leader(now);
+        let body = Body::PreVoteReply { campaign, is_granted };
+        self.send(from, body, outputs);
+    }
+
+    pub(crate) fn count_pre_vote(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        campaign: Term,
+        is_granted: bool,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_awaited = self.role == Role::PreCandidate && campaign == self.log.term().next();
+        if is_awaited && is_granted && self.is_elected_with(from) {
+            self.stand(now, outputs);
+        }
+    }
+
+    pub(crate) fn answer_vote(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        term: Term,
+        last: LastEntry,
+        outputs: &mut Vec<Output>,
+    ) {
+        if self.has_heard_leader(now) {
+            return;
+        }
+        if term > self.log.term() {
+            self.enter_term(now, term, None, outputs);
+        }
+        let is_free = match self.log.voted_for() {
+            None => true,
+            Some(candidate) => candidate == from,
+        };
+        let is_granted = term == self.log.term() && is_free && self.is_up_to_date(last);
+        if is_granted {
+            if self.log.voted_for().is_none() {
+                let voted_for = Some(from.clone());
+                self.persist(Record::Vote { term, voted_for }, outputs);
+            }
+            self.reset_election(now);
+        }
+        self.send(from, Body::VoteReply { is_granted }, outputs);
+    }
+
+    pub(crate) fn count_vote(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        is_granted: bool,
+        outputs: &mut Vec<Output>,
+    ) {
+        if self.role == Role::Candidate && is_granted && self.is_elected_with(from) {
+            self.take_lead(now, outputs);
+        }
+    }
+
+    pub(crate) fn reset_election(&mut self, now: Instant) {
+        let timeout = self.options.election_timeout;
+        let spread = u64::try_from(timeout.as_micros()).unwrap_or(u64::MAX).max(1);
+        let extra = Duration::from_micros(self.next_random() % spread);
+        self.election_deadline = now + timeout + extra;
+    }
+
+    fn stand(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let term = self.log.term().next();
+        let voted_for = Some(self.own.clone());
+        self.enter_term(now, term, voted_for, outputs);
+        self.role = Role::Candidate;
+        let body = Body::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        self.ask_voters(term, &body, outputs);
+        let own = self.own.clone();
+        self.count_vote(now, &own, true, outputs);
+    }
+
+    fn ask_voters(&self, term: Term, body: &Body, outputs: &mut Vec<Output>) {
+        for voter in &self.log.configuration().voters {
+            if *voter == self.own {
+                continue;
+            }
+            let message = crate::Message {
+                to: voter.clone(),
+                term,
+                body: body.clone(),
+            };
+            outputs.push(Output::Send {
+                to: voter.clone(),
+                message,
+            });
+        }
+    }
+
+    /// Counts the vote of `from` and returns whether a majority has voted.
+    fn is_elected_with(&mut self, from: &VoterId) -> bool {
+        let configuration = self.log.configuration();
+        if !configuration.is_voter(from) {
+            return false;
+        }
+        let quorum = configuration.quorum();
+        self.votes.insert(from.clone());
+        self.votes.len() >= quorum
+    }
+
+    fn is_up_to_date(&self, last: LastEntry) -> bool {
+        last >= (self.log.last_term(), self.log.last_index())
+    }
+
+    /// Returns whether a leader may rely on this member to give no vote.
+    fn has_heard_leader(&self, now: Instant) -> bool {
+        self.leading.is_some() || now < self.heard + self.options.election_timeout
+    }
+
+    /// Returns the next number of a splitmix64 sequence.
+    fn next_random(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+}
--- /dev/null
+++ b/kqr-agreement/src/input.rs
@@ -0,0 +1,43 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{Index, Message, RequestId, VoterChange, VoterId};
+
+/// An input of the machine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Input {
+    /// Time has passed. Given several times in each heartbeat interval.
+    Tick,
+    /// A message has arrived.
+    Message {
+        /// Sender.
+        from: VoterId,
+        /// Message.
+        message: Message,
+    },
+    /// A command is to be appended to the log.
+    Propose {
+        /// Number of the request.
+        request: RequestId,
+        /// Command.
+        command: Vec<u8>,
+    },
+    /// A linearizable read is to be made.
+    Read {
+        /// Number of the request.
+        request: RequestId,
+    },
+    /// One member is to be added, promoted or removed.
+    ChangeVoters {
+        /// Number of the request.
+        request: RequestId,
+        /// Change.
+        change: VoterChange,
+    },
+    /// The application has taken a snapshot; entries up to its index are dropped.
+    Compact {
+        /// Index of the last entry that the snapshot contains.
+        index: Index,
+        /// State in the application's own form.
+        snapshot: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/kqr-agreement/src/leading.rs
@@ -0,0 +1,257 @@
+use kqr_types::Instant;
+
+use crate::{
+    Body, Entry, Index, Machine, Output, Payload, ProposalResult, Record, RequestId, Role, Term, VoterId,
+    leader_state::LeaderState, progress::Progress,
+};
+
+impl Machine {
+    /// Becomes leader of the current term.
+    pub(crate) fn take_lead(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let first_index = self.log.last_index().next();
+        self.role = Role::Leader;
+        self.leader = Some(self.own.clone());
+        self.votes.clear();
+        self.leading = Some(LeaderState::new(now, first_index));
+        self.append_own(now, Payload::Empty, outputs);
+    }
+
+    /// Appends a proposal, or refuses it.
+    pub(crate) fn propose(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        payload: Payload,
+        outputs: &mut Vec<Output>,
+    ) {
+        let index = self.log.last_index().next();
+        let Some(leading) = &mut self.leading else {
+            let result = self.refuse();
+            outputs.push(Output::Proposed { request, result });
+            return;
+        };
+        leading.proposals.insert(index, request);
+        self.append_own(now, payload, outputs);
+    }
+
+    /// Sends heartbeats when they are due; steps down when no majority has answered for an election timeout.
+    pub(crate) fn lead(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if now > self.quorum_contact(now) + self.options.election_timeout {
+            self.step_down(now, outputs);
+            return;
+        }
+        let is_due = self
+            .leading
+            .as_ref()
+            .is_some_and(|leading| now >= leading.next_heartbeat);
+        if is_due {
+            self.broadcast(now, outputs);
+        }
+    }
+
+    pub(crate) fn matched(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        round: u64,
+        index: Index,
+        outputs: &mut Vec<Output>,
+    ) {
+        let last = self.log.last_index();
+        let base = self.log.base();
+        let Some(progress) = self.progress_mut(from) else {
+            return;
+        };
+        progress.round = progress.round.max(round);
+        progress.matched = progress.matched.max(index);
+        progress.next = progress.next.max(progress.matched.next());
+        let is_installed = progress.matched >= base;
+        if is_installed {
+            progress.snapshot_sent = None;
+        }
+        let is_behind = is_installed && progress.next <= last;
+        self.count_answers(now, outputs);
+        if is_behind && self.leading.is_some() {
+            self.send_entries(now, from, outputs);
+        }
+    }
+
+    pub(crate) fn mismatched(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        round: u64,
+        hint: Index,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(progress) = self.progress_mut(from) else {
+            return;
+        };
+        let is_late = round < progress.round;
+        progress.round = progress.round.max(round);
+        if !is_late && hint >= progress.matched {
+            progress.next = hint.next().min(progress.next);
+        }
+        self.count_answers(now, outputs);
+        if !is_late && self.leading.is_some() {
+            self.send_entries(now, from, outputs);
+        }
+    }
+
+    /// Returns when the latest round was sent that a majority has answered.
+    pub(crate) fn quorum_contact(&self, now: Instant) -> Instant {
+        let Some(leading) = &self.leading else {
+            return Instant(0);
+        };
+        let configuration = self.log.configuration();
+        if configuration.quorum() == 1 && configuration.is_voter(&self.own) {
+            return now;
+        }
+        leading.contact.answered_sent
+    }
+
+    /// Begins a round and sends it to all other members.
+    pub(crate) fn broadcast(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.contact.begin(now);
+        leading.next_heartbeat = now + self.options.heartbeat;
+        let members: Vec<VoterId> = self.log.configuration().members().cloned().collect();
+        for member in members {
+            if member != self.own {
+                self.send_entries(now, &member, outputs);
+            }
+        }
+    }
+
+    /// Appends an entry of the own term; it is sent before it is synced here, and counted after.
+    pub(crate) fn append_own(&mut self, now: Instant, payload: Payload, outputs: &mut Vec<Output>) {
+        let entry = Entry {
+            index: self.log.last_index().next(),
+            term: self.log.term(),
+            payload,
+        };
+        let record = Record::Append(vec![entry]);
+        self.log.apply(record.clone());
+        self.broadcast(now, outputs);
+        outputs.push(Output::Persist(record));
+        self.count_answers(now, outputs);
+    }
+
+    fn progress_mut(&mut self, member: &VoterId) -> Option<&mut Progress> {
+        self.leading.as_mut()?.progress.get_mut(member)
+    }
+
+    fn send_entries(&mut self, now: Instant, to: &VoterId, outputs: &mut Vec<Output>) {
+        let last = self.log.last_index();
+        let base = self.log.base();
+        let resend_after = self.options.election_timeout;
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let round = leading.contact.round;
+        let progress = leading
+            .progress
+            .entry(to.clone())
+            .or_insert_with(|| Progress::new(last));
+        if progress.next <= base {
+            if progress
+                .snapshot_sent
+                .is_some_and(|sent| now < sent + resend_after)
+            {
+                return;
+            }
+            progress.snapshot_sent = Some(now);
+            if let Some(snapshot) = self.log.snapshot().cloned() {
+                self.send(to, Body::Install { round, snapshot }, outputs);
+            }
+            return;
+        }
+        let prev_index = progress.next.previous();
+        let max_bytes = usize::try_from(self.options.max_batch.0).unwrap_or(usize::MAX);
+        let entries = self.log.batch(progress.next, max_bytes);
+        progress.next = Index(progress.next.0 + entries.len() as u64);
+        let body = Body::Append {
+            round,
+            prev_index,
+            prev_term: self.log.term_at(prev_index).unwrap_or_default(),
+            entries,
+            commit: self.commit,
+        };
+        self.send(to, body, outputs);
+    }
+
+    /// Sends the snapshot, or a heartbeat that claims nothing of the log while the snapshot is outstanding.
+    fn send_snapshot(&self, to: &VoterId, round: u64, is_outstanding: bool, outputs: &mut Vec<Output>) {
+        let body = match self.log.snapshot() {
+            Some(snapshot) if !is_outstanding => Body::Install {
+                round,
+                snapshot: snapshot.clone(),
+            },
+            _ => Body::Append {
+                round,
+                prev_index: Index(0),
+                prev_term: Term(0),
+                entries: Vec::new(),
+                commit: Index(0),
+            },
+        };
+        self.send(to, body, outputs);
+    }
+
+    /// Advances the committed index and the answered round, and puts out what follows from them.
+    fn count_answers(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let last = self.log.last_index();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let progress = &leading.progress;
+        let configuration = self.log.configuration();
+        let own = &self.own;
+        let matched = configuration.agreed(|voter| {
+            if voter == own {
+                return last;
+            }
+            progress.get(voter).map_or(Index(0), |progress| progress.matched)
+        });
+        let latest = leading.contact.round;
+        let answered = configuration.agreed(|voter| {
+            if voter == own {
+                return latest;
+            }
+            progress.get(voter).map_or(0, |progress| progress.round)
+        });
+        leading.contact.answer(answered.unwrap_or(0));
+        self.advance_commit(now, matched.unwrap_or_default(), outputs);
+        self.finish_reads(outputs);
+    }
+
+    fn advance_commit(&mut self, now: Instant, index: Index, outputs: &mut Vec<Output>) {
+        let is_own_term = self.log.term_at(index) == Some(self.log.term());
+        if index <= self.commit || !is_own_term {
+            return;
+        }
+        self.commit = index;
+        self.apply_committed(outputs);
+        self.finish_proposals(outputs);
+        let is_settled = self.log.configuration_index() <= self.commit;
+        if is_settled && !self.log.configuration().is_voter(&self.own) {
+            self.step_down(now, outputs);
+        }
+    }
+
+    fn finish_proposals(&mut self, outputs: &mut Vec<Output>) {
+        let commit = self.commit;
+        let term = self.log.term();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let pending = leading.proposals.split_off(&commit.next());
+        let finished = std::mem::replace(&mut leading.proposals, pending);
+        for (index, request) in finished {
+            let result = ProposalResult::Committed { index, term };
+            outputs.push(Output::Proposed { request, result });
+        }
+    }
+}
--- /dev/null
+++ b/kqr-agreement/src/machine.rs
@@ -0,0 +1,292 @@
+use std::collections::BTreeSet;
+
+use kqr_types::Instant;
+
+use crate::{
+    Body, Configuration, Durable, Index, Input, Message, Options, Output, Payload, ProposalResult, Record,
+    Refusal, Role, RoleView, Snapshot, Term, VoterId, leader_state::LeaderState, log::Log,
+};
+
+/// One member of a replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Machine {
+    pub(crate) own: VoterId,
+    pub(crate) options: Options,
+    pub(crate) log: Log,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<VoterId>,
+    pub(crate) leading: Option<LeaderState>,
+    pub(crate) votes: BTreeSet<VoterId>,
+    pub(crate) commit: Index,
+    pub(crate) applied: Index,
+    /// When a leader was last heard; no vote is given for an election timeout from then.
+    pub(crate) heard: Instant,
+    pub(crate) election_deadline: Instant,
+    pub(crate) random: u64,
+    told: RoleView,
+    is_started: bool,
+}
+
+impl Machine {
+    /// Creates the member `own` from the state that its earlier lives persisted.
+    pub fn new(own: VoterId, options: Options, restored: Durable) -> Self {
+        let log = Log::new(restored, options.founding.clone());
+        let base = log.base();
+        let told = RoleView {
+            role: Role::Follower,
+            term: log.term(),
+            leader: None,
+        };
+        Self {
+            own,
+            random: options.seed,
+            options,
+            log,
+            role: Role::Follower,
+            leader: None,
+            leading: None,
+            votes: BTreeSet::new(),
+            commit: base,
+            applied: base,
+            heard: Instant(0),
+            election_deadline: Instant(0),
+            told,
+            is_started: false,
+        }
+    }
+
+    /// Handles `input` at `now` and appends the effects to `outputs`.
+    pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
+        if !self.is_started {
+            self.start(now, outputs);
+        }
+        match input {
+            Input::Tick => self.tick(now, outputs),
+            Input::Message { from, message } => self.receive(now, &from, message, outputs),
+            Input::Propose { request, command } => {
+                self.propose(now, request, Payload::Command(command), outputs);
+            }
+            Input::Read { request } => self.read(now, request, outputs),
+            Input::ChangeVoters { request, change } => self.change_voters(now, request, &change, outputs),
+            Input::Compact { index, snapshot } => self.compact(index, snapshot, outputs),
+        }
+        self.tell_role(outputs);
+    }
+
+    /// Returns the own identity.
+    pub const fn own(&self) -> &VoterId {
+        &self.own
+    }
+
+    /// Returns role, term and the known leader.
+    pub fn role(&self) -> RoleView {
+        RoleView {
+            role: self.role,
+            term: self.log.term(),
+            leader: self.leader.clone(),
+        }
+    }
+
+    /// Returns the highest index known to be committed.
+    pub const fn committed(&self) -> Index {
+        self.commit
+    }
+
+    /// Returns the index of the last entry of the log.
+    pub fn last_index(&self) -> Index {
+        self.log.last_index()
+    }
+
+    /// Returns the latest configuration in the log, committed or not.
+    pub fn configuration(&self) -> &Configuration {
+        self.log.configuration()
+    }
+
+    /// Returns whether this member leads, has committed an entry of its term, and no other leader can have been
+    /// elected by `now` within the bound of the clocks' drift.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        let Some(leading) = &self.leading else {
+            return false;
+        };
+        let is_contacted = self.quorum_contact(now) + self.options.contact_window() > now;
+        self.commit >= leading.first_index && is_contacted
+    }
+
+    fn start(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.is_started = true;
+        self.heard = now;
+        self.reset_election(now);
+        let Some(snapshot) = self.log.snapshot() else {
+            return;
+        };
+        outputs.push(Output::Restore {
+            index: snapshot.index,
+            snapshot: snapshot.state.clone(),
+        });
+    }
+
+    fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if self.leading.is_some() {
+            self.lead(now, outputs);
+            return;
+        }
+        if now >= self.election_deadline {
+            self.campaign(now, outputs);
+        }
+    }
+
+    fn receive(&mut self, now: Instant, from: &VoterId, message: Message, outputs: &mut Vec<Output>) {
+        if message.to != self.own {
+            return;
+        }
+        let Message { term, body, .. } = message;
+        match body {
+            Body::PreVote {
+                last_index,
+                last_term,
+            } => {
+                self.answer_pre_vote(now, from, term, (last_term, last_index), outputs);
+            }
+            Body::Vote {
+                last_index,
+                last_term,
+            } => {
+                self.answer_vote(now, from, term, (last_term, last_index), outputs);
+            }
+            body => self.receive_in_term(now, from, term, body, outputs),
+        }
+    }
+
+    fn receive_in_term(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        term: Term,
+        body: Body,
+        outputs: &mut Vec<Output>,
+    ) {
+        if term > self.log.term() {
+            self.enter_term(now, term, None, outputs);
+        }
+        let is_current = term == self.log.term();
+        match body {
+            Body::PreVoteReply { campaign, is_granted } => {
+                self.count_pre_vote(now, from, campaign, is_granted, outputs);
+            }
+            Body::VoteReply { is_granted } if is_current => self.count_vote(now, from, is_granted, outputs),
+            Body::Append { .. } | Body::Install { .. } => self.follow(now, from, term, body, outputs),
+            Body::Matched { round, index } if is_current => self.matched(now, from, round, index, outputs),
+            Body::Mismatched { round, hint } if is_current => {
+                self.mismatched(now, from, round, hint, outputs);
+            }
+            _ => {}
+        }
+    }
+
+    /// Enters `term` as a follower with the vote for `voted_for`, or ends a lead.
+    pub(crate) fn enter_term(
+        &mut self,
+        now: Instant,
+        term: Term,
+        voted_for: Option<VoterId>,
+        outputs: &mut Vec<Output>,
+    ) {
+        self.persist(Record::Vote { term, voted_for }, outputs);
+        self.leader = None;
+        self.step_down(now, outputs);
+    }
+
+    /// Becomes a follower in the current term; the fate of uncommitted proposals is unknown from here on.
+    pub(crate) fn step_down(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.role = Role::Follower;
+        self.votes.clear();
+        let Some(leading) = self.leading.take() else {
+            return;
+        };
+        if self.leader.as_ref() == Some(&self.own) {
+            self.leader = None;
+        }
+        self.reset_election(now);
+        for request in leading.proposals.into_values() {
+            let result = ProposalResult::Unknown {
+                leader: self.leader.clone(),
+            };
+            outputs.push(Output::Proposed { request, result });
+        }
+        for read in leading.reads {
+            outputs.push(Output::ReadFailed {
+                request: read.request,
+                leader: self.leader.clone(),
+            });
+        }
+    }
+
+    pub(crate) fn refuse(&self) -> ProposalResult {
+        ProposalResult::Refused(Refusal::NotLeader {
+            leader: self.leader.clone(),
+        })
+    }
+
+    pub(crate) fn persist(&mut self, record: Record, outputs: &mut Vec<Output>) {
+        outputs.push(Output::Persist(record.clone()));
+        self.log.apply(record);
+    }
+
+    pub(crate) fn send(&self, to: &VoterId, body: Body, outputs: &mut Vec<Output>) {
+        let message = Message {
+            to: to.clone(),
+            term: self.log.term(),
+            body,
+        };
+        outputs.push(Output::Send {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    /// Puts out all entries up to the committed index that were not put out before.
+    pub(crate) fn apply_committed(&mut self, outputs: &mut Vec<Output>) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.entry(self.applied.next()) else {
+                return;
+            };
+            self.applied = entry.index;
+            match &entry.payload {
+                Payload::Empty => {}
+                Payload::Command(command) => outputs.push(Output::Apply {
+                    index: entry.index,
+                    term: entry.term,
+                    command: command.clone(),
+                }),
+                Payload::Configuration(configuration) => outputs.push(Output::VotersChanged {
+                    index: entry.index,
+                    configuration: configuration.clone(),
+                }),
+            }
+        }
+    }
+
+    fn compact(&mut self, index: Index, state: Vec<u8>, outputs: &mut Vec<Output>) {
+        if index > self.applied || index <= self.log.base() {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let snapshot = Snapshot {
+            index,
+            term,
+            configuration: self.log.configuration_at(index).clone(),
+            state,
+        };
+        self.persist(Record::Snapshot(snapshot), outputs);
+    }
+
+    fn tell_role(&mut self, outputs: &mut Vec<Output>) {
+        let view = self.role();
+        if view != self.told {
+            self.told = view.clone();
+            outputs.push(Output::RoleChanged(view));
+        }
+    }
+}
