--- a/kqr-agreement/src/leading.rs
+++ b/kqr-agreement/src/leading.rs
@@ -156,16 +156,13 @@
             .entry(to.clone())
             .or_insert_with(|| Progress::new(last));
         if progress.next <= base {
-            if progress
+            let is_outstanding = progress
                 .snapshot_sent
-                .is_some_and(|sent| now < sent + resend_after)
-            {
-                return;
-            }
-            progress.snapshot_sent = Some(now);
-            if let Some(snapshot) = self.log.snapshot().cloned() {
-                self.send(to, Body::Install { round, snapshot }, outputs);
+                .is_some_and(|sent| now < sent + resend_after);
+            if !is_outstanding {
+                progress.snapshot_sent = Some(now);
             }
+            self.send_snapshot(to, round, is_outstanding, outputs);
             return;
         }
         let prev_index = progress.next.previous();
