fix: let a member whose removal is not committed campaign

Cause: two of 10,000 histories ended without a leader; the only log that held the removal belonged to the removed member, which did not campaign by its own latest configuration. It now campaigns by the committed one too.

--- a/kqr-agreement/src/election.rs
+++ b/kqr-agreement/src/election.rs
@@ -11,7 +11,7 @@
     /// Begins to ask for votes, first without a change of term.
     pub(crate) fn campaign(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.reset_election(now);
-        if !self.log.configuration().is_voter(&self.own) {
+        if !self.may_campaign() {
             return;
         }
         self.role = Role::PreCandidate;
@@ -117,6 +117,14 @@
         self.count_vote(now, &own, true, outputs);
     }
 
+    /// Returns whether this member votes, or did before a removal that is not known to be committed: its log may be
+    /// the only one that lets the others commit the removal.
+    fn may_campaign(&self) -> bool {
+        let latest = self.log.configuration();
+        let committed = self.log.configuration_at(self.commit);
+        latest.is_voter(&self.own) || committed.is_voter(&self.own)
+    }
+
     fn ask_voters(&self, term: Term, body: &Body, outputs: &mut Vec<Output>) {
         for voter in &self.log.configuration().voters {
             if *voter == self.own {
--- /dev/null
+++ b/kqr-agreement/tests/network/mod.rs
@@ -0,0 +1,339 @@
+//! A small network of machines in virtual time that loses, repeats and reorders messages, and checks the promises.
+#![allow(dead_code, clippy::unwrap_used, clippy::missing_panics_doc)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use kqr_agreement::{
+    Configuration, Durable, Index, Input, Machine, Message, Options, Output, ProposalResult, ReadMode,
+    RequestId, Role, Term, VoterId,
+};
+use kqr_types::{Incarnation, Instant};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const TICK: Duration = Duration::from_millis(30);
+
+/// Requests of voter changes are numbered from here; they are no commands.
+pub const CHANGES: u64 = 1 << 40;
+
+pub fn voter(name: usize, storage: u64) -> VoterId {
+    VoterId::new(format!("i{name}").parse().unwrap(), Incarnation(storage))
+}
+
+pub struct Node {
+    pub id: VoterId,
+    pub machine: Option<Machine>,
+    pub disk: Durable,
+    pub commands: Vec<u64>,
+    pub is_isolated: bool,
+    pub options: Options,
+    /// Rate of the clock in thousandths.
+    rate: u64,
+    next_tick: Instant,
+}
+
+enum Event {
+    Deliver(VoterId, Message),
+}
+
+pub struct Network {
+    pub now: Instant,
+    pub nodes: BTreeMap<VoterId, Node>,
+    pub rng: ChaCha8Rng,
+    pub loss_percent: u32,
+    pub repeat_percent: u32,
+    pub max_delay_micros: u64,
+    /// A crash in the middle of a list of outputs happens once in this many inputs; never if zero.
+    pub crash_one_in: u32,
+    pub log: Vec<u64>,
+    pub committed: BTreeMap<u64, ProposalResult>,
+    pub messages: u64,
+    pub reads_done: u64,
+    entries: BTreeMap<Index, (Term, Vec<u8>)>,
+    leaders: BTreeMap<Term, VoterId>,
+    reads: BTreeMap<RequestId, usize>,
+    queue: BTreeMap<(Instant, u64), Event>,
+    sequence: u64,
+    seed: u64,
+}
+
+impl Network {
+    pub fn new(seed: u64, voters: usize, spares: usize, reads: ReadMode) -> Self {
+        let mut network = Self {
+            now: Instant(0),
+            nodes: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            loss_percent: 0,
+            repeat_percent: 0,
+            max_delay_micros: 2_000,
+            crash_one_in: 0,
+            log: Vec::new(),
+            committed: BTreeMap::new(),
+            messages: 0,
+            reads_done: 0,
+            entries: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            seed,
+        };
+        let founding = Configuration::of_voters((0..voters).map(|name| voter(name, 1)));
+        for name in 0..voters {
+            network.add(voter(name, 1), founding.clone(), reads);
+        }
+        for name in voters..voters + spares {
+            network.add(voter(name, 1), Configuration::default(), reads);
+        }
+        network
+    }
+
+    pub fn add(&mut self, id: VoterId, founding: Configuration, reads: ReadMode) {
+        let options = Options {
+            founding,
+            reads,
+            seed: self.rng.random(),
+            ..Options::default()
+        };
+        let node = Node {
+            id: id.clone(),
+            machine: Some(Machine::new(id.clone(), options.clone(), Durable::default())),
+            disk: Durable::default(),
+            commands: Vec::new(),
+            is_isolated: false,
+            options,
+            rate: self.rng.random_range(990..=1010),
+            next_tick: self.now,
+        };
+        self.nodes.insert(id, node);
+    }
+
+    pub fn ids(&self) -> Vec<VoterId> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    pub fn leader(&self) -> Option<VoterId> {
+        let leads = |node: &&Node| {
+            let machine = node.machine.as_ref();
+            machine.is_some_and(|machine| machine.role().role == Role::Leader && !node.is_isolated)
+        };
+        let latest = |node: &&Node| node.machine.as_ref().map(|machine| machine.role().term);
+        self.nodes
+            .values()
+            .filter(leads)
+            .max_by_key(latest)
+            .map(|node| node.id.clone())
+    }
+
+    pub fn machine(&self, id: &VoterId) -> &Machine {
+        self.nodes[id].machine.as_ref().unwrap()
+    }
+
+    pub fn crash(&mut self, id: &VoterId) {
+        let node = self.nodes.get_mut(id).unwrap();
+        node.machine = None;
+        node.commands.clear();
+    }
+
+    pub fn restart(&mut self, id: &VoterId) {
+        let node = self.nodes.get_mut(id).unwrap();
+        if node.machine.is_none() {
+            node.machine = Some(Machine::new(id.clone(), node.options.clone(), node.disk.clone()));
+        }
+    }
+
+    pub fn isolate(&mut self, id: &VoterId, is_isolated: bool) {
+        self.nodes.get_mut(id).unwrap().is_isolated = is_isolated;
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        loop {
+            let (tick, id) = self
+                .nodes
+                .values()
+                .map(|node| (node.next_tick, node.id.clone()))
+                .min()
+                .unwrap();
+            let delivery = self.queue.keys().next().copied();
+            if let Some(key) = delivery.filter(|(at, _)| *at <= tick && *at <= end) {
+                self.now = key.0;
+                if let Some(Event::Deliver(from, message)) = self.queue.remove(&key) {
+                    let to = message.to.clone();
+                    self.handle(&to, Input::Message { from, message });
+                }
+                continue;
+            }
+            if tick > end {
+                break;
+            }
+            self.now = tick;
+            self.nodes.get_mut(&id).unwrap().next_tick = tick + TICK;
+            self.handle(&id, Input::Tick);
+        }
+        self.now = end;
+    }
+
+    pub fn propose(&mut self, to: &VoterId, command: u64) {
+        let input = Input::Propose {
+            request: RequestId(command),
+            command: command.to_le_bytes().to_vec(),
+        };
+        self.handle(to, input);
+    }
+
+    pub fn read(&mut self, to: &VoterId, request: u64) {
+        self.reads.insert(RequestId(request), self.log.len());
+        self.handle(
+            to,
+            Input::Read {
+                request: RequestId(request),
+            },
+        );
+    }
+
+    pub fn compact(&mut self, id: &VoterId) {
+        let node = &self.nodes[id];
+        let Some(machine) = &node.machine else { return };
+        let index = machine.committed();
+        let snapshot = node
+            .commands
+            .iter()
+            .flat_map(|command| command.to_le_bytes())
+            .collect();
+        self.handle(id, Input::Compact { index, snapshot });
+    }
+
+    pub fn handle(&mut self, id: &VoterId, input: Input) {
+        let crash = self.crash_one_in > 0 && self.rng.random_ratio(1, self.crash_one_in);
+        let Some(node) = self.nodes.get_mut(id) else {
+            return;
+        };
+        let Some(machine) = &mut node.machine else { return };
+        let local = Instant(self.now.0 * node.rate / 1000 + node.rate * 7_000);
+        let mut outputs = Vec::new();
+        machine.handle(local, input, &mut outputs);
+        let performed = if crash {
+            self.rng.random_range(0..=outputs.len())
+        } else {
+            outputs.len()
+        };
+        for output in outputs.into_iter().take(performed) {
+            self.perform(id, output);
+        }
+        if crash {
+            self.crash(id);
+        }
+    }
+
+    fn perform(&mut self, id: &VoterId, output: Output) {
+        let seed = self.seed;
+        match output {
+            Output::Send { to, message } => self.send(id, &to, &message),
+            Output::Persist(record) => self.nodes.get_mut(id).unwrap().disk.apply(record),
+            Output::Apply { index, term, command } => {
+                let known = self
+                    .entries
+                    .entry(index)
+                    .or_insert_with(|| (term, command.clone()));
+                assert_eq!(
+                    *known,
+                    (term, command.clone()),
+                    "seed {seed}: entry {index} differs at {id}"
+                );
+                let node = self.nodes.get_mut(id).unwrap();
+                node.commands
+                    .push(u64::from_le_bytes(command.try_into().unwrap()));
+                self.check_prefix(id);
+            }
+            Output::Restore { snapshot, .. } => {
+                let node = self.nodes.get_mut(id).unwrap();
+                let chunks = snapshot.chunks_exact(8);
+                node.commands = chunks
+                    .map(|bytes| u64::from_le_bytes(bytes.try_into().unwrap()))
+                    .collect();
+                self.check_prefix(id);
+            }
+            Output::Proposed { request, result } if request.0 < CHANGES => {
+                self.committed.insert(request.0, result);
+            }
+            Output::ReadReady { request, .. } => {
+                self.reads_done += 1;
+                let seen = self.nodes[id].commands.len();
+                assert!(
+                    seen >= self.reads[&request],
+                    "seed {seed}: {id} reads stale state"
+                );
+            }
+            Output::RoleChanged(view) if view.role == Role::Leader => {
+                let leader = self.leaders.entry(view.term).or_insert_with(|| id.clone());
+                assert_eq!(leader, id, "seed {seed}: two leaders in term {}", view.term);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_prefix(&mut self, id: &VoterId) {
+        let commands = &self.nodes[id].commands;
+        let shared = commands.len().min(self.log.len());
+        assert_eq!(
+            commands[..shared],
+            self.log[..shared],
+            "seed {}: {id} applied another order",
+            self.seed
+        );
+        self.log.extend_from_slice(&commands[shared..]);
+    }
+
+    fn send(&mut self, from: &VoterId, to: &VoterId, message: &Message) {
+        self.messages += 1;
+        let is_cut = |id| self.nodes.get(id).is_none_or(|node| node.is_isolated);
+        if is_cut(from) || is_cut(to) || self.rng.random_ratio(self.loss_percent, 100) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_ratio(self.repeat_percent, 100));
+        for _ in 0..copies {
+            let delay = Duration::from_micros(self.rng.random_range(100..=self.max_delay_micros));
+            self.sequence += 1;
+            let event = Event::Deliver(from.clone(), message.clone());
+            self.queue.insert((self.now + delay, self.sequence), event);
+        }
+    }
+
+    /// Checks that every acknowledged command is at every member of the leader's configuration, and no refused one.
+    pub fn check_acknowledged(&self) {
+        let all: BTreeSet<u64> = self.log.iter().copied().collect();
+        assert_eq!(
+            all.len(),
+            self.log.len(),
+            "seed {}: a command was applied twice",
+            self.seed
+        );
+        let leader = self.leader().unwrap();
+        for id in self.machine(&leader).configuration().members() {
+            let at_member: BTreeSet<u64> = self.nodes[id].commands.iter().copied().collect();
+            for (command, result) in &self.committed {
+                match result {
+                    ProposalResult::Committed { .. } => {
+                        assert!(
+                            at_member.contains(command),
+                            "seed {}: {command} lost at {id}",
+                            self.seed
+                        );
+                    }
+                    ProposalResult::Refused(_) => {
+                        assert!(
+                            !all.contains(command),
+                            "seed {}: refused {command} applied",
+                            self.seed
+                        );
+                    }
+                    ProposalResult::Unknown { .. } => {}
+                }
+            }
+        }
+    }
+}
