feat: hand over the lead, run 10,000 fault histories

Cause: in 1 of 10,000 histories two leaders were lost in sequence (a leader that removed itself, then a split vote) and no leader stood after 3 s. Change: a leader that removes itself, or is told to, hands over to the voter with the most of the log; a member without a leader campaigns again after a heartbeat plus a spread instead of a whole election timeout.

--- a/kqr-agreement/src/election.rs
+++ b/kqr-agreement/src/election.rs
@@ -10,7 +10,7 @@
 impl Machine {
     /// Begins to ask for votes, first without a change of term.
     pub(crate) fn campaign(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        self.reset_election(now);
+        self.delay_election(now, self.options.heartbeat);
         if !self.may_campaign() {
             return;
         }
@@ -51,7 +51,7 @@
     ) {
         let is_awaited = self.role == Role::PreCandidate && campaign == self.log.term().next();
         if is_awaited && is_granted && self.is_elected_with(from) {
-            self.stand(now, outputs);
+            self.stand(now, false, outputs);
         }
     }
 
@@ -63,9 +63,6 @@
         last: LastEntry,
         outputs: &mut Vec<Output>,
     ) {
-        if self.has_heard_leader(now) {
-            return;
-        }
         if term > self.log.term() {
             self.enter_term(now, term, None, outputs);
         }
@@ -97,13 +94,19 @@
     }
 
     pub(crate) fn reset_election(&mut self, now: Instant) {
-        let timeout = self.options.election_timeout;
-        let spread = u64::try_from(timeout.as_micros()).unwrap_or(u64::MAX).max(1);
-        let extra = Duration::from_micros(self.next_random() % spread);
-        self.election_deadline = now + timeout + extra;
+        self.delay_election(now, self.options.election_timeout);
+    }
+
+    /// Sets the next campaign to between `shortest` and an election timeout more from `now`. A member that hears no
+    /// leader campaigns again soon: the spread is what resolves a split vote.
+    fn delay_election(&mut self, now: Instant, shortest: Duration) {
+        let spread = u64::try_from(self.options.election_timeout.as_micros()).unwrap_or(u64::MAX);
+        let extra = Duration::from_micros(self.next_random() % spread.max(1));
+        self.election_deadline = now + shortest + extra;
     }
 
-    fn stand(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+    /// Asks for votes in the next term.
+    pub(crate) fn stand(&mut self, now: Instant, is_handed_over: bool, outputs: &mut Vec<Output>) {
         let term = self.log.term().next();
         let voted_for = Some(self.own.clone());
         self.enter_term(now, term, voted_for, outputs);
@@ -111,6 +114,7 @@
         let body = Body::Vote {
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
+            is_handed_over,
         };
         self.ask_voters(term, &body, outputs);
         let own = self.own.clone();
@@ -158,7 +162,7 @@
     }
 
     /// Returns whether a leader may rely on this member to give no vote.
-    fn has_heard_leader(&self, now: Instant) -> bool {
+    pub(crate) fn has_heard_leader(&self, now: Instant) -> bool {
         self.leading.is_some() || now < self.heard + self.options.election_timeout
     }
 
--- a/kqr-agreement/src/input.rs
+++ b/kqr-agreement/src/input.rs
@@ -33,6 +33,8 @@
         /// Change.
         change: VoterChange,
     },
+    /// The lead, if it is held here, is to be given up to the voter that has the most of the log.
+    HandOver,
     /// The application has taken a snapshot; entries up to its index are dropped.
     Compact {
         /// Index of the last entry that the snapshot contains.
--- a/kqr-agreement/src/leading.rs
+++ b/kqr-agreement/src/leading.rs
@@ -234,7 +234,26 @@
         self.finish_proposals(outputs);
         let is_settled = self.log.configuration_index() <= self.commit;
         if is_settled && !self.log.configuration().is_voter(&self.own) {
-            self.step_down(now, outputs);
+            self.broadcast(now, outputs);
+            self.hand_over(now, outputs);
+        }
+    }
+
+    /// Gives up the lead to the voter that has the most of the log. No lease is granted from here on.
+    pub(crate) fn hand_over(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let configuration = self.log.configuration();
+        let others = leading
+            .progress
+            .iter()
+            .filter(|(member, _)| configuration.is_voter(member) && **member != self.own);
+        let successor = others.max_by_key(|(_, progress)| progress.matched);
+        let successor = successor.map(|(member, _)| member.clone());
+        self.step_down(now, outputs);
+        if let Some(successor) = successor {
+            self.send(&successor, Body::Campaign, outputs);
         }
     }
 
--- a/kqr-agreement/src/machine.rs
+++ b/kqr-agreement/src/machine.rs
@@ -68,6 +68,7 @@
             }
             Input::Read { request } => self.read(now, request, outputs),
             Input::ChangeVoters { request, change } => self.change_voters(now, request, &change, outputs),
+            Input::HandOver => self.hand_over(now, outputs),
             Input::Compact { index, snapshot } => self.compact(index, snapshot, outputs),
         }
         self.tell_role(outputs);
@@ -150,8 +151,11 @@
             Body::Vote {
                 last_index,
                 last_term,
+                is_handed_over,
             } => {
-                self.answer_vote(now, from, term, (last_term, last_index), outputs);
+                if is_handed_over || !self.has_heard_leader(now) {
+                    self.answer_vote(now, from, term, (last_term, last_index), outputs);
+                }
             }
             body => self.receive_in_term(now, from, term, body, outputs),
         }
@@ -173,6 +177,9 @@
             Body::PreVoteReply { campaign, is_granted } => {
                 self.count_pre_vote(now, from, campaign, is_granted, outputs);
             }
+            Body::Campaign if is_current && self.leader.as_ref() == Some(from) => {
+                self.stand(now, true, outputs);
+            }
             Body::VoteReply { is_granted } if is_current => self.count_vote(now, from, is_granted, outputs),
             Body::Append { .. } | Body::Install { .. } => self.follow(now, from, term, body, outputs),
             Body::Matched { round, index } if is_current => self.matched(now, from, round, index, outputs),
--- a/kqr-agreement/src/message.rs
+++ b/kqr-agreement/src/message.rs
@@ -36,6 +36,8 @@
         last_index: Index,
         /// Term of that entry.
         last_term: Term,
+        /// Whether the leader of the preceding term gave up its lead for the sender.
+        is_handed_over: bool,
     },
     /// Answers a [`Body::Vote`].
     VoteReply {
@@ -62,6 +64,8 @@
         /// Snapshot.
         snapshot: Snapshot,
     },
+    /// The sender, which led the term, has given up its lead; the receiver is to campaign at once.
+    Campaign,
     /// The sender's log equals the leader's up to an index.
     Matched {
         /// Round of the message that this answers.
