--- /dev/null
+++ b/kqr-store/src/lib.rs
@@ -0,0 +1,26 @@
+//! Durable log and snapshots under one data folder.
+//!
+//! [`Store::append`] returns after its records are synced; several records that are appended together share one sync.
+//! [`Store::open`] restores what was appended, drops the torn tail of a write that was never acknowledged and tells of
+//! it, and refuses a folder that is damaged, foreign, in use, or of another format.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod disk;
+mod error;
+mod file_name;
+mod folder_disk;
+mod frame;
+mod header;
+mod identity;
+mod opened;
+mod reader;
+mod store;
+
+pub use disk::{AppendFile, Disk};
+pub use error::{Step, StoreError};
+pub use folder_disk::{FolderDisk, FolderFile};
+pub use header::FORMAT_VERSION;
+pub use identity::{Identity, Owner};
+pub use opened::{Opened, TornTail};
+pub use store::Store;
--- /dev/null
+++ b/kqr-store/tests/folders.rs
@@ -0,0 +1,86 @@
+//! Real folders: round trip, lock, owner, format versions, missing files.
+
+mod memory;
+
+use std::{fs, path::Path};
+
+use kqr_store::{FORMAT_VERSION, FolderDisk, Opened, Store, StoreError};
+use kqr_types::Incarnation;
+use memory::{history, owner, states};
+
+fn open(path: &Path, instance: &str, storage: u64) -> Result<(Store<FolderDisk>, Opened), StoreError> {
+    Store::open(FolderDisk::open(path)?, &owner(instance), Incarnation(storage))
+}
+
+fn fill(path: &Path) {
+    let (mut store, _) = open(path, "i0", 7).unwrap();
+    for batch in history() {
+        store.append(batch).unwrap();
+    }
+    store.close().close().unwrap();
+}
+
+#[test]
+fn a_folder_is_read_back_and_keeps_its_incarnation() {
+    let folder = tempfile::tempdir().unwrap();
+    fill(folder.path());
+    let (store, opened) = open(folder.path(), "i0", 8).unwrap();
+    assert_eq!(opened.identity.storage, Incarnation(7));
+    assert_eq!(opened.durable, *states(&history()).last().unwrap());
+    assert!(!opened.is_new);
+    store.close().close().unwrap();
+}
+
+#[test]
+fn an_emptied_folder_gets_another_incarnation() {
+    let folder = tempfile::tempdir().unwrap();
+    fill(&folder.path().join("data"));
+    fs::remove_dir_all(folder.path().join("data")).unwrap();
+    let (_, opened) = open(&folder.path().join("data"), "i0", 8).unwrap();
+    assert!(opened.is_new && opened.durable.is_empty());
+    assert_eq!(opened.identity.storage, Incarnation(8));
+}
+
+#[test]
+fn a_second_process_and_a_foreign_owner_are_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    fill(folder.path());
+    let (store, _) = open(folder.path(), "i0", 7).unwrap();
+    assert!(matches!(
+        open(folder.path(), "i0", 7),
+        Err(StoreError::Locked { .. })
+    ));
+    store.close().close().unwrap();
+    let foreign = open(folder.path(), "i1", 7).err().unwrap();
+    assert_eq!(foreign.to_string(), "the folder belongs to settings of i0#7");
+}
+
+#[test]
+fn older_and_newer_formats_are_refused_with_both_versions() {
+    for version in [FORMAT_VERSION - 1, FORMAT_VERSION + 1] {
+        for name in ["identity", "snapshot-1", "log-1"] {
+            let folder = tempfile::tempdir().unwrap();
+            fill(folder.path());
+            let path = folder.path().join(name);
+            let mut content = fs::read(&path).unwrap();
+            content[8..12].copy_from_slice(&version.to_le_bytes());
+            let checksum = crc32fast::hash(&content[..12]);
+            content[12..16].copy_from_slice(&checksum.to_le_bytes());
+            fs::write(&path, content).unwrap();
+            let error = open(folder.path(), "i0", 7).err().unwrap();
+            let is_told = matches!(error, StoreError::Format { found, supported: FORMAT_VERSION, .. } if found == version);
+            assert!(is_told, "{name}: {error}");
+        }
+    }
+}
+
+#[test]
+fn a_missing_file_is_refused() {
+    for name in ["identity", "snapshot-1", "log-1"] {
+        let folder = tempfile::tempdir().unwrap();
+        fill(folder.path());
+        fs::remove_file(folder.path().join(name)).unwrap();
+        let error = open(folder.path(), "i0", 7).err().unwrap();
+        assert!(matches!(error, StoreError::Missing { .. }), "{name}: {error}");
+    }
+}
