--- a/kqr-entry/src/queue.rs
+++ b/kqr-entry/src/queue.rs
@@ -2,7 +2,7 @@
 
 use kqr_jobs::WaitingTask;
 use kqr_placement::{Demand, PickFailure, Table, TargetKind};
-use kqr_types::{JobKey, TargetId};
+use kqr_types::{Incarnation, JobKey, TargetId};
 
 /// Expected run time of a task whose caller declared none.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(200);
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub enum Dispatched {
     /// A slot of the target was taken for it.
-    Placed(WaitingTask, TargetId),
+    Placed(WaitingTask, TargetId, Incarnation),
     /// No target can ever run it.
     Impossible(WaitingTask, PickFailure),
 }
@@ -43,11 +43,15 @@
         let mut dispatched = Vec::new();
         let mut blocked = Vec::new();
         let mut kept = VecDeque::new();
-        while let Some(task) = self.waiting.pop_front() {
+        while let Some(mut task) = self.waiting.pop_front() {
             if blocked.contains(&task.service) {
                 kept.push_back(task);
                 continue;
             }
+            if is_all_avoided(table, &task) {
+                // A target that was tried is better than none.
+                task.avoid.clear();
+            }
             let demand = Demand {
                 cores: task.spec.cores,
                 memory: task.spec.memory,
@@ -56,7 +60,11 @@
                 avoid: &task.avoid,
             };
             match table.pick(&task.service, TargetKind::Worker, &demand) {
-                Ok(target) => dispatched.push(Dispatched::Placed(task, target.announcement.id.clone())),
+                Ok(target) => dispatched.push(Dispatched::Placed(
+                    task,
+                    target.announcement.id.clone(),
+                    target.announcement.incarnation,
+                )),
                 Err(PickFailure::AllBusy) => {
                     blocked.push(task.service.clone());
                     kept.push_back(task);
@@ -68,3 +76,18 @@
         dispatched
     }
 }
+
+/// Returns whether each worker of the service was tried by the task.
+fn is_all_avoided(table: &Table, task: &WaitingTask) -> bool {
+    if task.avoid.is_empty() {
+        return false;
+    }
+    for target in table.targets() {
+        let own = &target.announcement;
+        let is_candidate = own.service == task.service && own.kind == TargetKind::Worker;
+        if is_candidate && !task.avoid.contains(&own.id) {
+            return false;
+        }
+    }
+    true
+}
