--- a/kqr-entry/src/callers/jobs.rs
+++ b/kqr-entry/src/callers/jobs.rs
@@ -45,7 +45,15 @@
     event.key = Some(submission.key.clone());
     entry.engine.events.record(event);
     let key = submission.key.clone();
-    let answer = entry.call(JobCall::Submit { submission, is_waiting }, MAX_HOPS).await;
+    let answer = entry
+        .call(
+            JobCall::Submit {
+                submission,
+                is_waiting,
+            },
+            MAX_HOPS,
+        )
+        .await;
     let mut event = entry.engine.events.event(EventKind::Answered);
     event.key = Some(key);
     event.detail = answer.as_ref().err().map(ToString::to_string);
--- a/kqr-entry/src/callers/mod.rs
+++ b/kqr-entry/src/callers/mod.rs
@@ -50,7 +50,10 @@
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
     }
     if !entry.engine.is_ready() {
-        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "the cell of the data centre has not admitted this entry");
+        return text_reply(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the cell of the data centre has not admitted this entry",
+        );
     }
     text_reply(StatusCode::OK, "ready")
 }
--- a/kqr-entry/src/cell_seat.rs
+++ b/kqr-entry/src/cell_seat.rs
@@ -35,7 +35,13 @@
 
 impl CellSeats {
     /// Takes the seats that `homes` names for `own`, which stands in the data centre `site`.
-    pub fn new(own: &Member, site: &DataCentre, homes: &Homes, engine: &Arc<Engine>, outbox: &Arc<Outbox>) -> Self {
+    pub fn new(
+        own: &Member,
+        site: &DataCentre,
+        homes: &Homes,
+        engine: &Arc<Engine>,
+        outbox: &Arc<Outbox>,
+    ) -> Self {
         let mut seats = BTreeMap::new();
         for data_centre in homes.data_centres() {
             let voters = homes.voters(data_centre);
@@ -59,12 +65,19 @@
             seats.insert(data_centre.clone(), seat);
         }
         let left = watch::Sender::new(false);
-        Self { seats, synced: engine.synced(), reported: Mutex::default(), left }
+        Self {
+            seats,
+            synced: engine.synced(),
+            reported: Mutex::default(),
+            left,
+        }
     }
 
     /// Takes in a message of another instance of the cell of `data_centre`.
     pub fn receive(&self, data_centre: &DataCentre, message: CellMessage) {
-        let Some(seat) = self.seats.get(data_centre) else { return };
+        let Some(seat) = self.seats.get(data_centre) else {
+            return;
+        };
         self.note_left(seat.handle(Input::Message(Box::new(message))));
     }
 
@@ -112,13 +125,20 @@
             match output {
                 Output::Send { to, message } => {
                     let data_centre = self.data_centre.clone();
-                    self.outbox.post(&to, Mail::Cell { data_centre, message: *message });
+                    self.outbox.post(
+                        &to,
+                        Mail::Cell {
+                            data_centre,
+                            message: *message,
+                        },
+                    );
                 }
                 Output::Persist(_) => {}
                 Output::Epoch { view, .. } => {
                     if self.is_member {
                         let mut event = self.engine.events.event(EventKind::EpochInstalled);
-                        event.detail = Some(format!("epoch {} of {} members", view.epoch, view.members.len()));
+                        event.detail =
+                            Some(format!("epoch {} of {} members", view.epoch, view.members.len()));
                         self.engine.events.record(event);
                         self.engine.install(&view);
                     }
@@ -140,6 +160,8 @@
 }
 
 fn wall_clock() -> WallClock {
-    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let unix = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
     WallClock(unix.as_millis() as u64)
 }
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -45,7 +45,10 @@
             }
             Mail::Cell { data_centre, message } => self.seats.receive(&data_centre, message),
             Mail::Directory(message) => {
-                self.registry.handle(kqr_directory::Input::Peer { from: from.clone(), message });
+                self.registry.handle(kqr_directory::Input::Peer {
+                    from: from.clone(),
+                    message,
+                });
             }
         }
     }
--- a/kqr-entry/src/homes.rs
+++ b/kqr-entry/src/homes.rs
@@ -28,7 +28,11 @@
             data_centres.insert(instance.data_centre.clone());
             entries.push(instance.clone());
         }
-        Self { own: own.id.clone(), entries, data_centres }
+        Self {
+            own: own.id.clone(),
+            entries,
+            data_centres,
+        }
     }
 
     /// Returns the home data centre of `key`: the one that a prefix names, or the one chosen by hash.
@@ -38,7 +42,9 @@
         {
             return Some(site);
         }
-        self.data_centres.iter().max_by_key(|site| rendezvous_weight(key.as_str(), site.as_str(), 1))
+        self.data_centres
+            .iter()
+            .max_by_key(|site| rendezvous_weight(key.as_str(), site.as_str(), 1))
     }
 
     /// Returns the entries of a data centre, in an order that differs from key to key.
@@ -55,14 +61,22 @@
 
     /// Returns the other entries of the data centre of this instance.
     pub fn siblings(&self) -> BTreeSet<InstanceId> {
-        let Some(own) = self.entry(&self.own) else { return BTreeSet::new() };
-        let siblings = self.members(&own.data_centre).filter(|entry| entry.id != self.own);
+        let Some(own) = self.entry(&self.own) else {
+            return BTreeSet::new();
+        };
+        let siblings = self
+            .members(&own.data_centre)
+            .filter(|entry| entry.id != self.own);
         siblings.map(|entry| entry.id.clone()).collect()
     }
 
     /// Returns all other entries of the region.
     pub fn others(&self) -> Vec<Instance> {
-        self.entries.iter().filter(|entry| entry.id != self.own).cloned().collect()
+        self.entries
+            .iter()
+            .filter(|entry| entry.id != self.own)
+            .cloned()
+            .collect()
     }
 
     /// Returns the data centres of the region.
@@ -83,11 +97,15 @@
     /// Returns the first entry of the next data centre in the order of names.
     fn witness(&self, data_centre: &DataCentre) -> Option<InstanceId> {
         let later = self.data_centres.range::<DataCentre, _>(data_centre..).nth(1);
-        let next = later.or(self.data_centres.first()).filter(|next| *next != data_centre)?;
+        let next = later
+            .or(self.data_centres.first())
+            .filter(|next| *next != data_centre)?;
         self.members(next).map(|entry| entry.id.clone()).min()
     }
 
     fn members<'a>(&'a self, data_centre: &'a DataCentre) -> impl Iterator<Item = &'a Instance> {
-        self.entries.iter().filter(move |entry| entry.data_centre == *data_centre)
+        self.entries
+            .iter()
+            .filter(move |entry| entry.data_centre == *data_centre)
     }
 }
--- a/kqr-entry/src/outbox.rs
+++ b/kqr-entry/src/outbox.rs
@@ -92,7 +92,11 @@
         let mut cx = context::current();
         cx.deadline = std::time::Instant::now() + SILENT_AFTER;
         let own = &self.own;
-        if let Err(error) = link.client.deliver(cx, own.id.clone(), own.incarnation, batch).await {
+        if let Err(error) = link
+            .client
+            .deliver(cx, own.id.clone(), own.incarnation, batch)
+            .await
+        {
             log::debug!("sending to {}: {error}", self.peer);
             self.links.forget(&self.peer, &link);
         }
--- a/kqr-entry/src/routing.rs
+++ b/kqr-entry/src/routing.rs
@@ -10,11 +10,7 @@
 use tarpc::context;
 use tokio::time::Instant;
 
-use crate::{
-    engine::Answer,
-    entry::Entry,
-    sibling_links::SiblingLink,
-};
+use crate::{engine::Answer, entry::Entry, sibling_links::SiblingLink};
 
 /// Forwards that a call may take: to the home data centre, then to the home, once more if that has just changed.
 pub const MAX_HOPS: u8 = 3;
@@ -49,9 +45,14 @@
             JobCall::Lookup(_) | JobCall::Cancel(_) => SHORT_CALL,
         };
         loop {
-            let answer = self.try_call(remaining(&call, limit.saturating_sub(begun.elapsed())), hops).await;
+            let answer = self
+                .try_call(remaining(&call, limit.saturating_sub(begun.elapsed())), hops)
+                .await;
             let Err(refusal) = &answer else { return answer };
-            let is_passing = matches!(refusal.reason, RefusalReason::NotReady | RefusalReason::HomeUnreachable);
+            let is_passing = matches!(
+                refusal.reason,
+                RefusalReason::NotReady | RefusalReason::HomeUnreachable
+            );
             let is_time_left = begun.elapsed() + RETRY_PAUSE < MAX_ROUTING.min(limit);
             if !is_passing || !is_time_left || hops < MAX_HOPS {
                 return answer;
@@ -70,7 +71,10 @@
 
     async fn answer_here(&self, call: JobCall) -> Answer {
         match call {
-            JobCall::Submit { submission, is_waiting } => self.engine.submit(submission, is_waiting).await,
+            JobCall::Submit {
+                submission,
+                is_waiting,
+            } => self.engine.submit(submission, is_waiting).await,
             JobCall::Lookup(key) => self.engine.lookup(key).await,
             JobCall::Cancel(key) => self.engine.cancel(key).await,
         }
@@ -78,12 +82,16 @@
 
     fn route(&self, call: &JobCall) -> Route {
         let key = call.key();
-        let Some(data_centre) = self.homes.data_centre(key) else { return Route::Here };
+        let Some(data_centre) = self.homes.data_centre(key) else {
+            return Route::Here;
+        };
         if *data_centre != self.own.data_centre {
             return Route::Peers(self.homes.entries_of(data_centre, key));
         }
         let view = self.engine.view();
-        let Some(home) = home_order(&view, KeyDigest::of(key)).first().copied() else { return Route::Here };
+        let Some(home) = home_order(&view, KeyDigest::of(key)).first().copied() else {
+            return Route::Here;
+        };
         if home.id == self.own.id {
             return Route::Here;
         }
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -11,7 +11,7 @@
 use kqr_jobs::Member;
 use kqr_settings::bootstrap::{Bootstrap, Instance};
 use kqr_telemetry::{EventKind, EventLog};
-use kqr_types::{CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, MemberState};
+use kqr_types::Incarnation;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
@@ -35,6 +35,9 @@
 /// Time between two updates of the order of targets by their learned speeds.
 const REFRESH: Duration = Duration::from_secs(1);
 
+/// Longest time for leaving the cell. The last member of a cell can't hand over its keys.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A running entry.
 #[derive(Debug)]
 pub struct Running {
@@ -98,12 +101,17 @@
             }
             engine.tracker.close();
             engine.tracker.wait().await;
-            self.entry.seats.leave().await;
         };
         let is_finished = tokio::time::timeout(self.limits.grace, finish).await.is_ok();
         if !is_finished {
             log::error!("accepted work did not end within {:?}", self.limits.grace);
         }
+        if tokio::time::timeout(LEAVE_TIMEOUT, self.entry.seats.leave())
+            .await
+            .is_err()
+        {
+            log::warn!("the cell did not agree on an epoch without this entry; its lease ends by itself");
+        }
         self.stop_serving.cancel();
         for server in self.servers {
             let _ = server.await;
--- a/kqr-entry/src/sibling_links.rs
+++ b/kqr-entry/src/sibling_links.rs
@@ -46,7 +46,10 @@
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let client = SiblingClient::new(client::Config::default(), transport).spawn();
-        let link = SiblingLink { client, lost: CancellationToken::new() };
+        let link = SiblingLink {
+            client,
+            lost: CancellationToken::new(),
+        };
         // Of two connections that were opened at the same time, one is kept for all.
         Ok(self.lock().entry(peer.clone()).or_insert(link).clone())
     }
--- a/kqr-jobs/src/machine/mod.rs
+++ b/kqr-jobs/src/machine/mod.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use kqr_types::{ByteSize, CellView, Instant, KeyDigest, TaskIndex};
+use kqr_types::{ByteSize, CellView, Instant, JobKey, KeyDigest, TaskIndex};
 
 use crate::{
     Fault, Input, Member, Options, Output, StateSize, Update, cell::Cell, gate::Gate, job::Job, state_size,
