--- /dev/null
+++ b/kqr-placement/src/share_keeper.rs
@@ -0,0 +1,200 @@
+use std::collections::BTreeMap;
+
+use kqr_types::{CellView, InstanceId, Instant, rendezvous_weight};
+use serde::{Deserialize, Serialize};
+
+use crate::{Resource, ShareGrant, ShareOptions, ShareReport, Units};
+
+/// An input of a keeper.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeeperInput<Id> {
+    /// A new epoch is in force: the leases of members of the epoch before have ended.
+    View(CellView),
+    /// The present resources and all their units, whichever member keeps them.
+    Resources(Vec<Units<Id>>),
+    /// A member, maybe this one, reports.
+    Report(ShareReport<Id>),
+}
+
+/// An effect of a keeper.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperOutput<Id> {
+    /// The member that the grant is sent to.
+    pub to: InstanceId,
+    /// The grant.
+    pub grant: ShareGrant<Id>,
+}
+
+#[derive(Clone, Debug)]
+struct Lease {
+    units: u32,
+    expires: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    number: u64,
+    demand: u32,
+    at: Instant,
+}
+
+/// Leases the units of the resources that this member keeps to the members of its cell, by their demand.
+///
+/// A unit is granted only while no live lease can cover it: a smaller grant counts when its holder has confirmed it, and
+/// a holder that fell silent keeps its units until its lease must have ended by any clock.
+#[derive(Clone, Debug)]
+pub struct ShareKeeper<Id>
+where
+    Id: Resource,
+{
+    own: InstanceId,
+    options: ShareOptions,
+    view: CellView,
+    /// Instant from which units may be granted that no lease of this epoch covers.
+    open: Instant,
+    resources: BTreeMap<Id, u32>,
+    leases: BTreeMap<Id, BTreeMap<InstanceId, Lease>>,
+    reported: BTreeMap<InstanceId, Reported>,
+}
+
+impl<Id> ShareKeeper<Id>
+where
+    Id: Resource,
+{
+    /// Creates a keeper that waits for its first epoch.
+    pub fn new(own: InstanceId, options: ShareOptions) -> Self {
+        Self {
+            own,
+            options,
+            view: CellView::default(),
+            open: Instant::MAX,
+            resources: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            reported: BTreeMap::new(),
+        }
+    }
+
+    /// Handles `input` at `now` and appends the effects to `outputs`.
+    pub fn handle(&mut self, now: Instant, input: KeeperInput<Id>, outputs: &mut Vec<KeeperOutput<Id>>) {
+        match input {
+            KeeperInput::View(view) => self.set_view(now, view),
+            KeeperInput::Resources(units) => self.set_resources(units),
+            KeeperInput::Report(report) => outputs.extend(self.report(now, report)),
+        }
+    }
+
+    fn set_view(&mut self, now: Instant, view: CellView) {
+        if view.epoch <= self.view.epoch && self.open != Instant::MAX {
+            return;
+        }
+        self.view = view;
+        self.open = now + self.options.keeper_lease();
+        self.leases.clear();
+        self.reported.clear();
+    }
+
+    fn set_resources(&mut self, units: Vec<Units<Id>>) {
+        self.resources.clear();
+        for item in units {
+            self.resources.insert(item.resource, item.units);
+        }
+        self.leases
+            .retain(|resource, _| self.resources.contains_key(resource));
+    }
+
+    fn report(&mut self, now: Instant, report: ShareReport<Id>) -> Option<KeeperOutput<Id>> {
+        let is_member = self.view.member(&report.from).is_some();
+        let last = self.reported.get(&report.from).map_or(0, |last| last.number);
+        if report.epoch != self.view.epoch || !is_member || report.number <= last {
+            return None;
+        }
+        let reported = Reported {
+            number: report.number,
+            demand: report.demand,
+            at: now,
+        };
+        self.reported.insert(report.from.clone(), reported);
+        let mut granted = Vec::with_capacity(report.held.len());
+        for item in report.held {
+            let is_kept = self
+                .view
+                .home(&item.resource.to_string())
+                .is_some_and(|home| home.id == self.own);
+            if !is_kept {
+                continue;
+            }
+            let units = self.grant(now, &report.from, &item);
+            granted.push(Units {
+                resource: item.resource,
+                units,
+            });
+        }
+        Some(KeeperOutput {
+            to: report.from,
+            grant: ShareGrant {
+                epoch: report.epoch,
+                from: self.own.clone(),
+                number: report.number,
+                sent: report.sent,
+                granted,
+            },
+        })
+    }
+
+    /// Grants units of one resource to `holder` and records the largest number that it may use from now on.
+    fn grant(&mut self, now: Instant, holder: &InstanceId, item: &Units<Id>) -> u32 {
+        let total = self.resources.get(&item.resource).copied().unwrap_or(0);
+        let wanted = self.fair_part(now, &item.resource, total, holder);
+        let leases = self.leases.entry(item.resource.clone()).or_default();
+        leases.retain(|id, lease| lease.expires > now || id == holder);
+        let others = leases.iter().filter(|(id, _)| *id != holder);
+        let left = total.saturating_sub(others.map(|(_, lease)| lease.units).sum());
+        let units = if now < self.open {
+            // Members of earlier epochs may hold what is not reported yet.
+            item.units.min(left)
+        } else {
+            wanted.min(left)
+        };
+        let lease = Lease {
+            units: units.max(item.units.min(left)),
+            expires: now + self.options.keeper_lease(),
+        };
+        leases.insert(holder.clone(), lease);
+        units
+    }
+
+    /// Returns the part of `total` units that falls to `holder` by the demands of the members that report.
+    fn fair_part(&self, now: Instant, resource: &Id, total: u32, holder: &InstanceId) -> u32 {
+        let mut parts = Vec::with_capacity(self.reported.len());
+        let mut sum = 0.0;
+        for (id, reported) in &self.reported {
+            if now.since(reported.at) > self.options.keeper_lease() {
+                continue;
+            }
+            let demand = f64::from(reported.demand.max(1));
+            sum += demand;
+            parts.push((id, demand));
+        }
+        let text = resource.to_string();
+        let mut given = 0;
+        let mut own = 0;
+        let mut rests = Vec::with_capacity(parts.len());
+        for (id, demand) in parts {
+            let exact = f64::from(total) * demand / sum;
+            let whole = exact as u32;
+            given += whole;
+            if id == holder {
+                own = whole;
+            }
+            // A draw that differs by resource keeps the rounding from favouring the same member everywhere.
+            let draw = rendezvous_weight(&text, id.as_str(), 1) as f64 / u64::MAX as f64;
+            rests.push((
+                (exact - f64::from(whole)).max(1e-9).ln() / draw.max(1e-9).ln(),
+                id,
+            ));
+        }
+        rests.sort_by(|left, right| left.0.total_cmp(&right.0).then_with(|| left.1.cmp(right.1)));
+        rests.truncate(total.saturating_sub(given) as usize);
+        own + u32::from(rests.iter().any(|(_, id)| *id == holder))
+    }
+}
