--- a/kqr-placement/src/share_holder.rs
+++ b/kqr-placement/src/share_holder.rs
@@ -3,17 +3,26 @@
 use kqr_types::{CellView, InstanceId, Instant};
 use serde::{Deserialize, Serialize};
 
-use crate::{Resource, ShareGrant, ShareOptions, ShareReport, Units};
+use crate::{Resource, ShareClaim, ShareGrant, ShareOptions, ShareReport, Units};
+
+/// The present use of one resource.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResourceUse<Id> {
+    /// The resource.
+    pub resource: Id,
+    /// Units in use.
+    pub used: u32,
+    /// Work that runs or waits here and could use the resource.
+    pub demand: u32,
+}
 
 /// The present use of the resources, handed in once a period.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareUse<Id> {
-    /// Work that runs or waits here.
-    pub demand: u32,
     /// Units that are held and not used.
     pub free: u32,
-    /// Units in use of each known resource.
-    pub used: Vec<Units<Id>>,
+    /// Use of each known resource.
+    pub uses: Vec<ResourceUse<Id>>,
     /// Instant at which the lease of this member's epoch ends.
     pub epoch_lease: Instant,
 }
@@ -118,22 +127,24 @@
                 from: self.own.clone(),
                 number: self.number,
                 sent: now,
-                demand: usage.demand,
                 free: usage.free,
-                held: Vec::new(),
+                claims: Vec::new(),
             };
             reports.insert(member.id.clone(), report);
         }
-        for item in usage.used {
+        for item in usage.uses {
             let Some(keeper) = self.keeper(&item.resource) else {
                 continue;
             };
             let Some(report) = reports.get_mut(&keeper) else {
                 continue;
             };
-            let units = self.limit(now, &item.resource).max(item.units);
-            let resource = item.resource;
-            report.held.push(Units { resource, units });
+            let claim = ShareClaim {
+                held: self.limit(now, &item.resource).max(item.used),
+                resource: item.resource,
+                demand: item.demand,
+            };
+            report.claims.push(claim);
         }
         for (to, report) in reports {
             outputs.push(HolderOutput::Report { to, report });
--- a/kqr-placement/src/share_keeper.rs
+++ b/kqr-placement/src/share_keeper.rs
@@ -3,7 +3,7 @@
 use kqr_types::{CellView, InstanceId, Instant, rendezvous_weight};
 use serde::{Deserialize, Serialize};
 
-use crate::{Resource, ShareGrant, ShareOptions, ShareReport, Units};
+use crate::{Resource, ShareClaim, ShareGrant, ShareOptions, ShareReport, Units};
 
 /// An input of a keeper.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,14 +28,8 @@
 #[derive(Clone, Debug)]
 struct Lease {
     units: u32,
-    expires: Instant,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Reported {
-    number: u64,
     demand: u32,
-    at: Instant,
+    expires: Instant,
 }
 
 /// Leases the units of the resources that this member keeps to the members of its cell, by their demand.
@@ -54,7 +48,7 @@
     open: Instant,
     resources: BTreeMap<Id, u32>,
     leases: BTreeMap<Id, BTreeMap<InstanceId, Lease>>,
-    reported: BTreeMap<InstanceId, Reported>,
+    reported: BTreeMap<InstanceId, u64>,
 }
 
 impl<Id> ShareKeeper<Id>
@@ -104,28 +98,21 @@
 
     fn report(&mut self, now: Instant, report: ShareReport<Id>) -> Option<KeeperOutput<Id>> {
         let is_member = self.view.member(&report.from).is_some();
-        let last = self.reported.get(&report.from).map_or(0, |last| last.number);
+        let last = self.reported.get(&report.from).copied().unwrap_or(0);
         if report.epoch != self.view.epoch || !is_member || report.number <= last {
             return None;
         }
-        let reported = Reported {
-            number: report.number,
-            demand: report.demand,
-            at: now,
-        };
-        self.reported.insert(report.from.clone(), reported);
-        let mut granted = Vec::with_capacity(report.held.len());
-        for item in report.held {
-            let is_kept = self
-                .view
-                .home(&item.resource.to_string())
-                .is_some_and(|home| home.id == self.own);
+        self.reported.insert(report.from.clone(), report.number);
+        let mut granted = Vec::with_capacity(report.claims.len());
+        for claim in report.claims {
+            let home = self.view.home(&claim.resource.to_string());
+            let is_kept = home.is_some_and(|home| home.id == self.own);
             if !is_kept {
                 continue;
             }
-            let units = self.grant(now, &report.from, &item);
+            let units = self.grant(now, &report.from, &claim);
             granted.push(Units {
-                resource: item.resource,
+                resource: claim.resource,
                 units,
             });
         }
@@ -142,59 +129,52 @@
     }
 
     /// Grants units of one resource to `holder` and records the largest number that it may use from now on.
-    fn grant(&mut self, now: Instant, holder: &InstanceId, item: &Units<Id>) -> u32 {
-        let total = self.resources.get(&item.resource).copied().unwrap_or(0);
-        let wanted = self.fair_part(now, &item.resource, total, holder);
-        let leases = self.leases.entry(item.resource.clone()).or_default();
+    fn grant(&mut self, now: Instant, holder: &InstanceId, claim: &ShareClaim<Id>) -> u32 {
+        let total = self.resources.get(&claim.resource).copied().unwrap_or(0);
+        let expires = now + self.options.keeper_lease();
+        let leases = self.leases.entry(claim.resource.clone()).or_default();
         leases.retain(|id, lease| lease.expires > now || id == holder);
         let others = leases.iter().filter(|(id, _)| *id != holder);
         let left = total.saturating_sub(others.map(|(_, lease)| lease.units).sum());
-        let units = if now < self.open {
-            // Members of earlier epochs may hold what is not reported yet.
-            item.units.min(left)
-        } else {
-            wanted.min(left)
-        };
+        let held = claim.held.min(left);
         let lease = Lease {
-            units: units.max(item.units.min(left)),
-            expires: now + self.options.keeper_lease(),
+            units: held,
+            demand: claim.demand,
+            expires,
         };
         leases.insert(holder.clone(), lease);
+        // Before that, members of earlier epochs may hold what is not reported yet.
+        if now < self.open {
+            return held;
+        }
+        let units = fair_part(&claim.resource.to_string(), total, leases, holder).min(left);
+        if let Some(lease) = leases.get_mut(holder) {
+            lease.units = units.max(held);
+        }
         units
     }
+}
 
-    /// Returns the part of `total` units that falls to `holder` by the demands of the members that report.
-    fn fair_part(&self, now: Instant, resource: &Id, total: u32, holder: &InstanceId) -> u32 {
-        let mut parts = Vec::with_capacity(self.reported.len());
-        let mut sum = 0.0;
-        for (id, reported) in &self.reported {
-            if now.since(reported.at) > self.options.keeper_lease() {
-                continue;
-            }
-            let demand = f64::from(reported.demand.max(1));
-            sum += demand;
-            parts.push((id, demand));
-        }
-        let text = resource.to_string();
-        let mut given = 0;
-        let mut own = 0;
-        let mut rests = Vec::with_capacity(parts.len());
-        for (id, demand) in parts {
-            let exact = f64::from(total) * demand / sum;
-            let whole = exact as u32;
-            given += whole;
-            if id == holder {
-                own = whole;
-            }
-            // A draw that differs by resource keeps the rounding from favouring the same member everywhere.
-            let draw = rendezvous_weight(&text, id.as_str(), 1) as f64 / u64::MAX as f64;
-            rests.push((
-                (exact - f64::from(whole)).max(1e-9).ln() / draw.max(1e-9).ln(),
-                id,
-            ));
+/// Returns the part of `total` units that falls to `holder` by the demands of all holders.
+fn fair_part(resource: &str, total: u32, leases: &BTreeMap<InstanceId, Lease>, holder: &InstanceId) -> u32 {
+    let demand = |lease: &Lease| f64::from(lease.demand.max(1));
+    let sum: f64 = leases.values().map(demand).sum();
+    let mut given = 0;
+    let mut own = 0;
+    let mut rests = Vec::with_capacity(leases.len());
+    for (id, lease) in leases {
+        let exact = f64::from(total) * demand(lease) / sum;
+        let whole = exact as u32;
+        given += whole;
+        if id == holder {
+            own = whole;
         }
-        rests.sort_by(|left, right| left.0.total_cmp(&right.0).then_with(|| left.1.cmp(right.1)));
-        rests.truncate(total.saturating_sub(given) as usize);
-        own + u32::from(rests.iter().any(|(_, id)| *id == holder))
+        // A draw that differs by resource keeps the rounding from favouring the same holder everywhere.
+        let draw = rendezvous_weight(resource, id.as_str(), 1) as f64 / u64::MAX as f64;
+        let rest = (exact - f64::from(whole)).max(1e-9);
+        rests.push((draw.max(1e-9).ln() / rest, id));
     }
+    rests.sort_by(|left, right| right.0.total_cmp(&left.0).then_with(|| left.1.cmp(right.1)));
+    rests.truncate(total.saturating_sub(given) as usize);
+    own + u32::from(rests.iter().any(|(_, id)| *id == holder))
 }
--- a/kqr-placement/src/share_messages.rs
+++ b/kqr-placement/src/share_messages.rs
@@ -18,6 +18,17 @@
     pub units: u32,
 }
 
+/// What a holder tells a keeper of one resource.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareClaim<Id> {
+    /// The resource.
+    pub resource: Id,
+    /// Units that the holder holds or still uses.
+    pub held: u32,
+    /// Work that runs or waits at the holder and could use the resource.
+    pub demand: u32,
+}
+
 /// What a holder tells a keeper, several times a second. It also renews the leases.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareReport<Id> {
@@ -29,12 +40,10 @@
     pub number: u64,
     /// Reading of the sender's clock, repeated by the grant and of no meaning to the keeper.
     pub sent: Instant,
-    /// Work that runs or waits at the sender.
-    pub demand: u32,
     /// Units of all resources that the sender holds and doesn't use.
     pub free: u32,
-    /// Units that the sender holds or still uses, of the resources that the receiver keeps.
-    pub held: Vec<Units<Id>>,
+    /// One claim for each resource that the receiver keeps.
+    pub claims: Vec<ShareClaim<Id>>,
 }
 
 /// A keeper's answer to a report: the units that the holder may use until the lease ends.
--- a/kqr-placement/tests/shares.rs
+++ b/kqr-placement/tests/shares.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use kqr_placement::{
-    HolderInput, HolderOutput, KeeperInput, ShareHolder, ShareKeeper, ShareOptions, ShareUse, Units,
+    HolderInput, HolderOutput, KeeperInput, ResourceUse, ShareHolder, ShareKeeper, ShareOptions, ShareUse,
+    Units,
 };
 use kqr_types::{CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, MemberState, TargetId};
 use rand::{RngExt, SeedableRng};
@@ -200,14 +201,18 @@
         if own.is_in_view {
             own.epoch_lease = now + self.member_lease;
         }
-        let used = own.used.iter().map(|(resource, units)| Units {
-            resource: resource.clone(),
-            units: *units,
-        });
+        let mut uses = Vec::new();
+        for (resource, used) in &own.used {
+            let resource = resource.clone();
+            uses.push(ResourceUse {
+                resource,
+                used: *used,
+                demand: own.demand,
+            });
+        }
         let usage = ShareUse {
-            demand: own.demand,
             free: 0,
-            used: used.collect(),
+            uses,
             epoch_lease: own.epoch_lease,
         };
         let mut outputs = Vec::new();
