--- /dev/null
+++ b/kqr-bench/src/measures.rs
@@ -0,0 +1,147 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    scenario::Scenario,
+    workload::mean_work,
+    world::{Fate, World},
+};
+
+/// Length of the windows in which the time after a crest is searched, in microseconds.
+const WINDOW: u64 = 1_000_000;
+/// Distance between the starts of two windows, in microseconds.
+const WINDOW_STEP: u64 = 100_000;
+/// Multiple of the p99 of the time before a crest that counts as back to normal.
+const BACK_TO_NORMAL: f64 = 1.2;
+
+/// Measures of one run, by name.
+pub type Measures = BTreeMap<&'static str, f64>;
+
+/// Computes the measures of a run that has ended.
+pub fn measures(scenario: &Scenario, world: &World) -> Measures {
+    let from = scenario.warm_up.as_micros() as u64;
+    let to = from + scenario.measured.as_micros() as u64;
+    let rate = scenario.capacity() / mean_work(scenario);
+    let mut measures = Measures::new();
+    let responses = responses(world, from, to, |_| true);
+    measures.insert("mean_ms", mean(&responses) * 1e3);
+    measures.insert("p99_ms", quantile(&responses, 0.99) * 1e3);
+    let tasks = world.arrivals.len() as f64;
+    measures.insert("wasted_per_task", world.wasted as f64 / tasks);
+    measures.insert("background_per_task", world.background as f64 / tasks);
+    measures.insert("refused_part", refused(world, from, to));
+    if let Some(crest) = scenario.crest {
+        let length = crest.length;
+        let end = from + length.as_micros() as u64;
+        let answered = answered_in_time(scenario, world, from, end, None);
+        measures.insert("goodput", answered / (rate * length.as_secs_f64()));
+        measures.insert("recovery_s", recovery(scenario, world, end, to).as_secs_f64());
+    }
+    if scenario.failing.is_some() {
+        measures.insert("lost_part", lost(world, from, to));
+    }
+    if let Some(team) = scenario.teams.first() {
+        let answered = answered_in_time(scenario, world, from, to, Some(0));
+        let promised = rate * team.quota * scenario.measured.as_secs_f64();
+        let sent = world
+            .arrivals
+            .iter()
+            .filter(|task| task.team == 0 && task.at >= from);
+        measures.insert("quota_part", answered / promised.min(sent.count() as f64));
+    }
+    if world.arrivals.iter().any(|task| task.is_long) || scenario.name == "short-only" {
+        let short = self::responses(world, from, to, |task| !task.is_long);
+        measures.insert("short_p99_ms", quantile(&short, 0.99) * 1e3);
+    }
+    measures
+}
+
+/// Returns the sorted response times in seconds of the tasks that arrived in a time and were answered.
+fn responses<F>(world: &World, from: u64, to: u64, wanted: F) -> Vec<f64>
+where
+    F: Fn(&crate::workload::Arrival) -> bool,
+{
+    let mut responses = Vec::new();
+    for (arrival, fate) in world.arrivals.iter().zip(&world.fates) {
+        if arrival.at < from || arrival.at >= to || !wanted(arrival) {
+            continue;
+        }
+        if let Fate::Answered(at) = fate {
+            responses.push((at - arrival.at) as f64 / 1e6);
+        }
+    }
+    responses.sort_by(f64::total_cmp);
+    responses
+}
+
+fn refused(world: &World, from: u64, to: u64) -> f64 {
+    part(world, from, to, |fate| matches!(fate, Fate::Refused))
+}
+
+fn lost(world: &World, from: u64, to: u64) -> f64 {
+    part(world, from, to, |fate| matches!(fate, Fate::Lost(_)))
+}
+
+fn part<F>(world: &World, from: u64, to: u64, wanted: F) -> f64
+where
+    F: Fn(&Fate) -> bool,
+{
+    let mut all = 0.0;
+    let mut found = 0.0;
+    for (arrival, fate) in world.arrivals.iter().zip(&world.fates) {
+        if arrival.at < from || arrival.at >= to {
+            continue;
+        }
+        all += 1.0;
+        found += f64::from(u8::from(wanted(fate)));
+    }
+    found / f64::max(all, 1.0)
+}
+
+/// Counts answers that came within the deadline and within a time.
+fn answered_in_time(scenario: &Scenario, world: &World, from: u64, to: u64, team: Option<usize>) -> f64 {
+    let deadline = scenario.deadline.as_micros() as u64;
+    let mut count = 0.0;
+    for (arrival, fate) in world.arrivals.iter().zip(&world.fates) {
+        let Fate::Answered(at) = *fate else { continue };
+        let is_in_time = at <= arrival.at + deadline && (from..to).contains(&at);
+        if is_in_time && team.is_none_or(|team| team == arrival.team) {
+            count += 1.0;
+        }
+    }
+    count
+}
+
+/// Returns the time after `end` from which the p99 of the tasks that arrive within a window is back to normal. Tasks
+/// that are not answered count as endless.
+fn recovery(scenario: &Scenario, world: &World, end: u64, to: u64) -> Duration {
+    let start = scenario.warm_up.as_micros() as u64;
+    let before = p99_of_all(world, start / 2, start);
+    let mut window = end;
+    while window + WINDOW <= to {
+        if p99_of_all(world, window, window + WINDOW) <= before * BACK_TO_NORMAL {
+            return Duration::from_micros(window - end);
+        }
+        window += WINDOW_STEP;
+    }
+    Duration::from_micros(to - end)
+}
+
+fn p99_of_all(world: &World, from: u64, to: u64) -> f64 {
+    let mut responses = responses(world, from, to, |_| true);
+    let arrivals = world.arrivals.iter();
+    let all = arrivals.filter(|task| (from..to).contains(&task.at)).count();
+    responses.resize(all.max(responses.len()), f64::INFINITY);
+    quantile(&responses, 0.99)
+}
+
+fn mean(sorted: &[f64]) -> f64 {
+    sorted.iter().sum::<f64>() / sorted.len().max(1) as f64
+}
+
+fn quantile(sorted: &[f64], quantile: f64) -> f64 {
+    let index = (sorted.len() as f64 * quantile) as usize;
+    sorted
+        .get(index.min(sorted.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0.0)
+}
