--- a/kqr-agreement/src/election.rs
+++ b/kqr-agreement/src/election.rs
@@ -11,11 +11,11 @@
     /// Begins to ask for votes, first without a change of term.
     pub(crate) fn campaign(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.delay_election(now, self.options.heartbeat);
+        self.leader = None;
         if !self.may_campaign() {
             return;
         }
         self.role = Role::PreCandidate;
-        self.leader = None;
         self.votes.clear();
         let campaign = self.log.term().next();
         let body = Body::PreVote {
--- a/kqr-agreement/src/leading.rs
+++ b/kqr-agreement/src/leading.rs
@@ -232,9 +232,11 @@
         self.commit = index;
         self.apply_committed(outputs);
         self.finish_proposals(outputs);
+        if index == self.log.last_index() {
+            self.broadcast(now, outputs);
+        }
         let is_settled = self.log.configuration_index() <= self.commit;
         if is_settled && !self.log.configuration().is_voter(&self.own) {
-            self.broadcast(now, outputs);
             self.hand_over(now, outputs);
         }
     }
--- a/kqr-agreement/src/log.rs
+++ b/kqr-agreement/src/log.rs
@@ -20,6 +20,10 @@
         log
     }
 
+    pub(crate) fn into_durable(self) -> Durable {
+        self.durable
+    }
+
     pub(crate) fn term(&self) -> Term {
         self.durable.term
     }
--- a/kqr-agreement/src/machine.rs
+++ b/kqr-agreement/src/machine.rs
@@ -74,6 +74,11 @@
         self.tell_role(outputs);
     }
 
+    /// Ends the machine and returns the state that it has put out to be persisted.
+    pub fn close(self) -> Durable {
+        self.log.into_durable()
+    }
+
     /// Returns the own identity.
     pub const fn own(&self) -> &VoterId {
         &self.own
--- /dev/null
+++ b/kqr-membership/src/lib.rs
@@ -0,0 +1,34 @@
+//! The cell: the entries of a data centre that agree on who is a member in which epoch, and their leases.
+//!
+//! The machine is driven by [`Cell::handle`]: time and inputs are arguments, effects are returned as outputs.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod cell;
+mod durable;
+mod founding;
+mod grants;
+mod group;
+mod input;
+mod joining;
+mod lead;
+mod leading;
+mod life;
+mod member_lease;
+mod message;
+mod next_view;
+mod options;
+mod output;
+mod renewing;
+mod state;
+mod voter_plan;
+
+pub use cell::Cell;
+pub use durable::{CellDurable, CellRecord};
+pub use founding::{Founding, GroupId};
+pub use input::Input;
+pub use life::Life;
+pub use message::{Body, CellMessage, Grant, Renewal};
+pub use options::Options;
+pub use output::Output;
+pub use state::WallClock;
--- /dev/null
+++ b/kqr-membership/src/life.rs
@@ -0,0 +1,34 @@
+use std::fmt;
+
+use kqr_types::{CellMember, Incarnation, InstanceId};
+use serde::{Deserialize, Serialize};
+
+/// One life of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Number of the life.
+    pub incarnation: Incarnation,
+}
+
+impl Life {
+    /// Returns the life of `member`.
+    pub fn of(member: &CellMember) -> Self {
+        Self {
+            instance: member.id.clone(),
+            incarnation: member.incarnation,
+        }
+    }
+
+    /// Returns whether `self` is a later life of the same instance as `other`.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.incarnation > other.incarnation
+    }
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.instance, self.incarnation)
+    }
+}
--- /dev/null
+++ b/kqr-membership/src/options.rs
@@ -0,0 +1,83 @@
+use std::{collections::BTreeSet, time::Duration};
+
+use kqr_types::{Incarnation, InstanceId};
+use serde::{Deserialize, Serialize};
+
+use crate::WallClock;
+
+/// Identity, timing and voters of a cell's instance. All instances of a cell have the same timing and voters.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Options {
+    /// This instance.
+    pub own: InstanceId,
+    /// Number of its present life.
+    pub incarnation: Incarnation,
+    /// Incarnation of its storage; that of its life if it has no disk.
+    pub storage: Incarnation,
+    /// Share of keys, or `None` for a witness, which votes and is no member.
+    pub weight: Option<u32>,
+    /// All instances that vote, an odd number; a witness makes it odd.
+    pub voters: BTreeSet<InstanceId>,
+    /// How long a member may act after it asked for its lease.
+    pub lease: Duration,
+    /// Silence after which a member gets no lease any more until it is heard again.
+    pub suspicion: Duration,
+    /// Time between a member's renewals.
+    pub renewal: Duration,
+    /// Time without a leader after which a voter campaigns; up to twice that.
+    pub election_timeout: Duration,
+    /// Time between a leader's heartbeats.
+    pub heartbeat: Duration,
+    /// Largest deviation of a clock's rate, in thousandths.
+    pub drift_per_mille: u32,
+    /// Wall clock when the machine is created.
+    pub wall_clock: WallClock,
+    /// Seed of the spread of election timeouts.
+    pub seed: u64,
+}
+
+impl Options {
+    /// Creates options with the usual timing.
+    pub fn new<Voters>(own: InstanceId, incarnation: Incarnation, voters: Voters) -> Self
+    where
+        Voters: IntoIterator<Item = InstanceId>,
+    {
+        Self {
+            own,
+            incarnation,
+            storage: incarnation,
+            weight: Some(1),
+            voters: voters.into_iter().collect(),
+            lease: Duration::from_secs(1),
+            suspicion: Duration::from_millis(500),
+            renewal: Duration::from_millis(200),
+            election_timeout: Duration::from_millis(450),
+            heartbeat: Duration::from_millis(150),
+            drift_per_mille: 10,
+            wall_clock: WallClock(0),
+            seed: 0,
+        }
+    }
+
+    /// Returns how many voters form a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns how long `span` on another instance's clock may last on the own one.
+    pub fn with_drift(&self, span: Duration) -> Duration {
+        let fast = 1000 + self.drift_per_mille;
+        let slow = 1000_u32.saturating_sub(self.drift_per_mille).max(1);
+        span * fast / slow
+    }
+
+    /// Returns after which time on the own clock a lease that another instance asked for before has ended.
+    pub fn lease_wait(&self) -> Duration {
+        self.with_drift(self.lease)
+    }
+
+    /// Returns how long a new group's leader waits until all leases of an earlier group have ended.
+    pub fn founding_wait(&self) -> Duration {
+        self.with_drift(self.election_timeout + self.lease)
+    }
+}
--- /dev/null
+++ b/kqr-membership/tests/histories.rs
@@ -0,0 +1,87 @@
+//! Seeded fault histories of a cell: leases of two epochs are never held at once, and the cell becomes whole again.
+
+mod network;
+
+use std::time::Duration;
+
+use network::Network;
+use rand::RngExt;
+
+const HISTORIES: u64 = 3_000;
+const THREADS: u64 = 4;
+
+/// Members and witnesses of the cells.
+const CELLS: [(&[&str], &[&str]); 4] = [
+    (&["a", "b", "c"], &[]),
+    (&["a", "b"], &["w"]),
+    (&["a", "b", "c", "d", "e"], &[]),
+    (&["a"], &["w", "x"]),
+];
+
+fn disturb(network: &mut Network) {
+    let ids = network.ids();
+    let victim = ids[network.rng.random_range(0..ids.len())].clone();
+    match network.rng.random_range(0..10) {
+        0 => network.crash(&victim),
+        1..=3 => network.start(&victim),
+        4 => network.isolate(&victim, true),
+        5..=6 => network.isolate(&victim, false),
+        7 => {
+            network.crash(&victim);
+            network.start(&victim);
+        }
+        _ => {}
+    }
+}
+
+/// Runs one history; returns how many lease changes were checked and how many epochs were agreed.
+fn run_history(seed: u64) -> (u64, u64) {
+    let (members, witnesses) = CELLS[seed as usize % CELLS.len()];
+    let mut network = Network::new(seed, members, witnesses);
+    network.has_disks = network.rng.random();
+    network.loss_percent = network.rng.random_range(0..10);
+    network.repeat_percent = 10;
+    network.max_delay_micros = network.rng.random_range(1_000..30_000);
+    network.start_all();
+    for _ in 0..40 {
+        let span = Duration::from_millis(network.rng.random_range(0..700));
+        network.run(span);
+        disturb(&mut network);
+    }
+    network.loss_percent = 0;
+    for id in network.ids() {
+        network.start(&id);
+        network.isolate(&id, false);
+    }
+    network.run(Duration::from_secs(12));
+    network.assert_sound();
+    let description = network.describe();
+    assert!(
+        network.is_whole(),
+        "seed {seed}: not whole 12 s after the last fault:{description}"
+    );
+    (network.lease_checks, network.views.len() as u64)
+}
+
+#[test]
+fn leases_of_two_epochs_are_never_held_at_once() {
+    let run_part = |part: u64| {
+        let mut totals = (0, 0);
+        for seed in (part..HISTORIES).step_by(THREADS as usize) {
+            let (checks, epochs) = run_history(seed);
+            totals = (totals.0 + checks, totals.1 + epochs);
+        }
+        totals
+    };
+    let parts: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|part| scope.spawn(move || run_part(part)))
+            .collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    let checks: u64 = parts.iter().map(|part| part.0).sum();
+    let epochs: u64 = parts.iter().map(|part| part.1).sum();
+    println!("{HISTORIES} histories, {checks} lease changes checked, {epochs} epochs");
+    assert!(checks > 20 * HISTORIES);
+    assert!(epochs > 2 * HISTORIES);
+}
