--- a/kqr-admission/src/queue.rs
+++ b/kqr-admission/src/queue.rs
@@ -70,12 +70,13 @@
     pub fn admit(&mut self, now: Instant, table: &Table, job: &Submission) -> Result<(), NotAccepted> {
         let capacity = table.capacity(&job.service, self.options.kind);
         if capacity <= 0.0 {
-            let detail = format!("no target of service {} takes work", job.service);
-            return Err(refusal(
-                RefusalReason::NoSuitableTarget,
-                Duration::from_secs(1),
-                detail,
-            ));
+            let detail = format!("no target of service {} takes work now", job.service);
+            let reason = if table.serves(&job.service) {
+                RefusalReason::Overloaded
+            } else {
+                RefusalReason::NoSuitableTarget
+            };
+            return Err(refusal(reason, Duration::from_secs(1), detail));
         }
         let count = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
         let is_within_quota = !self.quotas.has(&job.team) || self.quotas.take(now, &job.team, count);
--- a/kqr-entry/src/engine/effects.rs
+++ b/kqr-entry/src/engine/effects.rs
@@ -1,6 +1,6 @@
 //! Performs the effects of the job machines and of the queue.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use kqr_admission::{Ended, Output as QueueOutput, Verdict};
 use kqr_jobs::{
@@ -12,6 +12,11 @@
 
 use super::{Engine, lock, shard_of, work::ShardIndex, work::Work};
 
+/// Pause after the first offer of a task that its target refused; it grows with each further one.
+const OFFER_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause after a refused offer.
+const MAX_OFFER_PAUSE: Duration = Duration::from_millis(200);
+
 impl Engine {
     /// Hands an input to the machine of a shard. Its effects are added to `work`.
     pub(super) fn apply(&self, shard: ShardIndex, input: Input, work: &mut Work) {
@@ -136,6 +141,11 @@
         let engine = Arc::clone(self);
         self.tracker.spawn(async move {
             let end = engine.starter.run(&engine, &start).await;
+            if matches!(end.result, TaskResult::NotStarted(_)) {
+                // The slot stays taken for a moment, so that a busy or lost target is not asked again at once.
+                let pause = OFFER_PAUSE * start.attempt.attempt.0;
+                tokio::time::sleep(pause.min(MAX_OFFER_PAUSE)).await;
+            }
             engine.learn(&start, &end);
             engine.end(&start.target, end);
         });
--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -6,7 +6,10 @@
 mod work;
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -17,7 +20,7 @@
 };
 use kqr_placement::Table;
 use kqr_telemetry::EventLog;
-use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest};
+use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, ServiceName};
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
@@ -47,6 +50,7 @@
     sync_reports: Mutex<SyncReports>,
     synced: watch::Sender<Epoch>,
     view: ArcSwap<CellView>,
+    lease_until: AtomicU64,
 }
 
 impl Engine {
@@ -65,7 +69,7 @@
         let machine = || Mutex::new(Machine::new(own.clone(), options.clone()));
         Self {
             clock,
-            table: Table::new(),
+            table: Table::shared(),
             events,
             tracker: TaskTracker::new(),
             starter: Starter::new(),
@@ -76,6 +80,7 @@
             sync_reports: Mutex::new(SyncReports::new(SHARDS)),
             synced: watch::Sender::new(Epoch(0)),
             view: ArcSwap::default(),
+            lease_until: AtomicU64::new(0),
         }
     }
 
@@ -152,9 +157,15 @@
 
     /// Extends the lease of this member.
     pub fn extend_lease(self: &Arc<Self>, until: Instant) {
+        self.lease_until.store(until.0, Ordering::Release);
         self.handle_all(&Input::Lease { until });
     }
 
+    /// Returns the end of the lease of this member.
+    pub fn lease_until(&self) -> Instant {
+        Instant(self.lease_until.load(Ordering::Acquire))
+    }
+
     /// Takes in a message of the same shard of another member.
     pub fn receive(
         self: &Arc<Self>,
@@ -198,6 +209,11 @@
         lock(&self.queue).len()
     }
 
+    /// Returns the number of waiting tasks of a service.
+    pub fn waiting_for(&self, service: &ServiceName) -> u32 {
+        lock(&self.queue).waiting(service)
+    }
+
     /// Returns the number of jobs that this instance is the home of and that have not ended.
     pub fn homed_jobs(&self) -> usize {
         self.shards.iter().map(|shard| lock(shard).homed_jobs()).sum()
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -12,6 +12,7 @@
     homes::Homes,
     registry::Registry,
     sibling_links::SiblingLinks,
+    slot_shares::SlotShares,
 };
 
 /// The parts of a running entry.
@@ -25,6 +26,8 @@
     pub homes: Homes,
     /// The cell of the data centre, and those that this instance is a witness of.
     pub seats: CellSeats,
+    /// The shares of the targets' slots.
+    pub shares: SlotShares,
     /// The targets of the data centre.
     pub registry: Registry,
     /// Connections to siblings.
@@ -44,6 +47,8 @@
                 self.engine.receive(shard, from.clone(), incarnation, message);
             }
             Mail::Cell { data_centre, message } => self.seats.receive(&data_centre, message),
+            Mail::SlotReport(report) => self.shares.take_report(report),
+            Mail::SlotGrant(grant) => self.shares.take_grant(grant),
             Mail::Directory(message) => {
                 self.registry.handle(kqr_directory::Input::Peer {
                     from: from.clone(),
@@ -57,6 +62,7 @@
     pub fn tick(&self) {
         self.seats.tick();
         self.engine.tick();
+        self.shares.tick();
         self.registry.handle(kqr_directory::Input::Tick);
     }
 }
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod running;
 mod sibling_links;
 mod sibling_server;
+mod slot_shares;
 mod starter;
 mod targets;
 
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -26,14 +26,16 @@
     outbox::Outbox,
     registry::Registry,
     sibling_links::SiblingLinks,
-    sibling_server, targets,
+    sibling_server,
+    slot_shares::SlotShares,
+    targets,
 };
 
 /// Time between two ticks of the machines.
 const TICK: Duration = Duration::from_millis(20);
 
 /// Time between two updates of the order of targets by their learned speeds.
-const REFRESH: Duration = Duration::from_secs(1);
+const REFRESH: Duration = Duration::from_millis(500);
 
 /// Longest time for leaving the cell. The last member of a cell can't hand over its keys.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -144,6 +146,7 @@
     ));
     let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
     let directory = Directory::new(own.id.clone(), clock.now());
+    let shares = SlotShares::new(own.id.clone(), Arc::clone(&engine), Arc::clone(&outbox));
     let registry = Registry::new(directory, Arc::clone(&engine), outbox);
     registry.handle(kqr_directory::Input::Peers(siblings));
     Entry {
@@ -151,6 +154,7 @@
         own,
         engine,
         seats,
+        shares,
         registry,
         links,
         relay: Relay::new(),
--- a/kqr-placement/src/share_keeper.rs
+++ b/kqr-placement/src/share_keeper.rs
@@ -103,6 +103,10 @@
             return None;
         }
         self.reported.insert(report.from.clone(), report.number);
+        if self.reported.len() == self.view.members.len() {
+            // Each member has told what it holds, and the leases of those that are no members have ended.
+            self.open = self.open.min(now);
+        }
         let mut granted = Vec::with_capacity(report.claims.len());
         for claim in report.claims {
             let home = self.view.home(&claim.resource.to_string());
--- a/kqr-placement/src/slot_counters.rs
+++ b/kqr-placement/src/slot_counters.rs
@@ -20,13 +20,13 @@
 
 impl SlotCounters {
     /// Creates counters of a target that takes work and has no slot in use.
-    pub fn new(free: Arc<FreeMap>, index: usize, slots: u32) -> Self {
+    pub fn new(free: Arc<FreeMap>, index: usize, slots: u32, share: u32) -> Self {
         let counters = Self {
             free,
             index,
             used: AtomicU32::new(0),
             slots: AtomicU32::new(slots),
-            share: AtomicU32::new(u32::MAX),
+            share: AtomicU32::new(share),
             cap: AtomicU32::new(u32::MAX),
             is_open: AtomicBool::new(true),
         };
--- a/kqr-placement/src/snapshot.rs
+++ b/kqr-placement/src/snapshot.rs
@@ -40,8 +40,9 @@
         self.groups.get(service)?.get(&kind)
     }
 
-    /// Adds a target, or replaces its announcement. Returns false if the table is full.
-    pub fn insert(&mut self, free: &Arc<FreeMap>, announcement: &Announcement) -> bool {
+    /// Adds a target of which this instance may use `share` slots, or replaces its announcement. Returns false if the
+    /// table is full.
+    pub fn insert(&mut self, free: &Arc<FreeMap>, announcement: &Announcement, share: u32) -> bool {
         let id = &announcement.id;
         let known = self.targets.remove(id).or_else(|| self.retired.remove(id));
         let target = if let Some(known) = known {
@@ -52,7 +53,7 @@
             let Some(index) = self.unused_index() else {
                 return false;
             };
-            let slots = SlotCounters::new(Arc::clone(free), index, announcement.slots.0);
+            let slots = SlotCounters::new(Arc::clone(free), index, announcement.slots.0, share);
             Target::new(announcement.clone(), slots)
         };
         self.targets.insert(id.clone(), Arc::new(target));
--- a/kqr-placement/src/table.rs
+++ b/kqr-placement/src/table.rs
@@ -13,15 +13,26 @@
     free: Arc<FreeMap>,
     classes: Classes,
     snapshot: ArcSwap<Snapshot>,
+    first_share: u32,
 }
 
 impl Table {
     /// Most targets of a table. Further announcements are not taken in.
     pub const CAPACITY: usize = FreeMap::CAPACITY;
 
-    /// Creates a table without targets.
+    /// Creates a table without targets, of whose slots this instance may use all.
     pub fn new() -> Self {
+        Self::with_first_share(u32::MAX)
+    }
+
+    /// Creates a table without targets, of whose slots this instance may use none until a share of them is leased to it.
+    pub fn shared() -> Self {
+        Self::with_first_share(0)
+    }
+
+    fn with_first_share(first_share: u32) -> Self {
         Self {
+            first_share,
             free: Arc::new(FreeMap::new()),
             classes: Classes::default(),
             snapshot: ArcSwap::default(),
@@ -42,7 +53,7 @@
                 return false;
             }
         }
-        let is_added = self.update(|snapshot| snapshot.insert(&self.free, announcement));
+        let is_added = self.update(|snapshot| snapshot.insert(&self.free, announcement, self.first_share));
         if let Some(target) = self.get(&announcement.id) {
             target.state.slots.set_slots(announcement.slots.0);
             target.state.slots.set_open(true);
--- a/kqr-wire/src/mail.rs
+++ b/kqr-wire/src/mail.rs
@@ -1,6 +1,7 @@
 //! Messages of the decision machines, carried in batches between entries.
 
-use kqr_types::DataCentre;
+use kqr_placement::{ShareGrant, ShareReport};
+use kqr_types::{DataCentre, TargetId};
 use serde::{Deserialize, Serialize};
 
 /// One message between the machines of two entries. It may be lost, repeated or overtaken by others.
@@ -13,6 +14,10 @@
         /// Message.
         message: kqr_membership::CellMessage,
     },
+    /// What a member uses of the slots that the receiver keeps.
+    SlotReport(ShareReport<TargetId>),
+    /// The slots that are leased to the receiver.
+    SlotGrant(ShareGrant<TargetId>),
     /// A message between the directories of targets.
     Directory(kqr_directory::Message),
     /// A message between the job machines of the same shard.
