--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -6,17 +6,21 @@
 mod work;
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use kqr_admission::AdmissionQueue;
 use kqr_jobs::{
     CallerId, Input, JobMessage, Machine, Member, NotAccepted, Outcome, RefusalReason, Submission, Submit,
 };
 use kqr_placement::Table;
 use kqr_telemetry::EventLog;
-use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest};
+use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, ServiceName};
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
@@ -45,6 +49,8 @@
     waiters: Waiters,
     sync_reports: Mutex<SyncReports>,
     synced: watch::Sender<Epoch>,
+    view: ArcSwap<CellView>,
+    lease_until: AtomicU64,
 }
 
 impl Engine {
@@ -63,7 +69,7 @@
         let machine = || Mutex::new(Machine::new(own.clone(), options.clone()));
         Self {
             clock,
-            table: Table::new(),
+            table: Table::shared(),
             events,
             tracker: TaskTracker::new(),
             starter: Starter::new(),
@@ -73,6 +79,8 @@
             waiters: Waiters::default(),
             sync_reports: Mutex::new(SyncReports::new(SHARDS)),
             synced: watch::Sender::new(Epoch(0)),
+            view: ArcSwap::default(),
+            lease_until: AtomicU64::new(0),
         }
     }
 
@@ -134,13 +142,30 @@
     /// Installs a view of the cell.
     pub fn install(self: &Arc<Self>, view: &CellView) {
         self.handle_all(&Input::Epoch(view.clone()));
+        self.view.store(Arc::new(view.clone()));
+    }
+
+    /// Returns the view of the cell that was installed last.
+    pub fn view(&self) -> Arc<CellView> {
+        self.view.load_full()
+    }
+
+    /// Returns whether this member may act as the home of keys.
+    pub fn is_ready(&self) -> bool {
+        self.shards.iter().all(|shard| lock(shard).is_active())
     }
 
     /// Extends the lease of this member.
     pub fn extend_lease(self: &Arc<Self>, until: Instant) {
+        self.lease_until.store(until.0, Ordering::Release);
         self.handle_all(&Input::Lease { until });
     }
 
+    /// Returns the end of the lease of this member.
+    pub fn lease_until(&self) -> Instant {
+        Instant(self.lease_until.load(Ordering::Acquire))
+    }
+
     /// Takes in a message of the same shard of another member.
     pub fn receive(
         self: &Arc<Self>,
@@ -184,6 +209,11 @@
         lock(&self.queue).len()
     }
 
+    /// Returns the number of waiting tasks of a service.
+    pub fn waiting_for(&self, service: &ServiceName) -> u32 {
+        lock(&self.queue).waiting(service)
+    }
+
     /// Returns the number of jobs that this instance is the home of and that have not ended.
     pub fn homed_jobs(&self) -> usize {
         self.shards.iter().map(|shard| lock(shard).homed_jobs()).sum()
@@ -207,7 +237,7 @@
         let now = self.clock.now();
         let mut outputs = Vec::new();
         let mut machine = lock(&self.shards[shard.0]);
-        if !machine.knows(&submission.key) {
+        if machine.is_new(now, &submission)? {
             lock(&self.queue).admit(now, &self.table, &submission)?;
         }
         machine.handle(now, Input::Submit(Submit { caller, submission }), &mut outputs);
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -1,5 +1,4 @@
 use std::{
-    collections::BTreeSet,
     future::Future,
     net::SocketAddr,
     sync::Arc,
@@ -12,12 +11,13 @@
 use kqr_jobs::Member;
 use kqr_settings::bootstrap::{Bootstrap, Instance};
 use kqr_telemetry::{EventKind, EventLog};
-use kqr_types::{CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, MemberState};
+use kqr_types::Incarnation;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     callers::{self, Relay},
+    cell_seat::CellSeats,
     clock::Clock,
     engine::Engine,
     entry::Entry,
@@ -26,14 +26,19 @@
     outbox::Outbox,
     registry::Registry,
     sibling_links::SiblingLinks,
-    sibling_server, targets,
+    sibling_server,
+    slot_shares::SlotShares,
+    targets,
 };
 
 /// Time between two ticks of the machines.
 const TICK: Duration = Duration::from_millis(20);
 
 /// Time between two updates of the order of targets by their learned speeds.
-const REFRESH: Duration = Duration::from_secs(1);
+const REFRESH: Duration = Duration::from_millis(500);
+
+/// Longest time for leaving the cell. The last member of a cell can't hand over its keys.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running entry.
 #[derive(Debug)]
@@ -103,6 +108,12 @@
         if !is_finished {
             log::error!("accepted work did not end within {:?}", self.limits.grace);
         }
+        if tokio::time::timeout(LEAVE_TIMEOUT, self.entry.seats.leave())
+            .await
+            .is_err()
+        {
+            log::warn!("the cell did not agree on an epoch without this entry; its lease ends by itself");
+        }
         self.stop_serving.cancel();
         for server in self.servers {
             let _ = server.await;
@@ -119,11 +130,7 @@
 fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> Entry {
     let clock = Clock::new();
     let homes = Homes::new(bootstrap, &own);
-    let siblings: BTreeSet<InstanceId> = homes
-        .siblings()
-        .iter()
-        .map(|sibling| sibling.id.clone())
-        .collect();
+    let siblings = homes.siblings();
     let links = Arc::new(SiblingLinks::default());
     let member = Member {
         id: own.id.clone(),
@@ -137,14 +144,17 @@
         limits.cold_start_window,
         Arc::clone(&outbox),
     ));
-    install_solitary_cell(&engine, &member);
+    let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
     let directory = Directory::new(own.id.clone(), clock.now());
+    let shares = SlotShares::new(own.id.clone(), Arc::clone(&engine), Arc::clone(&outbox));
     let registry = Registry::new(directory, Arc::clone(&engine), outbox);
     registry.handle(kqr_directory::Input::Peers(siblings));
     Entry {
         homes,
         own,
         engine,
+        seats,
+        shares,
         registry,
         links,
         relay: Relay::new(),
@@ -152,21 +162,6 @@
     }
 }
 
-/// Lets an entry that shares its keys with no other one act as their home.
-fn install_solitary_cell(engine: &Arc<Engine>, own: &Member) {
-    let member = CellMember {
-        id: own.id.clone(),
-        incarnation: own.incarnation,
-        weight: 1,
-        state: MemberState::Full,
-    };
-    engine.install(&CellView {
-        epoch: Epoch(1),
-        members: vec![member],
-    });
-    engine.extend_lease(Instant::MAX);
-}
-
 /// Returns the number of this life. It grows with each restart as long as the wall clock does.
 fn new_incarnation() -> Incarnation {
     let unix = SystemTime::now()
