fix: record times and ratios over their whole range

The histograms of a report began with a range of 2048 units and did not grow, so that each time was reported as about 2 ms and each ratio as at most 2.05. The histograms of single seconds hold ratios to 1000 with two digits, to take less memory in long runs.

--- a/kqr-load/src/measure.rs
+++ b/kqr-load/src/measure.rs
@@ -8,8 +8,14 @@
 const RATIO_STEPS: f64 = 1000.0;
 /// Microseconds in a millisecond.
 const MICROS_PER_MILLI: f64 = 1000.0;
+/// Largest value that a histogram records: an hour in microseconds.
+const MAX_RECORDED: u64 = 3_600_000_000;
 /// Significant digits of histograms.
 const DIGITS: u8 = 3;
+/// Largest ratio that a coarse histogram records.
+const MAX_COARSE_RATIO: u64 = 1000;
+/// Significant digits of coarse histograms.
+const COARSE_DIGITS: u8 = 2;
 
 /// A histogram of times or of ratios.
 #[derive(Clone, Debug)]
@@ -18,8 +24,17 @@
 impl Measure {
     /// Creates an empty histogram.
     pub fn new() -> Self {
-        let histogram = Histogram::new(DIGITS);
-        Self(histogram.unwrap_or_else(|_| unreachable!("the number of digits is allowed")))
+        Self::with_bounds(MAX_RECORDED, DIGITS)
+    }
+
+    /// Creates an empty histogram of ratios that takes little memory.
+    pub fn coarse() -> Self {
+        Self::with_bounds(MAX_COARSE_RATIO * RATIO_STEPS as u64, COARSE_DIGITS)
+    }
+
+    fn with_bounds(most: u64, digits: u8) -> Self {
+        let histogram = Histogram::new_with_bounds(1, most, digits);
+        Self(histogram.unwrap_or_else(|_| unreachable!("the bounds are allowed")))
     }
 
     /// Records a time.
@@ -57,9 +72,3 @@
         points
     }
 }
-
-impl Default for Measure {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/kqr-load/src/tally.rs
+++ b/kqr-load/src/tally.rs
@@ -37,7 +37,7 @@
     over_ideal: Measure,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct SecondTally {
     second: Second,
     over_ideal: Measure,
@@ -183,13 +183,20 @@
     fn second(&mut self, at: Duration) -> &mut SecondTally {
         let index = at.as_secs() as usize;
         if self.seconds.len() <= index {
-            self.seconds.resize_with(index + 1, SecondTally::default);
+            self.seconds.resize_with(index + 1, SecondTally::new);
         }
         &mut self.seconds[index]
     }
 }
 
 impl SecondTally {
+    fn new() -> Self {
+        Self {
+            second: Second::default(),
+            over_ideal: Measure::coarse(),
+        }
+    }
+
     fn close(self) -> Second {
         let ratios = self.over_ideal.ratios();
         Second {
