perf: report shares every 100 ms and weigh the wait for a faster slot by the run time of the class

Cause: shares lagged behind the demand by 200 ms, and all classes waited alike for faster slots. Change: a period of 100 ms, a wait of at most 3% of the gain, and a wait in proportion to the run time of the class.

--- a/kqr-bench/src/system/mod.rs
+++ b/kqr-bench/src/system/mod.rs
@@ -21,7 +21,7 @@
 /// Time between two ticks of the queue, in microseconds.
 const TICK: u64 = 50_000;
 /// Time between two reports of shares, in microseconds.
-const SHARE_PERIOD: u64 = 200_000;
+const SHARE_PERIOD: u64 = 100_000;
 /// Time between two refreshes of the orders, in microseconds.
 const REFRESH: u64 = 1_000_000;
 /// Free slots that a sibling must have reported for a forward.
--- a/kqr-placement/src/classes.rs
+++ b/kqr-placement/src/classes.rs
@@ -7,6 +7,13 @@
 
 type Book = BTreeMap<ServiceName, BTreeMap<ClassName, Arc<ClassStats>>>;
 
+/// Run time of a class in relation to the mean of all classes of its service.
+#[derive(Clone, Debug)]
+pub(crate) struct ClassLength {
+    pub name: ClassName,
+    pub length: f64,
+}
+
 /// Learned run times of all classes, read without locks.
 #[derive(Debug, Default)]
 pub struct Classes {
@@ -46,13 +53,33 @@
         self.get(service, class)
     }
 
-    /// Returns the names of the classes of `service`.
-    pub fn names(&self, service: &ServiceName) -> Vec<ClassName> {
+    /// Returns the classes of `service` with their run times in relation to the mean of all.
+    pub(crate) fn lengths(&self, service: &ServiceName) -> Vec<ClassLength> {
         let book = self.book.load();
-        let classes = book.get(service);
-        classes
-            .map(|classes| classes.keys().cloned().collect())
-            .unwrap_or_default()
+        let Some(classes) = book.get(service) else {
+            return Vec::new();
+        };
+        let known = |stats: &&Arc<ClassStats>| stats.observations() >= ClassStats::NEEDED;
+        let mut sum = 0.0;
+        let mut count = 0.0;
+        for stats in classes.values().filter(known) {
+            let observations = f64::from(stats.observations());
+            sum += stats.mean().as_secs_f64() * observations;
+            count += observations;
+        }
+        let mut lengths = Vec::with_capacity(classes.len());
+        for (name, stats) in classes {
+            let length = if known(&stats) {
+                stats.mean().as_secs_f64() * count / sum
+            } else {
+                1.0
+            };
+            lengths.push(ClassLength {
+                name: name.clone(),
+                length,
+            });
+        }
+        lengths
     }
 
     /// Returns the mean run time of a class at speed 1, or of the service if too little is known of the class.
--- a/kqr-placement/src/group.rs
+++ b/kqr-placement/src/group.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Demand, PickFailure, Target,
+    classes::ClassLength,
     free_map::FreeMap,
     order::{Found, Order},
 };
@@ -34,15 +35,12 @@
     }
 
     /// Builds the orders by the present speeds and shares.
-    pub fn rebuild<'a, I>(&mut self, classes: I)
-    where
-        I: Iterator<Item = &'a ClassName>,
-    {
-        self.general = Order::new(&self.targets, None);
+    pub fn rebuild(&mut self, classes: Vec<ClassLength>) {
+        self.general = Order::new(&self.targets, None, 1.0);
         self.classes.clear();
         for class in classes {
-            let order = Order::new(&self.targets, Some(class));
-            self.classes.insert(class.clone(), order);
+            let order = Order::new(&self.targets, Some(&class.name), class.length);
+            self.classes.insert(class.name, order);
         }
     }
 
--- a/kqr-placement/src/order.rs
+++ b/kqr-placement/src/order.rs
@@ -39,10 +39,10 @@
     const BUCKETS_PER_OCTAVE: f64 = 4.0;
     /// Part of the gain of a faster slot that may be spent on waiting for it. The whole gain would be best for one
     /// task alone, but the tasks behind it would wait as well.
-    const WAIT_PART: f64 = 0.05;
+    const WAIT_PART: f64 = 0.03;
 
-    /// Builds the order of `targets` for `class`.
-    pub fn new(targets: &[Option<Arc<Target>>], class: Option<&ClassName>) -> Self {
+    /// Builds the order of `targets` for `class`, whose run time over that of all classes is `length`.
+    pub fn new(targets: &[Option<Arc<Target>>], class: Option<&ClassName>, length: f64) -> Self {
         let mut buckets: BTreeMap<i32, Bucket> = BTreeMap::new();
         for target in targets.iter().flatten() {
             let speed = target.speed(class);
@@ -54,7 +54,7 @@
             bucket.capacity += f64::from(target.limit()) * speed;
         }
         let mut buckets: Vec<Bucket> = buckets.into_values().collect();
-        set_holds(&mut buckets, Self::WAIT_PART);
+        set_holds(&mut buckets, Self::WAIT_PART * length);
         Self { buckets }
     }
 
--- a/kqr-placement/src/share_options.rs
+++ b/kqr-placement/src/share_options.rs
@@ -24,7 +24,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_secs(2),
-            period: Duration::from_millis(200),
+            period: Duration::from_millis(100),
             drift: 0.025,
         }
     }
--- a/kqr-placement/src/snapshot.rs
+++ b/kqr-placement/src/snapshot.rs
@@ -79,9 +79,9 @@
             kinds.entry(own.kind).or_default().add(Arc::clone(target));
         }
         for (service, kinds) in &mut self.groups {
-            let names = classes.names(service);
+            let lengths = classes.lengths(service);
             for group in kinds.values_mut() {
-                group.rebuild(names.iter());
+                group.rebuild(lengths.clone());
             }
         }
     }
