--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -61,9 +61,16 @@
                 entry: Arc::clone(&entry),
             };
             let channel = BaseChannel::with_defaults(transport);
-            tokio::spawn(channel.execute(server.serve()).for_each(|reply| async {
+            let calls = channel.execute(server.serve()).for_each(|reply| async {
                 tokio::spawn(reply);
-            }));
+            });
+            let shutdown = shutdown.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = calls => {}
+                    () = shutdown.cancelled() => {}
+                }
+            });
         }
     })
 }
--- a/kqr-entry/tests/support/processes.rs
+++ b/kqr-entry/tests/support/processes.rs
@@ -13,6 +13,7 @@
 use hyper::Request;
 use kqr_http::{Client, ClientOptions};
 use kqr_jobs::{JobState, Outcome};
+use kqr_types::KeyDigest;
 use kqr_wire::callers::{JobAnswerBody, ProblemBody};
 
 use super::{Addresses, bootstrap_yaml, job};
@@ -23,6 +24,7 @@
 /// Entries as processes, and stand-ins within the test process.
 pub struct Cluster {
     folder: PathBuf,
+    cold_start_window: &'static str,
     addresses: Vec<Addresses>,
     children: Vec<Option<Child>>,
     standins: Vec<kqr_standin::Running>,
@@ -60,6 +62,42 @@
         Self { answers }
     }
 
+    /// Waits for all answers and checks that none is partial, that no task was started twice, and that no task that was
+    /// told not to have run was started.
+    pub async fn check_safety(self, cluster: &Cluster, seed: u64) {
+        let mut complete = 0;
+        let mut not_run = Vec::new();
+        for answer in self.answers {
+            let (key, answer) = answer.await.unwrap();
+            let Some(answer) = answer else { continue };
+            if answer.state == JobState::Complete {
+                assert_whole(&key, TASKS.len(), Some(&answer));
+                complete += 1;
+                continue;
+            }
+            let digest = KeyDigest::of(&key.parse().unwrap());
+            for task in &answer.tasks {
+                assert!(
+                    task.result.is_none(),
+                    "seed {seed}: {key} was answered in part: {answer:?}"
+                );
+                if task.outcome == Outcome::NotRun {
+                    not_run.push(format!("{digest}-{}-", task.task));
+                }
+            }
+        }
+        let started = cluster.started_attempts();
+        for task in not_run {
+            let start = started.iter().find(|attempt| attempt.starts_with(&task));
+            assert_eq!(
+                start, None,
+                "seed {seed}: a task was told not to have run and was started"
+            );
+        }
+        assert_eq!(cluster.starts().1, 0, "seed {seed}: tasks were started twice");
+        assert!(complete > 0, "seed {seed}: no job was complete");
+    }
+
     /// Waits for all answers and checks that each is whole and that no task was started twice.
     pub async fn check(self, cluster: &Cluster) {
         let jobs = self.answers.len();
@@ -107,12 +145,23 @@
 impl Cluster {
     /// Starts one entry for each name in `data_centres`, and `workers` stand-ins in each.
     pub async fn start(name: &str, data_centres: &[&str], workers: usize) -> Self {
+        Self::start_with(name, data_centres, workers, "0s").await
+    }
+
+    /// Starts entries that refuse unknown keys for `cold_start_window` after the loss of their records.
+    pub async fn start_with(
+        name: &str,
+        data_centres: &[&str],
+        workers: usize,
+        cold_start_window: &'static str,
+    ) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).unwrap();
         let (yaml, addresses) = bootstrap_yaml(data_centres);
         std::fs::write(folder.join("instances.yaml"), yaml).unwrap();
         let mut cluster = Self {
             folder,
+            cold_start_window,
             addresses,
             children: Vec::new(),
             standins: Vec::new(),
@@ -145,7 +194,7 @@
                 "--instance",
                 &format!("entry-{index}"),
                 "--cold-start-window",
-                "0s",
+                self.cold_start_window,
             ])
             .stderr(log)
             .stdout(Stdio::null())
@@ -211,6 +260,14 @@
         );
     }
 
+    /// Returns the started attempts of all stand-ins.
+    pub fn started_attempts(&self) -> Vec<String> {
+        self.standins
+            .iter()
+            .flat_map(|standin| standin.standin.starts().attempts)
+            .collect()
+    }
+
     /// Returns the number of starts, and those beyond the first of a task.
     pub fn starts(&self) -> (usize, usize) {
         super::count_starts(&self.standins)
