--- a/kqr-agreement/src/machine.rs
+++ b/kqr-agreement/src/machine.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use kqr_types::Instant;
 
@@ -111,11 +111,16 @@
     /// Returns whether this member leads, has committed an entry of its term, and no other leader can have been
     /// elected by `now` within the bound of the clocks' drift.
     pub fn holds_lease(&self, now: Instant) -> bool {
+        self.is_contacted_within(now, self.options.contact_window())
+    }
+
+    /// Returns whether this member leads, has committed an entry of its term, and a majority has answered a message
+    /// that was sent less than `window` ago.
+    pub fn is_contacted_within(&self, now: Instant, window: Duration) -> bool {
         let Some(leading) = &self.leading else {
             return false;
         };
-        let is_contacted = self.quorum_contact(now) + self.options.contact_window() > now;
-        self.commit >= leading.first_index && is_contacted
+        self.commit >= leading.first_index && self.quorum_contact(now) + window > now
     }
 
     fn start(&mut self, now: Instant, outputs: &mut Vec<Output>) {
@@ -209,6 +214,9 @@
     }
 
     /// Becomes a follower in the current term; the fate of uncommitted proposals is unknown from here on.
+    ///
+    /// A leader counts itself among those that give no vote for an election timeout after its last contact, so it
+    /// keeps to that when it steps down.
     pub(crate) fn step_down(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.role = Role::Follower;
         self.votes.clear();
@@ -218,6 +226,7 @@
         if self.leader.as_ref() == Some(&self.own) {
             self.leader = None;
         }
+        self.heard = now;
         self.reset_election(now);
         for request in leading.proposals.into_values() {
             let result = ProposalResult::Unknown {
--- a/kqr-membership/src/cell.rs
+++ b/kqr-membership/src/cell.rs
@@ -4,8 +4,8 @@
 use kqr_types::{CellView, Epoch, InstanceId, Instant};
 
 use crate::{
-    Body, CellDurable, CellMessage, GroupId, Input, Life, Options, Output, WallClock, group::Group,
-    joining::Newcomer, lead::Lead, member_lease::MemberLease, state::CellState,
+    Body, CellDurable, CellMessage, GroupDigest, GroupId, Input, Life, Options, Output, WallClock,
+    group::Group, joining::Newcomer, lead::Lead, member_lease::MemberLease, outbox::Outbox, state::CellState,
 };
 
 /// One instance of a cell: an entry, or a witness.
@@ -22,6 +22,10 @@
     pub(crate) lease: MemberLease,
     pub(crate) synced: Option<Epoch>,
     pub(crate) is_leaving: bool,
+    pub(crate) has_left: bool,
+    /// Whether the last leader gave up its lead for this instance.
+    pub(crate) is_handed_over: bool,
+    pub(crate) outbox: Outbox,
     pub(crate) lead: Option<Lead>,
     pub(crate) highest_epoch: Epoch,
     pub(crate) next_renewal: Instant,
@@ -45,6 +49,9 @@
             lease: MemberLease::default(),
             synced: None,
             is_leaving: false,
+            has_left: false,
+            is_handed_over: false,
+            outbox: Outbox::new(),
             lead: None,
             highest_epoch: Epoch(0),
             next_renewal: Instant(0),
@@ -73,6 +80,7 @@
                 self.renew(now, outputs);
             }
         }
+        self.flush(outputs);
     }
 
     /// Returns the latest agreed membership.
@@ -115,18 +123,6 @@
         WallClock(self.options.wall_clock.0.saturating_add(passed))
     }
 
-    pub(crate) fn send(&self, to: &InstanceId, body: Body, outputs: &mut Vec<Output>) {
-        let message = Box::new(CellMessage {
-            from: self.voter.clone(),
-            group: self.group().cloned(),
-            body,
-        });
-        outputs.push(Output::Send {
-            to: to.clone(),
-            message,
-        });
-    }
-
     fn begin(&mut self, now: Instant) {
         if self.begun.is_some() {
             return;
@@ -145,6 +141,7 @@
         }
         self.run_agreement(now, kqr_agreement::Input::Tick, outputs);
         self.lead_cell(now, outputs);
+        self.finish_leaving(now, outputs);
         self.leave_unled_group(now, outputs);
         if now >= self.next_renewal {
             self.renew(now, outputs);
@@ -152,30 +149,46 @@
     }
 
     fn receive(&mut self, now: Instant, message: CellMessage, outputs: &mut Vec<Output>) {
-        let CellMessage { from, group, body } = message;
-        if group.as_ref() != self.group() {
+        let CellMessage { from, group, bodies } = message;
+        for body in bodies {
+            self.receive_body(now, &from, group, body, outputs);
+        }
+        if now + self.options.renewal / 2 >= self.next_renewal {
+            self.renew(now, outputs);
+        }
+    }
+
+    fn receive_body(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        group: Option<GroupDigest>,
+        body: Body,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_same_group = group == self.group().map(GroupId::digest);
+        if !is_same_group {
             self.outsiders.insert(from.instance.clone(), now);
         }
         match body {
             Body::Hello {
                 wall_clock,
                 highest_epoch,
-            } => {
-                self.greet(now, from, wall_clock, highest_epoch, outputs);
-            }
+            } => self.greet(now, from, wall_clock, highest_epoch),
             Body::Founding { founding, leader } => self.enter(now, founding, leader, outputs),
-            body if group.as_ref() == self.group() => self.receive_in_group(now, from, body, outputs),
-            _ => self.tell_group(&from.instance, outputs),
+            body if is_same_group => self.receive_in_group(now, from.clone(), body, outputs),
+            _ => self.tell_group(&from.instance),
         }
     }
 
     fn receive_in_group(&mut self, now: Instant, from: VoterId, body: Body, outputs: &mut Vec<Output>) {
         match body {
             Body::Agreement(message) => {
+                self.is_handed_over |= message.body == kqr_agreement::Body::Campaign;
                 self.run_agreement(now, kqr_agreement::Input::Message { from, message }, outputs);
             }
             Body::Renew(renewal) => self.note_renewal(now, from, renewal, outputs),
-            Body::Grant(grant) if !self.is_leaving => {
+            Body::Grant(grant) if !self.is_leaving && grant.incarnation == self.options.incarnation => {
                 self.lease.take(self.state.view.epoch, &grant, outputs);
             }
             _ => {}
--- a/kqr-membership/src/founding.rs
+++ b/kqr-membership/src/founding.rs
@@ -1,6 +1,7 @@
 use kqr_agreement::{Configuration, VoterId};
 use kqr_types::Epoch;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::WallClock;
 
@@ -13,6 +14,19 @@
     pub founder: VoterId,
 }
 
+/// Digest of a [`GroupId`], short enough for each message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GroupDigest(pub u64);
+
+impl GroupId {
+    /// Computes the digest.
+    pub fn digest(&self) -> GroupDigest {
+        let text = format!("{} {}", self.founded, self.founder);
+        GroupDigest(xxh3_64(text.as_bytes()))
+    }
+}
+
 /// How a group began.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Founding {
--- a/kqr-membership/src/grants.rs
+++ b/kqr-membership/src/grants.rs
@@ -21,18 +21,23 @@
             Some((_, proposed)) => has(proposed, life),
             None => true,
         };
-        if !is_current || !is_kept || !has(view, life) || !self.is_open(now, options, view.epoch) {
+        if !is_current || !is_kept || !has(view, life) || !self.is_open(now, view.epoch) {
             return None;
         }
         let until = now + options.lease_wait();
         let epoch = view.epoch;
         self.granted.insert(life.clone(), Granted { epoch, until });
         let lease = options.lease;
-        Some(Grant { asked, epoch, lease })
+        Some(Grant {
+            incarnation: life.incarnation,
+            asked,
+            epoch,
+            lease,
+        })
     }
 
     /// Returns whether no lease of an earlier epoch than `epoch` can be in force.
-    fn is_open(&mut self, now: Instant, options: &Options, epoch: Epoch) -> bool {
+    fn is_open(&mut self, now: Instant, epoch: Epoch) -> bool {
         if self.open_epoch >= epoch {
             return true;
         }
@@ -41,7 +46,7 @@
             .granted
             .values()
             .all(|granted| granted.epoch >= epoch || granted.until <= now);
-        let is_waited = now >= self.elected + options.lease_wait();
+        let is_waited = now >= self.settled;
         if was_open || (is_earlier_ended && is_waited) {
             self.open_epoch = epoch;
             return true;
@@ -49,11 +54,23 @@
         false
     }
 
+    /// Returns whether a lease for `life` can't wait for the next heartbeat.
+    pub(crate) fn is_lease_urgent(
+        &self,
+        now: Instant,
+        options: &Options,
+        view: &CellView,
+        life: &Life,
+    ) -> bool {
+        let granted = self.granted.get(life);
+        granted.is_none_or(|granted| granted.epoch < view.epoch || granted.until <= now + options.lease / 2)
+    }
+
     /// Returns whether `life` can hold no lease at `now`.
-    pub(crate) fn is_lease_ended(&self, now: Instant, options: &Options, life: &Life) -> bool {
+    pub(crate) fn is_lease_ended(&self, now: Instant, life: &Life) -> bool {
         let is_own_ended = self.granted.get(life).is_none_or(|granted| granted.until <= now);
         let gave_up = self.seen.get(life).is_some_and(|seen| seen.renewal.is_leaving);
-        is_own_ended && (gave_up || now >= self.elected + options.lease_wait())
+        is_own_ended && (gave_up || now >= self.settled)
     }
 }
 
--- a/kqr-membership/src/joining.rs
+++ b/kqr-membership/src/joining.rs
@@ -31,7 +31,7 @@
             wall_clock: self.wall_clock(now),
             highest_epoch: self.highest_epoch,
         };
-        self.send_to_voters(&hello, outputs);
+        self.send_to_voters(&hello);
         self.found(now, outputs);
     }
 
@@ -39,17 +39,16 @@
     pub(crate) fn greet(
         &mut self,
         now: Instant,
-        voter: VoterId,
+        voter: &VoterId,
         wall_clock: WallClock,
         highest_epoch: Epoch,
-        outputs: &mut Vec<Output>,
     ) {
         if self.group.is_some() {
-            self.tell_group(&voter.instance, outputs);
+            self.tell_group(&voter.instance);
             return;
         }
         let newcomer = Newcomer {
-            voter,
+            voter: voter.clone(),
             heard: now,
             wall_clock,
             highest_epoch,
@@ -58,7 +57,7 @@
     }
 
     /// Tells `to` of the own group.
-    pub(crate) fn tell_group(&self, to: &InstanceId, outputs: &mut Vec<Output>) {
+    pub(crate) fn tell_group(&mut self, to: &InstanceId) {
         let Some(group) = &self.group else {
             return;
         };
@@ -66,7 +65,7 @@
             founding: group.founding.clone(),
             leader: group.leader(),
         };
-        self.send(to, body, outputs);
+        self.send(to, body);
     }
 
     /// Enters a group that is led, or that was founded with this instance; leaves one that has lost its leader.
@@ -176,7 +175,7 @@
         let invited: BTreeSet<InstanceId> = self.newcomers.keys().cloned().collect();
         self.enter(now, founding, None, outputs);
         for id in invited {
-            self.tell_group(&id, outputs);
+            self.tell_group(&id);
         }
     }
 
@@ -206,10 +205,11 @@
         }
     }
 
-    fn send_to_voters(&self, body: &Body, outputs: &mut Vec<Output>) {
-        for id in &self.options.voters {
-            if *id != self.options.own {
-                self.send(id, body.clone(), outputs);
+    fn send_to_voters(&mut self, body: &Body) {
+        let voters = self.options.voters.clone();
+        for id in voters {
+            if id != self.options.own {
+                self.send(&id, body.clone());
             }
         }
     }
--- a/kqr-membership/src/lead.rs
+++ b/kqr-membership/src/lead.rs
@@ -1,9 +1,12 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use kqr_agreement::{RequestId, VoterId};
-use kqr_types::{CellView, Epoch, Instant};
+use kqr_types::{CellView, Epoch, InstanceId, Instant};
 
-use crate::{Life, Renewal};
+use crate::{Grant, Life, Renewal};
 
 /// The latest renewal of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -28,6 +31,10 @@
     pub(crate) seen: BTreeMap<Life, Seen>,
     pub(crate) granted: BTreeMap<Life, Granted>,
     pub(crate) suspected: BTreeSet<Life>,
+    /// Leases that go out with the next message to their holders.
+    pub(crate) owed: BTreeMap<InstanceId, Grant>,
+    /// When all leases of earlier leaders have ended.
+    pub(crate) settled: Instant,
     /// Highest epoch whose leases are granted: no lease of an earlier one can be in force.
     pub(crate) open_epoch: Epoch,
     /// The view that is proposed and not decided.
@@ -38,12 +45,14 @@
 }
 
 impl Lead {
-    pub(crate) const fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Instant, wait: Duration) -> Self {
         Self {
             elected: now,
             seen: BTreeMap::new(),
             granted: BTreeMap::new(),
             suspected: BTreeSet::new(),
+            owed: BTreeMap::new(),
+            settled: now + wait,
             open_epoch: Epoch(0),
             proposed: None,
             changing: None,
--- a/kqr-membership/src/leading.rs
+++ b/kqr-membership/src/leading.rs
@@ -42,10 +42,27 @@
         self.propose_view(now, outputs);
     }
 
+    /// Ends the leave when an epoch without this instance is in force; a leader gives up its lead then.
+    pub(crate) fn finish_leaving(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let view = &self.state.view;
+        let is_member = view.epoch == Epoch(0) || view.member(&self.options.own).is_some();
+        if !self.is_leaving || self.has_left || is_member {
+            return;
+        }
+        if let Some(lead) = &self.lead {
+            if lead.open_epoch < view.epoch {
+                return;
+            }
+            self.run_agreement(now, Input::HandOver, outputs);
+        }
+        self.has_left = true;
+        outputs.push(Output::Left);
+    }
+
     fn perform(&mut self, now: Instant, effect: kqr_agreement::Output, outputs: &mut Vec<Output>) {
         use kqr_agreement::Output as Effect;
         match effect {
-            Effect::Send { to, message } => self.send(&to.instance, Body::Agreement(message), outputs),
+            Effect::Send { to, message } => self.send(&to.instance, Body::Agreement(message)),
             Effect::Persist(record) => outputs.push(Output::Persist(CellRecord::Agreement(record))),
             Effect::Apply { index, command, .. } => {
                 self.install(now, &command, outputs);
@@ -63,7 +80,13 @@
     }
 
     fn change_role(&mut self, now: Instant, view: &RoleView, outputs: &mut Vec<Output>) {
-        self.lead = (view.role == Role::Leader).then(|| Lead::new(now));
+        let wait = if self.is_handed_over {
+            self.options.lease_wait()
+        } else {
+            self.options.election_wait()
+        };
+        self.lead = (view.role == Role::Leader).then(|| Lead::new(now, wait));
+        self.is_handed_over &= view.leader.is_none();
         if view.leader.is_some() {
             self.renew(now, outputs);
         }
@@ -76,8 +99,6 @@
         if state.view.epoch <= self.state.view.epoch {
             return;
         }
-        let was_member = self.state.view.member(&self.options.own).is_some();
-        let is_member = state.view.member(&self.options.own).is_some();
         self.highest_epoch = state.view.epoch;
         self.state = state;
         outputs.push(Output::Epoch {
@@ -85,11 +106,6 @@
             since: self.state.since,
         });
         self.lease.end(now, outputs);
-        if self.is_leaving && was_member && !is_member {
-            outputs.push(Output::Left);
-            self.run_agreement(now, Input::HandOver, outputs);
-            return;
-        }
         self.renew(now, outputs);
     }
 
@@ -148,7 +164,7 @@
             return;
         };
         let is_first = self.state.view.epoch == Epoch(0);
-        if lead.proposed.is_some() || (is_first && now < lead.elected + self.options.founding_wait()) {
+        if lead.proposed.is_some() || (is_first && now < lead.settled) {
             return;
         }
         let Some(mut next) = lead.next_state(now, &self.options, &self.state, wall_clock) else {
--- a/kqr-membership/src/lib.rs
+++ b/kqr-membership/src/lib.rs
@@ -18,6 +18,7 @@
 mod message;
 mod next_view;
 mod options;
+mod outbox;
 mod output;
 mod renewing;
 mod state;
@@ -25,7 +26,7 @@
 
 pub use cell::Cell;
 pub use durable::{CellDurable, CellRecord};
-pub use founding::{Founding, GroupId};
+pub use founding::{Founding, GroupDigest, GroupId};
 pub use input::Input;
 pub use life::Life;
 pub use message::{Body, CellMessage, Grant, Renewal};
--- a/kqr-membership/src/message.rs
+++ b/kqr-membership/src/message.rs
@@ -4,7 +4,7 @@
 use kqr_types::{Epoch, Incarnation, Instant};
 use serde::{Deserialize, Serialize};
 
-use crate::{Founding, GroupId, WallClock};
+use crate::{Founding, GroupDigest, WallClock};
 
 /// A message between two instances of a cell.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -12,12 +12,12 @@
     /// Sender.
     pub from: VoterId,
     /// Group of the sender, or `None` if it has none.
-    pub group: Option<GroupId>,
-    /// Content.
-    pub body: Body,
+    pub group: Option<GroupDigest>,
+    /// Content, handled in order.
+    pub bodies: Vec<Body>,
 }
 
-/// Content of a message.
+/// A part of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Body {
     /// The sender has no group.
@@ -64,6 +64,8 @@
 /// A lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
+    /// Life of the holder; another life of the same instance ignores it.
+    pub incarnation: Incarnation,
     /// When it was asked for, on the holder's clock; the lease counts from there.
     pub asked: Instant,
     /// Epoch that it is good for.
--- a/kqr-membership/src/next_view.rs
+++ b/kqr-membership/src/next_view.rs
@@ -20,7 +20,7 @@
         let mut members = BTreeMap::new();
         for member in &state.view.members {
             let life = Life::of(member);
-            if self.is_gone(now, options, &life) && self.is_lease_ended(now, options, &life) {
+            if self.is_gone(now, options, &life) && self.is_lease_ended(now, &life) {
                 continue;
             }
             members.insert(member.id.clone(), self.promoted(member, state));
--- a/kqr-membership/src/options.rs
+++ b/kqr-membership/src/options.rs
@@ -28,6 +28,9 @@
     pub election_timeout: Duration,
     /// Time between a leader's heartbeats.
     pub heartbeat: Duration,
+    /// How long after a majority was reached the leader grants leases, at most [`Self::election_timeout`]. The shorter
+    /// it is, the sooner the next leader may be sure that they have ended.
+    pub grant_window: Duration,
     /// Largest deviation of a clock's rate, in thousandths.
     pub drift_per_mille: u32,
     /// Wall clock when the machine is created.
@@ -51,8 +54,9 @@
             lease: Duration::from_secs(1),
             suspicion: Duration::from_millis(500),
             renewal: Duration::from_millis(200),
-            election_timeout: Duration::from_millis(450),
-            heartbeat: Duration::from_millis(150),
+            election_timeout: Duration::from_millis(500),
+            heartbeat: Duration::from_millis(200),
+            grant_window: Duration::from_millis(300),
             drift_per_mille: 10,
             wall_clock: WallClock(0),
             seed: 0,
@@ -76,8 +80,12 @@
         self.with_drift(self.lease)
     }
 
-    /// Returns how long a new group's leader waits until all leases of an earlier group have ended.
-    pub fn founding_wait(&self) -> Duration {
-        self.with_drift(self.election_timeout + self.lease)
+    /// Returns after which time from its election a leader knows that all leases of earlier leaders have ended.
+    ///
+    /// An earlier leader granted within [`Self::grant_window`] of its last contact with a majority, and no voter of
+    /// that majority has voted within an election timeout of that contact, nor of its entry into the group.
+    pub fn election_wait(&self) -> Duration {
+        self.with_drift(self.grant_window + self.lease)
+            .saturating_sub(self.election_timeout)
     }
 }
--- a/kqr-membership/src/renewing.rs
+++ b/kqr-membership/src/renewing.rs
@@ -24,7 +24,7 @@
             self.note_renewal(now, own, renewal, outputs);
             return;
         }
-        self.send(&leader.instance, Body::Renew(renewal), outputs);
+        self.send(&leader.instance, Body::Renew(renewal));
     }
 
     /// Notes a renewal as leader and grants what it allows.
@@ -36,7 +36,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let Some(lead) = &mut self.lead else {
-            self.tell_group(&from.instance, outputs);
+            self.tell_group(&from.instance);
             return;
         };
         let life = Life {
@@ -69,23 +69,32 @@
     }
 
     fn grant(&mut self, now: Instant, life: &Life, outputs: &mut Vec<Output>) {
-        let holds_lease = self
-            .group
-            .as_ref()
-            .is_some_and(|group| group.machine.holds_lease(now));
+        let may_grant = self.may_grant(now);
+        let is_own = *life == self.life();
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if !holds_lease {
+        if !may_grant {
             return;
         }
+        let is_urgent = lead.is_lease_urgent(now, &self.options, &self.state.view, life);
         let Some(grant) = lead.grant(now, &self.options, &self.state.view, life) else {
             return;
         };
-        if *life == self.life() {
+        if is_own {
             self.lease.take(self.state.view.epoch, &grant, outputs);
             return;
         }
-        self.send(&life.instance, Body::Grant(grant), outputs);
+        if is_urgent {
+            self.send(&life.instance, Body::Grant(grant));
+            return;
+        }
+        lead.owed.insert(life.instance.clone(), grant);
+    }
+
+    fn may_grant(&self, now: Instant) -> bool {
+        let window = self.options.grant_window;
+        let machine = self.group.as_ref().map(|group| &group.machine);
+        machine.is_some_and(|machine| machine.is_contacted_within(now, window))
     }
 }
--- a/kqr-membership/tests/network/mod.rs
+++ b/kqr-membership/tests/network/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use bincode::Options as _;
 use kqr_membership::{Cell, CellDurable, CellMessage, Input, Life, Options, Output, WallClock};
 use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, MemberState};
 use rand::{RngExt, SeedableRng};
@@ -38,8 +39,8 @@
     pub lease_checks: u64,
     /// Whether instances keep what they persist over a restart.
     pub has_disks: bool,
-    /// Changes the options of each instance.
-    pub adapt: fn(&mut Options),
+    /// Largest deviation of the clocks' rates, in thousandths.
+    pub drift_per_mille: u64,
     /// Whether a broken promise was seen; it fails the test unless it is looked for.
     pub broken: Option<String>,
     members: Vec<InstanceId>,
@@ -67,7 +68,7 @@
             views: BTreeMap::new(),
             lease_checks: 0,
             has_disks: false,
-            adapt: |_| {},
+            drift_per_mille: 10,
             broken: None,
             members: members.iter().map(|name| id(name)).collect(),
             witnesses: witnesses.iter().map(|name| id(name)).collect(),
@@ -102,6 +103,7 @@
             return;
         }
         self.lives += 1;
+        let drift = self.drift_per_mille;
         let incarnation = Incarnation(self.lives);
         let voters = self.ids();
         let mut options = Options::new(id.clone(), incarnation, voters);
@@ -116,7 +118,6 @@
             .cloned()
             .unwrap_or((incarnation, CellDurable::default()));
         options.storage = storage;
-        (self.adapt)(&mut options);
         self.disks.insert(id.clone(), (storage, disk.clone()));
         let node = Node {
             cell: Cell::new(options, disk.clone()),
@@ -127,7 +128,7 @@
             has_left: false,
             since: WallClock(0),
             bytes: 0,
-            rate: self.rng.random_range(990..=1010),
+            rate: self.rng.random_range(1_000 - drift..=1_000 + drift),
             next_tick: self.now,
         };
         self.nodes.insert(id.clone(), node);
@@ -285,7 +286,7 @@
     }
 
     fn send(&mut self, from: &InstanceId, to: &InstanceId, message: &CellMessage) {
-        let bytes = bincode::serialized_size(message).unwrap();
+        let bytes = bincode::DefaultOptions::new().serialized_size(message).unwrap();
         let node = self.nodes.get_mut(from).unwrap();
         node.bytes += bytes;
         let is_isolated = node.is_isolated || self.nodes.get(to).is_none_or(|node| node.is_isolated);
@@ -317,25 +318,17 @@
 impl Network {
     /// Describes each instance for a failure's message.
     pub fn describe(&self) -> String {
-        let mut text = String::new();
-        for (id, node) in &self.nodes {
+        let describe = |(id, node): (&InstanceId, &Node)| {
             let cell = &node.cell;
-            let members: Vec<_> = cell
-                .view()
-                .members
-                .iter()
-                .map(|m| format!("{}/{}:{:?}", m.id, m.incarnation, m.state))
-                .collect();
-            text += &format!(
-                "\n{id}: group {:?} leader {} epoch {} {members:?} lease {:?} now {} {:?}",
-                cell.group().map(|g| (g.founded.0, g.founder.to_string())),
-                cell.is_leader(),
-                cell.view().epoch,
-                node.lease,
-                self.now,
-                cell.agreement()
-            );
-        }
-        text
+            format!(
+                "{id}: {:?} {:?} {:?} lease {:?}",
+                cell.group(),
+                cell.agreement(),
+                cell.view(),
+                node.lease
+            )
+        };
+        let lines: Vec<String> = self.nodes.iter().map(describe).collect();
+        lines.join("\n")
     }
 }
