--- a/kqr-membership/src/joining.rs
+++ b/kqr-membership/src/joining.rs
@@ -68,7 +68,8 @@
         self.send(to, body);
     }
 
-    /// Enters a group that is led, or that was founded with this instance; leaves one that has lost its leader.
+    /// Enters a group that is led, or that was founded with this instance and not given up by it; leaves one that has
+    /// lost its leader.
     pub(crate) fn enter(
         &mut self,
         now: Instant,
@@ -77,7 +78,8 @@
         outputs: &mut Vec<Output>,
     ) {
         let is_led = leader.is_some();
-        let is_founder = founding.configuration.is_voter(&self.voter);
+        let is_founder =
+            founding.configuration.is_voter(&self.voter) && !self.left.contains_key(&founding.id);
         if !(is_led || is_founder) {
             return;
         }
--- a/kqr-membership/tests/network/mod.rs
+++ b/kqr-membership/tests/network/mod.rs
@@ -16,6 +16,8 @@
 pub struct Node {
     pub cell: Cell,
     pub is_isolated: bool,
+    /// Latest epoch that was put out.
+    pub epoch: Epoch,
     /// Epoch and end of the lease in the network's time.
     pub lease: (Epoch, Instant),
     pub installed: Instant,
@@ -122,6 +124,7 @@
         let node = Node {
             cell: Cell::new(options, disk.clone()),
             is_isolated: false,
+            epoch: Epoch(0),
             lease: (Epoch(0), Instant(0)),
             installed: self.now,
             disk,
@@ -234,11 +237,12 @@
             Output::Persist(record) => node.disk.apply(record),
             Output::Epoch { view, since } => {
                 node.installed = now;
+                node.epoch = view.epoch;
                 node.since = since;
                 self.check_view(id, &view);
             }
             Output::Lease { until } => {
-                node.lease = (node.cell.view().epoch, Instant(until.0 * 1000 / node.rate));
+                node.lease = (node.epoch, Instant(until.0 * 1000 / node.rate));
                 self.check_lease(id);
             }
             Output::Left => node.has_left = true,
