feat: search the start-once protocol for duplicate starts, partial answers and false refusals

Cause: the promise rests on the order of intents, acknowledgements, seals and leases, which tests of single runs cover badly. Change: a breadth-first search over states made of the job machines, 10 scenarios and 9 broken variants. Conclusion: no violation is left in these bounds.

--- a/kqr-jobs/src/cell.rs
+++ b/kqr-jobs/src/cell.rs
@@ -173,8 +173,9 @@
             .all(|member| member.id == self.own.id || self.seals.contains_key(&member.id))
     }
 
-    /// Makes this member active and works out which history the records of the cell cover.
-    pub fn activate(&mut self, now: Instant) {
+    /// Makes this member active and works out which history the records of the cell cover; returns whether they cover
+    /// none that was before.
+    pub fn activate(&mut self, now: Instant) -> bool {
         let mut history = self.history;
         let mut is_lost = self.is_history_lost(&self.open);
         for seal in self.seals.values() {
@@ -184,9 +185,11 @@
                 history = Some(history.map_or(since, |own| own.max(since)));
             }
         }
-        self.history = history.filter(|_| !is_lost).or(Some(now));
+        let history = history.filter(|_| !is_lost);
+        self.history = history.or(Some(now));
         self.open = vec![self.view.clone()];
         self.is_active = true;
+        history.is_none()
     }
 
     /// Returns whether all copies of a job may have been lost since one of the `open` views.
--- a/kqr-jobs/src/machine/epochs.rs
+++ b/kqr-jobs/src/machine/epochs.rs
@@ -6,7 +6,8 @@
 
 use super::{Change, Machine, calls::reply};
 use crate::{
-    CallerId, Fault, Output, Phase, Seal, Update, gate::Effect, job::Job, refusal, tombstones::Tombstone,
+    CallerId, Fault, Outcome, Output, Phase, Seal, TaskResult, Update, gate::Effect, job::Job, refusal,
+    tombstones::Tombstone,
 };
 
 impl Machine {
@@ -137,7 +138,10 @@
         if self.cell.is_active || !self.cell.is_full() || !is_sealed {
             return;
         }
-        self.cell.activate(now);
+        let is_lost = self.cell.activate(now);
+        if is_lost && !self.options.has(Fault::ColdStartIgnored) {
+            self.distrust_live_jobs();
+        }
         if self.options.has(Fault::ColdStartIgnored) || self.options.has(Fault::HomeBeforeSeal) {
             self.cell.history = Some(Instant(0));
         }
@@ -150,6 +154,21 @@
         self.is_mark_due = true;
     }
 
+    /// Gives up jobs whose copies may be older than what was done: later attempts may have been started.
+    fn distrust_live_jobs(&mut self) {
+        for job in self.jobs.values_mut() {
+            if job.is_settled {
+                continue;
+            }
+            for task in &mut job.tasks {
+                if task.outcome() != Outcome::Ran {
+                    let reason = "the records of the data centre were lost".to_owned();
+                    task.record.phase = Phase::Ended(TaskResult::Unknown(reason));
+                }
+            }
+        }
+    }
+
     /// Sends the settled records of this home to members that copy what they missed. Others follow with their jobs.
     fn copy_to_syncing(&mut self, now: Instant) {
         let others = self.other_full_members();
@@ -182,7 +201,7 @@
             return;
         }
         self.changes.insert(digest, Change::default());
-        if job.ended.is_some() {
+        if job.tasks.iter().all(crate::task::Task::is_ended) {
             self.finish(now, digest);
             return;
         }
--- /dev/null
+++ b/kqr-spec/src/start_once/model.rs
@@ -0,0 +1,435 @@
+use std::{sync::Arc, time::Duration};
+
+use kqr_jobs::{
+    CallerId, Input, Machine, Member, Options, Submission, Submit, TaskEnd, TaskSpec, home_order,
+};
+use kqr_types::{
+    Attempt, ByteSize, CellMember, CellView, Epoch, Incarnation, Instant, JobKey, KeyDigest, MemberState,
+};
+
+use super::{member::Instance, packet::Packet, scenario::Scenario, state::State};
+use crate::{Model, Step};
+
+/// Length of a lease.
+const LEASE: Duration = Duration::from_secs(1);
+/// Time for which a cell distrusts unknown keys after it lost its records; longer than any run.
+const MEMORY: Duration = Duration::from_secs(10);
+/// Time of the first step, when the records of the first epoch cover all that matters.
+const BEGIN: Instant = Instant(100_000_000);
+
+/// The specification of one scenario.
+#[derive(Clone, Debug)]
+pub struct StartOnce {
+    scenario: Scenario,
+    key: JobKey,
+}
+
+impl StartOnce {
+    /// Creates the specification. Its key has the first instance as home, and then the others in order.
+    pub fn new(scenario: Scenario) -> Self {
+        let view = view_of(1, scenario.members, scenario.members);
+        let mut number = 0_u32;
+        let key = loop {
+            let key: JobKey = format!("job-{number}").parse().expect("a key");
+            let order = home_order(&view, KeyDigest::of(&key));
+            if order.windows(2).all(|pair| pair[0].id < pair[1].id) {
+                break key;
+            }
+            number += 1;
+        };
+        Self { scenario, key }
+    }
+
+    fn machine(&self, instance: &Instance) -> Arc<Machine> {
+        let member = Member {
+            id: instance.id.clone(),
+            incarnation: instance.incarnation,
+        };
+        let options = Options {
+            retention: MEMORY,
+            tombstone_retention: MEMORY,
+            cold_start_window: if self.scenario.is_late {
+                Duration::ZERO
+            } else {
+                MEMORY
+            },
+            fault: self.scenario.fault,
+            ..Options::default()
+        };
+        Arc::new(Machine::new(member, options))
+    }
+
+    fn submission(&self, attempt: u32) -> Submission {
+        let spec = TaskSpec {
+            class: "class".parse().expect("a class"),
+            payload: String::new(),
+            run_time: None,
+            cores: 1,
+            memory: ByteSize(0),
+            accelerators: 0,
+        };
+        Submission {
+            key: self.key.clone(),
+            attempt: Some(Attempt(attempt)),
+            team: "team".parse().expect("a team"),
+            service: "service".parse().expect("a service"),
+            deadline: Duration::from_secs(1000),
+            fingerprint: 1,
+            tasks: (0..self.scenario.tasks).map(|_| spec.clone()).collect(),
+        }
+    }
+
+    fn caller_steps(&self, state: &State, steps: &mut Vec<Step<State>>) {
+        if self.scenario.is_late && state.instances.iter().all(|instance| instance.is_reachable) {
+            return;
+        }
+        for index in 0..state.instances.len() {
+            if state.instances[index].machine.is_none() {
+                continue;
+            }
+            let id = &state.instances[index].id;
+            if state.budget.submissions > 0 {
+                let mut next = state.clone();
+                next.budget.submissions -= 1;
+                next.submitted += 1;
+                self.submit(&mut next, index);
+                steps.push(step(
+                    format!("caller submits attempt {} at {id}", next.submitted),
+                    next,
+                ));
+            }
+            if state.budget.copies > 0 && state.submitted > 0 {
+                let mut next = state.clone();
+                next.budget.copies -= 1;
+                self.submit(&mut next, index);
+                steps.push(step(
+                    format!("copy of attempt {} arrives at {id}", next.submitted),
+                    next,
+                ));
+            }
+            if state.budget.cancels > 0 {
+                let mut next = state.clone();
+                next.budget.cancels -= 1;
+                let cancel = Input::Cancel {
+                    key: self.key.clone(),
+                    caller: CallerId(100),
+                };
+                next.handle(index, cancel);
+                steps.push(step(format!("caller cancels at {id}"), next));
+            }
+        }
+    }
+
+    fn submit(&self, state: &mut State, index: usize) {
+        let submit = Submit {
+            caller: Some(CallerId(u64::from(state.submitted))),
+            submission: self.submission(state.submitted),
+        };
+        state.handle(index, Input::Submit(submit));
+    }
+
+    fn network_steps(&self, state: &State, steps: &mut Vec<Step<State>>) {
+        for position in 0..state.network.len() {
+            if position > 0 && state.network[position] == state.network[position - 1] {
+                continue;
+            }
+            let packet = &state.network[position];
+            let mut next = state.clone();
+            next.network.remove(position);
+            self.arrive(&mut next, packet, false);
+            steps.push(step(format!("arrives: {packet:?}"), next));
+            if state.budget.duplicates > 0 {
+                let mut next = state.clone();
+                next.budget.duplicates -= 1;
+                self.arrive(&mut next, packet, false);
+                steps.push(step(format!("arrives, and will again: {packet:?}"), next));
+            }
+            if state.budget.failures > 0 && matches!(packet, Packet::Start(_)) {
+                let mut next = state.clone();
+                next.budget.failures -= 1;
+                next.network.remove(position);
+                self.arrive(&mut next, packet, true);
+                steps.push(step(format!("arrives and fails: {packet:?}"), next));
+            }
+        }
+    }
+
+    fn arrive(&self, state: &mut State, packet: &Packet, is_failing: bool) {
+        match packet {
+            Packet::Peer {
+                from,
+                incarnation,
+                to,
+                message,
+            } => {
+                let Some(index) = state.instances.iter().position(|instance| instance.id == *to) else {
+                    return;
+                };
+                let input = Input::Peer {
+                    from: from.clone(),
+                    incarnation: *incarnation,
+                    message: message.clone(),
+                };
+                state.handle(index, input);
+            }
+            Packet::Start(request) | Packet::Query(request) => {
+                let target = &mut state.targets[request.target];
+                let is_start = matches!(packet, Packet::Start(_));
+                let result = if target.incarnation != request.target_incarnation {
+                    kqr_jobs::TaskResult::Unknown("the target was restarted".to_owned())
+                } else if is_start {
+                    target.start(request.attempt, is_failing)
+                } else {
+                    target.ask(request.attempt, self.scenario.is_unfenced)
+                };
+                state.network.push(Packet::End {
+                    to: request.from.clone(),
+                    incarnation: request.incarnation,
+                    attempt: request.attempt,
+                    result,
+                });
+                state.network.sort();
+            }
+            Packet::End {
+                to,
+                incarnation,
+                attempt,
+                result,
+            } => {
+                let is_receiver =
+                    |instance: &Instance| instance.id == *to && instance.incarnation == *incarnation;
+                let Some(index) = state.instances.iter().position(is_receiver) else {
+                    return;
+                };
+                let end = TaskEnd {
+                    key: self.key.clone(),
+                    attempt: *attempt,
+                    result: result.clone(),
+                    run_time: None,
+                };
+                state.handle(index, Input::Ended(end));
+            }
+        }
+    }
+
+    fn instance_steps(&self, state: &State, steps: &mut Vec<Step<State>>) {
+        for index in 0..state.instances.len() {
+            let instance = &state.instances[index];
+            let id = &instance.id;
+            let is_alive = instance.machine.is_some();
+            if is_alive && state.budget.crashes > 0 {
+                let mut next = state.clone();
+                next.budget.crashes -= 1;
+                next.instances[index].machine = None;
+                steps.push(step(format!("{id} crashes"), next));
+            }
+            if !is_alive && state.budget.restarts > 0 {
+                let mut next = state.clone();
+                next.budget.restarts -= 1;
+                let instance = &mut next.instances[index];
+                instance.incarnation = instance.incarnation.next();
+                instance.is_reachable = true;
+                instance.machine = Some(self.machine(instance));
+                steps.push(step(format!("{id} restarts"), next));
+            }
+            if is_alive && instance.is_reachable && state.budget.expiries > 0 {
+                let mut next = state.clone();
+                next.budget.expiries -= 1;
+                next.instances[index].is_reachable = false;
+                next.instances[index].clock = next.instances[index].lease_until;
+                steps.push(step(format!("{id} is cut off and its lease ends"), next));
+            }
+        }
+        if state.budget.target_restarts > 0 {
+            for index in 0..state.targets.len() {
+                let mut next = state.clone();
+                next.budget.target_restarts -= 1;
+                next.targets[index].restart();
+                steps.push(step(format!("target {index} restarts"), next));
+            }
+        }
+    }
+
+    fn cell_steps(&self, state: &State, steps: &mut Vec<Step<State>>) {
+        for index in 0..state.instances.len() {
+            let instance = &state.instances[index];
+            let id = &instance.id;
+            let present = state.view.member(id);
+            let is_present_life = present.is_some_and(|member| member.incarnation == instance.incarnation);
+            let is_gone = instance.is_lease_over() || !is_present_life;
+            if present.is_some() && is_gone && state.budget.epochs > 0 {
+                let mut next = state.clone();
+                next.budget.epochs -= 1;
+                next.view.members.retain(|member| member.id != *id);
+                next.view.epoch = next.view.epoch.next();
+                if next
+                    .view
+                    .members
+                    .iter()
+                    .any(|member| member.state == MemberState::Full)
+                {
+                    steps.push(step(
+                        format!("the cell leaves {id} out: {}", next.view.epoch),
+                        next,
+                    ));
+                }
+            }
+            if let Some(next) = join(state, index) {
+                steps.push(step(format!("the cell takes in {id}: {}", next.view.epoch), next));
+            }
+            let Some(machine) = &instance.machine else {
+                continue;
+            };
+            if instance.is_reachable && machine.view().epoch < state.view.epoch {
+                let mut next = state.clone();
+                install(&mut next, index);
+                steps.push(step(format!("{id} enters epoch {}", state.view.epoch), next));
+            }
+        }
+    }
+}
+
+impl Model for StartOnce {
+    type State = State;
+
+    fn initial(&self) -> State {
+        let scenario = &self.scenario;
+        let mut instances = Vec::new();
+        for index in 0..scenario.members {
+            instances.push(Instance {
+                id: id_of(index),
+                incarnation: Incarnation(1),
+                machine: None,
+                clock: Instant(0),
+                lease_until: Instant(0),
+                is_reachable: true,
+            });
+        }
+        for instance in &mut instances {
+            instance.machine = Some(self.machine(instance));
+        }
+        let mut state = State::new(instances, scenario.budget);
+        let first_full = usize::from(scenario.members - scenario.full);
+        state.view = view_of(1, scenario.members, scenario.full);
+        state
+            .view
+            .members
+            .retain(|member| member.state == MemberState::Full);
+        for index in first_full..usize::from(scenario.members) {
+            install(&mut state, index);
+        }
+        while let Some(packet) = state.network.pop() {
+            self.arrive(&mut state, &packet, false);
+        }
+        for instance in &mut state.instances {
+            instance.clock = BEGIN;
+            instance.lease_until = BEGIN + LEASE;
+            let until = instance.lease_until;
+            instance.handle(vec![Input::Lease { until }]);
+        }
+        if first_full > 0 {
+            state.view = view_of(2, scenario.members, scenario.full);
+        }
+        state
+    }
+
+    fn steps(&self, state: &State) -> Vec<Step<State>> {
+        let mut steps = Vec::new();
+        self.caller_steps(state, &mut steps);
+        self.network_steps(state, &mut steps);
+        self.instance_steps(state, &mut steps);
+        self.cell_steps(state, &mut steps);
+        for step in &mut steps {
+            step.state.drop_ignored();
+        }
+        steps
+    }
+
+    fn violation(&self, state: &State) -> Option<String> {
+        state.violation()
+    }
+}
+
+/// Lets an instance enter the agreed view and renews its lease.
+fn install(state: &mut State, index: usize) {
+    let view = state.view.clone();
+    let instance = &mut state.instances[index];
+    instance.lease_until = instance.clock + LEASE;
+    let until = instance.lease_until;
+    instance.handle(vec![Input::Lease { until }]);
+    state.handle(index, Input::Epoch(view));
+}
+
+/// Returns the state in which the cell agreed to take in an instance that lives and is not part of the view.
+///
+/// If each full member has ended, the cell starts anew with this instance.
+fn join(state: &State, index: usize) -> Option<State> {
+    let instance = &state.instances[index];
+    let is_lost = !state.instances.iter().any(is_full_life(&state.view));
+    let is_present = state
+        .view
+        .member(&instance.id)
+        .is_some_and(|member| member.incarnation == instance.incarnation || !is_lost);
+    if instance.machine.is_none() || is_present || state.budget.epochs == 0 {
+        return None;
+    }
+    let mut next = state.clone();
+    next.budget.epochs -= 1;
+    next.instances[index].is_reachable = true;
+    next.view.epoch = next.view.epoch.next();
+    if is_lost {
+        next.view.members.clear();
+    }
+    next.view.members.push(CellMember {
+        id: instance.id.clone(),
+        incarnation: instance.incarnation,
+        weight: 1,
+        state: if is_lost {
+            MemberState::Full
+        } else {
+            MemberState::Syncing
+        },
+    });
+    next.view.members.sort();
+    Some(next)
+}
+
+/// Returns whether an instance lives and is a full member of `view` in this life.
+fn is_full_life(view: &CellView) -> impl Fn(&Instance) -> bool {
+    |instance| {
+        let member = view.member(&instance.id);
+        let is_member = member.is_some_and(|member| {
+            member.incarnation == instance.incarnation && member.state == MemberState::Full
+        });
+        is_member && instance.machine.is_some()
+    }
+}
+
+fn view_of(epoch: u64, members: u8, full: u8) -> CellView {
+    let mut view = CellView {
+        epoch: Epoch(epoch),
+        members: Vec::new(),
+    };
+    for index in 0..members {
+        let is_full = index >= members - full;
+        view.members.push(CellMember {
+            id: id_of(index),
+            incarnation: Incarnation(1),
+            weight: 1,
+            state: if is_full {
+                MemberState::Full
+            } else {
+                MemberState::Syncing
+            },
+        });
+    }
+    view
+}
+
+fn id_of(index: u8) -> kqr_types::InstanceId {
+    format!("entry-{index}").parse().expect("an id")
+}
+
+fn step(label: String, state: State) -> Step<State> {
+    Step { label, state }
+}
--- /dev/null
+++ b/kqr-spec/tests/start_once.rs
@@ -0,0 +1,276 @@
+//! The hard promise holds in each scenario, and each broken variant of the machines is found out.
+
+use kqr_jobs::Fault;
+use kqr_spec::{
+    Verdict, search,
+    start_once::{Budget, Scenario, StartOnce},
+};
+
+/// Most states of one search.
+const MOST: usize = 400_000;
+
+/// A scenario of one task without any fault.
+const PLAIN: Scenario = Scenario {
+    name: "plain",
+    members: 2,
+    full: 2,
+    tasks: 1,
+    budget: NOTHING,
+    fault: None,
+    is_late: false,
+    is_unfenced: false,
+};
+
+const NOTHING: Budget = Budget {
+    submissions: 0,
+    copies: 0,
+    cancels: 0,
+    duplicates: 0,
+    epochs: 2,
+    crashes: 0,
+    restarts: 0,
+    expiries: 0,
+    target_restarts: 0,
+    failures: 0,
+};
+
+const TAKEOVER: Scenario = Scenario {
+    name: "takeover after a crash",
+    budget: Budget {
+        submissions: 2,
+        duplicates: 1,
+        crashes: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const TAKEOVER_OF_THREE: Scenario = Scenario {
+    name: "two crashes of three members",
+    members: 3,
+    full: 3,
+    budget: Budget {
+        submissions: 2,
+        crashes: 2,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const CUT_OFF: Scenario = Scenario {
+    name: "home cut off but alive, a copy at the other member",
+    budget: Budget {
+        submissions: 1,
+        copies: 1,
+        expiries: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const REPAIR: Scenario = Scenario {
+    name: "a member joins, becomes the home, and the other crashes",
+    full: 1,
+    budget: Budget {
+        submissions: 2,
+        crashes: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const REPAIR_AFTER_CRASH: Scenario = Scenario {
+    name: "home crashes and restarts, then the follower crashes",
+    budget: Budget {
+        submissions: 2,
+        epochs: 4,
+        crashes: 2,
+        restarts: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const CANCEL: Scenario = Scenario {
+    name: "cancel, crash, and a resubmission",
+    budget: Budget {
+        submissions: 2,
+        cancels: 1,
+        crashes: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const TWO_TASKS: Scenario = Scenario {
+    name: "two tasks, one may fail, and a crash",
+    tasks: 2,
+    budget: Budget {
+        submissions: 1,
+        crashes: 1,
+        failures: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const TARGET_RESTARTS: Scenario = Scenario {
+    name: "target restarts and home crashes",
+    budget: Budget {
+        submissions: 2,
+        crashes: 1,
+        target_restarts: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const COLD_START: Scenario = Scenario {
+    name: "all records are lost",
+    budget: Budget {
+        submissions: 2,
+        crashes: 2,
+        restarts: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+const LATE: Scenario = Scenario {
+    name: "the only member is cut off, and another one starts anew",
+    full: 1,
+    is_late: true,
+    budget: Budget {
+        submissions: 1,
+        copies: 1,
+        epochs: 1,
+        expiries: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
+fn holds(scenario: Scenario) {
+    let verdict = search(&StartOnce::new(scenario), MOST);
+    println!("{}: {verdict}", scenario.name);
+    assert!(
+        matches!(verdict, Verdict::Holds { .. }),
+        "{}: {verdict}",
+        scenario.name
+    );
+}
+
+fn is_violated(scenario: Scenario) {
+    let verdict = search(&StartOnce::new(scenario), MOST);
+    println!("{:?} in {}: {verdict}", scenario.fault, scenario.name);
+    assert!(
+        matches!(verdict, Verdict::Violated { .. }),
+        "{}: {verdict}",
+        scenario.name
+    );
+}
+
+fn with(fault: Fault, scenario: Scenario) -> Scenario {
+    Scenario {
+        fault: Some(fault),
+        ..scenario
+    }
+}
+
+#[test]
+fn takeover_after_a_crash() {
+    holds(TAKEOVER);
+}
+
+#[test]
+fn two_crashes_of_three_members() {
+    holds(TAKEOVER_OF_THREE);
+}
+
+#[test]
+fn home_cut_off_but_alive() {
+    holds(CUT_OFF);
+}
+
+#[test]
+fn member_joins_and_the_other_crashes() {
+    holds(REPAIR);
+}
+
+#[test]
+fn home_and_follower_crash_right_after_a_repair() {
+    holds(REPAIR_AFTER_CRASH);
+}
+
+#[test]
+fn cancel_and_resubmission() {
+    holds(CANCEL);
+}
+
+#[test]
+fn answers_of_two_tasks_are_whole() {
+    holds(TWO_TASKS);
+}
+
+#[test]
+fn target_restarts() {
+    holds(TARGET_RESTARTS);
+}
+
+#[test]
+fn all_records_are_lost() {
+    holds(COLD_START);
+}
+
+#[test]
+fn only_member_is_cut_off() {
+    holds(LATE);
+}
+
+#[test]
+fn start_before_the_intent_is_acknowledged_is_found() {
+    is_violated(with(Fault::StartBeforeAck, TAKEOVER));
+}
+
+#[test]
+fn missing_lease_check_is_found() {
+    is_violated(with(Fault::NoLeaseCheck, LATE));
+}
+
+#[test]
+fn home_before_the_seals_is_found() {
+    is_violated(with(Fault::HomeBeforeSeal, REPAIR));
+}
+
+#[test]
+fn skipped_copy_is_found() {
+    is_violated(with(Fault::ResyncSkipped, REPAIR));
+}
+
+#[test]
+fn skipped_question_is_found() {
+    is_violated(with(Fault::FenceSkipped, TAKEOVER));
+}
+
+#[test]
+fn target_without_fence_is_found() {
+    is_violated(Scenario {
+        is_unfenced: true,
+        ..TAKEOVER
+    });
+}
+
+#[test]
+fn answer_before_the_acknowledgement_is_found() {
+    is_violated(with(Fault::ReplyBeforeAck, CANCEL));
+}
+
+#[test]
+fn unnoticed_cold_start_is_found() {
+    is_violated(with(Fault::ColdStartIgnored, COLD_START));
+}
+
+#[test]
+fn answer_with_the_first_task_is_found() {
+    is_violated(with(Fault::AnswerWithFirstTask, TWO_TASKS));
+}
