--- a/kqr-directory/tests/spreading.rs
+++ b/kqr-directory/tests/spreading.rs
@@ -271,7 +271,7 @@
             for n in 0..12 {
                 let id = target(n, 1).id;
                 for e in &net.entries {
-                    println!("{n} {:?}", e.get(&id).map(|r| r.version()));
+                    println!("{n} {:?}", e.get(&id).map(kqr_directory::Record::version));
                 }
             }
         }
--- a/kqr-entry/src/callers/relay/mod.rs
+++ b/kqr-entry/src/callers/relay/mod.rs
@@ -1,24 +1,26 @@
 //! Relays single requests to runners, with retries and hedges under one budget.
 
-mod budget;
 mod call;
 mod hedge_delay;
 mod relay_body;
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
 
 use futures::future::{Either as Race, select};
 use http_body_util::Either;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use kqr_admission::RetryBudget;
 use kqr_http::{Client, ClientError, ClientOptions};
 use kqr_placement::{Demand, PickFailure, TargetKind};
 use kqr_telemetry::EventKind;
-use kqr_types::{ByteSize, TargetId};
+use kqr_types::TargetId;
 use tokio::time::Instant;
 
 pub use self::relay_body::RelayBody;
 use self::{
-    budget::Budget,
     call::{Call, CallBody},
     hedge_delay::HedgeDelay,
     relay_body::SlotGuard,
@@ -26,8 +28,10 @@
 use super::{ReplyBody, problem::Problem};
 use crate::entry::Entry;
 
-/// Expected run time of a request.
-const EXPECTED_RUN_TIME: Duration = Duration::from_millis(100);
+/// Second sends that are saved up.
+const SAVED_SENDS: u32 = 10;
+/// Difference of the spread numbers of two requests: an odd number near 2^32 over the golden ratio.
+const SPREAD_STEP: u32 = 0x9E37_79B9;
 /// Most targets that one request is sent to.
 const MAX_TRIES: usize = 3;
 /// Time between two looks for a free slot.
@@ -37,7 +41,8 @@
 #[derive(Debug)]
 pub struct Relay {
     client: Client<CallBody>,
-    budget: Budget,
+    budget: RetryBudget,
+    spread: AtomicU32,
     hedge_delay: HedgeDelay,
 }
 
@@ -46,7 +51,8 @@
     pub fn new() -> Self {
         Self {
             client: Client::new(ClientOptions::default()),
-            budget: Budget::new(),
+            budget: RetryBudget::with_kept(SAVED_SENDS),
+            spread: AtomicU32::new(0),
             hedge_delay: HedgeDelay::new(),
         }
     }
@@ -159,7 +165,9 @@
         loop {
             match self.pick() {
                 Ok(slot) => return Ok(slot),
-                Err(PickFailure::AllBusy) => tokio::time::sleep(SLOT_RETRY).await,
+                Err(PickFailure::AllBusy | PickFailure::AllAvoided | PickFailure::FasterSoon) => {
+                    tokio::time::sleep(SLOT_RETRY).await;
+                }
                 Err(PickFailure::UnknownService | PickFailure::NoneFits) => {
                     let detail = format!("no runner serves {}", self.call.service);
                     return Err(Failure::Refused(Problem::not_found("service", detail)));
@@ -169,13 +177,8 @@
     }
 
     fn pick(&self) -> Result<SlotGuard, PickFailure> {
-        let demand = Demand {
-            cores: 0,
-            memory: ByteSize(0),
-            accelerators: 0,
-            run_time: EXPECTED_RUN_TIME,
-            avoid: &self.tried,
-        };
+        let spread = self.entry.relay.spread.fetch_add(SPREAD_STEP, Ordering::Relaxed);
+        let demand = Demand::request(&self.tried, spread);
         self.entry
             .engine
             .table
--- a/kqr-entry/src/options.rs
+++ b/kqr-entry/src/options.rs
@@ -22,6 +22,10 @@
     /// Longest time that accepted work may take after that.
     #[arg(long, default_value = "30s")]
     pub grace: humantime::Duration,
+    /// Time after the loss of a data centre's records in which each unknown key is refused as may-have-run. 0s is safe
+    /// for the first start of a new data centre only.
+    #[arg(long, default_value = "60s")]
+    pub cold_start_window: humantime::Duration,
     /// Least severity that is logged.
     #[arg(long, default_value = "info")]
     pub log_level: log::LevelFilter,
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -1,13 +1,15 @@
 //! A small system within the test process: entries and stand-ins on loopback ports.
 #![allow(dead_code, reason = "each test file uses a part of the support")]
 
+pub mod processes;
+
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use clap::Parser;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
-use kqr_entry::{Running, ShutdownLimits};
+use kqr_entry::{Limits, Running};
 use kqr_http::{Client, ClientOptions};
 use kqr_settings::bootstrap::Bootstrap;
 use kqr_telemetry::EventLog;
@@ -29,6 +31,7 @@
     pub entries: Vec<Option<Running>>,
     pub standins: Vec<kqr_standin::Running>,
     pub client: Client,
+    pub cold_start_window: Duration,
 }
 
 /// A whole answer.
@@ -51,7 +54,7 @@
     }
 }
 
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     std::net::TcpListener::bind("127.0.0.1:0")
         .unwrap()
         .local_addr()
@@ -61,27 +64,7 @@
 impl System {
     /// Starts one entry for each name in `data_centres`.
     pub async fn start(data_centres: &[&str]) -> Self {
-        let mut lines = vec!["data_centres:".to_owned()];
-        let names: std::collections::BTreeSet<&&str> = data_centres.iter().collect();
-        for name in names {
-            lines.push(format!("  - {{ name: {name}, region: test }}"));
-        }
-        lines.push("instances:".to_owned());
-        let mut addresses = Vec::new();
-        for (index, data_centre) in data_centres.iter().enumerate() {
-            let own = Addresses {
-                callers: free_address(),
-                targets: free_address(),
-            };
-            lines.push(format!("  - id: entry-{index}"));
-            lines.push("    role: entry".to_owned());
-            lines.push(format!("    data_centre: {data_centre}"));
-            lines.push(format!("    peers: {}", free_address()));
-            lines.push(format!("    callers: {}", own.callers));
-            lines.push(format!("    targets: {}", own.targets));
-            addresses.push(own);
-        }
-        let yaml = lines.join("\n");
+        let (yaml, addresses) = bootstrap_yaml(data_centres);
         let bootstrap = Bootstrap::parse("test", &yaml).unwrap();
         let mut system = Self {
             bootstrap,
@@ -89,11 +72,15 @@
             entries: Vec::new(),
             standins: Vec::new(),
             client: Client::new(ClientOptions::default()),
+            cold_start_window: Duration::ZERO,
         };
         for index in 0..data_centres.len() {
             let entry = system.start_entry(index).await;
             system.entries.push(Some(entry));
         }
+        for index in 0..data_centres.len() {
+            system.wait_until_ready(index).await;
+        }
         system
     }
 
@@ -101,15 +88,28 @@
     pub async fn start_entry(&self, index: usize) -> Running {
         let own = self.bootstrap.instances[index].clone();
         let events = EventLog::disabled(own.id.clone());
-        let limits = ShutdownLimits {
+        let limits = Limits {
             drain_delay: Duration::from_millis(300),
             grace: Duration::from_secs(10),
+            cold_start_window: self.cold_start_window,
         };
         Running::start(&self.bootstrap, own, events, limits)
             .await
             .unwrap()
     }
 
+    /// Waits until the cell has admitted the entry with `index`.
+    pub async fn wait_until_ready(&self, index: usize) {
+        for _ in 0..200 {
+            let reply = self.send(index, Method::GET, "/readyz", &[], "").await;
+            if reply.status.is_success() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("entry {index} did not become ready");
+    }
+
     /// Starts a stand-in that announces itself at the entry with `index`, and waits until each entry of the data
     /// centre knows it.
     pub async fn add_standin(&mut self, index: usize, id: &str, more: &[&str]) {
@@ -163,17 +163,47 @@
 
     /// Returns the number of starts at all stand-ins, and those beyond the first of a task.
     pub fn starts(&self) -> (usize, usize) {
-        let mut tasks = std::collections::BTreeSet::new();
-        let mut starts = 0;
-        for standin in &self.standins {
-            for attempt in standin.standin.starts().attempts {
-                let task = attempt.rsplit_once('-').unwrap().0.to_owned();
-                tasks.insert(task);
-                starts += 1;
-            }
+        count_starts(&self.standins)
+    }
+}
+
+/// Returns the number of starts at all stand-ins, and those beyond the first of a task.
+pub fn count_starts(standins: &[kqr_standin::Running]) -> (usize, usize) {
+    let mut tasks = std::collections::BTreeSet::new();
+    let mut starts = 0;
+    for standin in standins {
+        for attempt in standin.standin.starts().attempts {
+            let task = attempt.rsplit_once('-').unwrap().0.to_owned();
+            tasks.insert(task);
+            starts += 1;
         }
-        (starts, starts - tasks.len())
     }
+    (starts, starts - tasks.len())
+}
+
+/// Returns a bootstrap file with one entry for each name in `data_centres`, and the entries' listeners.
+pub fn bootstrap_yaml(data_centres: &[&str]) -> (String, Vec<Addresses>) {
+    let mut lines = vec!["data_centres:".to_owned()];
+    let names: std::collections::BTreeSet<&&str> = data_centres.iter().collect();
+    for name in names {
+        lines.push(format!("  - {{ name: {name}, region: test }}"));
+    }
+    lines.push("instances:".to_owned());
+    let mut addresses = Vec::new();
+    for (index, data_centre) in data_centres.iter().enumerate() {
+        let own = Addresses {
+            callers: free_address(),
+            targets: free_address(),
+        };
+        lines.push(format!("  - id: entry-{index}"));
+        lines.push("    role: entry".to_owned());
+        lines.push(format!("    data_centre: {data_centre}"));
+        lines.push(format!("    peers: {}", free_address()));
+        lines.push(format!("    callers: {}", own.callers));
+        lines.push(format!("    targets: {}", own.targets));
+        addresses.push(own);
+    }
+    (lines.join("\n"), addresses)
 }
 
 /// Returns the body of a job with tasks of the given run times.
--- a/kqr-jobs/src/machine/mod.rs
+++ b/kqr-jobs/src/machine/mod.rs
@@ -69,6 +69,11 @@
         self.live.len()
     }
 
+    /// Returns the number of jobs that have not ended and that this member is the home of.
+    pub fn homed_jobs(&self) -> usize {
+        self.live.iter().filter(|job| self.cell.is_own(**job)).count()
+    }
+
     /// Returns the number of ended jobs that are remembered, copies included.
     pub fn remembered_jobs(&self) -> usize {
         self.remembered.len()
