feat: model-check the replicated log

The spread of election timeouts now follows from seed and time instead of a counter, so that equal states are found equal.

--- a/kqr-agreement/src/election.rs
+++ b/kqr-agreement/src/election.rs
@@ -101,7 +101,7 @@
     /// leader campaigns again soon: the spread is what resolves a split vote.
     fn delay_election(&mut self, now: Instant, shortest: Duration) {
         let spread = u64::try_from(self.options.election_timeout.as_micros()).unwrap_or(u64::MAX);
-        let extra = Duration::from_micros(self.next_random() % spread.max(1));
+        let extra = Duration::from_micros(self.spread_at(now) % spread.max(1));
         self.election_deadline = now + shortest + extra;
     }
 
@@ -166,10 +166,9 @@
         self.leading.is_some() || now < self.heard + self.options.election_timeout
     }
 
-    /// Returns the next number of a splitmix64 sequence.
-    fn next_random(&mut self) -> u64 {
-        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut mixed = self.random;
+    /// Returns a number that depends on the seed and on `now`, by the mixing function of splitmix64.
+    fn spread_at(&self, now: Instant) -> u64 {
+        let mut mixed = (self.options.seed ^ now.0).wrapping_add(0x9E37_79B9_7F4A_7C15);
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
         mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
         mixed ^ (mixed >> 31)
--- a/kqr-agreement/src/machine.rs
+++ b/kqr-agreement/src/machine.rs
@@ -22,7 +22,6 @@
     /// When a leader was last heard; no vote is given for an election timeout from then.
     pub(crate) heard: Instant,
     pub(crate) election_deadline: Instant,
-    pub(crate) random: u64,
     told: RoleView,
     is_started: bool,
 }
@@ -39,7 +38,6 @@
         };
         Self {
             own,
-            random: options.seed,
             options,
             log,
             role: Role::Follower,
--- a/kqr-spec/src/lib.rs
+++ b/kqr-spec/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod agreement;
 mod search;
 pub mod start_once;
 
