feat: add the settings tree, its change log and the follower rule

The tree is a map from path to text with a schema of rules; whole-tree validation names line, path, value, what is allowed and the nearest known key. The log answers a resent change id as before and names the version that beat a change. The follower applies only growing versions, and without a durable copy only what a quorum confirmed.

--- a/kqr-settings/src/lib.rs
+++ b/kqr-settings/src/lib.rs
@@ -1,5 +1,25 @@
-//! The settings tree and the bootstrap file of an instance.
+//! The settings tree with inheritance, its replicated changes, and the bootstrap file of an instance.
+//!
+//! [`Tree`] holds the settings as one text per path, [`schema`] says which paths and values are allowed, [`Resolved`]
+//! is the view of one place, [`SettingsLog`] applies changes on each replica, and [`Follower`] decides which version an
+//! instance applies.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 pub mod bootstrap;
+mod follower;
+mod log;
+pub mod schema;
+mod tree;
+mod values;
+
+pub use follower::{Follower, FollowerInput, FollowerOptions, FollowerOutput};
+pub use log::{
+    Action, Answer, Change, ChangeId, Command, Edit, LogOptions, OperatorName, Refusal, RestoreError,
+    SettingsLog, Update, UpdateBody, UpdateError, Version,
+};
+pub use tree::{
+    Digest, Explained, Hidden, Leaf, Problem, Problems, Resolved, SettingPath, TargetNames, Tree,
+    canonical_value, from_yaml, to_yaml, validate,
+};
+pub use values::{Count, Flag, Names, ResubmissionRule, Share, TimeSpan};
--- /dev/null
+++ b/kqr-settings/src/tree/mod.rs
@@ -0,0 +1,21 @@
+//! The settings tree: paths, values, validation and the resolved view.
+
+mod digest;
+mod document;
+mod explained;
+mod path;
+mod problem;
+mod resolved;
+mod settings_tree;
+mod target_names;
+mod validation;
+
+pub use digest::Digest;
+pub use document::{Leaf, from_yaml, to_yaml};
+pub use explained::{Explained, Hidden};
+pub use path::SettingPath;
+pub use problem::{Problem, Problems};
+pub use resolved::Resolved;
+pub use settings_tree::Tree;
+pub use target_names::TargetNames;
+pub use validation::{canonical_value, validate};
--- /dev/null
+++ b/kqr-settings/src/tree/resolved.rs
@@ -0,0 +1,102 @@
+use super::{Explained, Hidden, SettingPath, Tree};
+use crate::schema::{Level, Node, Rules, SiteRules, TargetRules, TeamRules, rules_of};
+
+/// The settings in force at one node, with everything that it inherits.
+///
+/// Values are looked up from the closest node to the root: the target, then its service, then the data centre, the
+/// region and the root. A target or service that is named at several places takes the one of the closest place first.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resolved {
+    /// Settings of requests, tasks and targets.
+    pub rules: Rules,
+    /// Settings of the target only.
+    pub target: TargetRules,
+    /// Settings of the data centre only.
+    pub site: SiteRules,
+    /// Settings of the team; the defaults if the node is no team.
+    pub team: TeamRules,
+}
+
+impl Resolved {
+    /// Builds the view of `node`.
+    pub fn of(tree: &Tree, node: &Node) -> Self {
+        let chain = chain(node);
+        let lookup = |key: &'static str| chain.iter().rev().find_map(|path| tree.get(&path.join(key)));
+        Self {
+            rules: Rules::from_texts(lookup),
+            target: TargetRules::from_texts(lookup),
+            site: SiteRules::from_texts(lookup),
+            team: TeamRules::from_texts(lookup),
+        }
+    }
+
+    /// Tells for each setting of `node` its value and where it comes from.
+    pub fn explain(tree: &Tree, node: &Node) -> Vec<Explained> {
+        let chain = chain(node);
+        let mut all = Vec::new();
+        for rule in rules_of(node.level()) {
+            let mut found: Vec<Hidden> = Vec::new();
+            for path in chain.iter().rev() {
+                let path = path.join(rule.key);
+                let Some(value) = tree.get(&path) else { continue };
+                let value = value.to_owned();
+                found.push(Hidden { path, value });
+            }
+            let mut found = found.into_iter();
+            let closest = found.next();
+            all.push(Explained {
+                key: rule.key.to_owned(),
+                value: closest
+                    .as_ref()
+                    .map_or_else(|| rule.default.to_owned(), |closest| closest.value.clone()),
+                origin: closest.map(|closest| closest.path),
+                hidden: found.collect(),
+            });
+        }
+        all
+    }
+}
+
+/// Returns the paths that `node` inherits from, the root first and its own last.
+fn chain(node: &Node) -> Vec<SettingPath> {
+    let places = places(node);
+    let mut chain = Vec::new();
+    if node.level() != Level::Team {
+        chain.extend(places.iter().map(SettingPath::of));
+    }
+    for place in &places {
+        let Some(service) = &node.service else { break };
+        let mut part = place.clone();
+        part.service = Some(service.clone());
+        chain.push(SettingPath::of(&part));
+    }
+    for place in &places {
+        if node.target.is_none() && node.team.is_none() {
+            break;
+        }
+        let mut part = place.clone();
+        part.service.clone_from(&node.service);
+        part.target.clone_from(&node.target);
+        part.team.clone_from(&node.team);
+        chain.push(SettingPath::of(&part));
+    }
+    chain
+}
+
+/// Returns the root, the region and the data centre of `node`, as far as it has them.
+fn places(node: &Node) -> Vec<Node> {
+    let mut places = vec![Node::default()];
+    if node.region.is_none() {
+        return places;
+    }
+    let mut place = Node {
+        region: node.region.clone(),
+        ..Node::default()
+    };
+    places.push(place.clone());
+    if node.data_centre.is_some() {
+        place.data_centre.clone_from(&node.data_centre);
+        places.push(place);
+    }
+    places
+}
--- /dev/null
+++ b/kqr-settings/src/values/mod.rs
@@ -0,0 +1,15 @@
+//! Values of settings, each with its unit in the text.
+
+mod count;
+mod flag;
+mod names;
+mod resubmission_rule;
+mod share;
+mod time_span;
+
+pub use count::Count;
+pub use flag::Flag;
+pub use names::Names;
+pub use resubmission_rule::ResubmissionRule;
+pub use share::Share;
+pub use time_span::TimeSpan;
--- /dev/null
+++ b/kqr-settings/src/values/names.rs
@@ -0,0 +1,31 @@
+use std::{fmt, str::FromStr};
+
+use kqr_types::{ParseError, TargetId};
+
+/// The names that a target took after its first one, oldest first. Its text has a space between two names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Names(pub Vec<TargetId>);
+
+impl fmt::Display for Names {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, name) in self.0.iter().enumerate() {
+            if index > 0 {
+                f.write_str(" ")?;
+            }
+            name.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Names {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let mut names = Vec::new();
+        for word in text.split_whitespace() {
+            names.push(word.parse()?);
+        }
+        Ok(Self(names))
+    }
+}
--- /dev/null
+++ b/kqr-settings/tests/follower.rs
@@ -0,0 +1,193 @@
+//! The follower never applies a lower version.
+
+mod common;
+
+use common::apply_changes;
+use kqr_settings::{
+    Follower, FollowerInput, FollowerOptions, FollowerOutput, LogOptions, SettingsLog, Version,
+};
+use kqr_types::{InstanceId, Instant};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn peer(name: &str) -> InstanceId {
+    name.parse().unwrap()
+}
+
+fn log_at(version: u64) -> SettingsLog {
+    let mut log = SettingsLog::new(LogOptions::default());
+    apply_changes(&mut log, version);
+    log
+}
+
+fn follower(persisted: Option<&SettingsLog>) -> Follower {
+    let persisted = persisted.map(|log| (log.version(), log.tree().clone()));
+    Follower::new(FollowerOptions::default(), vec![peer("a"), peer("b")], persisted)
+}
+
+fn tick(follower: &mut Follower, at_ms: u64) -> Vec<FollowerOutput> {
+    let mut outputs = Vec::new();
+    follower.handle(Instant(at_ms * 1000), FollowerInput::Tick, &mut outputs);
+    outputs
+}
+
+fn update(follower: &mut Follower, from: &str, log: &SettingsLog, is_confirmed: bool) -> Vec<FollowerOutput> {
+    let mut outputs = Vec::new();
+    let update = log.update_since(follower.applied());
+    let input = FollowerInput::Updated {
+        peer: peer(from),
+        update,
+        is_confirmed,
+    };
+    follower.handle(Instant(1000), input, &mut outputs);
+    outputs
+}
+
+fn heartbeat(from: &str, log: &SettingsLog, is_in_touch: bool) -> FollowerInput {
+    let (version, digest) = (log.version(), log.tree().digest());
+    FollowerInput::Heartbeat {
+        peer: peer(from),
+        version,
+        digest,
+        is_in_touch,
+    }
+}
+
+#[test]
+fn without_a_disk_nothing_is_applied_before_a_quorum_confirmed_it() {
+    let mut follower = follower(None);
+    let opened = tick(&mut follower, 0);
+    assert_eq!(
+        opened,
+        [FollowerOutput::Open {
+            peer: peer("a"),
+            since: None,
+            needs_confirmation: true
+        }]
+    );
+    assert_eq!(update(&mut follower, "a", &log_at(7), false), []);
+    assert_eq!(follower.applied(), None);
+    let applied = update(&mut follower, "a", &log_at(9), true);
+    assert_eq!(applied, [FollowerOutput::Apply { version: Version(9) }]);
+}
+
+#[test]
+fn a_lagging_peer_does_not_take_an_instance_back() {
+    let newest = log_at(9);
+    let mut follower = follower(Some(&newest));
+    tick(&mut follower, 0);
+    assert_eq!(update(&mut follower, "a", &log_at(7), true), []);
+    assert_eq!(follower.tree(), newest.tree());
+}
+
+#[test]
+fn a_silent_stream_is_replaced_by_one_from_the_next_peer() {
+    let mut follower = follower(None);
+    tick(&mut follower, 0);
+    assert_eq!(tick(&mut follower, 2999), []);
+    assert_eq!(
+        tick(&mut follower, 3000),
+        [FollowerOutput::Close { peer: peer("a") }]
+    );
+    let opened = tick(&mut follower, 3250);
+    assert!(matches!(&opened[..], [FollowerOutput::Open { peer: next, .. }] if *next == peer("b")));
+}
+
+#[test]
+fn a_peer_that_is_cut_off_from_the_quorum_is_left() {
+    let log = log_at(3);
+    let mut follower = follower(Some(&log));
+    tick(&mut follower, 0);
+    for second in 1..5 {
+        let mut outputs = Vec::new();
+        follower.handle(
+            Instant(second * 1_000_000),
+            heartbeat("a", &log, false),
+            &mut outputs,
+        );
+        assert_eq!(outputs, []);
+        assert_eq!(tick(&mut follower, second * 1000), []);
+    }
+    assert_eq!(
+        tick(&mut follower, 5000),
+        [FollowerOutput::Close { peer: peer("a") }]
+    );
+}
+
+#[test]
+fn a_copy_with_another_digest_is_replaced_by_a_confirmed_snapshot() {
+    let log = log_at(3);
+    let mut other = SettingsLog::new(LogOptions::default());
+    for number in 0..3 {
+        let edits = vec![common::set("limits/queued", &number.to_string())];
+        other.apply(common::command(&format!("x{number}"), number, edits));
+    }
+    let mut follower = follower(Some(&other));
+    tick(&mut follower, 0);
+    let mut outputs = Vec::new();
+    follower.handle(Instant(1), heartbeat("a", &log, true), &mut outputs);
+    assert_eq!(
+        outputs,
+        [FollowerOutput::Open {
+            peer: peer("a"),
+            since: None,
+            needs_confirmation: true
+        }]
+    );
+    let snapshot = log.update_since(None);
+    let input = FollowerInput::Updated {
+        peer: peer("a"),
+        update: snapshot,
+        is_confirmed: true,
+    };
+    follower.handle(Instant(2), input, &mut outputs);
+    assert_eq!(follower.tree(), log.tree());
+}
+
+/// Control instances at random versions, restarts with and without a disk, messages of closed streams.
+#[test]
+fn versions_only_grow_over_restarts_and_lagging_peers() {
+    let versions: Vec<SettingsLog> = (0..30).map(log_at).collect();
+    let mut applied_count = 0;
+    for seed in 0..300 {
+        let rng = &mut ChaCha8Rng::seed_from_u64(seed);
+        let (mut accepted, mut highest) = (0, 0);
+        let mut follower = follower(None);
+        let mut now = 0;
+        for _ in 0..200 {
+            accepted = (accepted + usize::from(rng.random_range(0..8) == 0)).min(29);
+            now += rng.random_range(1..2000);
+            match rng.random_range(0..10) {
+                0 => {
+                    let kept = &versions[highest];
+                    let has_disk = rng.random_range(0..2) == 0 && highest > 0;
+                    follower = self::follower(has_disk.then_some(kept));
+                }
+                1..4 => drop(tick(&mut follower, now)),
+                _ => {
+                    let is_confirmed = rng.random_range(0..3) == 0;
+                    let lag = if is_confirmed {
+                        0
+                    } else {
+                        rng.random_range(0..=accepted)
+                    };
+                    let from = if rng.random_range(0..2) == 0 { "a" } else { "b" };
+                    let log = &versions[accepted - lag];
+                    for output in update(&mut follower, from, log, is_confirmed) {
+                        let FollowerOutput::Apply { version } = output else {
+                            continue;
+                        };
+                        assert!(
+                            version.0 as usize >= highest,
+                            "seed {seed}: {version} after {highest}"
+                        );
+                        highest = version.0 as usize;
+                        applied_count += 1;
+                        assert_eq!(follower.tree(), versions[highest].tree(), "seed {seed}");
+                    }
+                }
+            }
+        }
+    }
+    assert!(applied_count > 300, "{applied_count}");
+}
--- /dev/null
+++ b/kqr-settings/tests/tree.rs
@@ -0,0 +1,190 @@
+//! The tree: YAML, validation with its messages, inheritance, renames.
+
+mod common;
+
+use std::time::Duration;
+
+use common::path;
+use kqr_settings::{
+    Problems, Resolved, TargetNames, Tree, from_yaml,
+    schema::{Level, Location, Node, rules_of},
+    to_yaml, validate,
+};
+
+const TREE: &str = "\
+deadlines:
+  default: 20s
+limits: { queued: 500 }
+services:
+  pressverk:
+    retry: { attempts: 2 }
+    targets:
+      worker-7: { names: [nordic-7, aurora-7] }
+teams:
+  press: { quota: 200/s, burst: 400 }
+regions:
+  svealand:
+    deadlines: { default: 10s }
+    data_centres:
+      uppsala:
+        limits: { queued: 100 }
+        teams: { press: { quota: 50/s } }
+        services:
+          pressverk:
+            targets:
+              worker-7: { drain: true, limits: { slots: 4 } }
+";
+
+fn tree(text: &str) -> Result<Tree, Problems> {
+    let leaves = from_yaml("tree.yaml", text)?;
+    let tree: Tree = leaves.into_iter().map(|leaf| (leaf.path, leaf.value)).collect();
+    validate(&tree)?;
+    Ok(tree)
+}
+
+fn node(text: &str) -> Node {
+    match Location::find(&path(text).segments()).unwrap() {
+        Location::Node(node) => node,
+        other => panic!("{other:?}"),
+    }
+}
+
+const WORKER: &str = "regions/svealand/data_centres/uppsala/services/pressverk/targets/worker-7";
+
+#[test]
+fn the_closest_value_wins_and_explain_names_it() {
+    let tree = tree(TREE).unwrap();
+    let view = Resolved::of(&tree, &node(WORKER));
+    assert_eq!(view.rules.deadline.0, Duration::from_secs(10));
+    assert_eq!(view.rules.max_queued.0, 100);
+    assert_eq!(view.rules.attempts.0, 2);
+    assert_eq!(view.rules.max_slots.0, 4);
+    assert!(view.rules.is_draining.0);
+    let other = Resolved::of(
+        &tree,
+        &node("regions/svealand/data_centres/vasteras/services/pressverk"),
+    );
+    assert_eq!(other.rules.max_queued.0, 500);
+    assert!(!other.rules.is_draining.0);
+    let explained = Resolved::explain(&tree, &node(WORKER));
+    let deadline = explained
+        .iter()
+        .find(|line| line.key == "deadlines/default")
+        .unwrap();
+    assert_eq!(deadline.origin, Some(path("regions/svealand/deadlines/default")));
+    assert_eq!(deadline.hidden[0].path, path("deadlines/default"));
+    let body = explained.iter().find(|line| line.key == "limits/body").unwrap();
+    assert_eq!(body.origin, None);
+}
+
+#[test]
+fn teams_inherit_over_places() {
+    let tree = tree(TREE).unwrap();
+    let team = Resolved::of(&tree, &node("regions/svealand/data_centres/uppsala/teams/press")).team;
+    assert_eq!((team.quota.to_string(), team.burst.0), ("50/s".to_owned(), 400));
+}
+
+#[test]
+fn a_renamed_target_keeps_its_identity_under_all_names() {
+    let names = TargetNames::of(&tree(TREE).unwrap());
+    let identity = "worker-7".parse().unwrap();
+    for name in ["worker-7", "nordic-7", "aurora-7"] {
+        assert_eq!(names.identity(&name.parse().unwrap()), &identity);
+    }
+    assert_eq!(names.present(&identity).as_str(), "aurora-7");
+}
+
+#[test]
+fn problems_name_line_path_value_and_what_is_allowed() {
+    let wrong = [
+        (
+            "limits:\n  queud: 5\n",
+            "tree.yaml:2",
+            "limits/queud",
+            Some("limits/queued"),
+        ),
+        (
+            "deadlines:\n  default: 20\n",
+            "tree.yaml:2",
+            "deadlines/default",
+            None,
+        ),
+        (
+            "deadlines: { default: 20d }\n",
+            "tree.yaml:1",
+            "deadlines/default",
+            None,
+        ),
+        ("retry: { attempts: 99 }\n", "1 to 10", "retry/attempts", None),
+        (
+            "regions: { r: { targets: { a: { drain: true } } } }\n",
+            "at a region",
+            "regions/r/targets/a/drain",
+            None,
+        ),
+        ("services: { s: }\n", "a mapping", "services/s", None),
+        ("names: [a]\n", "at a root", "names", None),
+    ];
+    for (text, shown, at, nearest) in wrong {
+        let problems = tree(text).unwrap_err();
+        let problem = &problems.0[0];
+        assert!(problem.to_string().contains(shown), "{problem}");
+        assert_eq!(problem.path, path(at));
+        if nearest.is_some() {
+            assert_eq!(problem.nearest.as_deref(), nearest, "{problem}");
+        }
+    }
+}
+
+#[test]
+fn the_whole_tree_is_checked_across_nodes() {
+    let wrong = [
+        ("deadlines: { default: 5m, max: 1m }", "at most deadlines/max"),
+        (
+            "deadlines: { max: 1m }\nservices: { s: { deadlines: { default: 2m } } }",
+            "at most deadlines/max",
+        ),
+        (
+            "regions: { a: { data_centres: { x: { drain: true } } }, b: { data_centres: { x: { drain: true } } } }",
+            "one region only",
+        ),
+        (
+            "services: { s: { targets: { a: { names: [c] }, b: { names: [c] } } } }",
+            "c is a name of a",
+        ),
+        (
+            "services: { s: { targets: { a: { names: [b] }, b: { drain: true } } } }",
+            "first name",
+        ),
+        (
+            "services: { s: { targets: { a: { names: [a] } } } }",
+            "differ from",
+        ),
+    ];
+    for (text, shown) in wrong {
+        let problems = tree(text).unwrap_err().to_string();
+        assert!(problems.contains(shown), "{text}: {problems}");
+    }
+}
+
+#[test]
+fn a_written_tree_is_read_back() {
+    let before = tree(TREE).unwrap();
+    let text = to_yaml(&before, &path("")).unwrap();
+    let after = tree(&text).unwrap();
+    assert_eq!(before, after, "{text}");
+    assert_eq!(before.digest(), after.digest());
+}
+
+#[test]
+fn each_default_is_allowed() {
+    let levels = [Level::Root, Level::Target, Level::DataCentre, Level::Team];
+    for rule in levels.into_iter().flat_map(rules_of) {
+        assert_eq!(
+            rule.canonical(rule.default).as_deref(),
+            Ok(rule.default),
+            "{}",
+            rule.key
+        );
+    }
+}
