--- /dev/null
+++ b/kqr-wire/src/control/mod.rs
@@ -0,0 +1,15 @@
+//! Control messages, carried by tonic: agreement, the settings stream and the calls of operators.
+
+mod answers;
+mod edits;
+mod stream;
+mod updates;
+
+/// Messages and services, generated from `proto/control.proto`.
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod messages {
+    include!("generated/kqr.control.rs");
+}
+
+pub use edits::{MessageError, command_of, request_of};
+pub use stream::{Peer, SettingsStream, connect};
--- /dev/null
+++ b/kqr-wire/src/control/stream.rs
@@ -0,0 +1,197 @@
+use std::{net::SocketAddr, time::Duration};
+
+use kqr_settings::{Follower, FollowerInput, FollowerOutput, Tree, Version};
+use kqr_types::{InstanceId, Instant};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use tonic::transport::{Channel, Endpoint};
+
+use super::{
+    MessageError,
+    messages::{self, control_client::ControlClient, follow_event},
+};
+
+/// Time between two ticks of the follower.
+const TICK: Duration = Duration::from_millis(100);
+/// Longest time for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Messages of a stream that may wait for the follower.
+const QUEUED_EVENTS: usize = 16;
+/// Largest message of a stream, in bytes.
+const MAX_MESSAGE_BYTES: usize = 64 << 20;
+
+/// A control instance that the settings can be streamed from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Identity of the instance.
+    pub id: InstanceId,
+    /// Its listener for other instances.
+    pub address: SocketAddr,
+}
+
+/// Keeps the settings of this process up to date from one of several control instances.
+#[derive(Debug)]
+pub struct SettingsStream {
+    own: InstanceId,
+    peers: Vec<Peer>,
+    follower: Follower,
+    origin: std::time::Instant,
+    events: Option<Events>,
+}
+
+/// The messages of the open stream; the task that reads them ends with it.
+#[derive(Debug)]
+struct Events {
+    peer: InstanceId,
+    rx: mpsc::Receiver<messages::FollowEvent>,
+    _cancel: tokio_util::sync::DropGuard,
+}
+
+impl SettingsStream {
+    /// Creates the stream of the instance `own`; `follower` has been created with the ids of `peers`.
+    pub fn new(own: InstanceId, peers: Vec<Peer>, follower: Follower) -> Self {
+        Self {
+            own,
+            peers,
+            follower,
+            origin: std::time::Instant::now(),
+            events: None,
+        }
+    }
+
+    /// Streams until `shutdown` and calls `apply` for each version that comes into force.
+    pub async fn run<Apply>(mut self, mut apply: Apply, shutdown: CancellationToken)
+    where
+        Apply: FnMut(Version, &Tree) + Send,
+    {
+        let mut ticks = tokio::time::interval(TICK);
+        loop {
+            let input = tokio::select! {
+                _ = ticks.tick() => FollowerInput::Tick,
+                input = next_input(&mut self.events) => input,
+                () = shutdown.cancelled() => return,
+            };
+            let now = Instant(self.origin.elapsed().as_micros() as u64);
+            let mut outputs = Vec::new();
+            self.follower.handle(now, input, &mut outputs);
+            for output in outputs {
+                self.perform(output, &mut apply);
+            }
+        }
+    }
+
+    fn perform<Apply>(&mut self, output: FollowerOutput, apply: &mut Apply)
+    where
+        Apply: FnMut(Version, &Tree),
+    {
+        match output {
+            FollowerOutput::Open {
+                peer,
+                since,
+                needs_confirmation,
+            } => {
+                let request = messages::FollowRequest {
+                    instance: self.own.as_str().to_owned(),
+                    since: since.map(|version| version.0),
+                    needs_confirmation,
+                };
+                self.events = self.open(peer, request);
+            }
+            FollowerOutput::Close { peer } => {
+                log::warn!("settings stream from {peer}: closed");
+                self.events = None;
+            }
+            FollowerOutput::Apply { version } => apply(version, self.follower.tree()),
+        }
+    }
+
+    fn open(&self, peer: InstanceId, request: messages::FollowRequest) -> Option<Events> {
+        let address = self.peers.iter().find(|known| known.id == peer)?.address;
+        let (tx, rx) = mpsc::channel(QUEUED_EVENTS);
+        let cancel = CancellationToken::new();
+        let reading = read(address, request, tx);
+        let (name, token) = (peer.clone(), cancel.clone());
+        tokio::spawn(async move {
+            let result = tokio::select! {
+                result = reading => result,
+                () = token.cancelled() => return,
+            };
+            if let Err(status) = result {
+                log::warn!("settings stream from {name}: {}", status.message());
+            }
+        });
+        Some(Events {
+            peer,
+            rx,
+            _cancel: cancel.drop_guard(),
+        })
+    }
+}
+
+/// Returns the next input from the open stream; waits forever if none is open.
+async fn next_input(events: &mut Option<Events>) -> FollowerInput {
+    let Some(open) = events else {
+        return std::future::pending().await;
+    };
+    let peer = open.peer.clone();
+    let input = match open.rx.recv().await {
+        Some(event) => input_of(peer.clone(), event),
+        None => Ok(FollowerInput::Closed { peer: peer.clone() }),
+    };
+    let input = input.unwrap_or_else(|error| {
+        log::error!("settings stream from {peer}: {error}");
+        FollowerInput::Closed { peer }
+    });
+    if matches!(input, FollowerInput::Closed { .. }) {
+        *events = None;
+    }
+    input
+}
+
+fn input_of(peer: InstanceId, event: messages::FollowEvent) -> Result<FollowerInput, MessageError> {
+    match event.kind {
+        Some(follow_event::Kind::Update(update)) => Ok(FollowerInput::Updated {
+            peer,
+            is_confirmed: update.is_confirmed,
+            update: update.try_into()?,
+        }),
+        Some(follow_event::Kind::Heartbeat(heartbeat)) => Ok(FollowerInput::Heartbeat {
+            peer,
+            version: Version(heartbeat.version),
+            digest: heartbeat.digest()?,
+            is_in_touch: heartbeat.is_in_touch,
+        }),
+        None => Err(MessageError::new("kind", "missing")),
+    }
+}
+
+/// Opens a stream and passes its messages on until it ends or nobody takes them.
+async fn read(
+    address: SocketAddr,
+    request: messages::FollowRequest,
+    tx: mpsc::Sender<messages::FollowEvent>,
+) -> Result<(), tonic::Status> {
+    let channel = connect(address).await?;
+    let mut client = ControlClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let mut events = client.follow(request).await?.into_inner();
+    while let Some(event) = events.message().await? {
+        if tx.send(event).await.is_err() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Opens a connection to the instance at `address`.
+///
+/// # Errors
+///
+/// Fails if no connection is opened in time; nothing was sent then.
+pub async fn connect(address: SocketAddr) -> Result<Channel, tonic::Status> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true);
+    let connected = endpoint.connect().await;
+    connected.map_err(|error| tonic::Status::unavailable(format!("connecting to {address}: {error}")))
+}
--- a/kqr-wire/src/lib.rs
+++ b/kqr-wire/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs)]
 
 pub mod callers;
+pub mod control;
 pub mod headers;
 pub mod siblings;
 pub mod targets;
