--- /dev/null
+++ b/kqr-control/src/node/ids.rs
@@ -0,0 +1,9 @@
+use serde::{Deserialize, Serialize};
+
+/// Number of a call that waits for its answer, given by the shell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CallId(pub u64);
+
+/// Number of a settings stream, given by the shell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StreamId(pub u64);
--- /dev/null
+++ b/kqr-control/src/node/input.rs
@@ -0,0 +1,58 @@
+use kqr_agreement::{Message, VoterId};
+use kqr_settings::{Command, Version};
+use kqr_types::InstanceId;
+use serde::{Deserialize, Serialize};
+
+use super::{CallId, StreamId};
+
+/// Input of the [`Node`](super::Node).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NodeInput {
+    /// Time has passed.
+    Tick,
+    /// A message of the replicated log arrived.
+    Message {
+        /// Voter that sent it.
+        from: VoterId,
+        /// The message.
+        message: Message,
+    },
+    /// A change is asked for.
+    Change {
+        /// Call that waits for the answer.
+        call: CallId,
+        /// The change.
+        command: Command,
+    },
+    /// The highest accepted version is asked for.
+    Confirm {
+        /// Call that waits for the answer.
+        call: CallId,
+    },
+    /// An instance opened a settings stream.
+    Follow {
+        /// The stream.
+        stream: StreamId,
+        /// The instance.
+        instance: InstanceId,
+        /// Version that the instance has.
+        since: Option<Version>,
+        /// Whether the first update must be confirmed by a quorum.
+        needs_confirmation: bool,
+    },
+    /// A quorum confirmed, after the stream was opened, that `version` is the highest accepted one.
+    StreamConfirmed {
+        /// The stream.
+        stream: StreamId,
+        /// The version.
+        version: Version,
+    },
+    /// A settings stream ended.
+    Unfollow {
+        /// The stream.
+        stream: StreamId,
+    },
+    /// The instance is about to stop: give up the lead.
+    HandOver,
+}
--- /dev/null
+++ b/kqr-control/src/node/machine.rs
@@ -0,0 +1,233 @@
+use kqr_agreement::{Index, Input, Machine, Output, ProposalResult, Refusal, RequestId, Role, VoterId};
+use kqr_settings::{Command, SettingsLog, Version};
+use kqr_types::{InstanceId, Instant};
+
+use super::{
+    CallId, NodeInput, NodeOptions, NodeOutput,
+    calls::{Calls, Purpose},
+    streams::Streams,
+};
+
+/// A control instance without input or output: a voter of the settings log and the streams that it feeds.
+#[derive(Clone, Debug)]
+pub struct Node {
+    options: NodeOptions,
+    agreement: Machine,
+    settings: SettingsLog,
+    calls: Calls,
+    streams: Streams,
+    leader_heard: Option<Instant>,
+    applied: Index,
+    compacted: Index,
+}
+
+impl Node {
+    /// Creates the instance around its voter.
+    pub fn new(options: NodeOptions, agreement: Machine) -> Self {
+        Self {
+            options,
+            agreement,
+            settings: SettingsLog::new(options.log),
+            calls: Calls::default(),
+            streams: Streams::default(),
+            leader_heard: None,
+            applied: Index(0),
+            compacted: Index(0),
+        }
+    }
+
+    /// Returns the settings as far as this instance knows them to be accepted.
+    pub fn settings(&self) -> &SettingsLog {
+        &self.settings
+    }
+
+    /// Returns the voter.
+    pub fn agreement(&self) -> &Machine {
+        &self.agreement
+    }
+
+    /// Returns the following instances with the version that each was sent last.
+    pub fn followers(&self) -> impl Iterator<Item = (&InstanceId, Option<Version>)> {
+        self.streams.list()
+    }
+
+    /// Returns whether this instance heard from a quorum, or from a leader, a short time ago.
+    pub fn is_in_touch(&self, now: Instant) -> bool {
+        if self.agreement.role().role == Role::Leader {
+            return self.agreement.holds_lease(now);
+        }
+        self.leader_heard
+            .is_some_and(|heard| now.since(heard) < self.options.in_touch_within)
+    }
+
+    /// Takes one input and adds what has to be done to `outputs`.
+    pub fn handle(&mut self, now: Instant, input: NodeInput, outputs: &mut Vec<NodeOutput>) {
+        match input {
+            NodeInput::Tick => {
+                self.drive(now, Input::Tick, outputs);
+                let is_in_touch = self.is_in_touch(now);
+                self.streams
+                    .tick(now, &self.options, &self.settings, is_in_touch, outputs);
+            }
+            NodeInput::Message { from, message } => {
+                let sender = from.clone();
+                self.drive(now, Input::Message { from, message }, outputs);
+                if self.agreement.role().leader == Some(sender) {
+                    self.leader_heard = Some(now);
+                }
+            }
+            NodeInput::Change { call, command } => self.change(now, call, &command, outputs),
+            NodeInput::Confirm { call } => {
+                let request = self.calls.open(Purpose::Confirm { call });
+                self.drive(now, Input::Read { request }, outputs);
+            }
+            NodeInput::Follow {
+                stream,
+                instance,
+                since,
+                needs_confirmation,
+            } => {
+                self.streams
+                    .open(stream, instance, since, needs_confirmation, outputs);
+                self.streams.advance(&self.settings, outputs);
+            }
+            NodeInput::StreamConfirmed { stream, version } => {
+                self.streams.confirm(stream, version);
+                self.streams.advance(&self.settings, outputs);
+            }
+            NodeInput::Unfollow { stream } => self.streams.close(stream),
+            NodeInput::HandOver => self.drive(now, Input::HandOver, outputs),
+        }
+    }
+
+    fn change(&mut self, now: Instant, call: CallId, command: &Command, outputs: &mut Vec<NodeOutput>) {
+        if let Some(answer) = self.settings.answer(&command.change) {
+            let answer = answer.clone();
+            outputs.push(NodeOutput::Answered { call, answer });
+            return;
+        }
+        let bytes = match serde_json::to_vec(command) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                let detail = format!("encoding change {}: {error}", command.change);
+                outputs.push(NodeOutput::Failed { detail });
+                return;
+            }
+        };
+        let change = command.change.clone();
+        let request = self.calls.open(Purpose::Change { call, change });
+        let input = Input::Propose {
+            request,
+            command: bytes,
+        };
+        self.drive(now, input, outputs);
+    }
+
+    /// Hands `input` to the voter and performs what it puts out as far as it concerns this instance alone.
+    fn drive(&mut self, now: Instant, input: Input, outputs: &mut Vec<NodeOutput>) {
+        let mut effects = Vec::new();
+        self.agreement.handle(now, input, &mut effects);
+        let before = self.settings.version();
+        for effect in effects {
+            self.perform(effect, outputs);
+        }
+        if self.settings.version() > before {
+            let version = self.settings.version();
+            outputs.push(NodeOutput::Applied { version });
+            self.streams.advance(&self.settings, outputs);
+        }
+        if self.applied.0 >= self.compacted.0 + self.options.compact_after {
+            self.compact(now, outputs);
+        }
+    }
+
+    fn perform(&mut self, effect: Output, outputs: &mut Vec<NodeOutput>) {
+        match effect {
+            Output::Send { to, message } => outputs.push(NodeOutput::Send { to, message }),
+            Output::Persist(record) => outputs.push(NodeOutput::Persist(record)),
+            Output::Apply { index, command, .. } => self.apply(index, &command, outputs),
+            Output::Restore { index, snapshot } => self.restore(index, &snapshot, outputs),
+            Output::Proposed { request, result } => self.proposed(request, result, outputs),
+            Output::ReadReady { request, .. } => {
+                if let Some(Purpose::Confirm { call }) = self.calls.close(request) {
+                    let version = self.settings.version();
+                    outputs.push(NodeOutput::Confirmed { call, version });
+                }
+            }
+            Output::ReadFailed { request, leader } => {
+                if let Some(Purpose::Confirm { call }) = self.calls.close(request) {
+                    let leader = leader.map(instance_of);
+                    outputs.push(NodeOutput::NotConfirmed { call, leader });
+                }
+            }
+            Output::RoleChanged(view) => outputs.push(NodeOutput::RoleChanged(view)),
+            Output::VotersChanged { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, index: Index, command: &[u8], outputs: &mut Vec<NodeOutput>) {
+        self.applied = index;
+        match serde_json::from_slice::<Command>(command) {
+            Ok(command) => drop(self.settings.apply(command)),
+            Err(error) => {
+                let detail = format!("decoding the command at index {index}: {error}");
+                outputs.push(NodeOutput::Failed { detail });
+            }
+        }
+    }
+
+    fn restore(&mut self, index: Index, snapshot: &[u8], outputs: &mut Vec<NodeOutput>) {
+        match SettingsLog::restore(self.options.log, snapshot) {
+            Ok(settings) => {
+                self.settings = settings;
+                self.applied = index;
+                self.compacted = index;
+            }
+            Err(error) => outputs.push(NodeOutput::Failed {
+                detail: error.to_string(),
+            }),
+        }
+    }
+
+    fn proposed(&mut self, request: RequestId, result: ProposalResult, outputs: &mut Vec<NodeOutput>) {
+        let Some(Purpose::Change { call, change }) = self.calls.close(request) else {
+            return;
+        };
+        let output = match result {
+            ProposalResult::Committed { .. } => match self.settings.answer(&change) {
+                Some(answer) => NodeOutput::Answered {
+                    call,
+                    answer: answer.clone(),
+                },
+                None => NodeOutput::Unknown { call, leader: None },
+            },
+            ProposalResult::Unknown { leader } => NodeOutput::Unknown {
+                call,
+                leader: leader.map(instance_of),
+            },
+            ProposalResult::Refused(Refusal::NotLeader { leader }) => NodeOutput::NotLeader {
+                call,
+                leader: leader.map(instance_of),
+            },
+            ProposalResult::Refused(_) => NodeOutput::NotLeader { call, leader: None },
+        };
+        outputs.push(output);
+    }
+
+    fn compact(&mut self, now: Instant, outputs: &mut Vec<NodeOutput>) {
+        self.compacted = self.applied;
+        match self.settings.snapshot() {
+            Ok(snapshot) => {
+                let index = self.applied;
+                self.drive(now, Input::Compact { index, snapshot }, outputs);
+            }
+            Err(error) => outputs.push(NodeOutput::Failed {
+                detail: format!("encoding a snapshot: {error}"),
+            }),
+        }
+    }
+}
+
+fn instance_of(voter: VoterId) -> InstanceId {
+    voter.instance
+}
--- /dev/null
+++ b/kqr-control/src/node/mod.rs
@@ -0,0 +1,15 @@
+//! The decisions of a control instance: a voter of the settings log that answers changes and feeds settings streams.
+
+mod calls;
+mod ids;
+mod input;
+mod machine;
+mod options;
+mod output;
+mod streams;
+
+pub use ids::{CallId, StreamId};
+pub use input::NodeInput;
+pub use machine::Node;
+pub use options::NodeOptions;
+pub use output::NodeOutput;
