--- /dev/null
+++ b/kqr-control/src/changes.rs
@@ -0,0 +1,182 @@
+use std::time::Duration;
+
+use kqr_settings::{Answer, Command, Version};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
+use tonic::Status;
+
+use crate::{
+    peers::Peers,
+    request::{ChangeResult, ConfirmResult, Request},
+};
+
+/// Longest time for a change or a confirmation.
+const DEADLINE: Duration = Duration::from_secs(5);
+/// Wait before the next try.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Takes changes to the leader, wherever it is.
+#[derive(Clone, Debug)]
+pub struct Changes {
+    driver: mpsc::Sender<Request>,
+    peers: Peers,
+}
+
+impl Changes {
+    /// Creates the way over the own node and the other control instances.
+    pub fn new(driver: mpsc::Sender<Request>, peers: Peers) -> Self {
+        Self { driver, peers }
+    }
+
+    /// Asks for `command` until it has an answer. Trying again is safe: the change id is answered once.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `unavailable` if there is no answer in time. The message tells whether the change may be accepted.
+    pub async fn change(&self, command: Command) -> Result<Answer, Status> {
+        let end = Instant::now() + DEADLINE;
+        let mut may_be_accepted = false;
+        while Instant::now() < end {
+            match tokio::time::timeout_at(end, self.propose(command.clone())).await {
+                Ok(Ok(ChangeResult::Answered(answer))) => return Ok(answer),
+                Ok(Ok(ChangeResult::NotLeader(Some(leader)))) => {
+                    let forwarded = self.peers.forward(&leader, command.clone()).await;
+                    match forwarded {
+                        Ok(answer) => return Ok(answer),
+                        Err(status) if is_not_proposed(&status) => {}
+                        Err(_) => may_be_accepted = true,
+                    }
+                }
+                Ok(Ok(ChangeResult::NotLeader(None))) => {}
+                Ok(Ok(ChangeResult::Unknown)) | Err(_) => may_be_accepted = true,
+                Ok(Err(status)) => return Err(status),
+            }
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+        Err(no_quorum(may_be_accepted))
+    }
+
+    /// Proposes `command` at this instance only.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `failed-precondition` if this instance does not lead, and with `unavailable` if the change may be
+    /// accepted.
+    pub async fn change_here(&self, command: Command) -> Result<Answer, Status> {
+        match tokio::time::timeout(DEADLINE, self.propose(command)).await {
+            Ok(Ok(ChangeResult::Answered(answer))) => Ok(answer),
+            Ok(Ok(ChangeResult::NotLeader(_))) => {
+                Err(Status::failed_precondition("this instance does not lead"))
+            }
+            Ok(Err(status)) => Err(status),
+            Ok(Ok(ChangeResult::Unknown)) | Err(_) => Err(no_quorum(true)),
+        }
+    }
+
+    /// Returns the highest accepted version after a quorum confirmed it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `unavailable` if no quorum confirmed it in time.
+    pub async fn confirm(&self) -> Result<Version, Status> {
+        let end = Instant::now() + DEADLINE;
+        while Instant::now() < end {
+            match tokio::time::timeout_at(end, self.confirm_once()).await {
+                Ok(Ok(ConfirmResult::Confirmed(version))) => return Ok(version),
+                Ok(Ok(ConfirmResult::NotHere(Some(leader)))) => {
+                    if let Ok(version) = self.peers.confirm(&leader).await {
+                        return Ok(version);
+                    }
+                }
+                Ok(Ok(ConfirmResult::NotHere(None))) | Err(_) => {}
+                Ok(Err(status)) => return Err(status),
+            }
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+        Err(Status::unavailable(
+            "no quorum confirmed the highest version in time",
+        ))
+    }
+
+    /// Returns the highest accepted version if this instance leads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not lead or no quorum answers in time.
+    pub async fn confirm_here(&self) -> Result<Version, Status> {
+        match tokio::time::timeout(DEADLINE, self.confirm_once()).await {
+            Ok(Ok(ConfirmResult::Confirmed(version))) => Ok(version),
+            Ok(Ok(ConfirmResult::NotHere(_))) => {
+                Err(Status::failed_precondition("this instance does not lead"))
+            }
+            Ok(Err(status)) => Err(status),
+            Err(_) => Err(Status::unavailable("no quorum answers")),
+        }
+    }
+
+    async fn propose(&self, command: Command) -> Result<ChangeResult, Status> {
+        let (reply, rx) = oneshot::channel();
+        self.ask(Request::Change { command, reply }, rx).await
+    }
+
+    async fn confirm_once(&self) -> Result<ConfirmResult, Status> {
+        let (reply, rx) = oneshot::channel();
+        self.ask(Request::Confirm { reply }, rx).await
+    }
+
+    /// Waits until this instance has the highest accepted version.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `unavailable` if no quorum confirmed the version, or if this instance does not get it in time.
+    pub async fn catch_up(&self) -> Result<(), Status> {
+        let highest = self.confirm().await?;
+        let end = Instant::now() + DEADLINE;
+        while Instant::now() < end {
+            let (reply, rx) = oneshot::channel();
+            let status = self.ask(Request::Status { reply }, rx).await?;
+            if status.version >= highest.0 {
+                return Ok(());
+            }
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+        Err(Status::unavailable(format!(
+            "this instance does not get version {highest} in time"
+        )))
+    }
+
+    /// Sends `request` to the driver without waiting for an effect.
+    pub async fn tell(&self, request: Request) {
+        drop(self.driver.send(request).await);
+    }
+
+    /// Sends `request` to the driver and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance stops.
+    pub async fn ask<Reply>(&self, request: Request, rx: oneshot::Receiver<Reply>) -> Result<Reply, Status> {
+        let stopping = || Status::unavailable("this instance stops");
+        self.driver.send(request).await.map_err(|_| stopping())?;
+        rx.await.map_err(|_| stopping())
+    }
+}
+
+/// Returns whether the other instance did not propose the change.
+fn is_not_proposed(status: &Status) -> bool {
+    matches!(
+        status.code(),
+        tonic::Code::FailedPrecondition | tonic::Code::NotFound
+    ) || status.message().starts_with("connecting to ")
+}
+
+fn no_quorum(may_be_accepted: bool) -> Status {
+    let outcome = if may_be_accepted {
+        "the change may or may not be accepted: send it again with the same change id"
+    } else {
+        "the change was not proposed"
+    };
+    Status::unavailable(format!("no quorum of control instances answers; {outcome}"))
+}
--- /dev/null
+++ b/kqr-control/src/control_service.rs
@@ -0,0 +1,64 @@
+use kqr_wire::control::{
+    command_of,
+    messages::{
+        ChangeReply, ChangeRequest, ConfirmReply, ConfirmRequest, Delivered, Delivery, FollowEvent,
+        FollowRequest, control_server::Control,
+    },
+};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request as Call, Response, Status};
+
+use crate::{changes::Changes, links::Envelope, request::Request};
+
+/// Messages of a settings stream that may wait before it is closed.
+const QUEUED_EVENTS: usize = 64;
+
+/// The calls that this instance answers to other processes of the system.
+#[derive(Clone, Debug)]
+pub struct ControlService {
+    changes: Changes,
+}
+
+impl ControlService {
+    /// Creates the service.
+    pub fn new(changes: Changes) -> Self {
+        Self { changes }
+    }
+}
+
+#[tonic::async_trait]
+impl Control for ControlService {
+    type FollowStream = ReceiverStream<Result<FollowEvent, Status>>;
+
+    async fn deliver(&self, call: Call<Delivery>) -> Result<Response<Delivered>, Status> {
+        let delivery = call.into_inner();
+        for bytes in delivery.messages {
+            let envelope: Envelope = bincode::deserialize(&bytes).map_err(|error| {
+                Status::invalid_argument(format!("message of {}: {error}", delivery.from))
+            })?;
+            let Envelope { from, message } = envelope;
+            self.changes.tell(Request::Message { from, message }).await;
+        }
+        Ok(Response::new(Delivered {}))
+    }
+
+    async fn follow(&self, call: Call<FollowRequest>) -> Result<Response<Self::FollowStream>, Status> {
+        let (tx, rx) = mpsc::channel(QUEUED_EVENTS);
+        let request = call.into_inner();
+        self.changes.tell(Request::Follow { request, tx }).await;
+        Ok(Response::new(ReceiverStream::new(rx)))
+    }
+
+    async fn confirm(&self, _: Call<ConfirmRequest>) -> Result<Response<ConfirmReply>, Status> {
+        let version = self.changes.confirm_here().await?.0;
+        Ok(Response::new(ConfirmReply { version }))
+    }
+
+    async fn forward(&self, call: Call<ChangeRequest>) -> Result<Response<ChangeReply>, Status> {
+        let command = command_of(call.into_inner());
+        let command = command.map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let answer = self.changes.change_here(command).await?;
+        Ok(Response::new(answer.into()))
+    }
+}
--- /dev/null
+++ b/kqr-control/src/driver.rs
@@ -0,0 +1,293 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use kqr_agreement::Record;
+use kqr_settings::{Refusal, SettingsLog, Update, Version};
+use kqr_store::{FolderDisk, Store, StoreError};
+use kqr_telemetry::{EventKind, EventLog};
+use kqr_types::Instant;
+use kqr_wire::control::messages::{self, FollowEvent, FollowerStatus, StatusReply, follow_event};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    changes::Changes,
+    links::Links,
+    node::{CallId, Node, NodeInput, NodeOutput, StreamId},
+    request::{ChangeResult, ConfirmResult, Request, StreamSender},
+};
+
+/// Time between two ticks of the node.
+const TICK: Duration = Duration::from_millis(50);
+/// Requests that are handled together and share one sync.
+const BATCH: usize = 256;
+
+/// Who waits for the end of a call.
+#[derive(Debug)]
+enum Waiter {
+    Change(oneshot::Sender<ChangeResult>),
+    Confirm(oneshot::Sender<ConfirmResult>),
+}
+
+/// The shell around a node: performs its outputs in their order.
+#[derive(Debug)]
+pub struct Driver {
+    node: Node,
+    store: Store<FolderDisk>,
+    links: Links,
+    changes: Changes,
+    events: EventLog,
+    origin: std::time::Instant,
+    next_id: u64,
+    waiters: BTreeMap<CallId, Waiter>,
+    streams: BTreeMap<StreamId, StreamSender>,
+}
+
+impl Driver {
+    /// Creates the shell around `node`.
+    pub fn new(
+        node: Node,
+        store: Store<FolderDisk>,
+        links: Links,
+        changes: Changes,
+        events: EventLog,
+    ) -> Self {
+        Self {
+            node,
+            store,
+            links,
+            changes,
+            events,
+            origin: std::time::Instant::now(),
+            next_id: 0,
+            waiters: BTreeMap::new(),
+            streams: BTreeMap::new(),
+        }
+    }
+
+    /// Handles requests until `stop`, then closes the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the durable state can't be written or the node can't continue.
+    pub async fn run(mut self, mut rx: mpsc::Receiver<Request>, stop: CancellationToken) -> eyre::Result<()> {
+        let mut ticks = tokio::time::interval(TICK);
+        let mut batch = Vec::new();
+        loop {
+            let mut outputs = Vec::new();
+            tokio::select! {
+                _ = ticks.tick() => self.handle(NodeInput::Tick, &mut outputs),
+                _ = rx.recv_many(&mut batch, BATCH) => {}
+                () = stop.cancelled() => break,
+            }
+            for request in batch.drain(..) {
+                self.take(request, &mut outputs);
+            }
+            self.perform(outputs)?;
+        }
+        self.events.flush();
+        drop(self.store.close().close());
+        Ok(())
+    }
+
+    fn now(&self) -> Instant {
+        Instant(self.origin.elapsed().as_micros() as u64)
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn handle(&mut self, input: NodeInput, outputs: &mut Vec<NodeOutput>) {
+        self.node.handle(self.now(), input, outputs);
+    }
+
+    fn take(&mut self, request: Request, outputs: &mut Vec<NodeOutput>) {
+        match request {
+            Request::Message { from, message } => self.handle(NodeInput::Message { from, message }, outputs),
+            Request::Change { command, reply } => {
+                let call = CallId(self.next_id());
+                self.waiters.insert(call, Waiter::Change(reply));
+                self.handle(NodeInput::Change { call, command }, outputs);
+            }
+            Request::Confirm { reply } => {
+                let call = CallId(self.next_id());
+                self.waiters.insert(call, Waiter::Confirm(reply));
+                self.handle(NodeInput::Confirm { call }, outputs);
+            }
+            Request::Follow { request, tx } => {
+                let Ok(instance) = request.instance.parse() else {
+                    return;
+                };
+                let stream = StreamId(self.next_id());
+                self.streams.insert(stream, tx);
+                let input = NodeInput::Follow {
+                    stream,
+                    instance,
+                    since: request.since.map(Version),
+                    needs_confirmation: request.needs_confirmation,
+                };
+                self.handle(input, outputs);
+            }
+            Request::StreamConfirmed { stream, version } => match version {
+                Some(version) => self.handle(NodeInput::StreamConfirmed { stream, version }, outputs),
+                None => self.drop_stream(stream),
+            },
+            Request::Tree { at, reply } => drop(reply.send(snapshot_at(self.node.settings(), at))),
+            Request::History { since, limit, reply } => {
+                let newest = self.node.settings().changes_since(since).rev().take(limit);
+                let mut changes: Vec<_> = newest.cloned().collect();
+                changes.reverse();
+                drop(reply.send(changes));
+            }
+            Request::Status { reply } => drop(reply.send(self.status())),
+            Request::HandOver => self.handle(NodeInput::HandOver, outputs),
+        }
+    }
+
+    /// Syncs all records with one write, then performs the other outputs in their order.
+    fn perform(&mut self, outputs: Vec<NodeOutput>) -> eyre::Result<()> {
+        let mut records = Vec::new();
+        let mut rest = Vec::with_capacity(outputs.len());
+        for output in outputs {
+            match output {
+                NodeOutput::Persist(record) => records.push(record),
+                other => rest.push(other),
+            }
+        }
+        if !records.is_empty() {
+            self.persist(records)?;
+        }
+        for output in rest {
+            self.perform_one(output)?;
+        }
+        Ok(())
+    }
+
+    fn persist(&mut self, records: Vec<Record>) -> Result<(), StoreError> {
+        tokio::task::block_in_place(|| self.store.append(records))
+    }
+
+    fn perform_one(&mut self, output: NodeOutput) -> eyre::Result<()> {
+        match output {
+            NodeOutput::Send { to, message } => {
+                self.links.send(self.node.agreement().own(), &to, message);
+            }
+            NodeOutput::Persist(record) => self.persist(vec![record])?,
+            NodeOutput::Answered { call, answer } => self.end_change(call, ChangeResult::Answered(answer)),
+            NodeOutput::NotLeader { call, leader } => self.end_change(call, ChangeResult::NotLeader(leader)),
+            NodeOutput::Unknown { call, .. } => self.end_change(call, ChangeResult::Unknown),
+            NodeOutput::Confirmed { call, version } => {
+                self.end_confirm(call, ConfirmResult::Confirmed(version));
+            }
+            NodeOutput::NotConfirmed { call, leader } => {
+                self.end_confirm(call, ConfirmResult::NotHere(leader));
+            }
+            NodeOutput::ConfirmStream { stream } => self.confirm_stream(stream),
+            NodeOutput::Update {
+                stream,
+                update,
+                is_confirmed,
+            } => {
+                let update = messages::Update::of(update, is_confirmed);
+                self.send(stream, follow_event::Kind::Update(update));
+            }
+            NodeOutput::Heartbeat {
+                stream,
+                version,
+                digest,
+                is_in_touch,
+            } => {
+                let heartbeat = messages::Heartbeat::of(version, digest, is_in_touch);
+                self.send(stream, follow_event::Kind::Heartbeat(heartbeat));
+            }
+            NodeOutput::Applied { version } => {
+                let mut event = self.events.event(EventKind::SettingsApplied);
+                event.detail = Some(format!("version {version}"));
+                self.events.record(event);
+            }
+            NodeOutput::RoleChanged(view) => {
+                let leader = view
+                    .leader
+                    .map_or_else(|| "none".to_owned(), |leader| leader.to_string());
+                log::info!("role {:?}, term {}, leader {leader}", view.role, view.term);
+            }
+            NodeOutput::Failed { detail } => eyre::bail!("the settings log can't be continued: {detail}"),
+        }
+        Ok(())
+    }
+
+    fn end_change(&mut self, call: CallId, result: ChangeResult) {
+        if let Some(Waiter::Change(reply)) = self.waiters.remove(&call) {
+            drop(reply.send(result));
+        }
+    }
+
+    fn end_confirm(&mut self, call: CallId, result: ConfirmResult) {
+        if let Some(Waiter::Confirm(reply)) = self.waiters.remove(&call) {
+            drop(reply.send(result));
+        }
+    }
+
+    fn confirm_stream(&self, stream: StreamId) {
+        let changes = self.changes.clone();
+        tokio::spawn(async move {
+            let version = changes.confirm().await.ok();
+            changes.tell(Request::StreamConfirmed { stream, version }).await;
+        });
+    }
+
+    /// Sends on a stream; one whose instance does not take its messages is closed.
+    fn send(&mut self, stream: StreamId, kind: follow_event::Kind) {
+        let Some(tx) = self.streams.get(&stream) else {
+            return;
+        };
+        if tx.try_send(Ok(FollowEvent { kind: Some(kind) })).is_err() {
+            self.drop_stream(stream);
+        }
+    }
+
+    fn drop_stream(&mut self, stream: StreamId) {
+        self.streams.remove(&stream);
+        self.handle(NodeInput::Unfollow { stream }, &mut Vec::new());
+    }
+
+    fn status(&self) -> StatusReply {
+        let agreement = self.node.agreement();
+        let view = agreement.role();
+        let settings = self.node.settings();
+        let mut followers = Vec::new();
+        for (instance, version) in self.node.followers() {
+            followers.push(FollowerStatus {
+                instance: instance.to_string(),
+                version: version.unwrap_or_default().0,
+            });
+        }
+        StatusReply {
+            instance: agreement.own().instance.to_string(),
+            role: format!("{:?}", view.role).to_lowercase(),
+            term: view.term.0,
+            leader: view
+                .leader
+                .map(|leader| leader.instance.to_string())
+                .unwrap_or_default(),
+            version: settings.version().0,
+            digest: settings.tree().digest().0.to_be_bytes().to_vec(),
+            is_in_touch: self.node.is_in_touch(self.now()),
+            voters: agreement
+                .configuration()
+                .voters
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+            followers,
+        }
+    }
+}
+
+fn snapshot_at(settings: &SettingsLog, at: Option<Version>) -> Result<Update, Refusal> {
+    let Some(at) = at.filter(|at| *at != settings.version()) else {
+        return Ok(settings.update_since(None));
+    };
+    Ok(Update::snapshot(at, &settings.tree_at(at)?))
+}
--- a/kqr-control/src/lib.rs
+++ b/kqr-control/src/lib.rs
@@ -4,4 +4,17 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod changes;
+mod control_service;
+pub mod daemon;
+mod driver;
+mod links;
 pub mod node;
+mod operators_service;
+mod options;
+mod peers;
+mod request;
+mod token;
+
+pub use options::Options;
+pub use token::Token;
--- /dev/null
+++ b/kqr-control/src/operators_service.rs
@@ -0,0 +1,76 @@
+use kqr_settings::Version;
+use kqr_wire::control::{
+    command_of,
+    messages::{
+        ChangeReply, ChangeRequest, HistoryReply, HistoryRequest, StatusReply, StatusRequest, TreeReply,
+        TreeRequest, Update, operators_server::Operators,
+    },
+};
+use tokio::sync::oneshot;
+use tonic::{Request as Call, Response, Status};
+
+use crate::{changes::Changes, request::Request};
+
+/// Largest number of changes in one reply.
+const MAX_HISTORY: usize = 1000;
+
+/// The calls that this instance answers to operators.
+#[derive(Clone, Debug)]
+pub struct OperatorsService {
+    changes: Changes,
+}
+
+impl OperatorsService {
+    /// Creates the service.
+    pub fn new(changes: Changes) -> Self {
+        Self { changes }
+    }
+}
+
+#[tonic::async_trait]
+impl Operators for OperatorsService {
+    async fn change(&self, call: Call<ChangeRequest>) -> Result<Response<ChangeReply>, Status> {
+        let command = command_of(call.into_inner());
+        let command = command.map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let shown = format!("change {} of {}", command.change, command.operator);
+        let answer = self.changes.change(command).await;
+        match &answer {
+            Ok(kqr_settings::Answer::Accepted { version, .. }) => {
+                log::info!("{shown}: accepted as version {version}");
+            }
+            Ok(kqr_settings::Answer::Refused(refusal)) => log::info!("{shown}: refused: {refusal}"),
+            Err(status) => log::warn!("{shown}: {}", status.message()),
+        }
+        Ok(Response::new(answer?.into()))
+    }
+
+    async fn tree(&self, call: Call<TreeRequest>) -> Result<Response<TreeReply>, Status> {
+        let request = call.into_inner();
+        if request.needs_confirmation {
+            self.changes.catch_up().await?;
+        }
+        let at = request.at.map(Version);
+        let (reply, rx) = oneshot::channel();
+        let update = self.changes.ask(Request::Tree { at, reply }, rx).await?;
+        let update = update.map_err(|refusal| Status::out_of_range(refusal.to_string()))?;
+        let update = Update::of(update, request.needs_confirmation);
+        Ok(Response::new(TreeReply { update: Some(update) }))
+    }
+
+    async fn history(&self, call: Call<HistoryRequest>) -> Result<Response<HistoryReply>, Status> {
+        let request = call.into_inner();
+        let since = Version(request.since);
+        let limit = (request.limit as usize).min(MAX_HISTORY);
+        let (reply, rx) = oneshot::channel();
+        let question = Request::History { since, limit, reply };
+        let changes = self.changes.ask(question, rx).await?;
+        let changes = changes.into_iter().map(Into::into).collect();
+        Ok(Response::new(HistoryReply { changes }))
+    }
+
+    async fn status(&self, _: Call<StatusRequest>) -> Result<Response<StatusReply>, Status> {
+        let (reply, rx) = oneshot::channel();
+        let status = self.changes.ask(Request::Status { reply }, rx).await?;
+        Ok(Response::new(status))
+    }
+}
--- /dev/null
+++ b/kqr-control/src/options.rs
@@ -0,0 +1,28 @@
+use std::path::PathBuf;
+
+use clap::Parser;
+use kqr_types::InstanceId;
+
+/// The control daemon.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "kqr-control", version)]
+pub struct Options {
+    /// Bootstrap file with the instances of the system.
+    #[arg(long)]
+    pub config: PathBuf,
+    /// Identity of this instance in the bootstrap file.
+    #[arg(long)]
+    pub instance: InstanceId,
+    /// Folder for the durable state.
+    #[arg(long)]
+    pub data: PathBuf,
+    /// Starts a new system if the data folder is empty. Never given to an instance that lost its disk.
+    #[arg(long)]
+    pub found: bool,
+    /// File for the events of the time line.
+    #[arg(long)]
+    pub events: Option<PathBuf>,
+    /// Least severity that is logged.
+    #[arg(long, default_value = "info")]
+    pub log_level: log::LevelFilter,
+}
--- /dev/null
+++ b/kqr-control/src/peers.rs
@@ -0,0 +1,62 @@
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use kqr_settings::{Answer, Command, Version};
+use kqr_types::InstanceId;
+use kqr_wire::control::{
+    connect,
+    messages::{ConfirmRequest, control_client::ControlClient},
+    request_of,
+};
+use tonic::{Request, Status, transport::Channel};
+
+/// Longest time for a call to another control instance.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The other control instances and the calls that are made to their leader.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    addresses: BTreeMap<InstanceId, SocketAddr>,
+}
+
+impl Peers {
+    /// Creates the list of the other control instances.
+    pub fn new(addresses: BTreeMap<InstanceId, SocketAddr>) -> Self {
+        Self { addresses }
+    }
+
+    /// Hands `command` to `leader`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the leader can't be reached or does not answer; the change may be accepted then.
+    pub async fn forward(&self, leader: &InstanceId, command: Command) -> Result<Answer, Status> {
+        let mut client = self.client(leader).await?;
+        let reply = client.forward(limited(request_of(command))).await?.into_inner();
+        reply
+            .try_into()
+            .map_err(|error| Status::internal(format!("answer of {leader}: {error}")))
+    }
+
+    /// Asks `leader` for the highest accepted version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the leader can't be reached or can't confirm it.
+    pub async fn confirm(&self, leader: &InstanceId) -> Result<Version, Status> {
+        let mut client = self.client(leader).await?;
+        let reply = client.confirm(limited(ConfirmRequest {})).await?.into_inner();
+        Ok(Version(reply.version))
+    }
+
+    async fn client(&self, peer: &InstanceId) -> Result<ControlClient<Channel>, Status> {
+        let address = self.addresses.get(peer);
+        let address = *address.ok_or_else(|| Status::not_found(format!("{peer} is no control instance")))?;
+        Ok(ControlClient::new(connect(address).await?))
+    }
+}
+
+fn limited<Body>(body: Body) -> Request<Body> {
+    let mut request = Request::new(body);
+    request.set_timeout(CALL_TIMEOUT);
+    request
+}
--- a/kqr-settings/src/bootstrap.rs
+++ b/kqr-settings/src/bootstrap.rs
@@ -1,6 +1,11 @@
 //! The bootstrap file: the instances of the system, with their addresses and data centres.
 
-use std::{collections::BTreeSet, fmt, net::SocketAddr, path::Path};
+use std::{
+    collections::BTreeSet,
+    fmt,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
 
 use kqr_types::{DataCentre, InstanceId, Region};
 use serde::{Deserialize, Serialize};
@@ -56,6 +61,9 @@
     pub data_centres: Vec<Site>,
     /// Instances of all data centres.
     pub instances: Vec<Instance>,
+    /// File with the operators' token; a relative path starts at the folder of the bootstrap file.
+    #[serde(default)]
+    pub operator_token_file: Option<PathBuf>,
 }
 
 /// A bootstrap file that can't be used.
@@ -126,6 +134,24 @@
         })
     }
 
+    /// Returns the control instances.
+    pub fn control_instances(&self) -> impl Iterator<Item = &Instance> {
+        let instances = self.instances.iter();
+        instances.filter(|instance| instance.role == Role::Control)
+    }
+
+    /// Returns the region of `data_centre`.
+    pub fn region_of(&self, data_centre: &DataCentre) -> Option<&Region> {
+        let site = self.data_centres.iter().find(|site| site.name == *data_centre);
+        site.map(|site| &site.region)
+    }
+
+    /// Returns the path of the operators' token file; `config` is the path of the bootstrap file.
+    pub fn operator_token_file(&self, config: &Path) -> Option<PathBuf> {
+        let file = self.operator_token_file.as_ref()?;
+        Some(config.parent().unwrap_or(Path::new("")).join(file))
+    }
+
     fn check(&self) -> Result<(), String> {
         let sites: BTreeSet<&DataCentre> = self.data_centres.iter().map(|site| &site.name).collect();
         let mut ids = BTreeSet::new();
@@ -146,6 +172,11 @@
                     "instances[{index}].callers: an entry needs a listener address"
                 ));
             }
+            if instance.role == Role::Control && instance.operators.is_none() {
+                return Err(format!(
+                    "instances[{index}].operators: a control instance needs a listener address"
+                ));
+            }
             if instance.role == Role::Entry && instance.targets.is_none() {
                 return Err(format!(
                     "instances[{index}].targets: an entry needs a listener address"
--- a/kqr-settings/src/log/settings_log.rs
+++ b/kqr-settings/src/log/settings_log.rs
@@ -102,18 +102,18 @@
 
     /// Returns what brings a copy at version `base`, or a copy without a version, to the present version.
     pub fn update_since(&self, base: Option<Version>) -> Update {
-        let body = match base {
-            Some(base) if self.check_retained(base).is_ok() => {
-                let edits = self.history.way_forward(base);
-                UpdateBody::Delta { base, edits }
-            }
-            _ => self.snapshot_body(),
+        let retained = base.filter(|base| self.check_retained(*base).is_ok());
+        let Some(base) = retained else {
+            return Update::snapshot(self.version, &self.tree);
         };
-        let is_longer = matches!(&body, UpdateBody::Delta { edits, .. } if edits.len() > self.tree.len());
+        let edits = self.history.way_forward(base);
+        if edits.len() > self.tree.len() {
+            return Update::snapshot(self.version, &self.tree);
+        }
         Update {
             version: self.version,
             digest: self.tree.digest(),
-            body: if is_longer { self.snapshot_body() } else { body },
+            body: UpdateBody::Delta { base, edits },
         }
     }
 
@@ -286,17 +286,6 @@
             }
         }
     }
-
-    fn snapshot_body(&self) -> UpdateBody {
-        let mut edits = Vec::with_capacity(self.tree.len());
-        for (path, value) in self.tree.iter() {
-            edits.push(Edit {
-                path: path.clone(),
-                value: Some(value.to_owned()),
-            });
-        }
-        UpdateBody::Snapshot(edits)
-    }
 }
 
 fn set_or_unset(tree: &mut Tree, edit: &Edit) {
--- a/kqr-settings/src/log/update.rs
+++ b/kqr-settings/src/log/update.rs
@@ -72,6 +72,22 @@
 impl std::error::Error for UpdateError {}
 
 impl Update {
+    /// Creates the snapshot of `tree`, which has `version`.
+    pub fn snapshot(version: Version, tree: &Tree) -> Self {
+        let mut edits = Vec::with_capacity(tree.len());
+        for (path, value) in tree.iter() {
+            edits.push(Edit {
+                path: path.clone(),
+                value: Some(value.to_owned()),
+            });
+        }
+        Self {
+            version,
+            digest: tree.digest(),
+            body: UpdateBody::Snapshot(edits),
+        }
+    }
+
     /// Returns the tree that the update makes of `tree`, which has `version`.
     ///
     /// # Errors
