--- /dev/null
+++ b/kqr-cli/src/commands/mod.rs
@@ -0,0 +1,6 @@
+//! The operations.
+
+pub mod drain;
+pub mod settings;
+pub mod status;
+pub mod targets;
--- a/kqr-settings/src/tree/target_names.rs
+++ b/kqr-settings/src/tree/target_names.rs
@@ -50,6 +50,11 @@
         names.and_then(|names| names.last()).unwrap_or(identity)
     }
 
+    /// Returns the names that the target with `identity` took after its first one, oldest first.
+    pub fn names(&self, identity: &TargetId) -> &[TargetId] {
+        self.names.get(identity).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the renamed targets: the identity and the names taken since, oldest first.
     pub fn renamed(&self) -> impl Iterator<Item = (&TargetId, &[TargetId])> {
         self.names
