--- a/kqr-cli/src/change.rs
+++ b/kqr-cli/src/change.rs
@@ -56,7 +56,7 @@
     const STEP: &str = "changing the settings";
     let base = match options.base.or(base) {
         Some(base) => base,
-        None => connection.tree(None, false).await?.version,
+        None => connection.tree(None).await?.version,
     };
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let change = match &options.change_id {
--- a/kqr-cli/src/commands/settings/apply.rs
+++ b/kqr-cli/src/commands/settings/apply.rs
@@ -50,7 +50,7 @@
 /// Fails if the file is not a valid tree or the change is not accepted.
 pub async fn run(connection: &Connection, options: &Options) -> Result<Outcome, Error> {
     let wanted = read_tree(&options.file)?;
-    let base = connection.tree(options.change.base, false).await?;
+    let base = connection.tree(options.change.base).await?;
     let edits = edits_between(&base.tree, &wanted);
     let differences = edits
         .iter()
--- a/kqr-cli/src/commands/settings/diff.rs
+++ b/kqr-cli/src/commands/settings/diff.rs
@@ -79,10 +79,10 @@
 ///
 /// Fails if a version or the file can't be read.
 pub async fn run(connection: &Connection, options: &Options) -> Result<Outcome, Error> {
-    let before = connection.tree(options.from, false).await?.tree;
+    let before = connection.tree(options.from).await?.tree;
     let after = match &options.file {
         Some(file) => read_tree(file)?,
-        None => connection.tree(options.to, false).await?.tree,
+        None => connection.tree(options.to).await?.tree,
     };
     let edits = edits_between(&before, &after);
     let differences = edits.iter().map(|edit| Difference::new(&before, edit)).collect();
--- a/kqr-cli/src/commands/settings/explain.rs
+++ b/kqr-cli/src/commands/settings/explain.rs
@@ -52,7 +52,7 @@
 /// Fails if the path is unknown or the settings can't be read.
 pub async fn run(connection: &Connection, options: &Options) -> Result<Outcome, Error> {
     let (node, key) = locate(&options.path)?;
-    let snapshot = connection.tree(options.at, false).await?;
+    let snapshot = connection.tree(options.at).await?;
     let mut values = Resolved::explain(&snapshot.tree, &node);
     if let Some(key) = key {
         values.retain(|line| line.key == key);
--- a/kqr-cli/src/commands/settings/get.rs
+++ b/kqr-cli/src/commands/settings/get.rs
@@ -16,9 +16,6 @@
     /// Version; the highest accepted one if absent.
     #[arg(long)]
     pub at: Option<Version>,
-    /// Takes what the first reachable instance has, without asking a quorum.
-    #[arg(long)]
-    pub stale: bool,
 }
 
 /// The settings.
@@ -50,7 +47,7 @@
 ///
 /// Fails if the settings can't be read.
 pub async fn run(connection: &Connection, options: &Options) -> Result<Outcome, Error> {
-    let snapshot = connection.tree(options.at, options.stale).await?;
+    let snapshot = connection.tree(options.at).await?;
     let path = options.path.clone().unwrap_or_default();
     let yaml = to_yaml(&snapshot.tree, &path);
     let mut values = BTreeMap::new();
--- a/kqr-cli/src/commands/targets.rs
+++ b/kqr-cli/src/commands/targets.rs
@@ -82,7 +82,7 @@
 ///
 /// Fails if the settings can't be read or the rename is not accepted.
 pub async fn run(connection: &Connection, options: &Options) -> Result<Outcome, Error> {
-    let snapshot = connection.tree(None, false).await?;
+    let snapshot = connection.tree(None).await?;
     let accepted = match (&options.rename, &options.to, &options.service) {
         (Some(name), Some(to), Some(service)) => {
             let edit = rename(&snapshot, name, to, service);
--- a/kqr-cli/src/connection.rs
+++ b/kqr-cli/src/connection.rs
@@ -30,6 +30,9 @@
     /// Longest time for a call, in seconds.
     #[arg(long, global = true, default_value_t = 8)]
     pub timeout: u64,
+    /// Takes settings as the first reachable instance has them, without asking a quorum.
+    #[arg(long, global = true)]
+    pub stale: bool,
     /// Form of the output.
     #[arg(long, global = true, value_enum, default_value_t)]
     pub output: Format,
@@ -50,6 +53,7 @@
     servers: Vec<SocketAddr>,
     token: String,
     timeout: Duration,
+    is_stale_allowed: bool,
 }
 
 impl Connection {
@@ -76,6 +80,7 @@
             servers: options.servers.clone(),
             token: text.lines().next().unwrap_or_default().trim().to_owned(),
             timeout: Duration::from_secs(options.timeout),
+            is_stale_allowed: options.stale,
         })
     }
 
@@ -84,16 +89,16 @@
         &self.servers
     }
 
-    /// Returns the settings at `at`, or the highest accepted ones. `is_stale_allowed` takes what one instance has.
+    /// Returns the settings at `at`, or the highest accepted ones; with `--stale`, what one instance has.
     ///
     /// # Errors
     ///
     /// Fails if no instance answers, or none with a quorum if that is needed.
-    pub async fn tree(&self, at: Option<Version>, is_stale_allowed: bool) -> Result<Snapshot, Failure> {
+    pub async fn tree(&self, at: Option<Version>) -> Result<Snapshot, Failure> {
         const STEP: &str = "reading the settings";
         let body = TreeRequest {
             at: at.map(|version| version.0),
-            needs_confirmation: !is_stale_allowed,
+            needs_confirmation: !self.is_stale_allowed,
         };
         let call = async |mut client: Client, request| client.tree(request).await;
         let reply: TreeReply = self.first_answer(STEP, body, call).await?;
--- a/kqr-control/src/changes.rs
+++ b/kqr-control/src/changes.rs
@@ -96,7 +96,7 @@
             tokio::time::sleep(RETRY_AFTER).await;
         }
         Err(Status::unavailable(
-            "no quorum confirmed the highest version in time",
+            "no quorum confirmed the highest version in time; what one instance has can be read with --stale",
         ))
     }
 
--- a/kqr-wire/src/control/mod.rs
+++ b/kqr-wire/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod edits;
+mod peer;
 mod stream;
 mod updates;
 
@@ -12,4 +13,5 @@
 }
 
 pub use edits::{MessageError, command_of, request_of};
-pub use stream::{Peer, SettingsStream, connect};
+pub use peer::{Peer, peers_of};
+pub use stream::{SettingsStream, connect};
--- /dev/null
+++ b/kqr-wire/src/control/peer.rs
@@ -0,0 +1,35 @@
+use std::net::SocketAddr;
+
+use kqr_settings::bootstrap::{Bootstrap, Instance};
+use kqr_types::{InstanceId, rendezvous_weight};
+
+/// A control instance that the settings can be streamed from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Identity of the instance.
+    pub id: InstanceId,
+    /// Its listener for other instances.
+    pub address: SocketAddr,
+}
+
+/// Returns the control instances in the order in which `own` tries them: those of its data centre, of its region, then
+/// the others. The order within each group differs between instances, so that the streams spread.
+pub fn peers_of(bootstrap: &Bootstrap, own: &Instance) -> Vec<Peer> {
+    let region = bootstrap.region_of(&own.data_centre);
+    let mut ranked = Vec::new();
+    for control in bootstrap.control_instances() {
+        let is_far = control.data_centre != own.data_centre;
+        let is_abroad = bootstrap.region_of(&control.data_centre) != region;
+        let weight = rendezvous_weight(own.id.as_str(), control.id.as_str(), 1);
+        ranked.push((is_abroad, is_far, weight, control));
+    }
+    ranked.sort_by_key(|(is_abroad, is_far, weight, _)| (*is_abroad, *is_far, *weight));
+    let mut peers = Vec::with_capacity(ranked.len());
+    for (_, _, _, control) in ranked {
+        peers.push(Peer {
+            id: control.id.clone(),
+            address: control.peers,
+        });
+    }
+    peers
+}
--- a/kqr-wire/src/control/stream.rs
+++ b/kqr-wire/src/control/stream.rs
@@ -7,7 +7,7 @@
 use tonic::transport::{Channel, Endpoint};
 
 use super::{
-    MessageError,
+    MessageError, Peer,
     messages::{self, control_client::ControlClient, follow_event},
 };
 
@@ -20,15 +20,6 @@
 /// Largest message of a stream, in bytes.
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
-/// A control instance that the settings can be streamed from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    /// Identity of the instance.
-    pub id: InstanceId,
-    /// Its listener for other instances.
-    pub address: SocketAddr,
-}
-
 /// Keeps the settings of this process up to date from one of several control instances.
 #[derive(Debug)]
 pub struct SettingsStream {
