perf: check only what a change touches and edit the tree in place

Cause: each replica cloned and checked the whole tree for each change, so that a restart at the target size would replay for a minute. Change: edits in place with undo; cross checks run only when their keys are touched; a randomised test compares the verdict with the whole check.

--- a/kqr-settings/src/lib.rs
+++ b/kqr-settings/src/lib.rs
@@ -20,6 +20,6 @@
 };
 pub use tree::{
     Digest, Explained, Hidden, Leaf, Problem, Problems, Resolved, SettingPath, TargetNames, Tree,
-    canonical_value, from_yaml, to_yaml, validate,
+    canonical_value, from_yaml, to_yaml, validate, validate_changed,
 };
 pub use values::{Count, Flag, Names, ResubmissionRule, Share, TimeSpan};
--- a/kqr-settings/src/log/mod.rs
+++ b/kqr-settings/src/log/mod.rs
@@ -5,6 +5,7 @@
 mod change_id;
 mod collision;
 mod command;
+mod editing;
 mod history;
 mod operator_name;
 mod settings_log;
--- a/kqr-settings/src/log/settings_log.rs
+++ b/kqr-settings/src/log/settings_log.rs
@@ -3,10 +3,11 @@
 use super::{
     Action, Answer, Change, ChangeId, Command, Edit, Refusal, RestoreError, Update, UpdateBody, Version,
     collision::collision,
+    editing::Editing,
     history::History,
     snapshot::{FORMAT, SnapshotBody},
 };
-use crate::tree::{Problems, SettingPath, Tree, canonical_value, validate};
+use crate::tree::Tree;
 
 /// Limits of a settings log. All replicas must have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,7 +96,7 @@
         self.check_retained(at)?;
         let mut tree = self.tree.clone();
         for edit in self.history.way_back(at) {
-            set_or_unset(&mut tree, &edit);
+            tree.edit(&edit);
         }
         Ok(tree)
     }
@@ -185,14 +186,8 @@
             }
         };
         self.check_not_beaten(command.base, command.is_exclusive, &edits)?;
-        let (tree, edits, before) = self.edited(edits)?;
-        let given = edits.len();
-        let most = self.options.max_edits_per_change;
-        if given == 0 || given > most {
-            return Err(Refusal::EditCount { given, most });
-        }
-        validate(&tree).map_err(Refusal::Invalid)?;
-        self.tree = tree;
+        let editing = Editing::apply(&mut self.tree, edits, self.options.max_edits_per_change)?;
+        let (edits, before) = editing.close();
         self.version = self.version.next();
         let digest = self.tree.digest();
         let change = Change {
@@ -211,44 +206,6 @@
         Ok(Answer::Accepted { version, digest })
     }
 
-    /// Returns the edited tree with one edit a value, and the values before.
-    fn edited(&self, edits: Vec<Edit>) -> Result<(Tree, Vec<Edit>, Vec<Edit>), Refusal> {
-        let mut tree = self.tree.clone();
-        let mut touched: BTreeMap<SettingPath, Option<String>> = BTreeMap::new();
-        let mut problems = Vec::new();
-        for edit in edits {
-            let Some(value) = &edit.value else {
-                let paths: Vec<SettingPath> =
-                    tree.subtree(&edit.path).map(|(path, _)| path.clone()).collect();
-                for path in paths {
-                    let before = tree.unset(&path);
-                    touched.entry(path).or_insert(before);
-                }
-                continue;
-            };
-            match canonical_value(&edit.path, value) {
-                Ok(value) => {
-                    let before = tree.set(edit.path.clone(), value);
-                    touched.entry(edit.path).or_insert(before);
-                }
-                Err(problem) => problems.push(problem),
-            }
-        }
-        if !problems.is_empty() {
-            return Err(Refusal::Invalid(Problems(problems)));
-        }
-        let mut edits = Vec::with_capacity(touched.len());
-        let mut before = Vec::with_capacity(touched.len());
-        for (path, value) in touched {
-            edits.push(Edit {
-                value: tree.get(&path).map(str::to_owned),
-                path: path.clone(),
-            });
-            before.push(Edit { path, value });
-        }
-        Ok((tree, edits, before))
-    }
-
     fn check_retained(&self, version: Version) -> Result<(), Refusal> {
         let highest = self.version;
         if version > highest {
@@ -287,10 +244,3 @@
         }
     }
 }
-
-fn set_or_unset(tree: &mut Tree, edit: &Edit) {
-    match &edit.value {
-        Some(value) => tree.set(edit.path.clone(), value.clone()),
-        None => tree.unset(&edit.path),
-    };
-}
--- a/kqr-settings/src/log/update.rs
+++ b/kqr-settings/src/log/update.rs
@@ -105,10 +105,7 @@
             UpdateBody::Snapshot(edits) => (Tree::default(), edits),
         };
         for edit in edits {
-            match &edit.value {
-                Some(value) => next.set(edit.path.clone(), value.clone()),
-                None => next.unset(&edit.path),
-            };
+            next.edit(edit);
         }
         if next.digest() != self.digest {
             return Err(UpdateError::WrongDigest {
--- a/kqr-settings/src/tree/mod.rs
+++ b/kqr-settings/src/tree/mod.rs
@@ -1,10 +1,13 @@
 //! The settings tree: paths, values, validation and the resolved view.
 
+mod deadline_check;
 mod digest;
 mod document;
 mod explained;
+mod names_check;
 mod path;
 mod problem;
+mod region_check;
 mod resolved;
 mod settings_tree;
 mod target_names;
@@ -18,4 +21,4 @@
 pub use resolved::Resolved;
 pub use settings_tree::Tree;
 pub use target_names::TargetNames;
-pub use validation::{canonical_value, validate};
+pub use validation::{canonical_value, validate, validate_changed};
--- a/kqr-settings/src/tree/resolved.rs
+++ b/kqr-settings/src/tree/resolved.rs
@@ -4,7 +4,7 @@
 /// The settings in force at one node, with everything that it inherits.
 ///
 /// Values are looked up from the closest node to the root: the target, then its service, then the data centre, the
-/// region and the root. A target or service that is named at several places takes the one of the closest place first.
+/// region and the root. The default deadline is limited to the longest one. A target or service that is named at several places takes the one of the closest place first.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Resolved {
     /// Settings of requests, tasks and targets.
@@ -21,9 +21,11 @@
     /// Builds the view of `node`.
     pub fn of(tree: &Tree, node: &Node) -> Self {
         let chain = chain(node);
-        let lookup = |key: &'static str| chain.iter().rev().find_map(|path| tree.get(&path.join(key)));
+        let lookup = |key: &'static str| closest(tree, &chain, key);
+        let mut rules = Rules::from_texts(lookup);
+        rules.deadline = rules.deadline.min(rules.max_deadline);
         Self {
-            rules: Rules::from_texts(lookup),
+            rules,
             target: TargetRules::from_texts(lookup),
             site: SiteRules::from_texts(lookup),
             team: TeamRules::from_texts(lookup),
@@ -57,6 +59,17 @@
     }
 }
 
+/// Returns the rules of `node` as they are written, without limiting one by another.
+pub(super) fn rules_at(tree: &Tree, node: &Node) -> Rules {
+    let chain = chain(node);
+    Rules::from_texts(|key| closest(tree, &chain, key))
+}
+
+/// Returns the value of `key` at the last of the paths in `chain` that carries it.
+fn closest<'tree>(tree: &'tree Tree, chain: &[SettingPath], key: &str) -> Option<&'tree str> {
+    chain.iter().rev().find_map(|path| tree.get(&path.join(key)))
+}
+
 /// Returns the paths that `node` inherits from, the root first and its own last.
 fn chain(node: &Node) -> Vec<SettingPath> {
     let places = places(node);
--- a/kqr-settings/src/tree/settings_tree.rs
+++ b/kqr-settings/src/tree/settings_tree.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use super::{Digest, SettingPath};
+use crate::log::Edit;
 
 /// The settings as one text per path, with the digest of the whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -56,6 +57,14 @@
         self.leaves.insert(path, value)
     }
 
+    /// Sets or removes the value at the path of `edit`.
+    pub fn edit(&mut self, edit: &Edit) {
+        match &edit.value {
+            Some(value) => self.set(edit.path.clone(), value.clone()),
+            None => self.unset(&edit.path),
+        };
+    }
+
     /// Removes the value at `path` and returns it.
     pub fn unset(&mut self, path: &SettingPath) -> Option<String> {
         let before = self.leaves.remove(path)?;
--- a/kqr-settings/src/tree/validation.rs
+++ b/kqr-settings/src/tree/validation.rs
@@ -1,12 +1,5 @@
-use std::collections::{BTreeMap, BTreeSet};
-
-use kqr_types::{DataCentre, Region, TargetId};
-
-use super::{Problem, Problems, Resolved, SettingPath, Tree};
-use crate::{
-    schema::{Location, Node},
-    values::Names,
-};
+use super::{Problem, Problems, SettingPath, Tree, deadline_check, names_check, region_check};
+use crate::schema::{Location, Node, Rule};
 
 /// Returns the canonical text of `value` at `path`.
 ///
@@ -40,112 +33,45 @@
 ///
 /// Fails with all problems that were found.
 pub fn validate(tree: &Tree) -> Result<(), Problems> {
-    let mut checks = Checks::default();
-    for (path, _) in tree.iter() {
-        if let Ok(Location::Value(
-            Node {
-                target: Some(target), ..
-            },
-            _,
-        )) = Location::find(&path.segments())
-        {
-            checks.first_names.insert(target);
-        }
-    }
-    for (path, value) in tree.iter() {
-        checks.check(tree, path, value);
-    }
-    if checks.problems.is_empty() {
-        Ok(())
-    } else {
-        Err(Problems(checks.problems))
-    }
-}
-
-#[derive(Default)]
-struct Checks {
-    problems: Vec<Problem>,
-    regions: BTreeMap<DataCentre, Region>,
-    first_names: BTreeSet<TargetId>,
-    identities: BTreeMap<TargetId, TargetId>,
+    validate_changed(tree, tree.iter().map(|(path, _)| path))
 }
 
-impl Checks {
-    fn check(&mut self, tree: &Tree, path: &SettingPath, value: &str) {
-        if let Err(problem) = canonical_value(path, value) {
-            self.problems.push(problem);
-            return;
+/// Checks a tree that was valid before the values at `touched` were set or removed.
+///
+/// # Errors
+///
+/// Fails with all problems that were found.
+pub fn validate_changed<'tree, Paths>(tree: &Tree, touched: Paths) -> Result<(), Problems>
+where
+    Paths: IntoIterator<Item = &'tree SettingPath>,
+{
+    let mut problems = Vec::new();
+    let mut touched_nodes = Vec::new();
+    for path in touched {
+        if let Some(value) = tree.get(path)
+            && let Err(problem) = canonical_value(path, value)
+        {
+            problems.push(problem);
+            continue;
         }
-        let Ok(Location::Value(node, rule)) = Location::find(&path.segments()) else {
-            return;
-        };
-        self.check_region(path, &node);
-        match rule.key {
-            "names" => self.check_names(path, &node, value),
-            "deadlines/default" | "deadlines/max" => self.check_deadlines(tree, path, &node, value),
-            _ => {}
+        if let Ok(Location::Value(node, rule)) = Location::find(&path.segments()) {
+            touched_nodes.push((node, rule));
         }
     }
-
-    fn check_region(&mut self, path: &SettingPath, node: &Node) {
-        let (Some(region), Some(data_centre)) = (&node.region, &node.data_centre) else {
-            return;
-        };
-        let known = self
-            .regions
-            .entry(data_centre.clone())
-            .or_insert_with(|| region.clone());
-        if known == region {
-            return;
-        }
-        let allowed =
-            format!("data centre {data_centre} under one region only; it also stands under {known}");
-        self.report(path, region.as_str(), allowed);
+    region_check::check(tree, touched_nodes.iter().map(|(node, _)| node), &mut problems);
+    if touched_nodes.iter().any(|(node, _)| node.target.is_some()) {
+        names_check::check(tree, &mut problems);
     }
-
-    fn check_names(&mut self, path: &SettingPath, node: &Node, value: &str) {
-        let (Some(identity), Ok(names)) = (&node.target, value.parse::<Names>()) else {
-            return;
-        };
-        for name in names.0 {
-            if name == *identity {
-                self.report(
-                    path,
-                    value,
-                    "names that differ from the target's first name".to_owned(),
-                );
-                continue;
-            }
-            if let Some(other) = self.identities.insert(name.clone(), identity.clone())
-                && other != *identity
-            {
-                let allowed = format!("names of this target only; {name} is a name of {other}");
-                self.report(path, value, allowed);
-            }
-            if self.first_names.contains(&name) {
-                let allowed = format!("names that are no other target's first name; {name} is one");
-                self.report(path, value, allowed);
-            }
-        }
+    if touched_nodes.iter().any(is_deadline) {
+        deadline_check::check(tree, &mut problems);
     }
-
-    fn check_deadlines(&mut self, tree: &Tree, path: &SettingPath, node: &Node, value: &str) {
-        let rules = Resolved::of(tree, node).rules;
-        if rules.deadline > rules.max_deadline {
-            let (deadline, most) = (rules.deadline, rules.max_deadline);
-            let allowed =
-                format!("deadlines/default ({deadline}) at most deadlines/max ({most}) once inherited");
-            self.report(path, value, allowed);
-        }
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(Problems(problems))
     }
+}
 
-    fn report(&mut self, path: &SettingPath, value: &str, allowed: String) {
-        self.problems.push(Problem {
-            place: None,
-            path: path.clone(),
-            value: Some(value.to_owned()),
-            allowed,
-            nearest: None,
-        });
-    }
+fn is_deadline(touched: &(Node, &Rule)) -> bool {
+    deadline_check::KEYS.contains(&touched.1.key)
 }
--- a/kqr-settings/tests/tree.rs
+++ b/kqr-settings/tests/tree.rs
@@ -8,8 +8,10 @@
 use kqr_settings::{
     Problems, Resolved, TargetNames, Tree, from_yaml,
     schema::{Level, Location, Node, rules_of},
-    to_yaml, validate,
+    to_yaml, validate, validate_changed,
 };
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const TREE: &str = "\
 deadlines:
@@ -188,3 +190,57 @@
         );
     }
 }
+
+#[test]
+fn checking_what_changed_gives_the_verdict_of_checking_the_whole_tree() {
+    let values = [
+        ("deadlines/default", ["1m", "3m", "8m"]),
+        ("deadlines/max", ["2m", "5m", "9m"]),
+        ("services/s/deadlines/default", ["1m", "4m", "9m"]),
+        ("regions/r/data_centres/x/drain", ["true", "false", "true"]),
+        ("regions/q/data_centres/x/drain", ["true", "false", "true"]),
+        ("regions/r/data_centres/y/deadlines/max", ["1m", "4m", "9m"]),
+        ("services/s/targets/a/names", ["b c", "d", "e"]),
+        ("services/t/targets/b/names", ["c", "f", "e"]),
+        ("services/t/targets/d/drain", ["true", "false", "true"]),
+    ];
+    let (mut valid, mut invalid) = (0, 0);
+    for seed in 0..30 {
+        let rng = &mut ChaCha8Rng::seed_from_u64(seed);
+        let mut tree = Tree::default();
+        for _ in 0..100 {
+            let mut next = tree.clone();
+            let mut touched = Vec::new();
+            for _ in 0..rng.random_range(1..3) {
+                let (at, texts) = &values[rng.random_range(0..values.len())];
+                match rng.random_range(0..4) {
+                    0 => next.unset(&path(at)),
+                    number => next.set(path(at), texts[number - 1].to_owned()),
+                };
+                touched.push(path(at));
+            }
+            let whole = validate(&next).is_ok();
+            assert_eq!(
+                validate_changed(&next, &touched).is_ok(),
+                whole,
+                "seed {seed}: {next:?}"
+            );
+            if whole {
+                tree = next;
+                valid += 1;
+            } else {
+                invalid += 1;
+            }
+        }
+    }
+    assert!(valid > 300 && invalid > 300, "{valid} valid, {invalid} invalid");
+}
+
+#[test]
+fn a_deadline_inherited_from_another_branch_is_limited() {
+    let text = "services: { s: { deadlines: { max: 1m } } }\n\
+                regions: { r: { data_centres: { x: { deadlines: { default: 2m } } } } }\n";
+    let tree = tree(text).unwrap();
+    let view = Resolved::of(&tree, &node("regions/r/data_centres/x/services/s"));
+    assert_eq!(view.rules.deadline.0, Duration::from_secs(60));
+}
