perf: let followers feed the streams and stream the agreement messages

Change: leaders close streams that another control instance can serve, heartbeats of streams each 2.5 s and of the agreement each 500 ms, messages in variable-length encoding on one stream a link with pings instead of a call each.

--- a/kqr-control/src/control_service.rs
+++ b/kqr-control/src/control_service.rs
@@ -7,7 +7,7 @@
 };
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::{Request as Call, Response, Status};
+use tonic::{Request as Call, Response, Status, Streaming};
 
 use crate::{changes::Changes, links::Envelope, request::Request};
 
@@ -31,14 +31,16 @@
 impl Control for ControlService {
     type FollowStream = ReceiverStream<Result<FollowEvent, Status>>;
 
-    async fn deliver(&self, call: Call<Delivery>) -> Result<Response<Delivered>, Status> {
-        let delivery = call.into_inner();
-        for bytes in delivery.messages {
-            let envelope: Envelope = bincode::deserialize(&bytes).map_err(|error| {
-                Status::invalid_argument(format!("message of {}: {error}", delivery.from))
-            })?;
-            let Envelope { from, message } = envelope;
-            self.changes.tell(Request::Message { from, message }).await;
+    async fn deliver(&self, call: Call<Streaming<Delivery>>) -> Result<Response<Delivered>, Status> {
+        let mut deliveries = call.into_inner();
+        while let Some(delivery) = deliveries.message().await? {
+            for bytes in delivery.messages {
+                let envelope = Envelope::decode(&bytes).map_err(|error| {
+                    Status::invalid_argument(format!("message of {}: {error}", delivery.from))
+                })?;
+                let Envelope { from, message } = envelope;
+                self.changes.tell(Request::Message { from, message }).await;
+            }
         }
         Ok(Response::new(Delivered {}))
     }
--- a/kqr-control/src/daemon.rs
+++ b/kqr-control/src/daemon.rs
@@ -31,7 +31,7 @@
 /// Time for the hand-over of the lead before the process stops.
 const HAND_OVER_TIME: Duration = Duration::from_millis(300);
 /// Time between heartbeats of the agreement.
-const AGREEMENT_HEARTBEAT: Duration = Duration::from_millis(250);
+const AGREEMENT_HEARTBEAT: Duration = Duration::from_millis(500);
 /// Shortest time without a leader after which a voter campaigns.
 const ELECTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Storage incarnation of the founding voters.
--- a/kqr-control/src/driver.rs
+++ b/kqr-control/src/driver.rs
@@ -126,6 +126,7 @@
                     instance,
                     since: request.since.map(Version),
                     needs_confirmation: request.needs_confirmation,
+                    is_last_resort: request.is_last_resort,
                 };
                 self.handle(input, outputs);
             }
@@ -201,6 +202,7 @@
                 let heartbeat = messages::Heartbeat::of(version, digest, is_in_touch);
                 self.send(stream, follow_event::Kind::Heartbeat(heartbeat));
             }
+            NodeOutput::Close { stream } => drop(self.streams.remove(&stream)),
             NodeOutput::Applied { version } => {
                 let mut event = self.events.event(EventKind::SettingsApplied);
                 event.detail = Some(format!("version {version}"));
--- a/kqr-control/src/lib.rs
+++ b/kqr-control/src/lib.rs
@@ -16,5 +16,6 @@
 mod request;
 mod token;
 
+pub use links::Envelope;
 pub use options::Options;
 pub use token::Token;
--- a/kqr-control/src/links.rs
+++ b/kqr-control/src/links.rs
@@ -1,21 +1,23 @@
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr};
 
+use bincode::Options;
 use kqr_agreement::{Message, VoterId};
 use kqr_types::InstanceId;
 use kqr_wire::control::{
-    connect,
+    connect_watched,
     messages::{Delivery, control_client::ControlClient},
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
-use tonic::{Status, transport::Channel};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Code, Status};
 
 /// Messages to one peer that may wait before new ones are dropped.
 const QUEUED_MESSAGES: usize = 256;
 /// Messages that are sent together.
 const BATCH: usize = 64;
-/// Time within which a peer must take a delivery; the connection is replaced otherwise.
-const DELIVERY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Deliveries that may wait for the connection before new ones are dropped.
+const QUEUED_DELIVERIES: usize = 16;
 /// Largest delivery, in bytes.
 pub const MAX_DELIVERY_BYTES: usize = 64 << 20;
 
@@ -28,6 +30,26 @@
     pub message: Message,
 }
 
+impl Envelope {
+    /// Returns the message as bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the message can't be encoded.
+    pub fn encode(&self) -> bincode::Result<Vec<u8>> {
+        bincode::DefaultOptions::new().serialize(self)
+    }
+
+    /// Returns the message in `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no message.
+    pub fn decode(bytes: &[u8]) -> bincode::Result<Self> {
+        bincode::DefaultOptions::new().deserialize(bytes)
+    }
+}
+
 /// Outgoing links to the other control instances. Each has its own queue and connection.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -55,48 +77,63 @@
             from: from.clone(),
             message,
         };
-        match bincode::serialize(&envelope) {
+        match envelope.encode() {
             Ok(bytes) => drop(queue.try_send(bytes)),
             Err(error) => log::error!("encoding a message to {to}: {error}"),
         }
     }
 }
 
+/// Opens one stream of deliveries after the other, each with a new connection.
 async fn run(own: InstanceId, peer: InstanceId, address: SocketAddr, mut rx: mpsc::Receiver<Vec<u8>>) {
-    let mut client = None;
     let mut is_failing = false;
     let mut batch = Vec::new();
     while rx.recv_many(&mut batch, BATCH).await > 0 {
-        let delivery = Delivery {
-            from: own.as_str().to_owned(),
-            messages: std::mem::take(&mut batch),
+        let first = delivery(&own, &mut batch);
+        let status = match deliver(&own, address, first, &mut rx).await {
+            Ok(()) => return,
+            Err(status) => status,
         };
-        match deliver(client.take(), address, delivery).await {
-            Ok(open) => {
-                client = Some(open);
-                is_failing = false;
-            }
-            Err(status) if !is_failing => {
-                log::warn!("delivering to {peer}: {}", status.message());
-                is_failing = true;
-            }
-            Err(_) => {}
+        if !is_failing || status.code() != Code::Unavailable {
+            log::warn!("delivering to {peer}: {}", status.message());
         }
+        is_failing = status.code() == Code::Unavailable;
     }
 }
 
-/// Sends `delivery` over `client`, or over a new connection, and returns the connection.
+fn delivery(own: &InstanceId, batch: &mut Vec<Vec<u8>>) -> Delivery {
+    Delivery {
+        from: own.as_str().to_owned(),
+        messages: std::mem::take(batch),
+    }
+}
+
+/// Streams `first` and what follows in `rx` until the connection fails.
 async fn deliver(
-    client: Option<ControlClient<Channel>>,
+    own: &InstanceId,
     address: SocketAddr,
-    delivery: Delivery,
-) -> Result<ControlClient<Channel>, Status> {
-    let mut client = match client {
-        Some(client) => client,
-        None => ControlClient::new(connect(address).await?).max_encoding_message_size(MAX_DELIVERY_BYTES),
-    };
-    match tokio::time::timeout(DELIVERY_TIMEOUT, client.deliver(delivery)).await {
-        Ok(result) => result.map(|_| client),
-        Err(_) => Err(Status::deadline_exceeded("not taken in time")),
+    first: Delivery,
+    rx: &mut mpsc::Receiver<Vec<u8>>,
+) -> Result<(), Status> {
+    let mut client =
+        ControlClient::new(connect_watched(address).await?).max_encoding_message_size(MAX_DELIVERY_BYTES);
+    let (tx, deliveries) = mpsc::channel(QUEUED_DELIVERIES);
+    drop(tx.try_send(first));
+    let call = client.deliver(ReceiverStream::new(deliveries));
+    tokio::pin!(call);
+    let mut batch = Vec::new();
+    loop {
+        tokio::select! {
+            ended = &mut call => {
+                ended?;
+                return Err(Status::aborted("the stream was ended"));
+            }
+            count = rx.recv_many(&mut batch, BATCH) => {
+                if count == 0 {
+                    return Ok(());
+                }
+                drop(tx.try_send(delivery(own, &mut batch)));
+            }
+        }
     }
 }
--- a/kqr-control/src/node/input.rs
+++ b/kqr-control/src/node/input.rs
@@ -40,6 +40,8 @@
         since: Option<Version>,
         /// Whether the first update must be confirmed by a quorum.
         needs_confirmation: bool,
+        /// Whether the stream must be served even if this instance leads.
+        is_last_resort: bool,
     },
     /// A quorum confirmed, after the stream was opened, that `version` is the highest accepted one.
     StreamConfirmed {
--- a/kqr-control/src/node/machine.rs
+++ b/kqr-control/src/node/machine.rs
@@ -3,9 +3,9 @@
 use kqr_types::{InstanceId, Instant};
 
 use super::{
-    CallId, NodeInput, NodeOptions, NodeOutput,
+    CallId, NodeInput, NodeOptions, NodeOutput, StreamId,
     calls::{Calls, Purpose},
-    streams::Streams,
+    streams::{Follow, Streams},
 };
 
 /// A control instance without input or output: a voter of the settings log and the streams that it feeds.
@@ -53,7 +53,7 @@
 
     /// Returns whether this instance heard from a quorum, or from a leader, a short time ago.
     pub fn is_in_touch(&self, now: Instant) -> bool {
-        if self.agreement.role().role == Role::Leader {
+        if self.is_leader() {
             return self.agreement.holds_lease(now);
         }
         self.leader_heard
@@ -86,10 +86,15 @@
                 instance,
                 since,
                 needs_confirmation,
+                is_last_resort,
             } => {
-                self.streams
-                    .open(stream, instance, since, needs_confirmation, outputs);
-                self.streams.advance(&self.settings, outputs);
+                let follow = Follow {
+                    instance,
+                    since,
+                    needs_confirmation,
+                    is_last_resort,
+                };
+                self.follow(stream, follow, outputs);
             }
             NodeInput::StreamConfirmed { stream, version } => {
                 self.streams.confirm(stream, version);
@@ -100,6 +105,20 @@
         }
     }
 
+    /// Opens a stream; a leader leaves it to the other control instances if it can.
+    fn follow(&mut self, stream: StreamId, follow: Follow, outputs: &mut Vec<NodeOutput>) {
+        if self.is_leader() && !follow.is_last_resort {
+            outputs.push(NodeOutput::Close { stream });
+            return;
+        }
+        self.streams.open(stream, follow, outputs);
+        self.streams.advance(&self.settings, outputs);
+    }
+
+    fn is_leader(&self) -> bool {
+        self.agreement.role().role == Role::Leader
+    }
+
     fn change(&mut self, now: Instant, call: CallId, command: &Command, outputs: &mut Vec<NodeOutput>) {
         if let Some(answer) = self.settings.answer(&command.change) {
             let answer = answer.clone();
@@ -160,7 +179,12 @@
                     outputs.push(NodeOutput::NotConfirmed { call, leader });
                 }
             }
-            Output::RoleChanged(view) => outputs.push(NodeOutput::RoleChanged(view)),
+            Output::RoleChanged(view) => {
+                if view.role == Role::Leader {
+                    self.streams.shed(outputs);
+                }
+                outputs.push(NodeOutput::RoleChanged(view));
+            }
             Output::VotersChanged { .. } => {}
         }
     }
--- a/kqr-control/src/node/options.rs
+++ b/kqr-control/src/node/options.rs
@@ -19,7 +19,7 @@
     fn default() -> Self {
         Self {
             log: LogOptions::default(),
-            stream_heartbeat: Duration::from_secs(1),
+            stream_heartbeat: Duration::from_millis(2500),
             in_touch_within: Duration::from_secs(2),
             compact_after: 2000,
         }
--- a/kqr-control/src/node/output.rs
+++ b/kqr-control/src/node/output.rs
@@ -78,6 +78,11 @@
         /// Whether this instance heard from a quorum, or from a leader, a short time ago.
         is_in_touch: bool,
     },
+    /// Close a stream; its instance finds another control instance.
+    Close {
+        /// The stream.
+        stream: StreamId,
+    },
     /// A new version was applied here.
     Applied {
         /// The version.
--- a/kqr-control/src/node/streams.rs
+++ b/kqr-control/src/node/streams.rs
@@ -5,6 +5,15 @@
 
 use super::{NodeOptions, NodeOutput, StreamId};
 
+/// What the instance at the other end of a stream asked for.
+#[derive(Clone, Debug)]
+pub(super) struct Follow {
+    pub(super) instance: InstanceId,
+    pub(super) since: Option<Version>,
+    pub(super) needs_confirmation: bool,
+    pub(super) is_last_resort: bool,
+}
+
 /// State of one settings stream.
 #[derive(Clone, Debug)]
 enum Progress {
@@ -20,6 +29,7 @@
 struct Stream {
     instance: InstanceId,
     since: Option<Version>,
+    is_last_resort: bool,
     progress: Progress,
 }
 
@@ -31,29 +41,33 @@
 }
 
 impl Streams {
-    /// Opens a stream.
-    pub(super) fn open(
-        &mut self,
-        id: StreamId,
-        instance: InstanceId,
-        since: Option<Version>,
-        needs_confirmation: bool,
-        outputs: &mut Vec<NodeOutput>,
-    ) {
-        let progress = if needs_confirmation {
+    /// Opens a stream that has asked for `follow`.
+    pub(super) fn open(&mut self, id: StreamId, follow: Follow, outputs: &mut Vec<NodeOutput>) {
+        let progress = if follow.needs_confirmation {
             outputs.push(NodeOutput::ConfirmStream { stream: id });
             Progress::Unconfirmed
         } else {
-            Progress::Sent(since)
+            Progress::Sent(follow.since)
         };
         let stream = Stream {
-            instance,
-            since,
+            instance: follow.instance,
+            since: follow.since,
+            is_last_resort: follow.is_last_resort,
             progress,
         };
         self.streams.insert(id, stream);
     }
 
+    /// Closes the streams that another control instance can serve.
+    pub(super) fn shed(&mut self, outputs: &mut Vec<NodeOutput>) {
+        self.streams.retain(|&stream, state| {
+            if !state.is_last_resort {
+                outputs.push(NodeOutput::Close { stream });
+            }
+            state.is_last_resort
+        });
+    }
+
     /// Notes the highest version that a quorum confirmed for a stream.
     pub(super) fn confirm(&mut self, id: StreamId, version: Version) {
         if let Some(stream) = self.streams.get_mut(&id)
--- a/kqr-settings/src/follower/machine.rs
+++ b/kqr-settings/src/follower/machine.rs
@@ -29,6 +29,8 @@
     options: FollowerOptions,
     peers: Vec<InstanceId>,
     next_peer: usize,
+    /// Streams opened since a message was heard.
+    tries: usize,
     stream: Stream,
     applied: Option<Version>,
     tree: Tree,
@@ -47,6 +49,7 @@
             options,
             peers,
             next_peer: 0,
+            tries: 0,
             stream: Stream::Waiting {
                 until: Instant::default(),
             },
@@ -120,7 +123,9 @@
             peer: peer.clone(),
             since: self.applied,
             needs_confirmation: self.applied.is_none(),
+            is_last_resort: self.tries >= self.peers.len(),
         });
+        self.tries += 1;
         self.stream = Stream::Open {
             peer,
             heard: now,
@@ -155,6 +160,7 @@
             return false;
         }
         *heard = now;
+        self.tries = 0;
         if is_in_touch {
             *in_touch = now;
         }
@@ -203,6 +209,7 @@
             peer: peer.clone(),
             since: None,
             needs_confirmation: true,
+            is_last_resort: true,
         });
         self.stream = Stream::Open {
             peer,
--- a/kqr-settings/src/follower/options.rs
+++ b/kqr-settings/src/follower/options.rs
@@ -14,7 +14,7 @@
 impl Default for FollowerOptions {
     fn default() -> Self {
         Self {
-            silent_after: Duration::from_secs(3),
+            silent_after: Duration::from_secs(5),
             out_of_touch_after: Duration::from_secs(5),
             retry_after: Duration::from_millis(250),
         }
--- a/kqr-settings/src/follower/output.rs
+++ b/kqr-settings/src/follower/output.rs
@@ -15,6 +15,8 @@
         since: Option<Version>,
         /// Whether the first update must be confirmed by a quorum.
         needs_confirmation: bool,
+        /// Whether every peer was tried in vain, so that a leader must serve the stream too.
+        is_last_resort: bool,
     },
     /// Close the stream from a peer.
     Close {
--- a/kqr-wire/src/control/mod.rs
+++ b/kqr-wire/src/control/mod.rs
@@ -14,4 +14,4 @@
 
 pub use edits::{MessageError, command_of, request_of};
 pub use peer::{Peer, peers_of};
-pub use stream::{SettingsStream, connect};
+pub use stream::{SettingsStream, connect, connect_watched};
--- a/kqr-wire/src/control/stream.rs
+++ b/kqr-wire/src/control/stream.rs
@@ -15,6 +15,10 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Longest time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two pings on a watched connection.
+const PING_EVERY: Duration = Duration::from_secs(5);
+/// Time within which a ping must be answered.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Messages of a stream that may wait for the follower.
 const QUEUED_EVENTS: usize = 16;
 /// Largest message of a stream, in bytes.
@@ -80,11 +84,13 @@
                 peer,
                 since,
                 needs_confirmation,
+                is_last_resort,
             } => {
                 let request = messages::FollowRequest {
                     instance: self.own.as_str().to_owned(),
                     since: since.map(|version| version.0),
                     needs_confirmation,
+                    is_last_resort,
                 };
                 self.events = self.open(peer, request);
             }
@@ -179,10 +185,32 @@
 ///
 /// Fails if no connection is opened in time; nothing was sent then.
 pub async fn connect(address: SocketAddr) -> Result<Channel, tonic::Status> {
+    open_channel(address, |endpoint| endpoint).await
+}
+
+/// Opens a connection that fails once the other end has not answered a ping in time.
+///
+/// # Errors
+///
+/// Fails if no connection is opened in time; nothing was sent then.
+pub async fn connect_watched(address: SocketAddr) -> Result<Channel, tonic::Status> {
+    let watched = |endpoint: Endpoint| {
+        endpoint
+            .http2_keep_alive_interval(PING_EVERY)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_while_idle(true)
+    };
+    open_channel(address, watched).await
+}
+
+async fn open_channel<Configure>(address: SocketAddr, configure: Configure) -> Result<Channel, tonic::Status>
+where
+    Configure: FnOnce(Endpoint) -> Endpoint,
+{
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true);
-    let connected = endpoint.connect().await;
+    let connected = configure(endpoint).connect().await;
     connected.map_err(|error| tonic::Status::unavailable(format!("connecting to {address}: {error}")))
 }
