--- /dev/null
+++ b/kqr-control/tests/processes.rs
@@ -0,0 +1,226 @@
+//! Three control processes on the loopback interface: token, changes, a killed leader, a settings stream.
+
+use std::{
+    fmt::Write,
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use kqr::{ChangeOptions, Connection, ConnectionOptions, Failure, FailureKind, Format};
+use kqr_settings::{Action, Edit, Follower, FollowerOptions, Version, bootstrap::Bootstrap};
+use kqr_wire::control::{SettingsStream, peers_of};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for a step; only a step that never ends reaches it.
+const PATIENCE: Duration = Duration::from_secs(30);
+const TOKEN: &str = "a-token-of-the-tests-0123456789";
+
+struct Processes {
+    folder: tempfile::TempDir,
+    operators: Vec<SocketAddr>,
+    children: Vec<Option<Child>>,
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap())
+        .collect()
+}
+
+impl Processes {
+    fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let addresses = free_addresses(7);
+        let mut text = "data_centres: [{ name: uppsala, region: svealand }]\ninstances:\n".to_owned();
+        for number in 0..3 {
+            let (peers, operators) = (addresses[number], addresses[3 + number]);
+            write!(
+                text,
+                "  - {{ id: control-{number}, role: control, data_centre: uppsala, peers: \"{peers}\", \
+                 operators: \"{operators}\" }}\n"
+            )
+            .unwrap();
+        }
+        let entry = addresses[6];
+        write!(
+            text,
+            "  - {{ id: entry-1, role: entry, data_centre: uppsala, peers: \"{entry}\", callers: \"{entry}\", \
+             targets: \"{entry}\" }}\noperator_token_file: token\n"
+        )
+        .unwrap();
+        fs::write(folder.path().join("instances.yaml"), text).unwrap();
+        fs::write(folder.path().join("token"), TOKEN).unwrap();
+        fs::write(folder.path().join("wrong"), "another-token-0123456789").unwrap();
+        let mut processes = Self {
+            folder,
+            operators: addresses[3..6].to_vec(),
+            children: vec![None, None, None],
+        };
+        for number in 0..3 {
+            processes.start_one(number, true);
+        }
+        processes
+    }
+
+    fn start_one(&mut self, number: usize, is_founding: bool) {
+        let mut command = command(self.folder.path(), number);
+        if is_founding {
+            command.arg("--found");
+        }
+        self.children[number] = Some(command.spawn().unwrap());
+    }
+
+    fn kill(&mut self, number: usize) {
+        let mut child = self.children[number].take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    fn connection(&self, token: &str) -> Connection {
+        Connection::new(&ConnectionOptions {
+            servers: self.operators.clone(),
+            token_file: Some(self.folder.path().join(token)),
+            timeout: 8,
+            stale: false,
+            output: Format::Text,
+        })
+        .unwrap()
+    }
+
+    async fn leader(&self, connection: &Connection) -> usize {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            for (number, &address) in self.operators.iter().enumerate() {
+                let status = connection.status(address).await;
+                if status.is_ok_and(|status| status.role == "leader") {
+                    return number;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("no leader");
+    }
+}
+
+fn command(folder: &Path, number: usize) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kqr-control"));
+    command
+        .arg("--config")
+        .arg(folder.join("instances.yaml"))
+        .arg("--instance")
+        .arg(format!("control-{number}"))
+        .arg("--data")
+        .arg(folder.join(format!("data-{number}")))
+        .stderr(Stdio::null());
+    command
+}
+
+async fn set(connection: &Connection, change: &str, base: u64, value: &str) -> Result<u64, Failure> {
+    let options = ChangeOptions {
+        change_id: Some(change.parse().unwrap()),
+        base: Some(Version(base)),
+        operator: "signe".parse().unwrap(),
+        exclusive: false,
+    };
+    let edit = Edit {
+        path: "limits/queued".parse().unwrap(),
+        value: Some(value.to_owned()),
+    };
+    let accepted = kqr::submit(connection, &options, None, Action::Edit(vec![edit])).await?;
+    Ok(accepted.version.0)
+}
+
+/// Follows the settings as `entry-1` and tells of each applied version.
+fn follow(folder: &Path, stop: CancellationToken) -> watch::Receiver<u64> {
+    let bootstrap = Bootstrap::read(&folder.join("instances.yaml")).unwrap();
+    let own = bootstrap.instance(&"entry-1".parse().unwrap()).unwrap().clone();
+    let peers = peers_of(&bootstrap, &own);
+    let ids = peers.iter().map(|peer| peer.id.clone()).collect();
+    let follower = Follower::new(FollowerOptions::default(), ids, None);
+    let (tx, rx) = watch::channel(0);
+    let stream = SettingsStream::new(own.id, peers, follower);
+    tokio::spawn(stream.run(
+        move |version, _| {
+            tx.send_replace(version.0);
+        },
+        stop,
+    ));
+    rx
+}
+
+async fn wait_for(rx: &mut watch::Receiver<u64>, version: u64) {
+    let waiting = rx.wait_for(|applied| *applied >= version);
+    tokio::time::timeout(PATIENCE, waiting).await.unwrap().unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_survive_a_killed_leader_and_reach_a_following_process() {
+    let mut processes = Processes::start();
+    let connection = processes.connection("token");
+    let leader = processes.leader(&connection).await;
+    let stop = CancellationToken::new();
+    let mut applied = follow(processes.folder.path(), stop.clone());
+
+    let refused = set(&processes.connection("wrong"), "c0", 0, "4")
+        .await
+        .unwrap_err();
+    assert_eq!(refused.kind, FailureKind::Unauthenticated);
+    assert_eq!(set(&connection, "c1", 0, "5").await.unwrap(), 1);
+    wait_for(&mut applied, 1).await;
+
+    processes.kill(leader);
+    let again = set(&connection, "c1", 0, "5").await.unwrap();
+    assert_eq!(again, 1);
+    assert_eq!(set(&connection, "c2", 1, "6").await.unwrap(), 2);
+    wait_for(&mut applied, 2).await;
+    let beaten = set(&connection, "c3", 1, "7").await.unwrap_err();
+    assert_eq!(beaten.exit_code(), 3);
+
+    processes.start_one(leader, false);
+    let start = Instant::now();
+    loop {
+        let status = connection.status(processes.operators[leader]).await;
+        if status.is_ok_and(|status| status.version == 2) {
+            break;
+        }
+        assert!(
+            start.elapsed() < PATIENCE,
+            "the restarted instance does not catch up"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    stop.cancel();
+}
+
+#[test]
+fn an_empty_data_folder_is_refused_without_the_founding_option() {
+    let processes = Processes::start();
+    let mut second = Command::new(env!("CARGO_BIN_EXE_kqr-control"));
+    second
+        .arg("--config")
+        .arg(processes.folder.path().join("instances.yaml"))
+        .args(["--instance", "control-0", "--data"])
+        .arg(processes.folder.path().join("empty"));
+    let output = second.output().unwrap();
+    assert!(!output.status.success());
+    let shown = String::from_utf8_lossy(&output.stderr);
+    assert!(shown.contains("--found"), "{shown}");
+    assert!(!shown.contains(TOKEN));
+}
