--- a/kqr-control/tests/processes.rs
+++ b/kqr-control/tests/processes.rs
@@ -51,18 +51,18 @@
         let mut text = "data_centres: [{ name: uppsala, region: svealand }]\ninstances:\n".to_owned();
         for number in 0..3 {
             let (peers, operators) = (addresses[number], addresses[3 + number]);
-            write!(
+            writeln!(
                 text,
                 "  - {{ id: control-{number}, role: control, data_centre: uppsala, peers: \"{peers}\", \
-                 operators: \"{operators}\" }}\n"
+                 operators: \"{operators}\" }}"
             )
             .unwrap();
         }
         let entry = addresses[6];
-        write!(
+        writeln!(
             text,
             "  - {{ id: entry-1, role: entry, data_centre: uppsala, peers: \"{entry}\", callers: \"{entry}\", \
-             targets: \"{entry}\" }}\noperator_token_file: token\n"
+             targets: \"{entry}\" }}\noperator_token_file: token"
         )
         .unwrap();
         fs::write(folder.path().join("instances.yaml"), text).unwrap();
