--- a/kqr-entry/src/callers/mod.rs
+++ b/kqr-entry/src/callers/mod.rs
@@ -13,7 +13,7 @@
 
 use self::problem::Problem;
 pub use self::relay::{Relay, RelayBody};
-use crate::daemon::Entry;
+use crate::entry::Entry;
 
 /// Body of a reply to a caller: built here, or relayed from a target.
 pub type ReplyBody = Either<Full<Bytes>, RelayBody>;
@@ -49,11 +49,17 @@
     if entry.shutdown.is_cancelled() {
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
     }
+    if !entry.engine.is_ready() {
+        return text_reply(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the cell of the data centre has not admitted this entry",
+        );
+    }
     text_reply(StatusCode::OK, "ready")
 }
 
 fn metrics(entry: &Entry) -> String {
     let waiting = entry.engine.waiting_tasks();
-    let live = entry.engine.live_jobs();
+    let live = entry.engine.homed_jobs();
     format!("kqr_waiting_tasks {waiting}\nkqr_live_jobs {live}\n")
 }
--- /dev/null
+++ b/kqr-entry/src/entry.rs
@@ -0,0 +1,62 @@
+use std::sync::Arc;
+
+use kqr_settings::bootstrap::Instance;
+use kqr_types::{Incarnation, InstanceId};
+use kqr_wire::mail::Mail;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    callers::Relay,
+    cell_seat::CellSeats,
+    engine::{Engine, ShardIndex},
+    homes::Homes,
+    registry::Registry,
+    sibling_links::SiblingLinks,
+};
+
+/// The parts of a running entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// This instance.
+    pub own: Instance,
+    /// Jobs, queue and targets.
+    pub engine: Arc<Engine>,
+    /// The rule that names the home data centre of each key.
+    pub homes: Homes,
+    /// The cell of the data centre, and those that this instance is a witness of.
+    pub seats: CellSeats,
+    /// The targets of the data centre.
+    pub registry: Registry,
+    /// Connections to siblings.
+    pub links: Arc<SiblingLinks>,
+    /// The client that relays requests.
+    pub relay: Relay,
+    /// Cancelled when the shutdown begins.
+    pub shutdown: CancellationToken,
+}
+
+impl Entry {
+    /// Takes in a message of another entry's machines.
+    pub fn take_mail(&self, from: &InstanceId, incarnation: Incarnation, mail: Mail) {
+        match mail {
+            Mail::Jobs { shard, message } => {
+                let shard = ShardIndex(usize::from(shard));
+                self.engine.receive(shard, from.clone(), incarnation, message);
+            }
+            Mail::Cell { data_centre, message } => self.seats.receive(&data_centre, message),
+            Mail::Directory(message) => {
+                self.registry.handle(kqr_directory::Input::Peer {
+                    from: from.clone(),
+                    message,
+                });
+            }
+        }
+    }
+
+    /// Lets the machines see that time has passed.
+    pub fn tick(&self) {
+        self.seats.tick();
+        self.engine.tick();
+        self.registry.handle(kqr_directory::Input::Tick);
+    }
+}
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -1,10 +1,12 @@
 use std::{future::Future, sync::Arc};
 
 use futures::StreamExt;
-use kqr_jobs::{JobAnswer, NotAccepted, Submission};
-use kqr_placement::Announcement;
-use kqr_types::{InstanceId, JobKey, TargetId};
-use kqr_wire::siblings::Sibling;
+use kqr_jobs::{JobAnswer, NotAccepted};
+use kqr_types::{Incarnation, InstanceId};
+use kqr_wire::{
+    mail::Mail,
+    siblings::{JobCall, Sibling},
+};
 use tarpc::{
     context::Context,
     serde_transport::tcp,
@@ -13,7 +15,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{daemon::Entry, targets};
+use crate::{entry::Entry, sibling_links::MAX_FRAME_BYTES};
 
 /// The calls that this entry answers to its siblings.
 #[derive(Clone)]
@@ -22,29 +24,14 @@
 }
 
 impl Sibling for SiblingServer {
-    async fn submit(
-        self,
-        _: Context,
-        submission: Submission,
-        is_waiting: bool,
-    ) -> Result<JobAnswer, NotAccepted> {
-        self.entry.engine.submit(submission, is_waiting).await
-    }
-
-    async fn lookup(self, _: Context, key: JobKey) -> Result<JobAnswer, NotAccepted> {
-        self.entry.engine.lookup(key).await
-    }
-
-    async fn cancel(self, _: Context, key: JobKey) -> Result<JobAnswer, NotAccepted> {
-        self.entry.engine.cancel(key).await
-    }
-
-    async fn announced(self, _: Context, announcement: Announcement) {
-        targets::take_announcement(&self.entry, &announcement);
+    async fn job(self, _: Context, call: JobCall, hops: u8) -> Result<JobAnswer, NotAccepted> {
+        self.entry.call(call, hops).await
     }
 
-    async fn left(self, _: Context, target: TargetId) {
-        targets::take_leave(&self.entry, &target);
+    async fn deliver(self, _: Context, from: InstanceId, incarnation: Incarnation, mails: Vec<Mail>) {
+        for mail in mails {
+            self.entry.take_mail(&from, incarnation, mail);
+        }
     }
 
     async fn ping(self, _: Context) -> InstanceId {
@@ -62,7 +49,7 @@
     shutdown: CancellationToken,
 ) -> std::io::Result<impl Future<Output = ()>> {
     let mut incoming = tcp::listen(entry.own.peers, Bincode::default).await?;
-    incoming.config_mut().max_frame_length(64 << 20);
+    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
     Ok(async move {
         loop {
             let accepted = tokio::select! {
--- /dev/null
+++ b/kqr-entry/tests/support/processes.rs
@@ -0,0 +1,237 @@
+//! Entries as processes of their own, which can be killed and frozen.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use clap::Parser;
+use http_body_util::Full;
+use hyper::Request;
+use kqr_http::{Client, ClientOptions};
+use kqr_jobs::{JobState, Outcome};
+use kqr_wire::callers::{JobAnswerBody, ProblemBody};
+
+use super::{Addresses, bootstrap_yaml, job};
+
+/// Longest time until a caller gives up.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Entries as processes, and stand-ins within the test process.
+pub struct Cluster {
+    folder: PathBuf,
+    addresses: Vec<Addresses>,
+    children: Vec<Option<Child>>,
+    standins: Vec<kqr_standin::Running>,
+    client: Client,
+}
+
+/// Tasks of each job, by run time in milliseconds.
+const TASKS: [u64; 4] = [80, 160, 240, 400];
+
+/// Callers that submit one job after the other, each at the next entry.
+pub struct Callers {
+    answers: Vec<tokio::task::JoinHandle<(String, Option<JobAnswerBody>)>>,
+}
+
+impl Callers {
+    /// Starts `jobs` callers, one every `pause`.
+    pub fn start(cluster: &Cluster, jobs: usize, pause: Duration) -> Self {
+        let mut answers = Vec::new();
+        for number in 0..jobs {
+            let caller = Caller {
+                entries: cluster
+                    .addresses
+                    .iter()
+                    .map(|addresses| addresses.callers)
+                    .collect(),
+                client: cluster.client.clone(),
+            };
+            answers.push(tokio::spawn(async move {
+                tokio::time::sleep(pause * number as u32).await;
+                let key = format!("job-{number}");
+                let answer = caller.submit(number, &key, &TASKS).await;
+                (key, answer)
+            }));
+        }
+        Self { answers }
+    }
+
+    /// Waits for all answers and checks that each is whole and that no task was started twice.
+    pub async fn check(self, cluster: &Cluster) {
+        let jobs = self.answers.len();
+        for answer in self.answers {
+            let (key, answer) = answer.await.unwrap();
+            assert_whole(&key, TASKS.len(), answer.as_ref());
+        }
+        assert_eq!(cluster.starts(), (jobs * TASKS.len(), 0));
+    }
+}
+
+/// A caller that knows all entries.
+struct Caller {
+    entries: Vec<SocketAddr>,
+    client: Client,
+}
+
+impl Caller {
+    /// Submits a job as a caller does: again and elsewhere, with the same key, until there is a final answer.
+    async fn submit(&self, first: usize, key: &str, run_ms: &[u64]) -> Option<JobAnswerBody> {
+        let until = tokio::time::Instant::now() + PATIENCE;
+        let mut tries = 0;
+        while tokio::time::Instant::now() < until {
+            let entry = self.entries[(first + tries) % self.entries.len()];
+            tries += 1;
+            let req = Request::post(format!("http://{entry}/v1/jobs"))
+                .header("idempotency-key", key)
+                .header("kqr-attempt", tries)
+                .header("kqr-deadline-ms", 15_000)
+                .body(Full::new(Bytes::from(job(run_ms))))
+                .unwrap();
+            if let Ok((_, bytes)) = self.client.whole(req, Duration::from_secs(4)).await {
+                if let Ok(answer) = serde_json::from_slice::<JobAnswerBody>(&bytes) {
+                    return Some(answer);
+                }
+                let problem: ProblemBody = serde_json::from_slice(&bytes).unwrap();
+                assert_ne!(problem.outcome, Outcome::Ran, "{key}: {problem:?}");
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        None
+    }
+}
+
+impl Cluster {
+    /// Starts one entry for each name in `data_centres`, and `workers` stand-ins in each.
+    pub async fn start(name: &str, data_centres: &[&str], workers: usize) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        let (yaml, addresses) = bootstrap_yaml(data_centres);
+        std::fs::write(folder.join("instances.yaml"), yaml).unwrap();
+        let mut cluster = Self {
+            folder,
+            addresses,
+            children: Vec::new(),
+            standins: Vec::new(),
+            client: Client::new(ClientOptions::default()),
+        };
+        for index in 0..data_centres.len() {
+            cluster.children.push(None);
+            cluster.start_entry(index);
+        }
+        for index in 0..data_centres.len() {
+            cluster.wait_until_ready(index).await;
+        }
+        let names: std::collections::BTreeSet<&str> = data_centres.iter().copied().collect();
+        for data_centre in names {
+            for number in 0..workers {
+                cluster.add_standin(data_centre, number, data_centres).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster
+    }
+
+    /// Starts the entry with `index`.
+    pub fn start_entry(&mut self, index: usize) {
+        let log = std::fs::File::create(self.folder.join(format!("entry-{index}.log"))).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_kqr-entry"))
+            .arg("--config")
+            .arg(self.folder.join("instances.yaml"))
+            .args([
+                "--instance",
+                &format!("entry-{index}"),
+                "--cold-start-window",
+                "0s",
+            ])
+            .stderr(log)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.children[index] = Some(child);
+    }
+
+    async fn add_standin(&mut self, data_centre: &str, number: usize, data_centres: &[&str]) {
+        let id = format!("worker-{data_centre}-{number}");
+        let mut line = vec![
+            "kqr-standin".to_owned(),
+            "--id".to_owned(),
+            id,
+            "--service".to_owned(),
+            "press".to_owned(),
+        ];
+        for (index, name) in data_centres.iter().enumerate() {
+            if *name == data_centre {
+                line.extend(["--entry".to_owned(), self.addresses[index].targets.to_string()]);
+            }
+        }
+        let options = kqr_standin::Options::parse_from(line);
+        self.standins
+            .push(kqr_standin::Running::start(options).await.unwrap());
+    }
+
+    /// Waits until the cell has admitted the entry with `index`.
+    pub async fn wait_until_ready(&self, index: usize) {
+        for _ in 0..400 {
+            let uri = format!("http://{}/readyz", self.addresses[index].callers)
+                .parse()
+                .unwrap();
+            let reply = self
+                .client
+                .json::<()>(hyper::Method::GET, uri, None, Duration::from_secs(1))
+                .await;
+            if reply.is_ok_and(|(status, _)| status.is_success()) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("entry {index} did not become ready");
+    }
+
+    /// Kills the entry with `index`.
+    pub fn kill(&mut self, index: usize) {
+        let mut child = self.children[index].take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Freezes the entry with `index`, or lets it go on.
+    pub fn freeze(&self, index: usize, is_frozen: bool) {
+        let pid = self.children[index].as_ref().unwrap().id().to_string();
+        let signal = if is_frozen { "-STOP" } else { "-CONT" };
+        assert!(
+            Command::new("kill")
+                .args([signal, &pid])
+                .status()
+                .unwrap()
+                .success()
+        );
+    }
+
+    /// Returns the number of starts, and those beyond the first of a task.
+    pub fn starts(&self) -> (usize, usize) {
+        super::count_starts(&self.standins)
+    }
+}
+
+/// Checks that `answer` is the whole answer to the job with `key`.
+fn assert_whole(key: &str, tasks: usize, answer: Option<&JobAnswerBody>) {
+    let answer = answer.unwrap_or_else(|| panic!("{key} got no answer"));
+    assert_eq!(answer.state, JobState::Complete, "{key}: {answer:?}");
+    assert_eq!((answer.key.as_str(), answer.tasks.len()), (key, tasks));
+    for (index, task) in answer.tasks.iter().enumerate() {
+        assert_eq!(task.result, Some(format!("{key}#{index}:e{index}")));
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- a/kqr-standin/src/attempts.rs
+++ b/kqr-standin/src/attempts.rs
@@ -3,7 +3,7 @@
     sync::{Mutex, PoisonError},
 };
 
-use kqr_types::{AttemptId, KeyDigest, TaskIndex};
+use kqr_types::{AttemptId, Incarnation, KeyDigest, TaskIndex};
 use kqr_wire::targets::{AttemptBody, AttemptState};
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,8 @@
     pub attempts: Vec<String>,
     /// Tasks that were started more than once here.
     pub duplicates: Vec<DuplicateStart>,
+    /// Attempts that were run to their end.
+    pub finished: u64,
     /// Starts that were refused.
     pub refused: u64,
     /// Questions about attempts.
@@ -35,17 +37,40 @@
 struct Inner {
     states: BTreeMap<AttemptId, AttemptBody>,
     started: Vec<AttemptId>,
+    finished: u64,
     refused: u64,
     questions: u64,
 }
 
 /// The attempts that a stand-in has seen.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Attempts {
+    incarnation: Incarnation,
     inner: Mutex<Inner>,
 }
 
 impl Attempts {
+    /// Creates the record of a stand-in in its life `incarnation`.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Returns an answer about `attempt` without a result.
+    pub fn body(&self, attempt: AttemptId, state: AttemptState) -> AttemptBody {
+        let incarnation = self.incarnation;
+        AttemptBody {
+            attempt_id: attempt,
+            incarnation,
+            state,
+            result: None,
+            reason: None,
+            run_time_us: 0,
+        }
+    }
+
     /// Records the start of `attempt`, or returns its state if it was seen before.
     ///
     /// # Errors
@@ -56,7 +81,9 @@
         if let Some(known) = inner.states.get(&attempt) {
             return Err(known.clone());
         }
-        inner.states.insert(attempt, body(attempt, AttemptState::Running));
+        inner
+            .states
+            .insert(attempt, self.body(attempt, AttemptState::Running));
         inner.started.push(attempt);
         Ok(())
     }
@@ -64,21 +91,20 @@
     /// Records the end of an attempt, unless it was stopped before.
     pub fn finish(&self, ended: AttemptBody) -> AttemptBody {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
-        let state = inner
-            .states
-            .entry(ended.attempt_id)
-            .or_insert_with(|| ended.clone());
-        if state.state == AttemptState::Running {
-            *state = ended;
+        let known = inner.states.get(&ended.attempt_id).cloned();
+        if let Some(known) = known.filter(|known| known.state != AttemptState::Running) {
+            return known;
         }
-        state.clone()
+        inner.states.insert(ended.attempt_id, ended.clone());
+        inner.finished += 1;
+        ended
     }
 
     /// Counts a refused start and returns its answer.
     pub fn refuse(&self, attempt: AttemptId, reason: &str) -> AttemptBody {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.refused += 1;
-        let mut answer = body(attempt, AttemptState::NotStarted);
+        let mut answer = self.body(attempt, AttemptState::NotStarted);
         answer.reason = Some(reason.to_owned());
         answer
     }
@@ -88,7 +114,7 @@
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.questions += 1;
         let known = inner.states.get(&attempt).cloned();
-        known.unwrap_or_else(|| body(attempt, AttemptState::NeverSeen))
+        known.unwrap_or_else(|| self.body(attempt, AttemptState::NeverSeen))
     }
 
     /// Stops a running attempt, or fences one that was never seen, so that a late start is refused.
@@ -97,7 +123,7 @@
         let known = inner
             .states
             .entry(attempt)
-            .or_insert_with(|| body(attempt, AttemptState::NotStarted));
+            .or_insert_with(|| self.body(attempt, AttemptState::NotStarted));
         if known.state == AttemptState::Running {
             known.state = AttemptState::Failed;
             known.reason = Some("stopped".to_owned());
@@ -122,19 +148,9 @@
         StartsBody {
             attempts,
             duplicates,
+            finished: inner.finished,
             refused: inner.refused,
             questions: inner.questions,
         }
     }
 }
-
-/// Returns an answer about `attempt` without a result.
-pub fn body(attempt: AttemptId, state: AttemptState) -> AttemptBody {
-    AttemptBody {
-        attempt_id: attempt,
-        state,
-        result: None,
-        reason: None,
-        run_time_us: 0,
-    }
-}
--- a/kqr-wire/src/lib.rs
+++ b/kqr-wire/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod callers;
 pub mod control;
 pub mod headers;
+pub mod mail;
 pub mod siblings;
 pub mod targets;
