--- a/kqr-cli/src/cli.rs
+++ b/kqr-cli/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Connection, ConnectionOptions, Failure,
-    commands::{drain, settings, status, targets},
+    commands::{drain, settings, status, targets, voters},
     output::render,
 };
 
@@ -33,6 +33,8 @@
     Drain(drain::Options),
     /// Shows the state of the control instances.
     Status(status::Options),
+    /// Adds, promotes or removes one voter of the settings log.
+    Voters(voters::Options),
     /// Prints the completions for a shell.
     Completions {
         /// The shell.
@@ -77,6 +79,7 @@
         Operation::Targets(options) => render(&targets::run(&connection, &options).await?, format),
         Operation::Drain(options) => render(&drain::run(&connection, &options).await?, format),
         Operation::Status(options) => render(&status::run(&connection, &options).await?, format),
+        Operation::Voters(options) => render(&voters::run(&connection, &options).await?, format),
         Operation::Completions { .. } => Ok(String::new()),
     }
 }
--- a/kqr-cli/src/commands/mod.rs
+++ b/kqr-cli/src/commands/mod.rs
@@ -4,3 +4,4 @@
 pub mod settings;
 pub mod status;
 pub mod targets;
+pub mod voters;
--- a/kqr-cli/src/commands/status.rs
+++ b/kqr-cli/src/commands/status.rs
@@ -37,8 +37,12 @@
     pub version: u64,
     /// Whether it heard from a quorum, or from a leader, a short time ago.
     pub is_in_touch: bool,
+    /// Its own identity as a voter.
+    pub voter: String,
     /// Voters of the agreement.
     pub voters: Vec<String>,
+    /// Instances that receive the log without a vote.
+    pub learners: Vec<String>,
     /// Instances that stream the settings from it.
     pub followers: Vec<Follower>,
 }
@@ -87,8 +91,12 @@
     writeln!(
         f,
         "{}: {}, term {}, leader {leader}, version {}, {touch}",
-        state.instance, state.role, state.term, state.version
+        state.voter, state.role, state.term, state.version
     )?;
+    writeln!(f, "    voters: {}", state.voters.join(", "))?;
+    if !state.learners.is_empty() {
+        writeln!(f, "    without a vote: {}", state.learners.join(", "))?;
+    }
     for follower in &state.followers {
         writeln!(f, "    {} has version {}", follower.instance, follower.version)?;
     }
@@ -137,7 +145,9 @@
         leader: reply.leader,
         version: reply.version,
         is_in_touch: reply.is_in_touch,
+        voter: reply.voter,
         voters: reply.voters,
+        learners: reply.learners,
         followers,
     }
 }
--- a/kqr-cli/src/connection.rs
+++ b/kqr-cli/src/connection.rs
@@ -5,7 +5,7 @@
     MessageError, connect,
     messages::{
         ChangeReply, HistoryReply, HistoryRequest, StatusReply, StatusRequest, TreeReply, TreeRequest,
-        operators_client::OperatorsClient,
+        VotersRequest, operators_client::OperatorsClient, voters_request,
     },
     request_of,
 };
@@ -142,6 +142,18 @@
         Ok(changes)
     }
 
+    /// Changes one voter of the settings log.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no instance accepts the change; only the leader does.
+    pub async fn change_voters(&self, change: voters_request::Change) -> Result<(), Failure> {
+        let body = VotersRequest { change: Some(change) };
+        let call = async |mut client: Client, request| client.change_voters(request).await;
+        self.first_answer("changing the voters", body, call).await?;
+        Ok(())
+    }
+
     /// Returns the state of the instance that listens at `server`.
     ///
     /// # Errors
--- a/kqr-control/src/daemon.rs
+++ b/kqr-control/src/daemon.rs
@@ -73,11 +73,11 @@
         }
     }
     let voter = VoterId::new(own.id.clone(), opened.identity.storage);
-    let machine = Machine::new(
-        voter,
-        agreement_options(founding(&bootstrap), seed()),
-        opened.durable,
-    );
+    let founding = match opened.identity.storage {
+        FOUNDING_STORAGE => founding(&bootstrap),
+        _ => Configuration::default(),
+    };
+    let machine = Machine::new(voter, agreement_options(founding, seed()), opened.durable);
     let (tx, rx) = mpsc::channel(QUEUED_REQUESTS);
     let changes = Changes::new(tx, Peers::new(peers.clone()));
     let links = Links::start(&own.id, &peers);
@@ -151,19 +151,24 @@
 
 fn open_store(options: &Options, own: &Instance) -> eyre::Result<(Store<FolderDisk>, Opened)> {
     let shown = options.data.display();
-    if !options.found && is_unused(&options.data) {
+    if !options.found && !options.join && is_unused(&options.data) {
         bail!(
-            "the data folder {shown} is empty: give --found to start a new system; an instance that lost its disk is \
-             replaced by one with a new name"
+            "the data folder {shown} is empty: give --found to start a new system, or --join to be added to a running \
+             one, also after the loss of a disk"
         );
     }
+    let storage = if options.found {
+        FOUNDING_STORAGE
+    } else {
+        new_storage()
+    };
     let disk =
         FolderDisk::open(&options.data).wrap_err_with(|| format!("opening the data folder {shown}"))?;
     let owner = Owner {
         log: "settings".to_owned(),
         instance: own.id.clone(),
     };
-    let opened = Store::open(disk, &owner, FOUNDING_STORAGE);
+    let opened = Store::open(disk, &owner, storage);
     let (store, opened) = opened.wrap_err_with(|| format!("reading the data folder {shown}"))?;
     if let Some(torn) = &opened.torn_tail {
         log::warn!(
@@ -192,10 +197,17 @@
 fn founding(bootstrap: &Bootstrap) -> Configuration {
     let voters = bootstrap
         .control_instances()
+        .filter(|instance| instance.founding)
         .map(|instance| VoterId::new(instance.id.clone(), FOUNDING_STORAGE));
     Configuration::of_voters(voters)
 }
 
+/// Returns the incarnation of a data folder that is created now.
+fn new_storage() -> Incarnation {
+    let unix = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
+    Incarnation(unix.unwrap_or_default().as_millis() as u64)
+}
+
 /// Returns a seed that differs between instances and starts.
 fn seed() -> u64 {
     let unix = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
--- a/kqr-control/src/driver.rs
+++ b/kqr-control/src/driver.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, time::Duration};
 
-use kqr_agreement::Record;
+use kqr_agreement::{ProposalResult, Record};
 use kqr_settings::{Refusal, SettingsLog, Update, Version};
 use kqr_store::{FolderDisk, Store, StoreError};
 use kqr_telemetry::{EventKind, EventLog};
@@ -26,6 +26,7 @@
 enum Waiter {
     Change(oneshot::Sender<ChangeResult>),
     Confirm(oneshot::Sender<ConfirmResult>),
+    Voters(oneshot::Sender<ProposalResult>),
 }
 
 /// The shell around a node: performs its outputs in their order.
@@ -110,6 +111,11 @@
                 self.waiters.insert(call, Waiter::Change(reply));
                 self.handle(NodeInput::Change { call, command }, outputs);
             }
+            Request::ChangeVoters { change, reply } => {
+                let call = CallId(self.next_id());
+                self.waiters.insert(call, Waiter::Voters(reply));
+                self.handle(NodeInput::ChangeVoters { call, change }, outputs);
+            }
             Request::Confirm { reply } => {
                 let call = CallId(self.next_id());
                 self.waiters.insert(call, Waiter::Confirm(reply));
@@ -178,6 +184,11 @@
             NodeOutput::Answered { call, answer } => self.end_change(call, ChangeResult::Answered(answer)),
             NodeOutput::NotLeader { call, leader } => self.end_change(call, ChangeResult::NotLeader(leader)),
             NodeOutput::Unknown { call, .. } => self.end_change(call, ChangeResult::Unknown),
+            NodeOutput::VotersAnswered { call, result } => {
+                if let Some(Waiter::Voters(reply)) = self.waiters.remove(&call) {
+                    drop(reply.send(result));
+                }
+            }
             NodeOutput::Confirmed { call, version } => {
                 self.end_confirm(call, ConfirmResult::Confirmed(version));
             }
@@ -258,6 +269,7 @@
         let agreement = self.node.agreement();
         let view = agreement.role();
         let settings = self.node.settings();
+        let configuration = agreement.configuration();
         let mut followers = Vec::new();
         for (instance, version) in self.node.followers() {
             followers.push(FollowerStatus {
@@ -276,12 +288,9 @@
             version: settings.version().0,
             digest: settings.tree().digest().0.to_be_bytes().to_vec(),
             is_in_touch: self.node.is_in_touch(self.now()),
-            voters: agreement
-                .configuration()
-                .voters
-                .iter()
-                .map(ToString::to_string)
-                .collect(),
+            voter: agreement.own().to_string(),
+            voters: configuration.voters.iter().map(ToString::to_string).collect(),
+            learners: configuration.learners.iter().map(ToString::to_string).collect(),
             followers,
         }
     }
--- a/kqr-control/src/lib.rs
+++ b/kqr-control/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod request;
 mod token;
+mod voters;
 
 pub use links::Envelope;
 pub use options::Options;
--- a/kqr-control/src/node/calls.rs
+++ b/kqr-control/src/node/calls.rs
@@ -10,6 +10,8 @@
 pub(super) enum Purpose {
     /// A change.
     Change { call: CallId, change: ChangeId },
+    /// A change of a voter.
+    Voters { call: CallId },
     /// A read of the highest version.
     Confirm { call: CallId },
 }
--- a/kqr-control/src/node/input.rs
+++ b/kqr-control/src/node/input.rs
@@ -1,4 +1,4 @@
-use kqr_agreement::{Message, VoterId};
+use kqr_agreement::{Message, VoterChange, VoterId};
 use kqr_settings::{Command, Version};
 use kqr_types::InstanceId;
 use serde::{Deserialize, Serialize};
@@ -25,6 +25,13 @@
         /// The change.
         command: Command,
     },
+    /// A change of one voter is asked for.
+    ChangeVoters {
+        /// Call that waits for the answer.
+        call: CallId,
+        /// The change.
+        change: VoterChange,
+    },
     /// The highest accepted version is asked for.
     Confirm {
         /// Call that waits for the answer.
--- a/kqr-control/src/node/machine.rs
+++ b/kqr-control/src/node/machine.rs
@@ -77,6 +77,10 @@
                 }
             }
             NodeInput::Change { call, command } => self.change(now, call, &command, outputs),
+            NodeInput::ChangeVoters { call, change } => {
+                let request = self.calls.open(Purpose::Voters { call });
+                self.drive(now, Input::ChangeVoters { request, change }, outputs);
+            }
             NodeInput::Confirm { call } => {
                 let request = self.calls.open(Purpose::Confirm { call });
                 self.drive(now, Input::Read { request }, outputs);
@@ -214,8 +218,13 @@
     }
 
     fn proposed(&mut self, request: RequestId, result: ProposalResult, outputs: &mut Vec<NodeOutput>) {
-        let Some(Purpose::Change { call, change }) = self.calls.close(request) else {
-            return;
+        let (call, change) = match self.calls.close(request) {
+            Some(Purpose::Change { call, change }) => (call, change),
+            Some(Purpose::Voters { call }) => {
+                outputs.push(NodeOutput::VotersAnswered { call, result });
+                return;
+            }
+            Some(Purpose::Confirm { .. }) | None => return,
         };
         let output = match result {
             ProposalResult::Committed { .. } => match self.settings.answer(&change) {
--- a/kqr-control/src/node/output.rs
+++ b/kqr-control/src/node/output.rs
@@ -1,4 +1,4 @@
-use kqr_agreement::{Message, Record, RoleView, VoterId};
+use kqr_agreement::{Message, ProposalResult, Record, RoleView, VoterId};
 use kqr_settings::{Answer, Digest, Update, Version};
 use kqr_types::InstanceId;
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,13 @@
         /// The leader, if known.
         leader: Option<InstanceId>,
     },
+    /// A change of a voter has ended.
+    VotersAnswered {
+        /// The call.
+        call: CallId,
+        /// What became of it.
+        result: ProposalResult,
+    },
     /// A quorum confirmed the highest accepted version.
     Confirmed {
         /// The call.
--- a/kqr-control/src/operators_service.rs
+++ b/kqr-control/src/operators_service.rs
@@ -1,16 +1,20 @@
+use std::time::Duration;
+
 use kqr_settings::Version;
 use kqr_wire::control::{
     command_of,
     messages::{
         ChangeReply, ChangeRequest, HistoryReply, HistoryRequest, StatusReply, StatusRequest, TreeReply,
-        TreeRequest, Update, operators_server::Operators,
+        TreeRequest, Update, VotersReply, VotersRequest, operators_server::Operators,
     },
 };
 use tokio::sync::oneshot;
 use tonic::{Request as Call, Response, Status};
 
-use crate::{changes::Changes, request::Request};
+use crate::{changes::Changes, request::Request, voters};
 
+/// Longest time for a change of a voter.
+const VOTERS_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest number of changes in one reply.
 const MAX_HISTORY: usize = 1000;
 
@@ -68,6 +72,18 @@
         Ok(Response::new(HistoryReply { changes }))
     }
 
+    async fn change_voters(&self, call: Call<VotersRequest>) -> Result<Response<VotersReply>, Status> {
+        let change = voters::change_of(call.into_inner())?;
+        let shown = format!("voter change {change:?}");
+        let (reply, rx) = oneshot::channel();
+        let asked = self.changes.ask(Request::ChangeVoters { change, reply }, rx);
+        let result = tokio::time::timeout(VOTERS_TIMEOUT, asked).await;
+        let result =
+            result.map_err(|_| Status::unavailable("no quorum answers; the change may be accepted"))??;
+        log::info!("{shown}: {result:?}");
+        voters::reply_of(result).map(Response::new)
+    }
+
     async fn status(&self, _: Call<StatusRequest>) -> Result<Response<StatusReply>, Status> {
         let (reply, rx) = oneshot::channel();
         let status = self.changes.ask(Request::Status { reply }, rx).await?;
--- a/kqr-control/src/options.rs
+++ b/kqr-control/src/options.rs
@@ -19,6 +19,9 @@
     /// Starts a new system if the data folder is empty. Never given to an instance that lost its disk.
     #[arg(long)]
     pub found: bool,
+    /// Starts with an empty data folder as an instance that is to be added to the voters, also after the loss of a disk.
+    #[arg(long, conflicts_with = "found")]
+    pub join: bool,
     /// File for the events of the time line.
     #[arg(long)]
     pub events: Option<PathBuf>,
--- a/kqr-control/src/request.rs
+++ b/kqr-control/src/request.rs
@@ -1,4 +1,4 @@
-use kqr_agreement::{Message, VoterId};
+use kqr_agreement::{Message, ProposalResult, VoterChange, VoterId};
 use kqr_settings::{Answer, Change, Command, Refusal, Update, Version};
 use kqr_types::InstanceId;
 use kqr_wire::control::messages::{FollowEvent, FollowRequest, StatusReply};
@@ -87,6 +87,13 @@
         /// Takes the state.
         reply: oneshot::Sender<StatusReply>,
     },
+    /// Changes one voter of the settings log.
+    ChangeVoters {
+        /// The change.
+        change: VoterChange,
+        /// Takes what became of it.
+        reply: oneshot::Sender<ProposalResult>,
+    },
     /// Gives up the lead before the process stops.
     HandOver,
 }
--- a/kqr-control/tests/processes.rs
+++ b/kqr-control/tests/processes.rs
@@ -11,7 +11,7 @@
 
 use kqr::{ChangeOptions, Connection, ConnectionOptions, Failure, FailureKind, Format};
 use kqr_settings::{Action, Edit, Follower, FollowerOptions, Version, bootstrap::Bootstrap};
-use kqr_wire::control::{SettingsStream, peers_of};
+use kqr_wire::control::{SettingsStream, messages::voters_request::Change, peers_of};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -74,16 +74,14 @@
             children: vec![None, None, None],
         };
         for number in 0..3 {
-            processes.start_one(number, true);
+            processes.start_one(number, &["--found"]);
         }
         processes
     }
 
-    fn start_one(&mut self, number: usize, is_founding: bool) {
+    fn start_one(&mut self, number: usize, arguments: &[&str]) {
         let mut command = command(self.folder.path(), number);
-        if is_founding {
-            command.arg("--found");
-        }
+        command.args(arguments);
         self.children[number] = Some(command.spawn().unwrap());
     }
 
@@ -193,7 +191,7 @@
     let beaten = set(&connection, "c3", 1, "7").await.unwrap_err();
     assert_eq!(beaten.exit_code(), 3);
 
-    processes.start_one(leader, false);
+    processes.start_one(leader, &[]);
     let start = Instant::now();
     loop {
         let status = connection.status(processes.operators[leader]).await;
@@ -209,6 +207,47 @@
     stop.cancel();
 }
 
+async fn change_voters(connection: &Connection, change: Change) {
+    let start = Instant::now();
+    while let Err(failure) = connection.change_voters(change.clone()).await {
+        assert!(start.elapsed() < PATIENCE, "{change:?}: {failure}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_lost_its_disk_votes_again_under_a_new_identity() {
+    let mut processes = Processes::start();
+    let connection = processes.connection("token");
+    let leader = processes.leader(&connection).await;
+    assert_eq!(set(&connection, "c1", 0, "5").await.unwrap(), 1);
+    let lost = (leader + 1) % 3;
+    let other = (leader + 2) % 3;
+    processes.kill(lost);
+    fs::remove_dir_all(processes.folder.path().join(format!("data-{lost}"))).unwrap();
+    processes.start_one(lost, &["--join"]);
+
+    let start = Instant::now();
+    let voter = loop {
+        assert!(start.elapsed() < PATIENCE, "no answer of the instance that joins");
+        if let Ok(status) = connection.status(processes.operators[lost]).await {
+            break status.voter;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    let old = format!("control-{lost}#1");
+    assert_ne!(voter, old);
+    change_voters(&connection, Change::Add(voter.clone())).await;
+    change_voters(&connection, Change::Promote(voter.clone())).await;
+    change_voters(&connection, Change::Remove(old)).await;
+
+    processes.kill(other);
+    assert_eq!(set(&connection, "c2", 1, "6").await.unwrap(), 2);
+    let status = connection.status(processes.operators[lost]).await.unwrap();
+    assert!(status.voters.contains(&voter), "{:?}", status.voters);
+    assert_eq!(status.voters.len(), 3);
+}
+
 #[test]
 fn an_empty_data_folder_is_refused_without_the_founding_option() {
     let processes = Processes::start();
--- a/kqr-control/tests/system/mod.rs
+++ b/kqr-control/tests/system/mod.rs
@@ -390,7 +390,10 @@
                 self.send_on(name, stream, 0, closed);
             }
             NodeOutput::Failed { detail } => panic!("{name}: {detail}"),
-            NodeOutput::Persist(_) | NodeOutput::Applied { .. } | NodeOutput::RoleChanged(_) => {}
+            NodeOutput::VotersAnswered { .. }
+            | NodeOutput::Persist(_)
+            | NodeOutput::Applied { .. }
+            | NodeOutput::RoleChanged(_) => {}
         }
     }
 
--- a/kqr-settings/src/bootstrap.rs
+++ b/kqr-settings/src/bootstrap.rs
@@ -41,6 +41,13 @@
     /// Listener for operators.
     #[serde(default)]
     pub operators: Option<SocketAddr>,
+    /// Whether a control instance is a voter from the start of the system; `false` for one that is added later.
+    #[serde(default = "is_founding_by_default")]
+    pub founding: bool,
+}
+
+const fn is_founding_by_default() -> bool {
+    true
 }
 
 /// One data centre.
