--- a/kqr-entry/src/callers/jobs.rs
+++ b/kqr-entry/src/callers/jobs.rs
@@ -5,7 +5,8 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use kqr_http::{BodyError, BodyLimits, json_reply, read_body};
 use kqr_jobs::{JobState, Outcome, Submission, TaskSpec};
-use kqr_telemetry::EventKind;
+use kqr_settings::schema::Rules;
+use kqr_telemetry::{AnswerClass, EventKind, WorkKind};
 use kqr_types::{Attempt, JobKey, TeamName};
 use kqr_wire::{
     callers::{JobAnswerBody, JobBody},
@@ -13,20 +14,14 @@
     siblings::JobCall,
 };
 use percent_encoding::percent_decode_str;
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::problem::Problem;
-use crate::{engine::Answer, entry::Entry, routing::MAX_HOPS};
+use crate::{engine::Answer, entry::Entry, live_settings::InForce, routing::MAX_HOPS};
 
-/// Limits of a submission's body.
-const LIMITS: BodyLimits = BodyLimits {
-    bytes: 4 << 20,
-    time: Duration::from_secs(10),
-};
-/// Deadline of a caller that names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
-/// Longest deadline that a caller may name.
-const MAX_DEADLINE: Duration = Duration::from_secs(600);
+/// Longest time until the whole body of a submission has arrived.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Team of a caller that names none.
 const DEFAULT_TEAM: &str = "default";
 
@@ -36,8 +31,10 @@
 pub async fn submit(entry: &Entry, req: Request<Incoming>) -> Reply {
     let is_waiting = parse_wait(req.uri().query())?;
     let (parts, body) = req.into_parts();
-    let submission = parse_submission(&parts.headers, body).await?;
-    if !entry.engine.table.serves(&submission.service) {
+    let settings = entry.settings.present();
+    let submission = parse_submission(&settings, &parts.headers, body).await?;
+    let service = &submission.service;
+    if !entry.engine.table.serves(service) && !settings.names_service(service) {
         let detail = format!("no target serves {}", submission.service);
         return Err(Problem::not_found("service", detail));
     }
@@ -45,6 +42,9 @@
     event.key = Some(submission.key.clone());
     entry.engine.events.record(event);
     let key = submission.key.clone();
+    let begun = Instant::now();
+    let deadline = submission.deadline;
+    let ideal = submission.tasks.iter().filter_map(|task| task.run_time).max();
     let answer = entry
         .call(
             JobCall::Submit {
@@ -58,9 +58,33 @@
     event.key = Some(key);
     event.detail = answer.as_ref().err().map(ToString::to_string);
     entry.engine.events.record(event);
+    if is_waiting {
+        measure(entry, &answer, begun.elapsed(), deadline, ideal);
+    }
     reply(answer)
 }
 
+/// Records the measures of an answered submission.
+fn measure(entry: &Entry, answer: &Answer, response: Duration, deadline: Duration, ideal: Option<Duration>) {
+    let outcome = match answer {
+        Ok(answer) if answer.state == JobState::Complete => None,
+        Ok(answer) => Some(answer.outcome()),
+        Err(refusal) => Some(refusal.outcome),
+    };
+    let class = match outcome {
+        None if response <= deadline => AnswerClass::InTime,
+        None => AnswerClass::Late,
+        Some(Outcome::NotRun) => AnswerClass::NotRun,
+        Some(Outcome::MayHaveRun) => AnswerClass::MayHaveRun,
+        Some(Outcome::Ran) => AnswerClass::Ran,
+    };
+    let metrics = &entry.engine.metrics;
+    metrics.answered(WorkKind::Job, class, response);
+    if let (None, Some(ideal)) = (outcome, ideal) {
+        metrics.compared_to_ideal(response, ideal);
+    }
+}
+
 /// Answers `GET /v1/jobs/{key}`.
 pub async fn lookup(entry: &Entry, key: &str) -> Reply {
     reply(entry.call(JobCall::Lookup(parse_key(key)?), MAX_HOPS).await)
@@ -105,7 +129,11 @@
         .map_err(|error: kqr_types::ParseError| Problem::bad_request("key", error.to_string()))
 }
 
-async fn parse_submission(fields: &HeaderMap, body: Incoming) -> Result<Submission, Problem> {
+async fn parse_submission(
+    settings: &InForce,
+    fields: &HeaderMap,
+    body: Incoming,
+) -> Result<Submission, Problem> {
     let key: Option<JobKey> = parse_field(fields, headers::IDEMPOTENCY_KEY)?;
     let key = key.ok_or_else(|| {
         Problem::bad_request(
@@ -120,7 +148,6 @@
             "expected a whole number from 1",
         ));
     }
-    let deadline = parse_deadline(fields)?;
     let team: Option<TeamName> = parse_field(fields, headers::TEAM)?;
     let team = match team {
         Some(team) => team,
@@ -128,7 +155,11 @@
             .parse()
             .map_err(|_| Problem::bad_request(headers::TEAM, "no default team"))?,
     };
-    let bytes = read_body(body, LIMITS).await?;
+    let limits = BodyLimits {
+        bytes: settings.site().max_body.0 as usize,
+        time: BODY_TIMEOUT,
+    };
+    let bytes = read_body(body, limits).await?;
     let body: JobBody = serde_json::from_slice(&bytes)
         .map_err(|cause| Problem::from(BodyError::Malformed(cause.to_string())))?;
     if body.tasks.is_empty() || body.tasks.len() > Submission::MAX_TASKS {
@@ -139,6 +170,7 @@
         );
         return Err(Problem::bad_request("tasks", detail));
     }
+    let deadline = parse_deadline(settings.service(&body.service), fields)?;
     let fingerprint = xxh3_64(&bytes);
     let mut tasks = Vec::with_capacity(body.tasks.len());
     for task in body.tasks {
@@ -162,17 +194,15 @@
     })
 }
 
-/// Parses the deadline that a caller named, or returns the default.
-pub fn parse_deadline(fields: &HeaderMap) -> Result<Duration, Problem> {
+/// Parses the deadline that a caller named, or returns the default of the service.
+pub fn parse_deadline(rules: &Rules, fields: &HeaderMap) -> Result<Duration, Problem> {
     let Some(millis) = parse_field::<u64>(fields, headers::DEADLINE_MS)? else {
-        return Ok(DEFAULT_DEADLINE);
+        return Ok(rules.deadline.0);
     };
     let deadline = Duration::from_millis(millis);
-    if deadline.is_zero() || deadline > MAX_DEADLINE {
-        let detail = format!(
-            "expected 1 to {} milliseconds, got {millis}",
-            MAX_DEADLINE.as_millis()
-        );
+    let longest = rules.max_deadline.0;
+    if deadline.is_zero() || deadline > longest {
+        let detail = format!("expected 1 to {} milliseconds, got {millis}", longest.as_millis());
         return Err(Problem::bad_request(headers::DEADLINE_MS, detail));
     }
     Ok(deadline)
--- a/kqr-entry/src/callers/mod.rs
+++ b/kqr-entry/src/callers/mod.rs
@@ -10,6 +10,7 @@
 use http_body_util::{Either, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use kqr_http::text_reply;
+use kqr_telemetry::Level;
 
 use self::problem::Problem;
 pub use self::relay::{Relay, RelayBody};
@@ -32,7 +33,7 @@
         (&Method::POST, "/v1/jobs") => jobs::submit(&entry, req).await,
         (&Method::GET, "/healthz") => Ok(text_reply(StatusCode::OK, "ok")),
         (&Method::GET, "/readyz") => Ok(readiness(&entry)),
-        (&Method::GET, "/metrics") => Ok(text_reply(StatusCode::OK, metrics(&entry))),
+        (&Method::GET, "/metrics") => Ok(metrics(&entry)),
         _ => match (&method, path.strip_prefix("/v1/jobs/")) {
             (&Method::GET, Some(key)) => jobs::lookup(&entry, key).await,
             (&Method::DELETE, Some(key)) => jobs::cancel(&entry, key).await,
@@ -58,8 +59,15 @@
     text_reply(StatusCode::OK, "ready")
 }
 
-fn metrics(entry: &Entry) -> String {
-    let waiting = entry.engine.waiting_tasks();
-    let live = entry.engine.homed_jobs();
-    format!("kqr_waiting_tasks {waiting}\nkqr_live_jobs {live}\n")
+fn metrics(entry: &Entry) -> Response<Full<Bytes>> {
+    entry.engine.measure_levels();
+    let version = entry.settings.present().version;
+    entry
+        .engine
+        .metrics
+        .set(Level::SettingsVersion, version.map_or(0, |version| version.0));
+    match entry.engine.metrics.text() {
+        Ok(text) => text_reply(StatusCode::OK, text),
+        Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
 }
--- a/kqr-entry/src/callers/problem.rs
+++ b/kqr-entry/src/callers/problem.rs
@@ -50,6 +50,11 @@
         self
     }
 
+    /// Returns what is known of whether the work was run.
+    pub fn outcome(&self) -> Outcome {
+        self.body.outcome
+    }
+
     fn new(status: StatusCode, kind: &str, field: Option<&str>, detail: String) -> Self {
         let body = ProblemBody {
             kind: kind.to_owned(),
--- a/kqr-entry/src/callers/relay/call.rs
+++ b/kqr-entry/src/callers/relay/call.rs
@@ -10,7 +10,10 @@
 use kqr_types::ServiceName;
 use kqr_wire::headers;
 
-use crate::callers::{jobs, problem::Problem};
+use crate::{
+    callers::{jobs, problem::Problem},
+    live_settings::InForce,
+};
 
 /// Largest body that is held in memory so that the request can be sent again, in bytes.
 const MAX_HELD_BYTES: u64 = 64 << 10;
@@ -53,13 +56,13 @@
 
 impl Call {
     /// Parses a request to `rest`, which is the service and the path behind it.
-    pub async fn parse(rest: &str, req: Request<Incoming>) -> Result<Self, Problem> {
+    pub async fn parse(settings: &InForce, rest: &str, req: Request<Incoming>) -> Result<Self, Problem> {
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let service: ServiceName = service
             .parse()
             .map_err(|error: kqr_types::ParseError| Problem::bad_request("service", error.to_string()))?;
         let (parts, body) = req.into_parts();
-        let deadline = jobs::parse_deadline(&parts.headers)?;
+        let deadline = jobs::parse_deadline(settings.service(&service), &parts.headers)?;
         let idempotent: Option<bool> = jobs::parse_field(&parts.headers, headers::IDEMPOTENT)?;
         let is_idempotent = idempotent.unwrap_or_else(|| is_idempotent_method(&parts.method));
         let path_and_query = match parts.uri.query() {
--- a/kqr-entry/src/callers/relay/mod.rs
+++ b/kqr-entry/src/callers/relay/mod.rs
@@ -14,8 +14,10 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use kqr_admission::RetryBudget;
 use kqr_http::{Client, ClientError, ClientOptions};
+use kqr_jobs::Outcome;
 use kqr_placement::{Demand, PickFailure, TargetKind};
-use kqr_telemetry::EventKind;
+use kqr_settings::schema::Rules;
+use kqr_telemetry::{AnswerClass, EventKind, WastedMessage, WorkKind};
 use kqr_types::TargetId;
 use tokio::time::Instant;
 
@@ -32,8 +34,6 @@
 const SAVED_SENDS: u32 = 10;
 /// Difference of the spread numbers of two requests: an odd number near 2^32 over the golden ratio.
 const SPREAD_STEP: u32 = 0x9E37_79B9;
-/// Most targets that one request is sent to.
-const MAX_TRIES: usize = 3;
 /// Time between two looks for a free slot.
 const SLOT_RETRY: Duration = Duration::from_millis(5);
 
@@ -58,6 +58,27 @@
     }
 }
 
+/// What the settings allow for one request.
+#[derive(Clone, Copy, Debug)]
+struct TryLimits {
+    /// Most targets that it is sent to.
+    tries: usize,
+    /// Whether it may be hedged.
+    is_hedging: bool,
+    /// Shortest wait before a hedge.
+    hedge_after: Duration,
+}
+
+impl TryLimits {
+    fn of(rules: &Rules) -> Self {
+        Self {
+            tries: rules.attempts.0 as usize,
+            is_hedging: rules.is_hedging.0,
+            hedge_after: rules.hedge_after.0,
+        }
+    }
+}
+
 /// How one try failed.
 #[derive(Debug)]
 enum Failure {
@@ -77,32 +98,47 @@
     rest: &str,
     req: Request<Incoming>,
 ) -> Result<Response<ReplyBody>, Problem> {
-    let call = Call::parse(rest, req).await?;
+    let settings = entry.settings.present();
+    let call = Call::parse(&settings, rest, req).await?;
+    let limits = TryLimits::of(settings.service(&call.service));
     let until = Instant::now() + call.deadline;
     entry.relay.budget.earn();
-    let tried = Vec::with_capacity(MAX_TRIES);
+    let tried = Vec::with_capacity(limits.tries);
     let mut exchange = Exchange {
         entry,
         call,
+        limits,
         until,
         tried,
         is_in_flight: false,
         is_uncertain: false,
     };
-    match tokio::time::timeout_at(until, exchange.run()).await {
+    let begun = Instant::now();
+    let result = match tokio::time::timeout_at(until, exchange.run()).await {
         Ok(result) => result,
         Err(_) if exchange.is_in_flight || exchange.is_uncertain => Err(Problem::may_have_run(
             StatusCode::GATEWAY_TIMEOUT,
             "no answer within the deadline",
         )),
         Err(_) => Err(Problem::unavailable("no target was free within the deadline")),
-    }
+    };
+    let class = match &result {
+        Ok(_) => AnswerClass::InTime,
+        Err(problem) if problem.outcome() == Outcome::NotRun => AnswerClass::NotRun,
+        Err(_) => AnswerClass::MayHaveRun,
+    };
+    entry
+        .engine
+        .metrics
+        .answered(WorkKind::Request, class, begun.elapsed());
+    result
 }
 
 /// One relayed request and the targets that it was sent to.
 struct Exchange<'a> {
     entry: &'a Entry,
     call: Call,
+    limits: TryLimits,
     until: Instant,
     tried: Vec<TargetId>,
     /// Whether a try has begun of which nothing is known yet.
@@ -119,7 +155,7 @@
                 Err(failure) => failure,
             };
             self.is_in_flight = false;
-            let is_last = self.tried.len() >= MAX_TRIES || !self.call.is_repeatable();
+            let is_last = self.tried.len() >= self.limits.tries || !self.call.is_repeatable();
             match failure {
                 Failure::Refused(problem) => return Err(self.truthful(problem)),
                 Failure::NotSent(cause) if is_last => return Err(self.truthful(Problem::unavailable(cause))),
@@ -130,6 +166,7 @@
                     if !is_retried {
                         return Err(Problem::may_have_run(StatusCode::BAD_GATEWAY, cause));
                     }
+                    self.entry.engine.metrics.wasted(WastedMessage::Retry);
                 }
             }
         }
@@ -139,12 +176,14 @@
     async fn hedged_try(&mut self) -> Try {
         let slot = self.wait_for_slot().await?;
         let mut first = Box::pin(self.send(slot)?);
-        let is_hedgeable =
-            self.call.is_idempotent && self.call.is_repeatable() && self.tried.len() < MAX_TRIES;
+        let is_hedgeable = self.limits.is_hedging
+            && self.call.is_idempotent
+            && self.call.is_repeatable()
+            && self.tried.len() < self.limits.tries;
         if !is_hedgeable {
             return first.await;
         }
-        let delay = self.entry.relay.hedge_delay.get();
+        let delay = self.entry.relay.hedge_delay.get().max(self.limits.hedge_after);
         if let Ok(result) = tokio::time::timeout(delay, &mut first).await {
             return result;
         }
@@ -152,6 +191,7 @@
         if !self.entry.relay.budget.spend() {
             return first.await;
         }
+        self.entry.engine.metrics.wasted(WastedMessage::Hedge);
         let second = Box::pin(self.send(slot)?);
         // The exchange that loses is dropped, which closes its connection.
         match select(first, second).await {
--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -14,19 +14,19 @@
 };
 
 use arc_swap::ArcSwap;
-use kqr_admission::AdmissionQueue;
+use kqr_admission::{AdmissionQueue, Quota};
 use kqr_jobs::{
     CallerId, Input, JobMessage, Machine, Member, NotAccepted, Outcome, RefusalReason, Submission, Submit,
 };
 use kqr_placement::Table;
-use kqr_telemetry::EventLog;
-use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, ServiceName};
+use kqr_telemetry::{EventLog, Level, Metrics};
+use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, Rate, ServiceName};
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
 use self::{sync_reports::SyncReports, waiters::Waiters, work::Work};
 pub use self::{waiters::Answer, work::ShardIndex};
-use crate::{clock::Clock, outbox::Outbox, starter::Starter};
+use crate::{clock::Clock, live_settings::InForce, outbox::Outbox, starter::Starter};
 
 /// Number of parts that the jobs are divided into, each with a lock of its own. It must be the same in all entries.
 const SHARDS: usize = 16;
@@ -39,7 +39,9 @@
     /// The targets.
     pub table: Table,
     /// The events of this process.
-    pub events: EventLog,
+    pub events: Arc<EventLog>,
+    /// The measures of this process.
+    pub metrics: Metrics,
     /// The tasks of the runtime that must end before the process does.
     pub tracker: TaskTracker,
     starter: Starter,
@@ -57,7 +59,8 @@
     /// Creates an engine without jobs and targets.
     pub fn new(
         clock: Clock,
-        events: EventLog,
+        events: Arc<EventLog>,
+        metrics: Metrics,
         own: &Member,
         cold_start_window: Duration,
         outbox: Arc<Outbox>,
@@ -71,6 +74,7 @@
             clock,
             table: Table::shared(),
             events,
+            metrics,
             tracker: TaskTracker::new(),
             starter: Starter::new(),
             outbox,
@@ -129,6 +133,23 @@
         self.wait(&key, caller, rx).await
     }
 
+    /// Puts the quotas of the settings in force. Keys are spread evenly over the members of the cell, so that each
+    /// member admits an equal part of a team's quota.
+    pub fn set_quotas(&self, settings: &InForce) {
+        let now = self.clock.now();
+        let members = self.view().members.len().max(1) as f64;
+        let mut queue = lock(&self.queue);
+        for (team, rules) in settings.teams() {
+            let rate = rules.quota.0;
+            let burst = f64::from(rules.burst.0) / rate.max(1.0);
+            let quota = Quota {
+                rate: Rate(rate / members),
+                burst: Duration::from_secs_f64(burst),
+            };
+            queue.set_quota(now, team, Some(quota));
+        }
+    }
+
     /// Lets the machines see that time has passed.
     pub fn tick(self: &Arc<Self>) {
         self.handle_all(&Input::Tick);
@@ -204,9 +225,31 @@
         });
     }
 
-    /// Returns the number of waiting tasks.
-    pub fn waiting_tasks(&self) -> usize {
-        lock(&self.queue).len()
+    /// Brings the levels of the metrics up to date.
+    pub fn measure_levels(&self) {
+        let targets = self.table.targets();
+        let present = targets.iter().filter(|target| target.is_open()).count();
+        let shared: u32 = targets.iter().map(|target| target.limit()).sum();
+        let used: u32 = targets.iter().map(|target| target.used()).sum();
+        let queue = lock(&self.queue);
+        let (waiting, quarantined) = (queue.len(), queue.quarantined().len());
+        drop(queue);
+        let remembered: usize = self
+            .shards
+            .iter()
+            .map(|shard| lock(shard).remembered_jobs())
+            .sum();
+        self.metrics.set(Level::WaitingTasks, waiting as u64);
+        self.metrics.set(Level::QuarantinedTargets, quarantined as u64);
+        self.metrics.set(Level::LiveJobs, self.homed_jobs() as u64);
+        self.metrics.set(Level::RememberedKeys, remembered as u64);
+        self.metrics.set(Level::PresentTargets, present as u64);
+        self.metrics
+            .set(Level::LeavingTargets, (targets.len() - present) as u64);
+        self.metrics.set(Level::SharedSlots, u64::from(shared));
+        self.metrics.set(Level::UsedSlots, u64::from(used));
+        self.metrics.set(Level::Epoch, self.view().epoch.0);
+        self.metrics.set_dropped_events(self.events.dropped());
     }
 
     /// Returns the number of waiting tasks of a service.
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
-use kqr_settings::bootstrap::Instance;
+use kqr_settings::{Tree, Version, bootstrap::Instance};
+use kqr_telemetry::EventKind;
 use kqr_types::{Incarnation, InstanceId};
 use kqr_wire::mail::Mail;
 use tokio_util::sync::CancellationToken;
@@ -10,6 +11,7 @@
     cell_seat::CellSeats,
     engine::{Engine, ShardIndex},
     homes::Homes,
+    live_settings::LiveSettings,
     registry::Registry,
     sibling_links::SiblingLinks,
     slot_shares::SlotShares,
@@ -28,6 +30,8 @@
     pub seats: CellSeats,
     /// The shares of the targets' slots.
     pub shares: SlotShares,
+    /// The settings in force.
+    pub settings: Arc<LiveSettings>,
     /// The targets of the data centre.
     pub registry: Registry,
     /// Connections to siblings.
@@ -58,6 +62,16 @@
         }
     }
 
+    /// Puts a version of the settings in force.
+    pub fn apply_settings(&self, version: Version, tree: &Tree) {
+        self.settings.apply(version, tree);
+        self.engine.set_quotas(&self.settings.present());
+        let mut event = self.engine.events.event(EventKind::SettingsApplied);
+        event.detail = Some(format!("version {version}"));
+        self.engine.events.record(event);
+        log::info!("settings version {version} is in force");
+    }
+
     /// Lets the machines see that time has passed.
     pub fn tick(&self) {
         self.seats.tick();
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod homes;
 mod limits;
+mod live_settings;
 mod options;
 mod outbox;
 mod registry;
--- a/kqr-entry/src/outbox.rs
+++ b/kqr-entry/src/outbox.rs
@@ -2,6 +2,7 @@
 
 use kqr_jobs::Member;
 use kqr_settings::bootstrap::Instance;
+use kqr_telemetry::EventLog;
 use kqr_types::InstanceId;
 use kqr_wire::mail::Mail;
 use tarpc::context;
@@ -31,11 +32,17 @@
     peer: InstanceId,
     address: SocketAddr,
     links: Arc<SiblingLinks>,
+    events: Arc<EventLog>,
 }
 
 impl Outbox {
     /// Starts to write to `peers` as `own`.
-    pub fn start(own: &Member, peers: &[Instance], links: &Arc<SiblingLinks>) -> Self {
+    pub fn start(
+        own: &Member,
+        peers: &[Instance],
+        links: &Arc<SiblingLinks>,
+        events: &Arc<EventLog>,
+    ) -> Self {
         let mut senders = BTreeMap::new();
         for peer in peers {
             let (tx, rx) = mpsc::channel(QUEUED_MAILS);
@@ -44,6 +51,7 @@
                 peer: peer.id.clone(),
                 address: peer.peers,
                 links: Arc::clone(links),
+                events: Arc::clone(events),
             };
             tokio::spawn(lane.run(rx));
             senders.insert(peer.id.clone(), tx);
@@ -94,7 +102,7 @@
         let own = &self.own;
         if let Err(error) = link
             .client
-            .deliver(cx, own.id.clone(), own.incarnation, batch)
+            .deliver(cx, own.id.clone(), own.incarnation, self.events.time(), batch)
             .await
         {
             log::debug!("sending to {}: {error}", self.peer);
--- a/kqr-entry/src/routing.rs
+++ b/kqr-entry/src/routing.rs
@@ -4,7 +4,7 @@
 
 use kqr_jobs::{NotAccepted, Outcome, RefusalReason, home_order};
 use kqr_settings::bootstrap::Instance;
-use kqr_telemetry::EventKind;
+use kqr_telemetry::{EventKind, HybridTime, WastedMessage};
 use kqr_types::KeyDigest;
 use kqr_wire::siblings::JobCall;
 use tarpc::context;
@@ -113,7 +113,9 @@
             event.key = Some(call.key().clone());
             event.peer = Some(peer.id.clone());
             self.engine.events.record(event);
-            match exchange(&link, call.clone(), hops).await {
+            self.engine.metrics.wasted(WastedMessage::Forward);
+            let time = self.engine.events.time();
+            match exchange(&link, call.clone(), hops, time).await {
                 Ok(answer) => return answer,
                 Err(cause) => {
                     self.links.forget(&peer.id, &link);
@@ -126,12 +128,14 @@
 }
 
 /// Sends a call and waits for its answer while the connection is alive.
-async fn exchange(link: &SiblingLink, call: JobCall, hops: u8) -> Result<Answer, String> {
+async fn exchange(link: &SiblingLink, call: JobCall, hops: u8, time: HybridTime) -> Result<Answer, String> {
     let limit = match &call {
         JobCall::Submit { submission, .. } => submission.deadline,
         JobCall::Lookup(_) | JobCall::Cancel(_) => SHORT_CALL,
     };
-    let answer = link.client.job(context_of(limit + FORWARD_MARGIN), call, hops);
+    let answer = link
+        .client
+        .job(context_of(limit + FORWARD_MARGIN), call, hops, time);
     tokio::select! {
         answer = answer => answer.map_err(|error| error.to_string()),
         () = link.lost.cancelled() => Err("the connection was lost".to_owned()),
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -9,9 +9,13 @@
 use kqr_directory::Directory;
 use kqr_http::ServerOptions;
 use kqr_jobs::Member;
-use kqr_settings::bootstrap::{Bootstrap, Instance};
-use kqr_telemetry::{EventKind, EventLog};
+use kqr_settings::{
+    Follower, FollowerOptions,
+    bootstrap::{Bootstrap, Instance},
+};
+use kqr_telemetry::{EventKind, EventLog, Metrics};
 use kqr_types::Incarnation;
+use kqr_wire::control::{SettingsStream, peers_of};
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
@@ -23,6 +27,7 @@
     entry::Entry,
     homes::Homes,
     limits::Limits,
+    live_settings::LiveSettings,
     outbox::Outbox,
     registry::Registry,
     sibling_links::SiblingLinks,
@@ -66,7 +71,7 @@
         events.record(events.event(EventKind::ProcessStarted));
         let callers_address = own.callers.ok_or_eyre("the instance has no callers' listener")?;
         let targets_address = own.targets.ok_or_eyre("the instance has no targets' listener")?;
-        let entry = Arc::new(build(bootstrap, own, events, limits));
+        let entry = Arc::new(build(bootstrap, own, events, limits)?);
         let stop_accepting = CancellationToken::new();
         let stop_serving = CancellationToken::new();
         let siblings = sibling_server::listen(Arc::clone(&entry), stop_serving.clone()).await;
@@ -78,6 +83,14 @@
         servers.push(tokio::spawn(async move {
             let _ = targets.await;
         }));
+        if let Some(stream) = settings_stream(bootstrap, &entry.own) {
+            let (receiver, shutdown) = (Arc::clone(&entry), stop_serving.clone());
+            servers.push(tokio::spawn(async move {
+                stream
+                    .run(|version, tree| receiver.apply_settings(version, tree), shutdown)
+                    .await;
+            }));
+        }
         servers.push(tokio::spawn(tick(Arc::clone(&entry), stop_serving.clone())));
         log::info!("serving callers on {callers_address} and targets on {targets_address}");
         Ok(Self {
@@ -127,8 +140,9 @@
 }
 
 /// Puts the parts of an entry together.
-fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> Entry {
+fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> eyre::Result<Entry> {
     let clock = Clock::new();
+    let events = Arc::new(events);
     let homes = Homes::new(bootstrap, &own);
     let siblings = homes.siblings();
     let links = Arc::new(SiblingLinks::default());
@@ -136,30 +150,50 @@
         id: own.id.clone(),
         incarnation: new_incarnation(),
     };
-    let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links));
+    let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links, &events));
     let engine = Arc::new(Engine::new(
         clock,
         events,
+        Metrics::new()?,
         &member,
         limits.cold_start_window,
         Arc::clone(&outbox),
     ));
     let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
     let directory = Directory::new(own.id.clone(), clock.now());
-    let shares = SlotShares::new(own.id.clone(), Arc::clone(&engine), Arc::clone(&outbox));
+    let region = bootstrap.region_of(&own.data_centre).cloned();
+    let settings = Arc::new(LiveSettings::new(region, own.data_centre.clone()));
+    let shares = SlotShares::new(
+        own.id.clone(),
+        Arc::clone(&engine),
+        Arc::clone(&settings),
+        Arc::clone(&outbox),
+    );
     let registry = Registry::new(directory, Arc::clone(&engine), outbox);
     registry.handle(kqr_directory::Input::Peers(siblings));
-    Entry {
+    Ok(Entry {
         homes,
         own,
         engine,
         seats,
         shares,
+        settings,
         registry,
         links,
         relay: Relay::new(),
         shutdown: CancellationToken::new(),
+    })
+}
+
+/// Creates the stream of settings, if there are control instances.
+fn settings_stream(bootstrap: &Bootstrap, own: &Instance) -> Option<SettingsStream> {
+    let peers = peers_of(bootstrap, own);
+    if peers.is_empty() {
+        return None;
     }
+    let ids = peers.iter().map(|peer| peer.id.clone()).collect();
+    let follower = Follower::new(FollowerOptions::default(), ids, None);
+    Some(SettingsStream::new(own.id.clone(), peers, follower))
 }
 
 /// Returns the number of this life. It grows with each restart as long as the wall clock does.
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -2,6 +2,7 @@
 
 use futures::StreamExt;
 use kqr_jobs::{JobAnswer, NotAccepted};
+use kqr_telemetry::HybridTime;
 use kqr_types::{Incarnation, InstanceId};
 use kqr_wire::{
     mail::Mail,
@@ -24,11 +25,26 @@
 }
 
 impl Sibling for SiblingServer {
-    async fn job(self, _: Context, call: JobCall, hops: u8) -> Result<JobAnswer, NotAccepted> {
+    async fn job(
+        self,
+        _: Context,
+        call: JobCall,
+        hops: u8,
+        time: HybridTime,
+    ) -> Result<JobAnswer, NotAccepted> {
+        self.entry.engine.events.merge(time);
         self.entry.call(call, hops).await
     }
 
-    async fn deliver(self, _: Context, from: InstanceId, incarnation: Incarnation, mails: Vec<Mail>) {
+    async fn deliver(
+        self,
+        _: Context,
+        from: InstanceId,
+        incarnation: Incarnation,
+        time: HybridTime,
+        mails: Vec<Mail>,
+    ) {
+        self.entry.engine.events.merge(time);
         for mail in mails {
             self.entry.take_mail(&from, incarnation, mail);
         }
--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -1,19 +1,24 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use kqr_placement::{
-    HolderInput, HolderOutput, KeeperInput, KeeperOutput, ResourceUse, ShareGrant, ShareHolder, ShareKeeper,
-    ShareOptions, ShareReport, ShareUse, Units,
+    Announcement, HolderInput, HolderOutput, KeeperInput, KeeperOutput, ResourceUse, ShareGrant, ShareHolder,
+    ShareKeeper, ShareOptions, ShareReport, ShareUse, Units,
 };
 use kqr_types::{Epoch, InstanceId, Instant, TargetId};
 use kqr_wire::mail::Mail;
 
-use crate::{engine::Engine, outbox::Outbox};
+use crate::{
+    engine::Engine,
+    live_settings::{InForce, LiveSettings},
+    outbox::Outbox,
+};
 
 /// The shares of targets' slots that are leased to this instance, and those that it leases to the cell's members.
 #[derive(Debug)]
 pub struct SlotShares {
     own: InstanceId,
     engine: Arc<Engine>,
+    settings: Arc<LiveSettings>,
     outbox: Arc<Outbox>,
     state: Mutex<State>,
 }
@@ -29,7 +34,12 @@
 
 impl SlotShares {
     /// Creates the shares of a member that holds none yet.
-    pub fn new(own: InstanceId, engine: Arc<Engine>, outbox: Arc<Outbox>) -> Self {
+    pub fn new(
+        own: InstanceId,
+        engine: Arc<Engine>,
+        settings: Arc<LiveSettings>,
+        outbox: Arc<Outbox>,
+    ) -> Self {
         let options = ShareOptions::default();
         let state = State {
             holder: ShareHolder::new(own.clone(), options.clone()),
@@ -41,6 +51,7 @@
         Self {
             own,
             engine,
+            settings,
             outbox,
             state: Mutex::new(state),
         }
@@ -91,6 +102,7 @@
 
     /// Returns all slots of the known targets, and what this instance uses of them.
     fn usage(&self) -> (Vec<Units<TargetId>>, ShareUse<TargetId>) {
+        let settings = self.settings.present();
         let targets = self.engine.table.targets();
         let mut units = Vec::with_capacity(targets.len());
         let mut uses = Vec::with_capacity(targets.len());
@@ -102,7 +114,7 @@
             let waiting = self.engine.waiting_for(&own.service);
             units.push(Units {
                 resource: own.id.clone(),
-                units: own.slots.0,
+                units: allowed_slots(&settings, own),
             });
             uses.push(ResourceUse {
                 resource: own.id.clone(),
@@ -162,3 +174,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns how many slots of a target may be used: none if the settings drain it.
+fn allowed_slots(settings: &InForce, target: &Announcement) -> u32 {
+    let rules = settings.target(&target.service, &target.id);
+    if rules.is_draining.0 {
+        return 0;
+    }
+    target.slots.0.min(rules.max_slots.0)
+}
--- a/kqr-entry/src/starter.rs
+++ b/kqr-entry/src/starter.rs
@@ -5,6 +5,7 @@
 use kqr_http::{Client, ClientError, ClientOptions};
 use kqr_jobs::{StartTask, TaskEnd, TaskResult};
 use kqr_placement::Target;
+use kqr_telemetry::WastedMessage;
 use kqr_types::{AttemptId, Incarnation, JobKey, TargetId};
 use kqr_wire::targets::{AttemptBody, AttemptState, StartBody};
 use tokio::time::Instant;
@@ -101,6 +102,9 @@
             }
             Err(cause) => return end(self.resolve(engine, &attempt, &cause).await, None),
         };
+        if answer.state == AttemptState::NotStarted {
+            engine.metrics.wasted(WastedMessage::Refusal);
+        }
         let run_time = Duration::from_micros(answer.run_time_us);
         end(task_result(answer), Some(run_time))
     }
@@ -151,6 +155,7 @@
         loop {
             match engine.table.get(id) {
                 Some(target) if target.announcement.incarnation == *incarnation => {
+                    engine.metrics.wasted(WastedMessage::Question);
                     match self.ask_or_fence(&target, *attempt).await {
                         Ok(answer) if answer.state == AttemptState::Running => continue,
                         Ok(answer) if queried.is_answered_by(&answer) => return task_result(answer),
--- a/kqr-entry/src/targets.rs
+++ b/kqr-entry/src/targets.rs
@@ -34,13 +34,15 @@
 }
 
 async fn announced(entry: &Entry, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    let announcement: Announcement = match read_json(req.into_body(), LIMITS).await {
+    let mut announcement: Announcement = match read_json(req.into_body(), LIMITS).await {
         Ok(announcement) => announcement,
         Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
     };
     if announcement.slots.0 == 0 {
         return text_reply(StatusCode::BAD_REQUEST, "slots: expected at least 1");
     }
+    // A target that took another name keeps its identity, and with it its running work.
+    announcement.id = entry.settings.present().identity(&announcement.id);
     entry.registry.handle(Input::Announced(announcement));
     let renew_within_ms = kqr_directory::RENEW_WITHIN.as_millis() as u64;
     json_reply(
@@ -60,6 +62,7 @@
         Some(Ok(incarnation)) => Some(incarnation),
         Some(Err(error)) => return text_reply(StatusCode::BAD_REQUEST, format!("{error}")),
     };
+    let id = entry.settings.present().identity(&id);
     entry.registry.handle(Input::Leaving { id, incarnation });
     empty_reply(StatusCode::NO_CONTENT)
 }
--- a/kqr-settings/src/schema/rules.rs
+++ b/kqr-settings/src/schema/rules.rs
@@ -78,7 +78,7 @@
     /// Retries as a part of first tries.
     retry_budget: Share = "retry/budget", "10%", Some(("0%", "100%"));
     /// Whether idempotent requests may be hedged.
-    is_hedging: Flag = "hedge/enabled", "false", None;
+    is_hedging: Flag = "hedge/enabled", "true", None;
     /// Hedges as a part of first tries.
     hedge_budget: Share = "hedge/budget", "5%", Some(("0%", "50%"));
     /// Shortest wait before a hedge.
--- a/kqr-wire/src/siblings.rs
+++ b/kqr-wire/src/siblings.rs
@@ -1,6 +1,7 @@
 //! Hot calls between entries, carried by tarpc.
 
 use kqr_jobs::{JobAnswer, NotAccepted, Submission};
+use kqr_telemetry::HybridTime;
 use kqr_types::{Incarnation, InstanceId, JobKey};
 use serde::{Deserialize, Serialize};
 
@@ -36,9 +37,9 @@
 #[tarpc::service]
 pub trait Sibling {
     /// Answers a call about a job, or forwards it if `hops` forwards are left.
-    async fn job(call: JobCall, hops: u8) -> Result<JobAnswer, NotAccepted>;
+    async fn job(call: JobCall, hops: u8, time: HybridTime) -> Result<JobAnswer, NotAccepted>;
     /// Hands over messages of the caller's machines, in the life of the caller that is named.
-    async fn deliver(from: InstanceId, incarnation: Incarnation, mails: Vec<Mail>);
+    async fn deliver(from: InstanceId, incarnation: Incarnation, time: HybridTime, mails: Vec<Mail>);
     /// Returns the identity of the called entry.
     async fn ping() -> InstanceId;
 }
