--- a/kqr-jobs/src/cell.rs
+++ b/kqr-jobs/src/cell.rs
@@ -192,6 +192,14 @@
         history.is_none()
     }
 
+    /// Returns whether the records of a sealed member are whole.
+    fn has_history(&self, id: &InstanceId) -> bool {
+        if *id == self.own.id {
+            return self.history.is_some();
+        }
+        self.seals.get(id).is_some_and(|seal| seal.history.is_some())
+    }
+
     /// Returns whether all copies of a job may have been lost since one of the `open` views.
     fn is_history_lost(&self, open: &[CellView]) -> bool {
         for view in open {
@@ -208,7 +216,7 @@
                 let is_present = self
                     .full_members()
                     .any(|present| present.id == member.id && present.incarnation == member.incarnation);
-                lost += usize::from(!is_present);
+                lost += usize::from(!is_present || !self.has_history(&member.id));
             }
             if lost >= COPIES.min(full) {
                 return true;
--- a/kqr-jobs/src/machine/calls.rs
+++ b/kqr-jobs/src/machine/calls.rs
@@ -21,7 +21,7 @@
             return;
         }
         if self.jobs.contains_key(&digest) {
-            self.join(digest, caller, outputs);
+            self.join(now, digest, caller, outputs);
             return;
         }
         let mut job = Job::new(now, submission);
@@ -56,9 +56,10 @@
     }
 
     /// Lets a caller wait for the answer of a known job, or answers at once if each follower has the answer.
-    fn join(&mut self, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
+    fn join(&mut self, now: Instant, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
         let is_own = self.cell.is_own(digest);
         let is_active = self.cell.is_active;
+        let is_leased = now < self.cell.lease_until || self.can_act(now);
         let Some(job) = self.jobs.get_mut(&digest) else {
             return;
         };
@@ -67,10 +68,12 @@
             reply(Some(caller), Ok(job.answer()), outputs);
             return;
         }
-        if !is_own {
+        if !is_own || !is_leased {
             reply(
                 Some(caller),
-                Err(refusal::not_ready("the key has another home")),
+                Err(refusal::not_ready(
+                    "the key has another home, or its home has no lease",
+                )),
                 outputs,
             );
             return;
@@ -91,7 +94,7 @@
             return;
         };
         if job.ended.is_some() {
-            self.join(digest, Some(caller), outputs);
+            self.join(now, digest, Some(caller), outputs);
             return;
         }
         if !is_own || !can_act {
@@ -150,6 +153,33 @@
         }
     }
 
+    /// Refuses the waiting callers while there is no lease: another member may be the home of their jobs by now.
+    pub(super) fn refuse_unleased(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if self.can_act(now) || !self.cell.is_active {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for digest in &self.live {
+            if let Some(job) = self.jobs.get_mut(digest) {
+                waiting.append(&mut job.callers);
+            }
+        }
+        self.gates.retain(|gate| {
+            let Effect::Reply(caller) = gate.effect else {
+                return true;
+            };
+            waiting.push(caller);
+            false
+        });
+        for caller in waiting {
+            reply(
+                Some(caller),
+                Err(refusal::not_ready("the home of the key lost its lease")),
+                outputs,
+            );
+        }
+    }
+
     pub(super) fn detach(&mut self, key: &JobKey, caller: CallerId) {
         let digest = KeyDigest::of(key);
         if let Some(job) = self.jobs.get_mut(&digest) {
--- a/kqr-jobs/src/machine/epochs.rs
+++ b/kqr-jobs/src/machine/epochs.rs
@@ -17,11 +17,18 @@
             return;
         }
         self.suspend(outputs);
+        let present = self.cell.view.epoch;
+        if view.epoch > present.next() && present.0 > 0 {
+            // The views in between may have left this member out, and others may have gone on without it.
+            self.forget_all(outputs);
+            self.cell.complete.clear();
+        }
         let live = self.live.iter().copied();
         let owned: BTreeSet<KeyDigest> = live.filter(|digest| self.cell.is_own(*digest)).collect();
         self.cell.install(view);
         if !self.cell.is_full() {
             self.forget_all(outputs);
+            self.skip_copy(outputs);
             return;
         }
         self.leave_jobs(&owned, outputs);
@@ -72,6 +79,10 @@
         self.tombstone_updates.clear();
         self.cell.history = None;
         self.cell.open = vec![self.cell.view.clone()];
+    }
+
+    /// Pretends to have copied everything, if the machine has that deliberate fault.
+    fn skip_copy(&mut self, outputs: &mut Vec<Output>) {
         if self.options.has(Fault::ResyncSkipped) && self.cell.own_state() == Some(MemberState::Syncing) {
             self.cell.history = Some(Instant(0));
             self.cell.open.clear();
--- a/kqr-jobs/src/machine/peers.rs
+++ b/kqr-jobs/src/machine/peers.rs
@@ -111,12 +111,11 @@
             return;
         }
         let is_preferred = self.cell.is_home(from, digest);
-        match self.jobs.get_mut(&digest) {
-            Some(job) => job.merge(now, record, is_preferred),
-            None => {
-                self.jobs.insert(digest, Job::from_record(now, record));
-                self.live.insert(digest);
-            }
+        if let Some(job) = self.jobs.get_mut(&digest) {
+            job.merge(now, record, is_preferred);
+        } else {
+            self.jobs.insert(digest, Job::from_record(now, record));
+            self.live.insert(digest);
         }
         self.note_end(now, digest);
     }
--- a/kqr-jobs/src/machine/retention.rs
+++ b/kqr-jobs/src/machine/retention.rs
@@ -13,6 +13,7 @@
         for link in self.cell.links.values_mut() {
             link.rewind(limit);
         }
+        self.refuse_unleased(now, outputs);
         self.expire_waiting(now, outputs);
         self.tombstones.expire(now);
         if self.cell.is_active {
--- a/kqr-spec/src/start_once/model.rs
+++ b/kqr-spec/src/start_once/model.rs
@@ -4,16 +4,19 @@
     CallerId, Input, Machine, Member, Options, Submission, Submit, TaskEnd, TaskSpec, home_order,
 };
 use kqr_types::{
-    Attempt, ByteSize, CellMember, CellView, Epoch, Incarnation, Instant, JobKey, KeyDigest, MemberState,
+    Attempt, ByteSize, CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest,
+    MemberState, ParseError, TargetId,
 };
 
-use super::{member::Instance, packet::Packet, scenario::Scenario, state::State};
+use super::{member::Instance, packet::Packet, scenario::Scenario, state::State, target::Target};
 use crate::{Model, Step};
 
 /// Length of a lease.
 const LEASE: Duration = Duration::from_secs(1);
 /// Time for which a cell distrusts unknown keys after it lost its records; longer than any run.
 const MEMORY: Duration = Duration::from_secs(10);
+/// Time that the caller is willing to wait; longer than any run.
+const DEADLINE: Duration = Duration::from_secs(1000);
 /// Time of the first step, when the records of the first epoch cover all that matters.
 const BEGIN: Instant = Instant(100_000_000);
 
@@ -21,23 +24,47 @@
 #[derive(Clone, Debug)]
 pub struct StartOnce {
     scenario: Scenario,
-    key: JobKey,
+    members: Vec<InstanceId>,
+    targets: Vec<TargetId>,
+    submission: Submission,
 }
 
 impl StartOnce {
     /// Creates the specification. Its key has the first instance as home, and then the others in order.
-    pub fn new(scenario: Scenario) -> Self {
-        let view = view_of(1, scenario.members, scenario.members);
-        let mut number = 0_u32;
-        let key = loop {
-            let key: JobKey = format!("job-{number}").parse().expect("a key");
-            let order = home_order(&view, KeyDigest::of(&key));
-            if order.windows(2).all(|pair| pair[0].id < pair[1].id) {
-                break key;
-            }
-            number += 1;
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of the names that it makes is malformed.
+    pub fn new(scenario: Scenario) -> Result<Self, ParseError> {
+        let mut members: Vec<InstanceId> = Vec::new();
+        let mut targets = Vec::new();
+        for index in 0..scenario.members {
+            members.push(format!("entry-{index}").parse()?);
+            targets.push(format!("target-{index}").parse()?);
+        }
+        let spec = TaskSpec {
+            class: "class".parse()?,
+            payload: String::new(),
+            run_time: None,
+            cores: 1,
+            memory: ByteSize(0),
+            accelerators: 0,
+        };
+        let submission = Submission {
+            key: ordered_key(&members)?,
+            attempt: None,
+            team: "team".parse()?,
+            service: "service".parse()?,
+            deadline: DEADLINE,
+            fingerprint: 1,
+            tasks: vec![spec; usize::from(scenario.tasks)],
         };
-        Self { scenario, key }
+        Ok(Self {
+            scenario,
+            members,
+            targets,
+            submission,
+        })
     }
 
     fn machine(&self, instance: &Instance) -> Arc<Machine> {
@@ -59,26 +86,6 @@
         Arc::new(Machine::new(member, options))
     }
 
-    fn submission(&self, attempt: u32) -> Submission {
-        let spec = TaskSpec {
-            class: "class".parse().expect("a class"),
-            payload: String::new(),
-            run_time: None,
-            cores: 1,
-            memory: ByteSize(0),
-            accelerators: 0,
-        };
-        Submission {
-            key: self.key.clone(),
-            attempt: Some(Attempt(attempt)),
-            team: "team".parse().expect("a team"),
-            service: "service".parse().expect("a service"),
-            deadline: Duration::from_secs(1000),
-            fingerprint: 1,
-            tasks: (0..self.scenario.tasks).map(|_| spec.clone()).collect(),
-        }
-    }
-
     fn caller_steps(&self, state: &State, steps: &mut Vec<Step<State>>) {
         if self.scenario.is_late && state.instances.iter().all(|instance| instance.is_reachable) {
             return;
@@ -111,7 +118,7 @@
                 let mut next = state.clone();
                 next.budget.cancels -= 1;
                 let cancel = Input::Cancel {
-                    key: self.key.clone(),
+                    key: self.submission.key.clone(),
                     caller: CallerId(100),
                 };
                 next.handle(index, cancel);
@@ -123,7 +130,10 @@
     fn submit(&self, state: &mut State, index: usize) {
         let submit = Submit {
             caller: Some(CallerId(u64::from(state.submitted))),
-            submission: self.submission(state.submitted),
+            submission: Submission {
+                attempt: Some(Attempt(state.submitted)),
+                ..self.submission.clone()
+            },
         };
         state.handle(index, Input::Submit(submit));
     }
@@ -202,7 +212,7 @@
                     return;
                 };
                 let end = TaskEnd {
-                    key: self.key.clone(),
+                    key: self.submission.key.clone(),
                     attempt: *attempt,
                     result: result.clone(),
                     run_time: None,
@@ -250,7 +260,7 @@
         }
     }
 
-    fn cell_steps(&self, state: &State, steps: &mut Vec<Step<State>>) {
+    fn cell_steps(state: &State, steps: &mut Vec<Step<State>>) {
         for index in 0..state.instances.len() {
             let instance = &state.instances[index];
             let id = &instance.id;
@@ -295,9 +305,9 @@
     fn initial(&self) -> State {
         let scenario = &self.scenario;
         let mut instances = Vec::new();
-        for index in 0..scenario.members {
+        for id in &self.members {
             instances.push(Instance {
-                id: id_of(index),
+                id: id.clone(),
                 incarnation: Incarnation(1),
                 machine: None,
                 clock: Instant(0),
@@ -308,9 +318,10 @@
         for instance in &mut instances {
             instance.machine = Some(self.machine(instance));
         }
-        let mut state = State::new(instances, scenario.budget);
+        let targets = self.targets.iter().cloned().map(Target::new);
+        let mut state = State::new(instances, targets.collect(), scenario.budget);
         let first_full = usize::from(scenario.members - scenario.full);
-        state.view = view_of(1, scenario.members, scenario.full);
+        state.view = view_of(1, &self.members, scenario.full);
         state
             .view
             .members
@@ -328,7 +339,7 @@
             instance.handle(vec![Input::Lease { until }]);
         }
         if first_full > 0 {
-            state.view = view_of(2, scenario.members, scenario.full);
+            state.view = view_of(2, &self.members, scenario.full);
         }
         state
     }
@@ -338,7 +349,7 @@
         self.caller_steps(state, &mut steps);
         self.network_steps(state, &mut steps);
         self.instance_steps(state, &mut steps);
-        self.cell_steps(state, &mut steps);
+        Self::cell_steps(state, &mut steps);
         for step in &mut steps {
             step.state.drop_ignored();
         }
@@ -405,18 +416,19 @@
     }
 }
 
-fn view_of(epoch: u64, members: u8, full: u8) -> CellView {
+/// Returns a view in which the last `full` members are full ones.
+fn view_of(epoch: u64, members: &[InstanceId], full: u8) -> CellView {
+    let first_full = members.len() - usize::from(full);
     let mut view = CellView {
         epoch: Epoch(epoch),
         members: Vec::new(),
     };
-    for index in 0..members {
-        let is_full = index >= members - full;
+    for (index, id) in members.iter().enumerate() {
         view.members.push(CellMember {
-            id: id_of(index),
+            id: id.clone(),
             incarnation: Incarnation(1),
             weight: 1,
-            state: if is_full {
+            state: if index >= first_full {
                 MemberState::Full
             } else {
                 MemberState::Syncing
@@ -426,8 +438,18 @@
     view
 }
 
-fn id_of(index: u8) -> kqr_types::InstanceId {
-    format!("entry-{index}").parse().expect("an id")
+/// Returns a key whose home is the first of `members`, and whose followers are the others in order.
+fn ordered_key(members: &[InstanceId]) -> Result<JobKey, ParseError> {
+    let view = view_of(1, members, members.len() as u8);
+    let mut number = 0_u32;
+    loop {
+        let key: JobKey = format!("job-{number}").parse()?;
+        let order = home_order(&view, KeyDigest::of(&key));
+        if order.windows(2).all(|pair| pair[0].id < pair[1].id) {
+            return Ok(key);
+        }
+        number += 1;
+    }
 }
 
 fn step(label: String, state: State) -> Step<State> {
--- a/kqr-spec/src/start_once/state.rs
+++ b/kqr-spec/src/start_once/state.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use kqr_jobs::{Input, JobAnswer, JobMessage, JobState, NotAccepted, Outcome, Output, RefusalReason};
-use kqr_types::{CellView, Epoch, MemberState, TaskIndex};
+use kqr_types::{CellView, Epoch, MemberState, TargetId, TaskIndex};
 
 use super::{
     member::Instance,
@@ -35,8 +35,7 @@
 
 impl State {
     /// Creates the state before the first epoch.
-    pub fn new(instances: Vec<Instance>, budget: Budget) -> Self {
-        let targets = instances.iter().map(|_| Target::new()).collect();
+    pub fn new(instances: Vec<Instance>, targets: Vec<Target>, budget: Budget) -> Self {
         Self {
             instances,
             view: CellView::default(),
@@ -81,7 +80,7 @@
                     inputs.push(Input::Placed {
                         key: task.key,
                         task: task.task,
-                        target: format!("target-{index}").parse().expect("an id"),
+                        target: self.targets[index].id.clone(),
                         incarnation: self.targets[index].incarnation,
                     });
                 }
@@ -97,11 +96,15 @@
     fn perform(&mut self, index: usize, output: Output) {
         let from = self.instances[index].id.clone();
         let incarnation = self.instances[index].incarnation;
-        let request = |attempt, target: &kqr_types::TargetId, target_incarnation| ToTarget {
+        let targets = &self.targets;
+        let request = |attempt, target: &TargetId, target_incarnation| ToTarget {
             from: from.clone(),
             incarnation,
             attempt,
-            target: usize::from(target.as_str().as_bytes()["target-".len()] - b'0'),
+            target: targets
+                .iter()
+                .position(|present| present.id == *target)
+                .unwrap_or_default(),
             target_incarnation,
         };
         match output {
--- a/kqr-spec/src/start_once/target.rs
+++ b/kqr-spec/src/start_once/target.rs
@@ -1,11 +1,13 @@
 use std::collections::BTreeMap;
 
 use kqr_jobs::TaskResult;
-use kqr_types::{AttemptId, Incarnation, TaskIndex};
+use kqr_types::{AttemptId, Incarnation, TargetId, TaskIndex};
 
 /// A target that runs each attempt at once.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Target {
+    /// Its id.
+    pub id: TargetId,
     /// Its life.
     pub incarnation: Incarnation,
     /// What this life knows of attempts.
@@ -16,8 +18,9 @@
 
 impl Target {
     /// Creates a target in its first life.
-    pub fn new() -> Self {
+    pub fn new(id: TargetId) -> Self {
         Self {
+            id,
             incarnation: Incarnation(1),
             known: BTreeMap::new(),
             starts: BTreeMap::new(),
--- a/kqr-spec/tests/start_once.rs
+++ b/kqr-spec/tests/start_once.rs
@@ -151,7 +151,7 @@
 };
 
 fn holds(scenario: Scenario) {
-    let verdict = search(&StartOnce::new(scenario), MOST);
+    let verdict = search(&StartOnce::new(scenario).unwrap(), MOST);
     println!("{}: {verdict}", scenario.name);
     assert!(
         matches!(verdict, Verdict::Holds { .. }),
@@ -161,7 +161,7 @@
 }
 
 fn is_violated(scenario: Scenario) {
-    let verdict = search(&StartOnce::new(scenario), MOST);
+    let verdict = search(&StartOnce::new(scenario).unwrap(), MOST);
     println!("{:?} in {}: {verdict}", scenario.fault, scenario.name);
     assert!(
         matches!(verdict, Verdict::Violated { .. }),
