--- a/kqr-entry/src/callers/mod.rs
+++ b/kqr-entry/src/callers/mod.rs
@@ -49,11 +49,17 @@
     if entry.shutdown.is_cancelled() {
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
     }
+    if !entry.engine.is_ready() {
+        return text_reply(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the cell of the data centre has not admitted this entry",
+        );
+    }
     text_reply(StatusCode::OK, "ready")
 }
 
 fn metrics(entry: &Entry) -> String {
     let waiting = entry.engine.waiting_tasks();
-    let live = entry.engine.live_jobs();
+    let live = entry.engine.homed_jobs();
     format!("kqr_waiting_tasks {waiting}\nkqr_live_jobs {live}\n")
 }
--- /dev/null
+++ b/kqr-entry/src/engine/mod.rs
@@ -0,0 +1,298 @@
+//! The jobs, the queue and the targets of this instance, and the effects of their machines.
+
+mod effects;
+mod sync_reports;
+mod waiters;
+mod work;
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use kqr_admission::AdmissionQueue;
+use kqr_jobs::{
+    CallerId, Input, JobMessage, Machine, Member, NotAccepted, Outcome, RefusalReason, Submission, Submit,
+};
+use kqr_placement::Table;
+use kqr_telemetry::EventLog;
+use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, ServiceName};
+use tokio::sync::{oneshot, watch};
+use tokio_util::task::TaskTracker;
+
+use self::{sync_reports::SyncReports, waiters::Waiters, work::Work};
+pub use self::{waiters::Answer, work::ShardIndex};
+use crate::{clock::Clock, outbox::Outbox, starter::Starter};
+
+/// Number of parts that the jobs are divided into, each with a lock of its own. It must be the same in all entries.
+const SHARDS: usize = 16;
+
+/// The jobs, the queue and the targets of this instance.
+#[derive(Debug)]
+pub struct Engine {
+    /// The clock of the machines.
+    pub clock: Clock,
+    /// The targets.
+    pub table: Table,
+    /// The events of this process.
+    pub events: EventLog,
+    /// The tasks of the runtime that must end before the process does.
+    pub tracker: TaskTracker,
+    starter: Starter,
+    outbox: Arc<Outbox>,
+    shards: Vec<Mutex<Machine>>,
+    queue: Mutex<AdmissionQueue>,
+    waiters: Waiters,
+    sync_reports: Mutex<SyncReports>,
+    synced: watch::Sender<Epoch>,
+    view: ArcSwap<CellView>,
+    lease_until: AtomicU64,
+}
+
+impl Engine {
+    /// Creates an engine without jobs and targets.
+    pub fn new(
+        clock: Clock,
+        events: EventLog,
+        own: &Member,
+        cold_start_window: Duration,
+        outbox: Arc<Outbox>,
+    ) -> Self {
+        let options = kqr_jobs::Options {
+            cold_start_window,
+            ..kqr_jobs::Options::default()
+        };
+        let machine = || Mutex::new(Machine::new(own.clone(), options.clone()));
+        Self {
+            clock,
+            table: Table::shared(),
+            events,
+            tracker: TaskTracker::new(),
+            starter: Starter::new(),
+            outbox,
+            shards: (0..SHARDS).map(|_| machine()).collect(),
+            queue: Mutex::new(AdmissionQueue::new(kqr_admission::Options::default())),
+            waiters: Waiters::default(),
+            sync_reports: Mutex::new(SyncReports::new(SHARDS)),
+            synced: watch::Sender::new(Epoch(0)),
+            view: ArcSwap::default(),
+            lease_until: AtomicU64::new(0),
+        }
+    }
+
+    /// Submits a job and waits for its answer, or for its present state if `is_waiting` is false.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the job is new and can't be accepted.
+    pub async fn submit(self: &Arc<Self>, submission: Submission, is_waiting: bool) -> Answer {
+        let key = submission.key.clone();
+        if !is_waiting {
+            self.admit(None, submission)?;
+            return self.lookup(key).await;
+        }
+        let (caller, rx) = self.waiters.add();
+        if let Err(refusal) = self.admit(Some(caller), submission) {
+            self.waiters.remove(caller);
+            return Err(refusal);
+        }
+        self.wait(&key, caller, rx).await
+    }
+
+    /// Returns the answer or the present state of a job.
+    pub async fn lookup(self: &Arc<Self>, key: JobKey) -> Answer {
+        let (caller, rx) = self.waiters.add();
+        self.handle(
+            &key,
+            Input::Lookup {
+                key: key.clone(),
+                caller,
+            },
+        );
+        self.wait(&key, caller, rx).await
+    }
+
+    /// Cancels a job and waits for its answer.
+    pub async fn cancel(self: &Arc<Self>, key: JobKey) -> Answer {
+        let (caller, rx) = self.waiters.add();
+        self.handle(
+            &key,
+            Input::Cancel {
+                key: key.clone(),
+                caller,
+            },
+        );
+        self.wait(&key, caller, rx).await
+    }
+
+    /// Lets the machines see that time has passed.
+    pub fn tick(self: &Arc<Self>) {
+        self.handle_all(&Input::Tick);
+        let mut outputs = Vec::new();
+        lock(&self.queue).tick(self.clock.now(), &self.table, &mut outputs);
+        let mut work = Work::with_dispatch();
+        self.perform_queue(outputs, &mut work);
+        self.settle(work);
+    }
+
+    /// Installs a view of the cell.
+    pub fn install(self: &Arc<Self>, view: &CellView) {
+        self.handle_all(&Input::Epoch(view.clone()));
+        self.view.store(Arc::new(view.clone()));
+    }
+
+    /// Returns the view of the cell that was installed last.
+    pub fn view(&self) -> Arc<CellView> {
+        self.view.load_full()
+    }
+
+    /// Returns whether this member may act as the home of keys.
+    pub fn is_ready(&self) -> bool {
+        self.shards.iter().all(|shard| lock(shard).is_active())
+    }
+
+    /// Extends the lease of this member.
+    pub fn extend_lease(self: &Arc<Self>, until: Instant) {
+        self.lease_until.store(until.0, Ordering::Release);
+        self.handle_all(&Input::Lease { until });
+    }
+
+    /// Returns the end of the lease of this member.
+    pub fn lease_until(&self) -> Instant {
+        Instant(self.lease_until.load(Ordering::Acquire))
+    }
+
+    /// Takes in a message of the same shard of another member.
+    pub fn receive(
+        self: &Arc<Self>,
+        shard: ShardIndex,
+        from: InstanceId,
+        incarnation: Incarnation,
+        message: JobMessage,
+    ) {
+        if shard.0 < SHARDS {
+            self.handle_at(
+                shard,
+                Input::Peer {
+                    from,
+                    incarnation,
+                    message,
+                },
+            );
+        }
+    }
+
+    /// Returns the epoch in which the copies of all shards were completed last.
+    pub fn synced(&self) -> watch::Receiver<Epoch> {
+        self.synced.subscribe()
+    }
+
+    /// Hands an input to the machine of `key` and performs its effects.
+    pub fn handle(self: &Arc<Self>, key: &JobKey, input: Input) {
+        self.handle_at(shard_of(key), input);
+    }
+
+    /// Gives waiting tasks to free slots, later on another thread.
+    pub fn dispatch_soon(self: &Arc<Self>) {
+        let engine = Arc::clone(self);
+        tokio::spawn(async move {
+            engine.settle(Work::with_dispatch());
+        });
+    }
+
+    /// Returns the number of waiting tasks.
+    pub fn waiting_tasks(&self) -> usize {
+        lock(&self.queue).len()
+    }
+
+    /// Returns the number of waiting tasks of a service.
+    pub fn waiting_for(&self, service: &ServiceName) -> u32 {
+        lock(&self.queue).waiting(service)
+    }
+
+    /// Returns the number of jobs that this instance is the home of and that have not ended.
+    pub fn homed_jobs(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).homed_jobs()).sum()
+    }
+
+    fn handle_all(self: &Arc<Self>, input: &Input) {
+        for index in 0..SHARDS {
+            self.handle_at(ShardIndex(index), input.clone());
+        }
+    }
+
+    fn handle_at(self: &Arc<Self>, shard: ShardIndex, input: Input) {
+        let mut work = Work::default();
+        self.apply(shard, input, &mut work);
+        self.settle(work);
+    }
+
+    /// Hands a submission to the machine of its key. A job that is not known yet must pass the admission.
+    fn admit(self: &Arc<Self>, caller: Option<CallerId>, submission: Submission) -> Result<(), NotAccepted> {
+        let shard = shard_of(&submission.key);
+        let now = self.clock.now();
+        let mut outputs = Vec::new();
+        let mut machine = lock(&self.shards[shard.0]);
+        if machine.is_new(now, &submission)? {
+            lock(&self.queue).admit(now, &self.table, &submission)?;
+        }
+        machine.handle(now, Input::Submit(Submit { caller, submission }), &mut outputs);
+        drop(machine);
+        let mut work = Work::default();
+        work.note_change(shard);
+        work.add(shard, outputs);
+        self.settle(work);
+        Ok(())
+    }
+
+    /// Waits for the answer of a caller. A caller that goes away is forgotten.
+    async fn wait(self: &Arc<Self>, key: &JobKey, caller: CallerId, rx: oneshot::Receiver<Answer>) -> Answer {
+        let guard = WaiterGuard {
+            engine: self,
+            key,
+            caller,
+        };
+        let answer = rx.await.unwrap_or_else(|_| {
+            Err(NotAccepted {
+                reason: RefusalReason::ShuttingDown,
+                outcome: Outcome::MayHaveRun,
+                retry_after: None,
+                detail: "the instance stopped before the answer".to_owned(),
+            })
+        });
+        drop(guard);
+        answer
+    }
+}
+
+/// Removes a waiting caller when its request ends or is dropped.
+struct WaiterGuard<'a> {
+    engine: &'a Arc<Engine>,
+    key: &'a JobKey,
+    caller: CallerId,
+}
+
+impl Drop for WaiterGuard<'_> {
+    fn drop(&mut self) {
+        if self.engine.waiters.remove(self.caller) {
+            let input = Input::Detach {
+                key: self.key.clone(),
+                caller: self.caller,
+            };
+            self.engine.handle(self.key, input);
+        }
+    }
+}
+
+fn shard_of(key: &JobKey) -> ShardIndex {
+    ShardIndex(KeyDigest::of(key).0 as usize % SHARDS)
+}
+
+/// Locks `mutex`, also if a holder panicked.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -1,39 +1,50 @@
-use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use eyre::{OptionExt, WrapErr};
+use kqr_directory::Directory;
 use kqr_http::ServerOptions;
+use kqr_jobs::Member;
 use kqr_settings::bootstrap::{Bootstrap, Instance};
 use kqr_telemetry::{EventKind, EventLog};
+use kqr_types::Incarnation;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     callers::{self, Relay},
+    cell_seat::CellSeats,
     clock::Clock,
     engine::Engine,
     entry::Entry,
     homes::Homes,
+    limits::Limits,
+    outbox::Outbox,
+    registry::Registry,
     sibling_links::SiblingLinks,
-    sibling_server, targets,
+    sibling_server,
+    slot_shares::SlotShares,
+    targets,
 };
 
 /// Time between two ticks of the machines.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(20);
 
-/// Time limits of a graceful shutdown.
-#[derive(Clone, Copy, Debug)]
-pub struct ShutdownLimits {
-    /// Time in which callers are still accepted while the readiness is off, so that the balancer sees it.
-    pub drain_delay: Duration,
-    /// Longest time that accepted work may take after that.
-    pub grace: Duration,
-}
+/// Time between two updates of the order of targets by their learned speeds.
+const REFRESH: Duration = Duration::from_millis(500);
+
+/// Longest time for leaving the cell. The last member of a cell can't hand over its keys.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running entry.
 #[derive(Debug)]
 pub struct Running {
     entry: Arc<Entry>,
-    limits: ShutdownLimits,
+    limits: Limits,
     stop_accepting: CancellationToken,
     stop_serving: CancellationToken,
     callers: JoinHandle<bool>,
@@ -50,19 +61,12 @@
         bootstrap: &Bootstrap,
         own: Instance,
         events: EventLog,
-        limits: ShutdownLimits,
+        limits: Limits,
     ) -> eyre::Result<Self> {
         events.record(events.event(EventKind::ProcessStarted));
         let callers_address = own.callers.ok_or_eyre("the instance has no callers' listener")?;
         let targets_address = own.targets.ok_or_eyre("the instance has no targets' listener")?;
-        let entry = Arc::new(Entry {
-            homes: Homes::new(bootstrap, &own),
-            engine: Arc::new(Engine::new(Clock::new(), events, own.id.clone())),
-            own,
-            links: SiblingLinks::default(),
-            relay: Relay::new(),
-            shutdown: CancellationToken::new(),
-        });
+        let entry = Arc::new(build(bootstrap, own, events, limits));
         let stop_accepting = CancellationToken::new();
         let stop_serving = CancellationToken::new();
         let siblings = sibling_server::listen(Arc::clone(&entry), stop_serving.clone()).await;
@@ -94,7 +98,7 @@
         self.stop_accepting.cancel();
         let finish = async {
             let _ = self.callers.await;
-            while engine.live_jobs() > 0 {
+            while engine.homed_jobs() > 0 {
                 tokio::time::sleep(TICK).await;
             }
             engine.tracker.close();
@@ -104,6 +108,12 @@
         if !is_finished {
             log::error!("accepted work did not end within {:?}", self.limits.grace);
         }
+        if tokio::time::timeout(LEAVE_TIMEOUT, self.entry.seats.leave())
+            .await
+            .is_err()
+        {
+            log::warn!("the cell did not agree on an epoch without this entry; its lease ends by itself");
+        }
         self.stop_serving.cancel();
         for server in self.servers {
             let _ = server.await;
@@ -116,6 +126,50 @@
     }
 }
 
+/// Puts the parts of an entry together.
+fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> Entry {
+    let clock = Clock::new();
+    let homes = Homes::new(bootstrap, &own);
+    let siblings = homes.siblings();
+    let links = Arc::new(SiblingLinks::default());
+    let member = Member {
+        id: own.id.clone(),
+        incarnation: new_incarnation(),
+    };
+    let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links));
+    let engine = Arc::new(Engine::new(
+        clock,
+        events,
+        &member,
+        limits.cold_start_window,
+        Arc::clone(&outbox),
+    ));
+    let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
+    let directory = Directory::new(own.id.clone(), clock.now());
+    let shares = SlotShares::new(own.id.clone(), Arc::clone(&engine), Arc::clone(&outbox));
+    let registry = Registry::new(directory, Arc::clone(&engine), outbox);
+    registry.handle(kqr_directory::Input::Peers(siblings));
+    Entry {
+        homes,
+        own,
+        engine,
+        seats,
+        shares,
+        registry,
+        links,
+        relay: Relay::new(),
+        shutdown: CancellationToken::new(),
+    }
+}
+
+/// Returns the number of this life. It grows with each restart as long as the wall clock does.
+fn new_incarnation() -> Incarnation {
+    let unix = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation(unix.as_micros() as u64)
+}
+
 async fn serve<H, F, B>(
     entry: &Arc<Entry>,
     address: SocketAddr,
@@ -148,9 +202,11 @@
 
 async fn tick(entry: Arc<Entry>, shutdown: CancellationToken) {
     let mut interval = tokio::time::interval(TICK);
+    let mut refresh = tokio::time::interval(REFRESH);
     loop {
         tokio::select! {
-            _ = interval.tick() => entry.engine.tick(),
+            _ = interval.tick() => entry.tick(),
+            _ = refresh.tick() => entry.engine.table.refresh(),
             () = shutdown.cancelled() => return,
         }
     }
--- a/kqr-entry/src/starter.rs
+++ b/kqr-entry/src/starter.rs
@@ -5,8 +5,9 @@
 use kqr_http::{Client, ClientError, ClientOptions};
 use kqr_jobs::{StartTask, TaskEnd, TaskResult};
 use kqr_placement::Target;
-use kqr_types::{AttemptId, TargetId};
+use kqr_types::{AttemptId, Incarnation, JobKey, TargetId};
 use kqr_wire::targets::{AttemptBody, AttemptState, StartBody};
+use tokio::time::Instant;
 
 use crate::engine::Engine;
 
@@ -61,6 +62,12 @@
                 None,
             );
         };
+        if target.announcement.incarnation != start.incarnation {
+            return end(
+                TaskResult::NotStarted(format!("target {} has restarted", start.target)),
+                None,
+            );
+        }
         let Some(uri) = target_uri(&target, "/v1/tasks") else {
             return end(
                 TaskResult::NotStarted(format!("target {} has no usable address", start.target)),
@@ -71,7 +78,7 @@
             .spec
             .run_time
             .unwrap_or(DEFAULT_RUN_TIME)
-            .div_f64(target.speed.get());
+            .div_f64(target.speed(Some(&start.spec.class)));
         let limit = MIN_EXCHANGE_TIME.max(expected * EXCHANGE_FACTOR);
         let sent = self
             .pooled
@@ -82,22 +89,45 @@
             Err(ClientError::NotSent(cause)) => return end(TaskResult::NotStarted(cause), None),
             Err(ClientError::MaybeSent(cause)) => Err(cause),
         };
+        let attempt = QueriedAttempt::of(start);
         let answer = match answer {
-            Ok(answer) if answer.attempt_id == start.attempt => answer,
+            Ok(answer) if attempt.is_answered_by(&answer) => answer,
             Ok(_) => {
-                self.resolve(engine, start, &target, "the answer belongs to another attempt")
-                    .await
+                return end(
+                    self.resolve(engine, &attempt, "the answer belongs to another attempt")
+                        .await,
+                    None,
+                );
             }
-            Err(cause) => self.resolve(engine, start, &target, &cause).await,
+            Err(cause) => return end(self.resolve(engine, &attempt, &cause).await, None),
         };
         let run_time = Duration::from_micros(answer.run_time_us);
-        if answer.state == AttemptState::Completed {
-            let declared = start.spec.run_time.unwrap_or(Duration::ZERO);
-            target.speed.observe(declared, run_time);
-        }
         end(task_result(answer), Some(run_time))
     }
 
+    /// Finds out what became of an attempt that another instance may have started.
+    pub async fn query(
+        &self,
+        engine: &Arc<Engine>,
+        key: JobKey,
+        attempt: AttemptId,
+        target: &TargetId,
+        incarnation: Incarnation,
+    ) -> TaskEnd {
+        let queried = QueriedAttempt {
+            attempt,
+            target: target.clone(),
+            incarnation,
+        };
+        let result = self.resolve(engine, &queried, "its home was lost").await;
+        TaskEnd {
+            key,
+            attempt,
+            result,
+            run_time: None,
+        }
+    }
+
     /// Stops an attempt; its end arrives through the exchange that started it.
     pub async fn stop(&self, engine: &Arc<Engine>, attempt: AttemptId, target: &TargetId) {
         let Some(target) = engine.table.get(target) else {
@@ -109,42 +139,44 @@
     }
 
     /// Finds out how an attempt ended whose exchange was lost. An attempt that never arrived is fenced, so that a
-    /// late start is refused by the target.
-    async fn resolve(&self, engine: &Engine, start: &StartTask, target: &Target, cause: &str) -> AttemptBody {
-        log::info!("asking {} for attempt {}: {cause}", start.target, start.attempt);
+    /// late start is refused by the target. If the life of the target has ended, nothing can be known.
+    async fn resolve(&self, engine: &Engine, queried: &QueriedAttempt, cause: &str) -> TaskResult {
+        let QueriedAttempt {
+            attempt,
+            target: id,
+            incarnation,
+        } = queried;
+        log::info!("asking {id} for attempt {attempt}: {cause}");
+        let begun = Instant::now();
         loop {
-            let answer = match self.ask(target, start.attempt).await {
-                Ok(answer) if answer.state == AttemptState::NeverSeen => {
-                    self.act(target, start.attempt).await
+            match engine.table.get(id) {
+                Some(target) if target.announcement.incarnation == *incarnation => {
+                    match self.ask_or_fence(&target, *attempt).await {
+                        Ok(answer) if answer.state == AttemptState::Running => continue,
+                        Ok(answer) if queried.is_answered_by(&answer) => return task_result(answer),
+                        Ok(_) => log::debug!("{id} answers about attempt {attempt} in another life"),
+                        Err(cause) => log::debug!("asking {id} for attempt {attempt}: {cause}"),
+                    }
                 }
-                other => other,
-            };
-            match answer {
-                Ok(answer) if answer.state == AttemptState::Running => continue,
-                Ok(answer) if answer.state != AttemptState::NeverSeen => return answer,
-                Ok(_) => {}
-                Err(cause) => log::debug!("asking {} for attempt {}: {cause}", start.target, start.attempt),
-            }
-            let is_same_life = engine
-                .table
-                .get(&start.target)
-                .is_some_and(|present| present.announcement.incarnation == target.announcement.incarnation);
-            if !is_same_life {
-                let reason = Some(format!("target {} was lost: {cause}", start.target));
-                let attempt_id = start.attempt;
-                let state = AttemptState::NeverSeen;
-                return AttemptBody {
-                    attempt_id,
-                    state,
-                    result: None,
-                    reason,
-                    run_time_us: 0,
-                };
+                Some(target) if target.announcement.incarnation > *incarnation => {
+                    return TaskResult::Unknown(format!("target {id} has restarted: {cause}"));
+                }
+                // The announcement of the target may not have arrived here yet.
+                Some(_) | None if begun.elapsed() < kqr_directory::GONE_AFTER => {}
+                Some(_) | None => return TaskResult::Unknown(format!("target {id} is gone: {cause}")),
             }
             tokio::time::sleep(QUESTION_PAUSE).await;
         }
     }
 
+    async fn ask_or_fence(&self, target: &Target, attempt: AttemptId) -> Result<AttemptBody, String> {
+        let answer = self.ask(target, attempt).await?;
+        if answer.state == AttemptState::NeverSeen {
+            return self.act(target, attempt).await;
+        }
+        Ok(answer)
+    }
+
     async fn ask(&self, target: &Target, attempt: AttemptId) -> Result<AttemptBody, String> {
         let path = format!("/v1/tasks/{attempt}?wait_ms={}", QUESTION_WAIT.as_millis());
         self.question(Method::GET, target, &path).await
@@ -163,6 +195,30 @@
     }
 }
 
+/// An attempt whose end is to be found out.
+#[derive(Debug)]
+struct QueriedAttempt {
+    attempt: AttemptId,
+    target: TargetId,
+    incarnation: Incarnation,
+}
+
+impl QueriedAttempt {
+    fn of(start: &StartTask) -> Self {
+        Self {
+            attempt: start.attempt,
+            target: start.target.clone(),
+            incarnation: start.incarnation,
+        }
+    }
+
+    /// Returns whether `answer` is about this attempt in the same life of the target, and final.
+    fn is_answered_by(&self, answer: &AttemptBody) -> bool {
+        let is_final = !matches!(answer.state, AttemptState::Running | AttemptState::NeverSeen);
+        is_final && answer.attempt_id == self.attempt && answer.incarnation == self.incarnation
+    }
+}
+
 fn target_uri(target: &Target, path: &str) -> Option<Uri> {
     format!("http://{}{path}", target.announcement.address)
         .parse()
@@ -175,6 +231,7 @@
         task: start.attempt.task,
         attempt: start.attempt.attempt,
         attempt_id: start.attempt.to_string(),
+        incarnation: start.incarnation,
         service: start.service.clone(),
         class: start.spec.class.clone(),
         payload: start.spec.payload.clone(),
--- a/kqr-placement/src/lib.rs
+++ b/kqr-placement/src/lib.rs
@@ -5,13 +5,36 @@
 #![deny(missing_docs)]
 
 mod announcement;
+mod class_stats;
+mod classes;
 mod demand;
+mod free_map;
+mod group;
+mod order;
+mod pick_failure;
+mod quarantine;
+mod share_holder;
+mod share_keeper;
+mod share_messages;
+mod share_options;
+mod sibling_choice;
+mod slot_counters;
+mod snapshot;
 mod speed;
 mod table;
 mod target;
 
 pub use announcement::{Announcement, TargetKind};
+pub use class_stats::ClassStats;
+pub use classes::Classes;
 pub use demand::Demand;
+pub use pick_failure::PickFailure;
+pub use quarantine::{Quarantine, QuarantineChange, QuarantineOptions};
+pub use share_holder::{HolderInput, HolderOutput, ResourceUse, ShareHolder, ShareUse};
+pub use share_keeper::{KeeperInput, KeeperOutput, ShareKeeper};
+pub use share_messages::{Resource, ShareClaim, ShareGrant, ShareReport, Units};
+pub use share_options::ShareOptions;
+pub use sibling_choice::SiblingChoice;
 pub use speed::Speed;
-pub use table::{PickFailure, Table};
+pub use table::Table;
 pub use target::Target;
--- a/kqr-standin/src/attempts.rs
+++ b/kqr-standin/src/attempts.rs
@@ -3,7 +3,7 @@
     sync::{Mutex, PoisonError},
 };
 
-use kqr_types::{AttemptId, KeyDigest, TaskIndex};
+use kqr_types::{AttemptId, Incarnation, KeyDigest, TaskIndex};
 use kqr_wire::targets::{AttemptBody, AttemptState};
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,9 @@
 pub struct StartsBody {
     /// Each attempt that was started, in order.
     pub attempts: Vec<String>,
+    /// Path and query of each single request that was run, in order.
+    #[serde(default)]
+    pub requests: Vec<String>,
     /// Tasks that were started more than once here.
     pub duplicates: Vec<DuplicateStart>,
     /// Attempts that were run to their end.
@@ -37,18 +40,41 @@
 struct Inner {
     states: BTreeMap<AttemptId, AttemptBody>,
     started: Vec<AttemptId>,
+    requests: Vec<String>,
     finished: u64,
     refused: u64,
     questions: u64,
 }
 
 /// The attempts that a stand-in has seen.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Attempts {
+    incarnation: Incarnation,
     inner: Mutex<Inner>,
 }
 
 impl Attempts {
+    /// Creates the record of a stand-in in its life `incarnation`.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Returns an answer about `attempt` without a result.
+    pub fn body(&self, attempt: AttemptId, state: AttemptState) -> AttemptBody {
+        let incarnation = self.incarnation;
+        AttemptBody {
+            attempt_id: attempt,
+            incarnation,
+            state,
+            result: None,
+            reason: None,
+            run_time_us: 0,
+        }
+    }
+
     /// Records the start of `attempt`, or returns its state if it was seen before.
     ///
     /// # Errors
@@ -59,7 +85,9 @@
         if let Some(known) = inner.states.get(&attempt) {
             return Err(known.clone());
         }
-        inner.states.insert(attempt, body(attempt, AttemptState::Running));
+        inner
+            .states
+            .insert(attempt, self.body(attempt, AttemptState::Running));
         inner.started.push(attempt);
         Ok(())
     }
@@ -76,11 +104,17 @@
         ended
     }
 
+    /// Records that a single request was run.
+    pub fn requested(&self, path: String) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.requests.push(path);
+    }
+
     /// Counts a refused start and returns its answer.
     pub fn refuse(&self, attempt: AttemptId, reason: &str) -> AttemptBody {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.refused += 1;
-        let mut answer = body(attempt, AttemptState::NotStarted);
+        let mut answer = self.body(attempt, AttemptState::NotStarted);
         answer.reason = Some(reason.to_owned());
         answer
     }
@@ -90,7 +124,7 @@
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.questions += 1;
         let known = inner.states.get(&attempt).cloned();
-        known.unwrap_or_else(|| body(attempt, AttemptState::NeverSeen))
+        known.unwrap_or_else(|| self.body(attempt, AttemptState::NeverSeen))
     }
 
     /// Stops a running attempt, or fences one that was never seen, so that a late start is refused.
@@ -99,7 +133,7 @@
         let known = inner
             .states
             .entry(attempt)
-            .or_insert_with(|| body(attempt, AttemptState::NotStarted));
+            .or_insert_with(|| self.body(attempt, AttemptState::NotStarted));
         if known.state == AttemptState::Running {
             known.state = AttemptState::Failed;
             known.reason = Some("stopped".to_owned());
@@ -123,6 +157,7 @@
         let attempts = inner.started.iter().map(ToString::to_string).collect();
         StartsBody {
             attempts,
+            requests: inner.requests.clone(),
             duplicates,
             finished: inner.finished,
             refused: inner.refused,
@@ -130,14 +165,3 @@
         }
     }
 }
-
-/// Returns an answer about `attempt` without a result.
-pub fn body(attempt: AttemptId, state: AttemptState) -> AttemptBody {
-    AttemptBody {
-        attempt_id: attempt,
-        state,
-        result: None,
-        reason: None,
-        run_time_us: 0,
-    }
-}
