feat: promise another data centre never to run an unknown key

Cause: a marked team's later attempt may go to another data centre, which must know that no earlier one runs elsewhere. Change: Input::Renounce leaves a replicated tombstone before the promise is put out; copies of ended jobs whose home's word was lost with an epoch go by themselves.

--- a/kqr-jobs/src/gate.rs
+++ b/kqr-jobs/src/gate.rs
@@ -11,6 +11,8 @@
     Start(AttemptId),
     /// A caller gets the answer of a job.
     Reply(CallerId),
+    /// Another data centre gets the promise that the key is not run here.
+    Renounce(CallerId),
     /// The final state of the job is known to each follower.
     Settle,
 }
--- a/kqr-jobs/src/input.rs
+++ b/kqr-jobs/src/input.rs
@@ -81,6 +81,16 @@
         /// The asking caller.
         caller: CallerId,
     },
+    /// Another data centre asks this one never to run a key that it does not know.
+    ///
+    /// The promise is a refusal with reason [`crate::RefusalReason::UnknownKey`] and outcome [`Outcome::NotRun`];
+    /// any other answer is none.
+    Renounce {
+        /// The key.
+        key: JobKey,
+        /// The caller that asks for the other data centre.
+        caller: CallerId,
+    },
     /// A waiting caller has gone.
     Detach {
         /// Key of the job.
--- a/kqr-jobs/src/machine/calls.rs
+++ b/kqr-jobs/src/machine/calls.rs
@@ -5,7 +5,10 @@
 use kqr_types::{Instant, JobKey, KeyDigest};
 
 use super::Machine;
-use crate::{CallerId, NotAccepted, Output, Phase, Submission, Submit, gate::Effect, job::Job, refusal};
+use crate::{
+    CallerId, NotAccepted, Output, Phase, Remains, Submission, Submit, Update, gate::Effect, job::Job,
+    refusal,
+};
 
 impl Machine {
     pub(super) fn submit(&mut self, now: Instant, submit: Submit, outputs: &mut Vec<Output>) {
@@ -50,8 +53,8 @@
 
     /// Returns why a submission with an unknown key can't be accepted.
     fn objection(&self, now: Instant, digest: KeyDigest, submission: &Submission) -> Option<NotAccepted> {
-        if let Some(outcome) = self.tombstones.get(digest) {
-            return Some(refusal::forgotten(outcome));
+        if let Some(remains) = self.tombstones.get(digest) {
+            return Some(refusal::forgotten(remains));
         }
         if !self.cell.is_own(digest) {
             return Some(refusal::not_ready("the key has another home"));
@@ -64,16 +67,61 @@
         if self.options.cold_start_window.is_zero() {
             return None;
         }
-        let age = self.cell.history.map_or(Duration::ZERO, |since| now.since(since));
+        let age = self.history_age(now);
         let is_resubmission = submission.attempt.is_some_and(|attempt| attempt.0 >= 2);
         let needed = if is_resubmission {
-            self.options.retention + self.options.tombstone_retention
+            self.options.memory()
         } else {
             self.options.cold_start_window
         };
         (age < needed).then(refusal::history_lost)
     }
 
+    fn history_age(&self, now: Instant) -> Duration {
+        self.cell.history.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Promises another data centre that a key is not run here, if it was never seen.
+    pub(super) fn renounce(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        caller: CallerId,
+        outputs: &mut Vec<Output>,
+    ) {
+        let digest = KeyDigest::of(key);
+        if let Some(job) = self.jobs.get(&digest) {
+            let answer = if job.is_settled {
+                Ok(job.answer())
+            } else {
+                Err(refusal::not_ready("the job has not ended here"))
+            };
+            reply(Some(caller), answer, outputs);
+            return;
+        }
+        let refused = match self.tombstones.get(digest) {
+            Some(Remains::Ended(outcome)) => Some(refusal::forgotten(Remains::Ended(outcome))),
+            _ if !self.cell.is_own(digest) || !self.can_act(now) => {
+                Some(refusal::not_ready("the home of the key is changing"))
+            }
+            _ if self.history_age(now) < self.options.memory() => Some(refusal::history_lost()),
+            Some(Remains::Renounced) | None => None,
+        };
+        if let Some(refused) = refused {
+            reply(Some(caller), Err(refused), outputs);
+            return;
+        }
+        let remaining = self.options.tombstone_retention;
+        self.bury(now, digest, Remains::Renounced, remaining);
+        let update = Update::Tombstone {
+            job: digest,
+            remains: Remains::Renounced,
+            remaining,
+        };
+        self.tombstone_updates.insert(digest, update);
+        self.gate(digest, Effect::Renounce(caller));
+    }
+
     /// Lets a caller wait for the answer of a known job, or answers at once if each follower has the answer.
     fn join(&mut self, now: Instant, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
         let is_own = self.cell.is_own(digest);
@@ -167,7 +215,7 @@
 
     fn unknown(&self, digest: KeyDigest, key: &JobKey) -> NotAccepted {
         match self.tombstones.get(digest) {
-            Some(outcome) => refusal::forgotten(outcome),
+            Some(remains) => refusal::forgotten(remains),
             None => refusal::unknown_key(key),
         }
     }
@@ -185,7 +233,7 @@
         }
         for gate in &mut self.gates {
             gate.effects.retain(|effect| {
-                let Effect::Reply(caller) = effect else {
+                let (Effect::Reply(caller) | Effect::Renounce(caller)) = effect else {
                     return true;
                 };
                 waiting.push(*caller);
@@ -208,7 +256,8 @@
         }
         for gate in &mut self.gates {
             if gate.job == digest {
-                gate.effects.retain(|effect| *effect != Effect::Reply(caller));
+                gate.effects
+                    .retain(|effect| *effect != Effect::Reply(caller) && *effect != Effect::Renounce(caller));
             }
         }
     }
--- a/kqr-jobs/src/machine/epochs.rs
+++ b/kqr-jobs/src/machine/epochs.rs
@@ -62,12 +62,11 @@
             }
         }
         for gate in std::mem::take(&mut self.gates) {
-            let Some(job) = self.jobs.get_mut(&gate.job) else {
-                continue;
-            };
             for effect in gate.effects {
-                if let Effect::Reply(caller) = effect {
-                    job.callers.push(caller);
+                match (effect, self.jobs.get_mut(&gate.job)) {
+                    (Effect::Reply(caller), Some(job)) => job.callers.push(caller),
+                    (Effect::Renounce(caller), _) => refuse_callers(&mut vec![caller], outputs),
+                    _ => {}
                 }
             }
         }
@@ -275,7 +274,7 @@
 fn tombstone_update(now: Instant, tombstone: Tombstone) -> Update {
     Update::Tombstone {
         job: tombstone.job,
-        outcome: tombstone.outcome,
+        remains: tombstone.remains,
         remaining: tombstone.until.since(now),
     }
 }
--- a/kqr-jobs/src/machine/mod.rs
+++ b/kqr-jobs/src/machine/mod.rs
@@ -125,6 +125,7 @@
             Input::Ended(end) => self.ended(now, end, outputs),
             Input::Cancel { key, caller } => self.cancel(now, &key, caller, outputs),
             Input::Lookup { key, caller } => self.lookup(now, &key, caller, outputs),
+            Input::Renounce { key, caller } => self.renounce(now, &key, caller, outputs),
             Input::Detach { key, caller } => self.detach(&key, caller),
             Input::Epoch(view) => self.install(now, view, outputs),
             Input::Lease { until } => {
--- a/kqr-jobs/src/machine/peers.rs
+++ b/kqr-jobs/src/machine/peers.rs
@@ -74,11 +74,11 @@
             }
             Update::Tombstone {
                 job,
-                outcome,
+                remains,
                 remaining,
             } => {
                 if self.is_acceptable(from, job) {
-                    self.bury(now, job, outcome, remaining);
+                    self.bury(now, job, remains, remaining);
                 }
             }
             Update::Sealed(seal) => {
--- a/kqr-jobs/src/machine/release.rs
+++ b/kqr-jobs/src/machine/release.rs
@@ -6,6 +6,7 @@
 use crate::{
     CallerId, Fault, Options, Output, Phase, StartTask, TaskResult,
     gate::{Effect, Gate},
+    refusal,
 };
 
 impl Machine {
@@ -53,6 +54,7 @@
                 match effect {
                     Effect::Start(attempt) => self.start(now, gate.job, attempt, outputs),
                     Effect::Reply(caller) => self.answer(gate.job, caller, outputs),
+                    Effect::Renounce(caller) => reply(Some(caller), Err(refusal::renounced()), outputs),
                     Effect::Settle => self.settle(gate.job),
                 }
             }
@@ -118,7 +120,7 @@
 fn is_early(options: &Options, effect: &Effect) -> bool {
     match effect {
         Effect::Start(_) => options.has(Fault::StartBeforeAck),
-        Effect::Reply(_) => options.has(Fault::ReplyBeforeAck),
+        Effect::Reply(_) | Effect::Renounce(_) => options.has(Fault::ReplyBeforeAck),
         Effect::Settle => false,
     }
 }
--- a/kqr-jobs/src/machine/retention.rs
+++ b/kqr-jobs/src/machine/retention.rs
@@ -5,7 +5,7 @@
 use kqr_types::{Instant, KeyDigest};
 
 use super::{Machine, Remembered};
-use crate::{Outcome, Output, Update};
+use crate::{Output, Remains, Update};
 
 impl Machine {
     pub(super) fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
@@ -35,7 +35,9 @@
                 break;
             }
             let job = self.jobs.get(&remembered.job);
-            if !job.is_some_and(|job| job.is_settled && job.is_own()) {
+            // A copy whose home did not tell in time, because the message was lost with an epoch, goes by itself.
+            let is_overdue = now.since(remembered.ended) >= self.options.retention * 2;
+            if !job.is_some_and(|job| job.is_settled && (job.is_own() || is_overdue)) {
                 continue;
             }
             due.push(remembered.job);
@@ -46,20 +48,24 @@
             let Some(job) = self.jobs.get(&digest) else {
                 continue;
             };
+            let is_own = job.is_own();
             let update = Update::Tombstone {
                 job: digest,
-                outcome: job.outcome(),
+                remains: Remains::Ended(job.outcome()),
                 remaining: self.options.tombstone_retention,
             };
-            self.bury(now, digest, job.outcome(), self.options.tombstone_retention);
-            self.tombstone_updates.insert(digest, update);
+            let remains = Remains::Ended(job.outcome());
+            self.bury(now, digest, remains, self.options.tombstone_retention);
+            if is_own {
+                self.tombstone_updates.insert(digest, update);
+            }
         }
     }
 
-    /// Forgets a job but for its outcome.
-    pub(super) fn bury(&mut self, now: Instant, digest: KeyDigest, outcome: Outcome, remaining: Duration) {
+    /// Forgets a job but for its remains.
+    pub(super) fn bury(&mut self, now: Instant, digest: KeyDigest, remains: Remains, remaining: Duration) {
         self.remove(digest);
-        self.tombstones.insert(digest, outcome, now + remaining);
+        self.tombstones.insert(digest, remains, now + remaining);
     }
 
     /// Forgets a job.
--- a/kqr-jobs/src/message.rs
+++ b/kqr-jobs/src/message.rs
@@ -3,7 +3,7 @@
 use kqr_types::{Attempt, CellView, Epoch, Incarnation, KeyDigest, TargetId, TaskIndex};
 use serde::{Deserialize, Serialize};
 
-use crate::{Outcome, Submission, TaskResult};
+use crate::{Remains, Submission, TaskResult};
 
 /// A message between the job machines of two members of a cell.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -50,12 +50,12 @@
         /// The job.
         job: KeyDigest,
     },
-    /// Only the outcome of an ended job is remembered.
+    /// Only this remains of a job or key.
     Tombstone {
         /// The job.
         job: KeyDigest,
-        /// What is known of whether it was run.
-        outcome: Outcome,
+        /// What remains of it.
+        remains: Remains,
         /// Time for which it is remembered.
         remaining: Duration,
     },
--- a/kqr-jobs/src/options.rs
+++ b/kqr-jobs/src/options.rs
@@ -29,6 +29,11 @@
 }
 
 impl Options {
+    /// Returns how long something is known of a key after its job has ended.
+    pub(crate) fn memory(&self) -> Duration {
+        self.retention + self.tombstone_retention
+    }
+
     /// Returns whether the machine has the deliberate fault `fault`.
     pub(crate) fn has(&self, fault: Fault) -> bool {
         cfg!(feature = "faults") && self.fault == Some(fault)
--- a/kqr-jobs/src/refusal.rs
+++ b/kqr-jobs/src/refusal.rs
@@ -4,7 +4,7 @@
 
 use kqr_types::JobKey;
 
-use crate::{NotAccepted, Outcome, RefusalReason};
+use crate::{NotAccepted, Outcome, RefusalReason, Remains};
 
 /// Time after which a member that was not ready may be asked again.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -39,13 +39,26 @@
     }
 }
 
+/// The key was never seen here and will never be run here.
+pub(crate) fn renounced() -> NotAccepted {
+    NotAccepted {
+        reason: RefusalReason::UnknownKey,
+        outcome: Outcome::NotRun,
+        retry_after: None,
+        detail: "the key was not run in this data centre and never will be".to_owned(),
+    }
+}
+
 /// The answer is no longer kept, only its outcome.
-pub(crate) fn forgotten(outcome: Outcome) -> NotAccepted {
+pub(crate) fn forgotten(remains: Remains) -> NotAccepted {
     NotAccepted {
         reason: RefusalReason::HistoryLost,
-        outcome,
+        outcome: remains.outcome(),
         retry_after: None,
-        detail: "the answer of an earlier try with this key is no longer kept".to_owned(),
+        detail: match remains {
+            Remains::Ended(_) => "the answer of an earlier try with this key is no longer kept".to_owned(),
+            Remains::Renounced => "the key was left to another data centre".to_owned(),
+        },
     }
 }
 
--- a/kqr-jobs/src/tombstones.rs
+++ b/kqr-jobs/src/tombstones.rs
@@ -2,27 +2,27 @@
 
 use kqr_types::{Instant, KeyDigest};
 
-use crate::Outcome;
+use crate::Remains;
 
 /// Tombstones are forgotten in groups whose ends lie this far apart.
 const GROUP: Duration = Duration::from_secs(3600);
 
-/// Outcomes of jobs whose answers are no longer kept.
+/// Jobs whose answers are no longer kept, and keys that must not be run here.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Tombstones {
-    groups: BTreeMap<Instant, BTreeMap<KeyDigest, Outcome>>,
+    groups: BTreeMap<Instant, BTreeMap<KeyDigest, Remains>>,
 }
 
 impl Tombstones {
-    /// Remembers the outcome of `job` at least until `until`.
-    pub fn insert(&mut self, job: KeyDigest, outcome: Outcome, until: Instant) {
+    /// Remembers what remains of `job` at least until `until`.
+    pub fn insert(&mut self, job: KeyDigest, remains: Remains, until: Instant) {
         let group = GROUP.as_micros() as u64;
         let end = Instant(until.0.div_ceil(group).saturating_mul(group));
-        self.groups.entry(end).or_default().insert(job, outcome);
+        self.groups.entry(end).or_default().insert(job, remains);
     }
 
-    /// Returns the outcome of `job`.
-    pub fn get(&self, job: KeyDigest) -> Option<Outcome> {
+    /// Returns what remains of `job`.
+    pub fn get(&self, job: KeyDigest) -> Option<Remains> {
         self.groups.values().find_map(|group| group.get(&job).copied())
     }
 
@@ -62,16 +62,16 @@
 pub(crate) struct Tombstone {
     /// The job.
     pub job: KeyDigest,
-    /// What is known of whether it was run.
-    pub outcome: Outcome,
+    /// What remains of it.
+    pub remains: Remains,
     /// End of its time.
     pub until: Instant,
 }
 
-fn each(until: Instant, group: &BTreeMap<KeyDigest, Outcome>) -> impl Iterator<Item = Tombstone> {
-    group.iter().map(move |(job, outcome)| Tombstone {
+fn each(until: Instant, group: &BTreeMap<KeyDigest, Remains>) -> impl Iterator<Item = Tombstone> {
+    group.iter().map(move |(job, remains)| Tombstone {
         job: *job,
-        outcome: *outcome,
+        remains: *remains,
         until,
     })
 }
--- a/kqr-jobs/tests/cell/mod.rs
+++ b/kqr-jobs/tests/cell/mod.rs
@@ -189,6 +189,11 @@
         self.call(entry, &key.clone(), |caller| Input::Cancel { key, caller })
     }
 
+    pub fn renounce(&mut self, entry: usize, key: &JobKey) -> CallerId {
+        let key = key.clone();
+        self.call(entry, &key.clone(), |caller| Input::Renounce { key, caller })
+    }
+
     fn call<Make>(&mut self, entry: usize, key: &JobKey, make: Make) -> CallerId
     where
         Make: FnOnce(CallerId) -> Input,
--- a/kqr-jobs/tests/named_failures.rs
+++ b/kqr-jobs/tests/named_failures.rs
@@ -334,3 +334,34 @@
         assert_eq!(refused.outcome, Outcome::MayHaveRun, "seed {}", cell.seed);
     });
 }
+
+#[test]
+fn key_is_sent_to_another_data_centre_that_asked_for_it() {
+    each_seed(3, |cell| {
+        let promise = cell.renounce(0, &key());
+        cell.run(100_000);
+        let promised = answer(cell, promise).unwrap_err();
+        assert_eq!(promised.outcome, Outcome::NotRun, "seed {}", cell.seed);
+        let home = home_of(cell, &key());
+        cell.crash(home);
+        cell.run(SETTLED);
+        let late = cell.submit((home + 1) % 3, &key(), Some(1), 5);
+        cell.run(SETTLED);
+        let refused = answer(cell, late).unwrap_err();
+        assert_eq!(refused.reason, RefusalReason::HistoryLost, "seed {}", cell.seed);
+        assert_eq!(refused.outcome, Outcome::MayHaveRun, "seed {}", cell.seed);
+    });
+}
+
+#[test]
+fn key_that_runs_here_is_not_left_to_another_data_centre() {
+    each_seed(3, |cell| {
+        let caller = cell.submit(0, &key(), Some(1), 5);
+        cell.run(cell.seed * 2_000);
+        let asked = cell.renounce(1, &key());
+        cell.run(SETTLED);
+        let is_renounced = matches!(answer(cell, asked), Err(refused) if refused.outcome == Outcome::NotRun);
+        let is_run = matches!(answer(cell, caller), Ok(answer) if answer.state == JobState::Complete);
+        assert!(is_run != is_renounced, "seed {}", cell.seed);
+    });
+}
--- a/kqr-jobs/tests/random.rs
+++ b/kqr-jobs/tests/random.rs
@@ -53,6 +53,9 @@
         10 => {
             cell.cancel(node, &key);
         }
+        11 => {
+            cell.renounce(node, &key);
+        }
         _ => {
             attempts[number] += 1;
             let tasks = 1 + (number % 4) as u16;
--- a/kqr-spec/src/start_once/model.rs
+++ b/kqr-spec/src/start_once/model.rs
@@ -124,6 +124,16 @@
                 next.handle(index, cancel);
                 steps.push(step(format!("caller cancels at {id}"), next));
             }
+            if state.budget.renounces > 0 {
+                let mut next = state.clone();
+                next.budget.renounces -= 1;
+                let renounce = Input::Renounce {
+                    key: self.submission.key.clone(),
+                    caller: CallerId(101),
+                };
+                next.handle(index, renounce);
+                steps.push(step(format!("another data centre asks {id} for the key"), next));
+            }
         }
     }
 
--- a/kqr-spec/src/start_once/scenario.rs
+++ b/kqr-spec/src/start_once/scenario.rs
@@ -9,6 +9,8 @@
     pub copies: u8,
     /// Cancellations.
     pub cancels: u8,
+    /// Questions of another data centre that make this one promise never to run the key.
+    pub renounces: u8,
     /// Messages that arrive once more than they were sent.
     pub duplicates: u8,
     /// Epochs that the cell agrees on after the first, those of promotions not counted.
--- a/kqr-spec/tests/start_once.rs
+++ b/kqr-spec/tests/start_once.rs
@@ -25,6 +25,7 @@
     submissions: 0,
     copies: 0,
     cancels: 0,
+    renounces: 0,
     duplicates: 0,
     epochs: 2,
     crashes: 0,
@@ -113,6 +114,18 @@
     ..PLAIN
 };
 
+const RENOUNCED: Scenario = Scenario {
+    name: "another data centre asks for the key, and a crash",
+    budget: Budget {
+        submissions: 1,
+        copies: 1,
+        renounces: 1,
+        crashes: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
 const TWO_TASKS: Scenario = Scenario {
     name: "two tasks, one may fail, and a crash",
     tasks: 2,
@@ -223,6 +236,11 @@
     holds(CANCEL);
 }
 
+#[test]
+fn key_is_left_to_another_data_centre() {
+    holds(RENOUNCED);
+}
+
 #[test]
 fn answers_of_two_tasks_are_whole() {
     holds(TWO_TASKS);
@@ -286,6 +304,11 @@
     is_violated(with(Fault::GapIgnored, CUT_OFF_THEN_CRASH));
 }
 
+#[test]
+fn promise_before_the_acknowledgement_is_found() {
+    is_violated(with(Fault::ReplyBeforeAck, RENOUNCED));
+}
+
 #[test]
 fn unnoticed_cold_start_is_found() {
     is_violated(with(Fault::ColdStartIgnored, COLD_START));
