--- a/kqr-jobs/src/input.rs
+++ b/kqr-jobs/src/input.rs
@@ -122,6 +122,13 @@
 }
 
 impl TaskResult {
+    /// Returns the result of a completed task, or the reason of any other end.
+    pub fn text(&self) -> &str {
+        match self {
+            Self::Completed(text) | Self::Failed(text) | Self::NotStarted(text) | Self::Unknown(text) => text,
+        }
+    }
+
     /// Returns what the result says of whether the task was run.
     pub fn outcome(&self) -> Outcome {
         match self {
--- a/kqr-jobs/src/link.rs
+++ b/kqr-jobs/src/link.rs
@@ -1,4 +1,4 @@
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use kqr_types::{Epoch, Instant};
 
@@ -6,8 +6,12 @@
 
 /// Most updates of one message.
 const UPDATES_PER_MESSAGE: usize = 512;
+/// Size after which a message takes no further update, in bytes.
+const MESSAGE_BYTES: usize = 1 << 20;
 /// Most updates that are sent and not yet acknowledged.
 const WINDOW: usize = 8 * UPDATES_PER_MESSAGE;
+/// Most doublings of the time after which updates are sent again.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// The streams between this member and one other member in one epoch.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,6 +24,8 @@
     sent: usize,
     /// Instant of the last progress or repetition.
     touched: Instant,
+    /// Repetitions since the last progress.
+    repetitions: u32,
     /// Position of the next update of the other member's stream.
     received: u64,
 }
@@ -47,7 +53,7 @@
             if self.sent == 0 {
                 self.touched = now;
             }
-            let until = self.queued.len().min(self.sent + UPDATES_PER_MESSAGE);
+            let until = self.message_end();
             messages.push(JobMessage::Updates {
                 epoch,
                 first: self.acked + self.sent as u64,
@@ -58,10 +64,26 @@
         messages
     }
 
-    /// Marks what was sent as lost if the other member acknowledged nothing since `limit`.
-    pub fn rewind(&mut self, limit: Instant) {
-        if self.sent > 0 && self.touched <= limit {
+    /// Returns the end of the next message in `queued`; it has at least one update.
+    fn message_end(&self) -> usize {
+        let mut bytes = 0;
+        let mut end = self.sent;
+        for update in self.queued.range(self.sent..).take(UPDATES_PER_MESSAGE) {
+            bytes += update.bytes();
+            end += 1;
+            if bytes >= MESSAGE_BYTES {
+                break;
+            }
+        }
+        end
+    }
+
+    /// Marks what was sent as lost if the other member acknowledged nothing for `timeout`, which doubles each time.
+    pub fn rewind(&mut self, now: Instant, timeout: Duration) {
+        let timeout = timeout * (1 << self.repetitions.min(MAX_DOUBLINGS));
+        if self.sent > 0 && now.since(self.touched) >= timeout {
             self.sent = 0;
+            self.repetitions += 1;
         }
     }
 
@@ -75,6 +97,7 @@
         self.acked += count as u64;
         self.sent = self.sent.saturating_sub(count);
         self.touched = now;
+        self.repetitions = 0;
     }
 
     /// Returns those of `updates` that are next in the other member's stream; none if there is a gap.
--- a/kqr-jobs/src/machine/epochs.rs
+++ b/kqr-jobs/src/machine/epochs.rs
@@ -48,9 +48,11 @@
 
     /// Takes back each effect that was not put out, so that nothing more happens under the old epoch.
     fn suspend(&mut self, outputs: &mut Vec<Output>) {
-        let live: Vec<KeyDigest> = self.live.iter().copied().collect();
-        for digest in live {
+        let held: BTreeSet<KeyDigest> = self.gates.iter().map(|gate| gate.job).collect();
+        for digest in held {
             self.revoke_starts(digest, outputs);
+        }
+        for digest in self.live.iter().copied() {
             let Some(job) = self.jobs.get(&digest) else {
                 continue;
             };
--- a/kqr-jobs/src/machine/retention.rs
+++ b/kqr-jobs/src/machine/retention.rs
@@ -9,9 +9,8 @@
 
 impl Machine {
     pub(super) fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let limit = now - self.options.resend_after;
         for link in self.cell.links.values_mut() {
-            link.rewind(limit);
+            link.rewind(now, self.options.resend_after);
         }
         self.refuse_unleased(now, outputs);
         self.expire_waiting(now, outputs);
--- a/kqr-jobs/src/message.rs
+++ b/kqr-jobs/src/message.rs
@@ -65,6 +65,39 @@
     Complete,
 }
 
+impl Update {
+    /// Bytes of an update or of one task without its texts.
+    const BASE_BYTES: usize = 128;
+
+    /// Returns about how many bytes the update takes in a message.
+    pub(crate) fn bytes(&self) -> usize {
+        match self {
+            Self::Record(record) => {
+                let specs = record.submission.tasks.iter();
+                let payloads: usize = specs.map(|spec| spec.payload.len() + Self::BASE_BYTES).sum();
+                let tasks: usize = record.tasks.iter().map(TaskRecord::bytes).sum();
+                Self::BASE_BYTES + payloads + tasks
+            }
+            Self::Task { state, .. } => Self::BASE_BYTES + state.bytes(),
+            Self::Cancelled { .. }
+            | Self::Settled { .. }
+            | Self::Tombstone { .. }
+            | Self::Sealed(_)
+            | Self::Complete => Self::BASE_BYTES,
+        }
+    }
+}
+
+impl TaskRecord {
+    fn bytes(&self) -> usize {
+        let text = match &self.phase {
+            Phase::Ended(result) => result.text().len(),
+            Phase::Intended { .. } | Phase::Waiting => 0,
+        };
+        size_of::<Self>() + text
+    }
+}
+
 /// What a member knows of earlier epochs when it enters a new one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Seal {
--- a/kqr-jobs/src/state_size.rs
+++ b/kqr-jobs/src/state_size.rs
@@ -1,6 +1,6 @@
 use kqr_types::ByteSize;
 
-use crate::{Phase, TaskResult, TaskSpec, job::Job, task::Task};
+use crate::{Phase, TaskSpec, job::Job, task::Task};
 
 /// Bytes that a map of the standard library and the allocator add to an entry.
 const ENTRY_BYTES: usize = 288;
@@ -47,12 +47,7 @@
 
 fn task_bytes(task: &Task) -> usize {
     let text = match &task.record.phase {
-        Phase::Ended(
-            TaskResult::Completed(text)
-            | TaskResult::Failed(text)
-            | TaskResult::NotStarted(text)
-            | TaskResult::Unknown(text),
-        ) => text.len() + TEXT_BYTES,
+        Phase::Ended(result) => result.text().len() + TEXT_BYTES,
         Phase::Waiting | Phase::Intended { .. } => 0,
     };
     size_of::<Task>() + text
