test: cells with members that do not vote, and even cells; docs: agreement, store, cell, lost quorum, replacing

No voter of an even cell is replaced, since a majority of the rest would be no majority of all; such a cell is founded anew after a restart.

--- a/kqr-membership/src/options.rs
+++ b/kqr-membership/src/options.rs
@@ -16,7 +16,8 @@
     pub storage: Incarnation,
     /// Share of keys, or `None` for a witness, which votes and is no member.
     pub weight: Option<u32>,
-    /// All instances that vote, an odd number; a witness makes it odd.
+    /// All instances that vote. An odd number, made so by a witness: of an even one no restarted voter gets its vote
+    /// back, and the cell is founded anew when most have restarted.
     pub voters: BTreeSet<InstanceId>,
     /// How long a member may act after it asked for its lease.
     pub lease: Duration,
--- a/kqr-membership/src/voter_plan.rs
+++ b/kqr-membership/src/voter_plan.rs
@@ -6,7 +6,8 @@
 /// Returns the next voter change that follows from the identities that were heard lately, or `None`.
 ///
 /// A voter is only ever replaced by a later incarnation of the same instance's storage, one at a time: a majority of
-/// the group's voters is a majority of the configured ones at any time.
+/// the group's voters is a majority of the configured ones at any time. That needs an odd number of them; with an even
+/// one no voter is replaced.
 pub(crate) fn next_change<'heard, Heard>(
     configuration: &Configuration,
     configured: &BTreeSet<InstanceId>,
@@ -54,6 +55,7 @@
     let Some(old) = other_voter else {
         return Some(VoterChange::Promote(voter.clone()));
     };
+    let is_odd = !configured.len().is_multiple_of(2);
     let is_complete = configuration.voters.len() == configured.len();
-    is_complete.then(|| VoterChange::Remove(old.clone()))
+    (is_complete && is_odd).then(|| VoterChange::Remove(old.clone()))
 }
--- a/kqr-membership/tests/failures.rs
+++ b/kqr-membership/tests/failures.rs
@@ -274,6 +274,51 @@
     }
 }
 
+#[test]
+fn members_without_a_vote_hold_leases_and_are_replaced() {
+    for seed in 0..SEEDS / 5 {
+        let mut network = Network::new(seed, &["a", "b", "c", "d", "e"], &[]);
+        network.extras = vec![id("d"), id("e")];
+        network.start_all();
+        assert!(
+            run_until(&mut network, 8 * SECOND, Network::is_whole).is_some(),
+            "seed {seed}"
+        );
+        network.crash(&id("d"));
+        let rest = others(&network, &id("d"));
+        let moved = |network: &Network| have_moved(network, &rest, &id("d"));
+        assert!(
+            run_until(&mut network, MOVED_WITHIN, moved).is_some(),
+            "seed {seed}"
+        );
+        network.start(&id("d"));
+        assert!(
+            run_until(&mut network, 5 * SECOND, Network::is_whole).is_some(),
+            "seed {seed}"
+        );
+        network.assert_sound();
+    }
+}
+
+#[test]
+fn an_even_cell_without_a_witness_is_founded_anew_after_a_restart() {
+    for seed in 0..SEEDS / 5 {
+        let mut network = Network::settled(seed, &["a", "b"], &[]);
+        let before = network.nodes[&id("a")].since;
+        network.crash(&id("b"));
+        network.start(&id("b"));
+        assert!(
+            run_until(&mut network, 15 * SECOND, Network::is_whole).is_some(),
+            "seed {seed}"
+        );
+        assert!(
+            network.nodes[&id("a")].since > before,
+            "seed {seed}: claims to remember"
+        );
+        network.assert_sound();
+    }
+}
+
 #[test]
 fn clocks_beyond_the_stated_drift_break_the_promise_and_are_seen() {
     let is_broken = |seed| {
--- a/kqr-membership/tests/histories.rs
+++ b/kqr-membership/tests/histories.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use kqr_membership::Input;
 use network::Network;
 use rand::RngExt;
 
@@ -26,7 +27,8 @@
         1..=3 => network.start(&victim),
         4 => network.isolate(&victim, true),
         5..=6 => network.isolate(&victim, false),
-        7 => {
+        7 => network.handle(&victim, Input::Leave),
+        8 => {
             network.crash(&victim);
             network.start(&victim);
         }
@@ -50,6 +52,9 @@
     }
     network.loss_percent = 0;
     for id in network.ids() {
+        if network.nodes.get(&id).is_some_and(|node| node.is_leaving) {
+            network.crash(&id);
+        }
         network.start(&id);
         network.isolate(&id, false);
     }
--- a/kqr-membership/tests/network/mod.rs
+++ b/kqr-membership/tests/network/mod.rs
@@ -22,6 +22,7 @@
     pub lease: (Epoch, Instant),
     pub installed: Instant,
     pub disk: CellDurable,
+    pub is_leaving: bool,
     pub has_left: bool,
     pub since: WallClock,
     pub bytes: u64,
@@ -45,6 +46,8 @@
     pub drift_per_mille: u64,
     /// Whether a broken promise was seen; it fails the test unless it is looked for.
     pub broken: Option<String>,
+    /// Members that do not vote.
+    pub extras: Vec<InstanceId>,
     members: Vec<InstanceId>,
     witnesses: Vec<InstanceId>,
     disks: BTreeMap<InstanceId, (Incarnation, CellDurable)>,
@@ -72,6 +75,7 @@
             has_disks: false,
             drift_per_mille: 10,
             broken: None,
+            extras: Vec::new(),
             members: members.iter().map(|name| id(name)).collect(),
             witnesses: witnesses.iter().map(|name| id(name)).collect(),
             disks: BTreeMap::new(),
@@ -107,7 +111,8 @@
         self.lives += 1;
         let drift = self.drift_per_mille;
         let incarnation = Incarnation(self.lives);
-        let voters = self.ids();
+        let extras = &self.extras;
+        let voters = self.ids().into_iter().filter(|id| !extras.contains(id));
         let mut options = Options::new(id.clone(), incarnation, voters);
         options.seed = self.rng.random();
         options.wall_clock = WallClock(self.now.0 / 1_000);
@@ -128,6 +133,7 @@
             lease: (Epoch(0), Instant(0)),
             installed: self.now,
             disk,
+            is_leaving: false,
             has_left: false,
             since: WallClock(0),
             bytes: 0,
@@ -222,6 +228,7 @@
             return;
         };
         let local = Instant(self.now.0 * node.rate / 1000);
+        node.is_leaving |= input == Input::Leave;
         let mut outputs = Vec::new();
         node.cell.handle(local, input, &mut outputs);
         for output in outputs {
