--- /dev/null
+++ b/kqr-agreement/src/applying.rs
@@ -0,0 +1,42 @@
+use crate::{Index, Machine, Output, Payload, Record, Snapshot};
+
+impl Machine {
+    /// Puts out all entries up to the committed index that were not put out before.
+    pub(crate) fn apply_committed(&mut self, outputs: &mut Vec<Output>) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.entry(self.applied.next()) else {
+                return;
+            };
+            self.applied = entry.index;
+            match &entry.payload {
+                Payload::Empty => {}
+                Payload::Command(command) => outputs.push(Output::Apply {
+                    index: entry.index,
+                    term: entry.term,
+                    command: command.clone(),
+                }),
+                Payload::Configuration(configuration) => outputs.push(Output::VotersChanged {
+                    index: entry.index,
+                    configuration: configuration.clone(),
+                }),
+            }
+        }
+    }
+
+    /// Drops the entries up to `index` in favour of the application's snapshot.
+    pub(crate) fn compact(&mut self, index: Index, state: Vec<u8>, outputs: &mut Vec<Output>) {
+        if index > self.applied || index <= self.log.base() {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let snapshot = Snapshot {
+            index,
+            term,
+            configuration: self.log.configuration_at(index).clone(),
+            state,
+        };
+        self.persist(Record::Snapshot(snapshot), outputs);
+    }
+}
--- a/kqr-agreement/src/leading.rs
+++ b/kqr-agreement/src/leading.rs
@@ -1,7 +1,7 @@
 use kqr_types::Instant;
 
 use crate::{
-    Body, Entry, Index, Machine, Output, Payload, ProposalResult, Record, RequestId, Role, Term, VoterId,
+    Body, Entry, Index, Machine, Output, Payload, Record, RequestId, Role, Term, VoterId,
     leader_state::LeaderState, progress::Progress,
 };
 
@@ -197,50 +197,6 @@
         self.send(to, body, outputs);
     }
 
-    /// Advances the committed index and the answered round, and puts out what follows from them.
-    fn count_answers(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let last = self.log.last_index();
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let progress = &leading.progress;
-        let configuration = self.log.configuration();
-        let own = &self.own;
-        let matched = configuration.agreed(|voter| {
-            if voter == own {
-                return last;
-            }
-            progress.get(voter).map_or(Index(0), |progress| progress.matched)
-        });
-        let latest = leading.contact.round;
-        let answered = configuration.agreed(|voter| {
-            if voter == own {
-                return latest;
-            }
-            progress.get(voter).map_or(0, |progress| progress.round)
-        });
-        leading.contact.answer(answered.unwrap_or(0));
-        self.advance_commit(now, matched.unwrap_or_default(), outputs);
-        self.finish_reads(outputs);
-    }
-
-    fn advance_commit(&mut self, now: Instant, index: Index, outputs: &mut Vec<Output>) {
-        let is_own_term = self.log.term_at(index) == Some(self.log.term());
-        if index <= self.commit || !is_own_term {
-            return;
-        }
-        self.commit = index;
-        self.apply_committed(outputs);
-        self.finish_proposals(outputs);
-        if index == self.log.last_index() {
-            self.broadcast(now, outputs);
-        }
-        let is_settled = self.log.configuration_index() <= self.commit;
-        if is_settled && !self.log.configuration().is_voter(&self.own) {
-            self.hand_over(now, outputs);
-        }
-    }
-
     /// Gives up the lead to the voter that has the most of the log. No lease is granted from here on.
     pub(crate) fn hand_over(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let Some(leading) = &self.leading else {
@@ -258,18 +214,4 @@
             self.send(&successor, Body::Campaign, outputs);
         }
     }
-
-    fn finish_proposals(&mut self, outputs: &mut Vec<Output>) {
-        let commit = self.commit;
-        let term = self.log.term();
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let pending = leading.proposals.split_off(&commit.next());
-        let finished = std::mem::replace(&mut leading.proposals, pending);
-        for (index, request) in finished {
-            let result = ProposalResult::Committed { index, term };
-            outputs.push(Output::Proposed { request, result });
-        }
-    }
 }
--- a/kqr-agreement/src/lib.rs
+++ b/kqr-agreement/src/lib.rs
@@ -6,7 +6,9 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod applying;
 mod changing;
+mod committing;
 mod configuration;
 mod contact;
 mod counters;
@@ -24,6 +26,7 @@
 mod output;
 mod progress;
 mod reading;
+mod receiving;
 mod record;
 mod role;
 mod snapshot;
--- a/kqr-agreement/src/machine.rs
+++ b/kqr-agreement/src/machine.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Body, Configuration, Durable, Index, Input, Message, Options, Output, Payload, ProposalResult, Record,
-    Refusal, Role, RoleView, Snapshot, Term, VoterId, leader_state::LeaderState, log::Log,
+    Refusal, Role, RoleView, VoterId, leader_state::LeaderState, log::Log,
 };
 
 /// One member of a replicated log.
@@ -144,102 +144,6 @@
         }
     }
 
-    fn receive(&mut self, now: Instant, from: &VoterId, message: Message, outputs: &mut Vec<Output>) {
-        if message.to != self.own {
-            return;
-        }
-        let Message { term, body, .. } = message;
-        match body {
-            Body::PreVote {
-                last_index,
-                last_term,
-            } => {
-                self.answer_pre_vote(now, from, term, (last_term, last_index), outputs);
-            }
-            Body::Vote {
-                last_index,
-                last_term,
-                is_handed_over,
-            } => {
-                if is_handed_over || !self.has_heard_leader(now) {
-                    self.answer_vote(now, from, term, (last_term, last_index), outputs);
-                }
-            }
-            body => self.receive_in_term(now, from, term, body, outputs),
-        }
-    }
-
-    fn receive_in_term(
-        &mut self,
-        now: Instant,
-        from: &VoterId,
-        term: Term,
-        body: Body,
-        outputs: &mut Vec<Output>,
-    ) {
-        if term > self.log.term() {
-            self.enter_term(now, term, None, outputs);
-        }
-        let is_current = term == self.log.term();
-        match body {
-            Body::PreVoteReply { campaign, is_granted } => {
-                self.count_pre_vote(now, from, campaign, is_granted, outputs);
-            }
-            Body::Campaign if is_current && self.leader.as_ref() == Some(from) => {
-                self.stand(now, true, outputs);
-            }
-            Body::VoteReply { is_granted } if is_current => self.count_vote(now, from, is_granted, outputs),
-            Body::Append { .. } | Body::Install { .. } => self.follow(now, from, term, body, outputs),
-            Body::Matched { round, index } if is_current => self.matched(now, from, round, index, outputs),
-            Body::Mismatched { round, hint } if is_current => {
-                self.mismatched(now, from, round, hint, outputs);
-            }
-            _ => {}
-        }
-    }
-
-    /// Enters `term` as a follower with the vote for `voted_for`, or ends a lead.
-    pub(crate) fn enter_term(
-        &mut self,
-        now: Instant,
-        term: Term,
-        voted_for: Option<VoterId>,
-        outputs: &mut Vec<Output>,
-    ) {
-        self.persist(Record::Vote { term, voted_for }, outputs);
-        self.leader = None;
-        self.step_down(now, outputs);
-    }
-
-    /// Becomes a follower in the current term; the fate of uncommitted proposals is unknown from here on.
-    ///
-    /// A leader counts itself among those that give no vote for an election timeout after its last contact, so it
-    /// keeps to that when it steps down.
-    pub(crate) fn step_down(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        self.role = Role::Follower;
-        self.votes.clear();
-        let Some(leading) = self.leading.take() else {
-            return;
-        };
-        if self.leader.as_ref() == Some(&self.own) {
-            self.leader = None;
-        }
-        self.heard = now;
-        self.reset_election(now);
-        for request in leading.proposals.into_values() {
-            let result = ProposalResult::Unknown {
-                leader: self.leader.clone(),
-            };
-            outputs.push(Output::Proposed { request, result });
-        }
-        for read in leading.reads {
-            outputs.push(Output::ReadFailed {
-                request: read.request,
-                leader: self.leader.clone(),
-            });
-        }
-    }
-
     pub(crate) fn refuse(&self) -> ProposalResult {
         ProposalResult::Refused(Refusal::NotLeader {
             leader: self.leader.clone(),
@@ -263,44 +167,6 @@
         });
     }
 
-    /// Puts out all entries up to the committed index that were not put out before.
-    pub(crate) fn apply_committed(&mut self, outputs: &mut Vec<Output>) {
-        while self.applied < self.commit {
-            let Some(entry) = self.log.entry(self.applied.next()) else {
-                return;
-            };
-            self.applied = entry.index;
-            match &entry.payload {
-                Payload::Empty => {}
-                Payload::Command(command) => outputs.push(Output::Apply {
-                    index: entry.index,
-                    term: entry.term,
-                    command: command.clone(),
-                }),
-                Payload::Configuration(configuration) => outputs.push(Output::VotersChanged {
-                    index: entry.index,
-                    configuration: configuration.clone(),
-                }),
-            }
-        }
-    }
-
-    fn compact(&mut self, index: Index, state: Vec<u8>, outputs: &mut Vec<Output>) {
-        if index > self.applied || index <= self.log.base() {
-            return;
-        }
-        let Some(term) = self.log.term_at(index) else {
-            return;
-        };
-        let snapshot = Snapshot {
-            index,
-            term,
-            configuration: self.log.configuration_at(index).clone(),
-            state,
-        };
-        self.persist(Record::Snapshot(snapshot), outputs);
-    }
-
     fn tell_role(&mut self, outputs: &mut Vec<Output>) {
         let view = self.role();
         if view != self.told {
--- a/kqr-store/src/lib.rs
+++ b/kqr-store/src/lib.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod error;
 mod file_name;
+mod files;
 mod folder_disk;
 mod frame;
 mod header;
--- a/kqr-store/src/store.rs
+++ b/kqr-store/src/store.rs
@@ -1,10 +1,9 @@
-use std::io;
-
 use kqr_agreement::{Durable, Record};
 use kqr_types::Incarnation;
 
 use crate::{
-    AppendFile, Disk, Identity, Opened, Owner, Step, StoreError, file_name,
+    Disk, Identity, Opened, Owner, Step, StoreError, file_name,
+    files::{create_log, read, write, write_single},
     frame::encode_frame,
     header::header,
     reader::{encode, read_log, read_single},
@@ -188,58 +187,6 @@
     write_single(disk, file_name::IDENTITY, &payload)
 }
 
-fn create_log<Folder>(disk: &Folder, generation: u64) -> Result<Folder::File, StoreError>
-where
-    Folder: Disk,
-{
-    let name = file_name::log(generation);
-    let mut log = create_file(disk, &name)?;
-    write(&mut log, &name, &header())?;
-    sync_folder(disk, &name)?;
-    Ok(log)
-}
-
-/// Writes a file of one frame under a new name, syncs it, renames it and syncs the folder.
-fn write_single<Folder>(disk: &Folder, name: &str, payload: &[u8]) -> Result<(), StoreError>
-where
-    Folder: Disk,
-{
-    let new_name = format!("{name}{}", file_name::NEW);
-    let mut file = create_file(disk, &new_name)?;
-    let mut bytes = header();
-    bytes.extend(encode_frame(0, payload));
-    write(&mut file, &new_name, &bytes)?;
-    disk.rename(&new_name, name)
-        .map_err(|source| StoreError::io(Step::Rename, &new_name, source))?;
-    sync_folder(disk, name)
-}
-
-fn create_file<Folder>(disk: &Folder, name: &str) -> Result<Folder::File, StoreError>
-where
-    Folder: Disk,
-{
-    disk.create(name)
-        .map_err(|source| StoreError::io(Step::Create, name, source))
-}
-
-fn write<File>(file: &mut File, name: &str, bytes: &[u8]) -> Result<(), StoreError>
-where
-    File: AppendFile,
-{
-    file.append(bytes)
-        .map_err(|source| StoreError::io(Step::Append, name, source))?;
-    file.sync()
-        .map_err(|source| StoreError::io(Step::Sync, name, source))
-}
-
-fn sync_folder<Folder>(disk: &Folder, name: &str) -> Result<(), StoreError>
-where
-    Folder: Disk,
-{
-    disk.sync_folder()
-        .map_err(|source| StoreError::io(Step::SyncFolder, name, source))
-}
-
 fn read_snapshot<Folder>(disk: &Folder, generation: u64) -> Result<Durable, StoreError>
 where
     Folder: Disk,
@@ -250,15 +197,3 @@
     let name = file_name::snapshot(generation);
     read_single(&name, &read(disk, &name)?)
 }
-
-fn read<Folder>(disk: &Folder, name: &str) -> Result<Vec<u8>, StoreError>
-where
-    Folder: Disk,
-{
-    disk.read(name).map_err(|source| match source.kind() {
-        io::ErrorKind::NotFound => StoreError::Missing {
-            file: name.to_owned(),
-        },
-        _ => StoreError::io(Step::Read, name, source),
-    })
-}
