--- a/kqr-standin/src/api.rs
+++ b/kqr-standin/src/api.rs
@@ -301,6 +301,7 @@
     }
     let _slot = UsedSlot(standin);
     let line = format!("{} {}", req.method(), req.uri());
+    standin.attempts.requested(req.uri().to_string());
     match read_body(req.into_body(), LIMITS).await {
         Ok(bytes) => {
             let text = format!(
