--- a/kqr-spec/src/agreement/model.rs
+++ b/kqr-spec/src/agreement/model.rs
@@ -43,7 +43,7 @@
         Arc::new(Machine::new(id.clone(), options, disk))
     }
 
-    fn arrive(&self, state: &AgreementState, position: usize, is_kept: bool) -> Step<AgreementState> {
+    fn arrive(state: &AgreementState, position: usize, is_kept: bool) -> Step<AgreementState> {
         let mut next = state.clone();
         let packet = next.network[position].clone();
         if !is_kept {
@@ -61,14 +61,14 @@
         Step { label, state: next }
     }
 
-    fn network_steps(&self, state: &AgreementState, steps: &mut Vec<Step<AgreementState>>) {
+    fn network_steps(state: &AgreementState, steps: &mut Vec<Step<AgreementState>>) {
         for position in 0..state.network.len() {
             if position > 0 && state.network[position] == state.network[position - 1] {
                 continue;
             }
-            steps.push(self.arrive(state, position, false));
+            steps.push(Self::arrive(state, position, false));
             if state.budget.duplicates > 0 {
-                let mut step = self.arrive(state, position, true);
+                let mut step = Self::arrive(state, position, true);
                 step.state.budget.duplicates -= 1;
                 steps.push(step);
             }
@@ -115,11 +115,11 @@
             });
         }
         if is_leader {
-            self.leader_steps(state, index, steps);
+            Self::leader_steps(state, index, steps);
         }
     }
 
-    fn leader_steps(&self, state: &AgreementState, index: usize, steps: &mut Vec<Step<AgreementState>>) {
+    fn leader_steps(state: &AgreementState, index: usize, steps: &mut Vec<Step<AgreementState>>) {
         let id = &state.nodes[index].id;
         if state.budget.heartbeats > 0 {
             let mut next = state.clone();
@@ -139,7 +139,7 @@
             let command = vec![next.proposed];
             next.handle(index, Input::Propose { request, command });
             steps.push(Step {
-                label: format!("{id} proposes {}", request),
+                label: format!("{id} proposes {request}"),
                 state: next,
             });
         }
@@ -187,7 +187,7 @@
 
     fn steps(&self, state: &AgreementState) -> Vec<Step<AgreementState>> {
         let mut steps = Vec::new();
-        self.network_steps(state, &mut steps);
+        Self::network_steps(state, &mut steps);
         for index in 0..state.nodes.len() {
             self.node_steps(state, index, &mut steps);
         }
--- a/kqr-spec/src/agreement/state.rs
+++ b/kqr-spec/src/agreement/state.rs
@@ -102,12 +102,12 @@
     }
 
     fn persist(&mut self, index: usize, record: Record) {
-        let is_forgotten = match (self.fault, &record) {
-            (Some(AgreementFault::ForgetsVotes), Record::Vote { .. }) => true,
-            (Some(AgreementFault::ForgetsEntries), Record::Append(_)) => true,
-            (Some(AgreementFault::KeepsIdentityWithoutDisk), _) => true,
-            _ => false,
-        };
+        let is_forgotten = matches!(
+            (self.fault, &record),
+            (Some(AgreementFault::ForgetsVotes), Record::Vote { .. })
+                | (Some(AgreementFault::ForgetsEntries), Record::Append(_))
+                | (Some(AgreementFault::KeepsIdentityWithoutDisk), _)
+        );
         if !is_forgotten {
             self.nodes[index].disk.apply(record);
         }
