--- a/kqr-settings/src/log/settings_log.rs
+++ b/kqr-settings/src/log/settings_log.rs
@@ -25,9 +25,9 @@
 impl Default for LogOptions {
     fn default() -> Self {
         Self {
-            max_changes: 20_000,
+            max_changes: 8000,
             max_edits: 100_000,
-            max_answers: 20_000,
+            max_answers: 8000,
             max_edits_per_change: 20_000,
         }
     }
--- a/kqr-settings/src/tree/validation.rs
+++ b/kqr-settings/src/tree/validation.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use super::{Problem, Problems, SettingPath, Tree, deadline_check, names_check, region_check};
 use crate::schema::{Location, Node, Rule};
 
@@ -47,7 +49,8 @@
 {
     let mut problems = Vec::new();
     let mut touched_nodes = Vec::new();
-    for path in touched {
+    let paths: BTreeSet<&SettingPath> = touched.into_iter().collect();
+    for path in paths.iter().copied() {
         if let Some(value) = tree.get(path)
             && let Err(problem) = canonical_value(path, value)
         {
@@ -59,7 +62,10 @@
         }
     }
     region_check::check(tree, touched_nodes.iter().map(|(node, _)| node), &mut problems);
-    if touched_nodes.iter().any(|(node, _)| node.target.is_some()) {
+    if touched_nodes
+        .iter()
+        .any(|touched| may_clash(tree, &paths, touched))
+    {
         names_check::check(tree, &mut problems);
     }
     if touched_nodes.iter().any(is_deadline) {
@@ -72,6 +78,16 @@
     }
 }
 
+/// Returns whether a touched value gives its target a name, or may be the first one that names the target.
+fn may_clash(tree: &Tree, paths: &BTreeSet<&SettingPath>, touched: &(Node, &Rule)) -> bool {
+    let (node, rule) = touched;
+    if node.target.is_none() {
+        return false;
+    }
+    let target = SettingPath::of(node);
+    rule.key == "names" || tree.subtree(&target).all(|(path, _)| paths.contains(path))
+}
+
 fn is_deadline(touched: &(Node, &Rule)) -> bool {
     deadline_check::KEYS.contains(&touched.1.key)
 }
