--- /dev/null
+++ b/kqr-wire/src/control/copy.rs
@@ -0,0 +1,113 @@
+use std::{
+    fmt,
+    fs::{self, File},
+    io::{self, Write},
+    path::{Path, PathBuf},
+};
+
+use kqr_settings::{Tree, Update, Version};
+use prost::Message;
+
+use super::messages;
+
+/// A durable copy of the applied settings, for an instance that has a disk.
+#[derive(Clone, Debug)]
+pub struct SettingsCopy {
+    path: PathBuf,
+}
+
+/// A copy that can't be read or written.
+#[derive(Debug)]
+pub enum CopyError {
+    /// The operating system reported an error.
+    Io {
+        /// File.
+        path: PathBuf,
+        /// The error.
+        source: io::Error,
+    },
+    /// The file is no copy or is damaged.
+    Damaged {
+        /// File.
+        path: PathBuf,
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+impl fmt::Display for CopyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io { path, source } => write!(f, "settings copy {}: {source}", path.display()),
+            Self::Damaged { path, detail } => write!(f, "settings copy {}: {detail}", path.display()),
+        }
+    }
+}
+
+impl std::error::Error for CopyError {}
+
+impl SettingsCopy {
+    /// Names the file of the copy. Its folder must exist.
+    pub fn new(path: PathBuf) -> Self {
+        Self { path }
+    }
+
+    /// Returns the kept version, or `None` if there is no file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read or is damaged. The instance must then start as one without a copy.
+    pub fn load(&self) -> Result<Option<(Version, Tree)>, CopyError> {
+        let bytes = match fs::read(&self.path) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(source) => return Err(self.failed(source)),
+        };
+        let Some((checksum, body)) = bytes.split_first_chunk() else {
+            return Err(self.damaged(&"shorter than its checksum"));
+        };
+        if u32::from_le_bytes(*checksum) != crc32fast::hash(body) {
+            return Err(self.damaged(&"the checksum does not match"));
+        }
+        let update = messages::Update::decode(body).map_err(|error| self.damaged(&error))?;
+        let update = Update::try_from(update).map_err(|error| self.damaged(&error))?;
+        let tree = update.apply(Version(0), &Tree::default());
+        let tree = tree.map_err(|error| self.damaged(&error))?;
+        Ok(Some((update.version, tree)))
+    }
+
+    /// Replaces the copy; it outlives a crash once this returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be written; the former copy stays.
+    pub fn store(&self, version: Version, tree: &Tree) -> Result<(), CopyError> {
+        let body = messages::Update::of(Update::snapshot(version, tree), true).encode_to_vec();
+        let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
+        bytes.extend(body);
+        self.replace(&bytes).map_err(|source| self.failed(source))
+    }
+
+    /// Writes a new file, syncs it, renames it and syncs the folder.
+    fn replace(&self, bytes: &[u8]) -> io::Result<()> {
+        let new = self.path.with_extension("new");
+        let mut file = File::create(&new)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&new, &self.path)?;
+        let folder = self.path.parent().filter(|folder| !folder.as_os_str().is_empty());
+        File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+    }
+
+    fn failed(&self, source: io::Error) -> CopyError {
+        let path = self.path.clone();
+        CopyError::Io { path, source }
+    }
+
+    fn damaged(&self, error: &dyn fmt::Display) -> CopyError {
+        CopyError::Damaged {
+            path: self.path.clone(),
+            detail: error.to_string(),
+        }
+    }
+}
--- a/kqr-wire/src/control/mod.rs
+++ b/kqr-wire/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control messages, carried by tonic: agreement, the settings stream and the calls of operators.
 
 mod answers;
+mod copy;
 mod edits;
 mod peer;
 mod stream;
@@ -12,6 +13,7 @@
     include!("generated/kqr.control.rs");
 }
 
+pub use copy::{CopyError, SettingsCopy};
 pub use edits::{MessageError, command_of, request_of};
 pub use peer::{Peer, peers_of};
 pub use stream::{SettingsStream, connect, connect_watched};
