--- a/kqr-control/src/control_service.rs
+++ b/kqr-control/src/control_service.rs
@@ -9,7 +9,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request as Call, Response, Status, Streaming};
 
-use crate::{changes::Changes, links::Envelope, request::Request};
+use crate::{Token, changes::Changes, links::Envelope, request::Request};
 
 /// Messages of a settings stream that may wait before it is closed.
 const QUEUED_EVENTS: usize = 64;
@@ -18,12 +18,13 @@
 #[derive(Clone, Debug)]
 pub struct ControlService {
     changes: Changes,
+    token: Token,
 }
 
 impl ControlService {
-    /// Creates the service.
-    pub fn new(changes: Changes) -> Self {
-        Self { changes }
+    /// Creates the service; changes that are handed over must carry `token`.
+    pub fn new(changes: Changes, token: Token) -> Self {
+        Self { changes, token }
     }
 }
 
@@ -58,6 +59,7 @@
     }
 
     async fn forward(&self, call: Call<ChangeRequest>) -> Result<Response<ChangeReply>, Status> {
+        let call = self.token.check(call)?;
         let command = command_of(call.into_inner());
         let command = command.map_err(|error| Status::invalid_argument(error.to_string()))?;
         let answer = self.changes.change_here(command).await?;
--- a/kqr-control/src/daemon.rs
+++ b/kqr-control/src/daemon.rs
@@ -79,7 +79,7 @@
     };
     let machine = Machine::new(voter, agreement_options(founding, seed()), opened.durable);
     let (tx, rx) = mpsc::channel(QUEUED_REQUESTS);
-    let changes = Changes::new(tx, Peers::new(peers.clone()));
+    let changes = Changes::new(tx, Peers::new(peers.clone(), token.clone()));
     let links = Links::start(&own.id, &peers);
     let node = Node::new(NodeOptions::default(), machine);
     let driver = Driver::new(node, store, links, changes.clone(), events);
@@ -99,7 +99,7 @@
     let peers_listener = bind(own.peers).await?;
     let operators_listener = bind(operators).await?;
     let stop = CancellationToken::new();
-    let control = ControlServer::new(ControlService::new(changes.clone()))
+    let control = ControlServer::new(ControlService::new(changes.clone(), token.clone()))
         .max_decoding_message_size(MAX_DELIVERY_BYTES);
     let control = Server::builder()
         .add_service(control)
--- a/kqr-control/src/peers.rs
+++ b/kqr-control/src/peers.rs
@@ -9,6 +9,8 @@
 };
 use tonic::{Request, Status, transport::Channel};
 
+use crate::Token;
+
 /// Longest time for a call to another control instance.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -16,12 +18,13 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     addresses: BTreeMap<InstanceId, SocketAddr>,
+    token: Token,
 }
 
 impl Peers {
-    /// Creates the list of the other control instances.
-    pub fn new(addresses: BTreeMap<InstanceId, SocketAddr>) -> Self {
-        Self { addresses }
+    /// Creates the list of the other control instances; changes are handed over with `token`.
+    pub fn new(addresses: BTreeMap<InstanceId, SocketAddr>, token: Token) -> Self {
+        Self { addresses, token }
     }
 
     /// Hands `command` to `leader`.
@@ -31,7 +34,9 @@
     /// Fails if the leader can't be reached or does not answer; the change may be accepted then.
     pub async fn forward(&self, leader: &InstanceId, command: Command) -> Result<Answer, Status> {
         let mut client = self.client(leader).await?;
-        let reply = client.forward(limited(request_of(command))).await?.into_inner();
+        let mut request = limited(request_of(command));
+        self.token.add_to(&mut request)?;
+        let reply = client.forward(request).await?.into_inner();
         reply
             .try_into()
             .map_err(|error| Status::internal(format!("answer of {leader}: {error}")))
--- a/kqr-control/src/token.rs
+++ b/kqr-control/src/token.rs
@@ -6,6 +6,9 @@
 /// Shortest token, in bytes.
 const MIN_BYTES: usize = 16;
 
+/// Name of the metadata entry with the token.
+const AUTHORIZATION: &str = "authorization";
+
 /// The secret that operators send with each call. It is never printed.
 #[derive(Clone)]
 pub struct Token(String);
@@ -33,8 +36,8 @@
     /// # Errors
     ///
     /// Fails with `unauthenticated` if it does not.
-    pub fn check(&self, request: Request<()>) -> Result<Request<()>, Status> {
-        let header = request.metadata().get("authorization");
+    pub fn check<Body>(&self, request: Request<Body>) -> Result<Request<Body>, Status> {
+        let header = request.metadata().get(AUTHORIZATION);
         let given = header
             .and_then(|value| value.to_str().ok())
             .and_then(|value| value.strip_prefix("Bearer "));
@@ -44,6 +47,18 @@
         }
     }
 
+    /// Adds the token to `request`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the token has characters that can't be sent.
+    pub fn add_to<Body>(&self, request: &mut Request<Body>) -> Result<(), Status> {
+        let value = format!("Bearer {}", self.0).parse();
+        let value = value.map_err(|_| Status::internal("the operators' token can't be sent"))?;
+        request.metadata_mut().insert(AUTHORIZATION, value);
+        Ok(())
+    }
+
     /// Compares without stopping at the first difference.
     fn equals(&self, given: &str) -> bool {
         let mut difference = self.0.len() ^ given.len();
--- a/kqr-control/tests/processes.rs
+++ b/kqr-control/tests/processes.rs
@@ -11,7 +11,11 @@
 
 use kqr::{ChangeOptions, Connection, ConnectionOptions, Failure, FailureKind, Format};
 use kqr_settings::{Action, Edit, Follower, FollowerOptions, Version, bootstrap::Bootstrap};
-use kqr_wire::control::{SettingsStream, messages::voters_request::Change, peers_of};
+use kqr_wire::control::{
+    SettingsStream, connect,
+    messages::{ChangeRequest, control_client::ControlClient, voters_request::Change},
+    peers_of,
+};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +25,7 @@
 
 struct Processes {
     folder: tempfile::TempDir,
+    peers: Vec<SocketAddr>,
     operators: Vec<SocketAddr>,
     children: Vec<Option<Child>>,
 }
@@ -70,6 +75,7 @@
         fs::write(folder.path().join("wrong"), "another-token-0123456789").unwrap();
         let mut processes = Self {
             folder,
+            peers: addresses[..3].to_vec(),
             operators: addresses[3..6].to_vec(),
             children: vec![None, None, None],
         };
@@ -180,6 +186,9 @@
         .await
         .unwrap_err();
     assert_eq!(refused.kind, FailureKind::Unauthenticated);
+    let mut bypass = ControlClient::new(connect(processes.peers[leader]).await.unwrap());
+    let refused = bypass.forward(ChangeRequest::default()).await.unwrap_err();
+    assert_eq!(refused.code(), tonic::Code::Unauthenticated);
     assert_eq!(set(&connection, "c1", 0, "5").await.unwrap(), 1);
     wait_for(&mut applied, 1).await;
 
