--- a/kqr-control/src/driver.rs
+++ b/kqr-control/src/driver.rs
@@ -136,10 +136,9 @@
                 };
                 self.handle(input, outputs);
             }
-            Request::StreamConfirmed { stream, version } => match version {
-                Some(version) => self.handle(NodeInput::StreamConfirmed { stream, version }, outputs),
-                None => self.drop_stream(stream),
-            },
+            Request::StreamConfirmed { stream, version } => {
+                self.handle(NodeInput::StreamConfirmed { stream, version }, outputs);
+            }
             Request::Tree { at, reply } => drop(reply.send(snapshot_at(self.node.settings(), at))),
             Request::History { since, limit, reply } => {
                 let newest = self.node.settings().changes_since(since).rev().take(limit);
@@ -245,8 +244,9 @@
     fn confirm_stream(&self, stream: StreamId) {
         let changes = self.changes.clone();
         tokio::spawn(async move {
-            let version = changes.confirm().await.ok();
-            changes.tell(Request::StreamConfirmed { stream, version }).await;
+            if let Ok(version) = changes.confirm().await {
+                changes.tell(Request::StreamConfirmed { stream, version }).await;
+            }
         });
     }
 
--- a/kqr-control/src/node/streams.rs
+++ b/kqr-control/src/node/streams.rs
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Sends heartbeats if they are due.
+    /// Sends heartbeats if they are due, and asks again for confirmations that have not come.
     pub(super) fn tick(
         &mut self,
         now: Instant,
@@ -113,7 +113,10 @@
             return;
         }
         self.next_heartbeat = now + options.stream_heartbeat;
-        for &stream in self.streams.keys() {
+        for (&stream, state) in &self.streams {
+            if matches!(state.progress, Progress::Unconfirmed) {
+                outputs.push(NodeOutput::ConfirmStream { stream });
+            }
             outputs.push(NodeOutput::Heartbeat {
                 stream,
                 version: log.version(),
--- a/kqr-control/src/request.rs
+++ b/kqr-control/src/request.rs
@@ -59,12 +59,12 @@
         /// Takes the messages of the stream.
         tx: StreamSender,
     },
-    /// The highest accepted version was confirmed for a stream, or could not be.
+    /// The highest accepted version was confirmed for a stream.
     StreamConfirmed {
         /// The stream.
         stream: StreamId,
         /// The version.
-        version: Option<Version>,
+        version: Version,
     },
     /// Asks for the tree as a snapshot.
     Tree {
--- a/kqr-control/tests/streams.rs
+++ b/kqr-control/tests/streams.rs
@@ -68,6 +68,25 @@
     );
 }
 
+#[test]
+fn a_confirmation_that_does_not_come_is_asked_for_again() {
+    let mut node = lonely_node();
+    follow(&mut node, true);
+    let mut outputs = Vec::new();
+    node.handle(Instant(3_000_000), NodeInput::Tick, &mut outputs);
+    assert!(
+        outputs.contains(&NodeOutput::ConfirmStream { stream: StreamId(1) }),
+        "{outputs:?}"
+    );
+    handle(&mut node, confirmed(0));
+    outputs.clear();
+    node.handle(Instant(6_000_000), NodeInput::Tick, &mut outputs);
+    assert!(
+        !outputs.contains(&NodeOutput::ConfirmStream { stream: StreamId(1) }),
+        "{outputs:?}"
+    );
+}
+
 #[test]
 fn an_unconfirmed_stream_is_fed_at_once_and_says_so() {
     let sent = follow(&mut lonely_node(), false);
