--- a/kqr-control/tests/histories.rs
+++ b/kqr-control/tests/histories.rs
@@ -11,6 +11,8 @@
 use system::{Outcome, System, control_id, id, set};
 
 const HISTORIES: u64 = 150;
+/// A history that once left an instance without an update that was lost.
+const ONCE_RED: u64 = 826;
 const STEPS: usize = 60;
 const FOLLOWERS: usize = 3;
 
@@ -165,7 +167,7 @@
 #[test]
 fn nothing_acknowledged_is_lost_and_no_instance_goes_back() {
     let mut accepted = 0;
-    for seed in 0..HISTORIES {
+    for seed in (0..HISTORIES).chain([ONCE_RED]) {
         let mut history = History::new(seed);
         for _ in 0..STEPS {
             history.step();
--- a/kqr-settings/src/follower/machine.rs
+++ b/kqr-settings/src/follower/machine.rs
@@ -188,27 +188,31 @@
                     version: update.version,
                 });
             }
-            Err(_) => self.reopen(now, outputs),
+            Err(_) => self.reopen(now, None, outputs),
         }
     }
 
-    /// Asks for a snapshot if the peer has the same version with another digest.
+    /// Asks for a snapshot if the peer has the same version with another digest, and for an update if one was lost: a
+    /// peer sends the update to a version before it tells of the version in a heartbeat.
     fn compare(&mut self, now: Instant, version: Version, digest: Digest, outputs: &mut Vec<FollowerOutput>) {
-        if self.applied == Some(version) && self.tree.digest() != digest {
-            self.reopen(now, outputs);
+        let Some(applied) = self.applied else { return };
+        if version > applied {
+            self.reopen(now, Some(applied), outputs);
+        } else if version == applied && self.tree.digest() != digest {
+            self.reopen(now, None, outputs);
         }
     }
 
-    /// Closes the stream and asks the same peer for a snapshot.
-    fn reopen(&mut self, now: Instant, outputs: &mut Vec<FollowerOutput>) {
+    /// Replaces the stream by one from the same peer that starts at `since`, or with a snapshot.
+    fn reopen(&mut self, now: Instant, since: Option<Version>, outputs: &mut Vec<FollowerOutput>) {
         let Stream::Open { peer, .. } = &self.stream else {
             return;
         };
         let peer = peer.clone();
         outputs.push(FollowerOutput::Open {
             peer: peer.clone(),
-            since: None,
-            needs_confirmation: true,
+            since,
+            needs_confirmation: since.is_none(),
             is_last_resort: true,
         });
         self.stream = Stream::Open {
--- a/kqr-settings/tests/follower.rs
+++ b/kqr-settings/tests/follower.rs
@@ -146,6 +146,27 @@
     assert_eq!(follower.tree(), log.tree());
 }
 
+#[test]
+fn an_update_that_was_lost_is_asked_for_again() {
+    let mut follower = follower(Some(&log_at(2)));
+    tick(&mut follower, 0);
+    let mut outputs = Vec::new();
+    follower.handle(Instant(1), heartbeat("a", &log_at(2), true), &mut outputs);
+    assert_eq!(outputs, []);
+    follower.handle(Instant(2), heartbeat("a", &log_at(3), true), &mut outputs);
+    let [
+        FollowerOutput::Open {
+            since,
+            needs_confirmation,
+            ..
+        },
+    ] = &outputs[..]
+    else {
+        panic!("{outputs:?}");
+    };
+    assert_eq!((*since, *needs_confirmation), (Some(Version(2)), false));
+}
+
 /// Control instances at random versions, restarts with and without a disk, messages of closed streams.
 #[test]
 fn versions_only_grow_over_restarts_and_lagging_peers() {
