perf: leave shares as they are while they are less than one slot off

Cause: shares were rounded anew with each change of demand; each slot that moves between entries is of no use for a period. Change: a share changes only if the exact part is a whole slot away, or if slots are left over. The speed for one class is used only where it differs from the general one by more than chance. Messages are counted in the measured time only.

--- a/kqr-bench/src/baseline/queued.rs
+++ b/kqr-bench/src/baseline/queued.rs
@@ -74,7 +74,7 @@
                     self.rng.random_range(0..targets),
                 ];
                 self.probes.insert(task, (task, pair));
-                world.wasted += 4;
+                world.waste(4);
                 world.events.add(world.now + ONE_WAY, Event::Message(task));
                 return;
             }
--- a/kqr-bench/src/measures.rs
+++ b/kqr-bench/src/measures.rs
@@ -25,7 +25,8 @@
     let responses = responses(world, from, to, |_| true);
     measures.insert("mean_ms", mean(&responses) * 1e3);
     measures.insert("p99_ms", quantile(&responses, 0.99) * 1e3);
-    let tasks = world.arrivals.len() as f64;
+    let counted = world.arrivals.iter().filter(|task| task.at >= from);
+    let tasks = counted.count() as f64;
     measures.insert("wasted_per_task", world.wasted as f64 / tasks);
     measures.insert("background_per_task", world.background as f64 / tasks);
     measures.insert("refused_part", refused(world, from, to));
--- a/kqr-bench/src/world.rs
+++ b/kqr-bench/src/world.rs
@@ -36,6 +36,8 @@
     pub fleet: Vec<FakeTarget>,
     /// Events to come.
     pub events: Events,
+    /// Instant in microseconds from which messages are counted.
+    pub counted_from: u64,
     /// Messages beyond one start and one answer for each task: probes, refusals, forwards.
     pub wasted: u64,
     /// Messages that are sent whether tasks come or not.
@@ -57,12 +59,27 @@
             arrivals,
             fleet: FakeTarget::fleet(scenario),
             events,
+            counted_from: scenario.warm_up.as_micros() as u64,
             wasted: 0,
             background: 0,
             has_target_queues: false,
         }
     }
 
+    /// Counts messages beyond one start and one answer for each task.
+    pub fn waste(&mut self, messages: u64) {
+        if self.now >= self.counted_from {
+            self.wasted += messages;
+        }
+    }
+
+    /// Counts a message that is sent whether tasks come or not.
+    pub fn count_background(&mut self) {
+        if self.now >= self.counted_from {
+            self.background += 1;
+        }
+    }
+
     /// Sends the start of a task to a target.
     pub fn start(&mut self, task: usize, target: usize) {
         let event = Event::StartArrives { task, target };
@@ -89,7 +106,7 @@
             return;
         }
         let end = End::Refused;
-        self.wasted += 2;
+        self.waste(2);
         self.events
             .add(self.now + ONE_WAY, Event::Seen { task, target, end });
     }
--- a/kqr-placement/src/share_keeper.rs
+++ b/kqr-placement/src/share_keeper.rs
@@ -147,7 +147,7 @@
         if now < self.open {
             return held;
         }
-        let units = fair_part(&claim.resource.to_string(), total, leases, holder).min(left);
+        let units = sticky_part(&claim.resource.to_string(), total, leases, holder, held).min(left);
         if let Some(lease) = leases.get_mut(holder) {
             lease.units = units.max(held);
         }
@@ -155,6 +155,28 @@
     }
 }
 
+/// Returns the part of `total` units that falls to `holder`, which is left as it is while the exact part is less than
+/// one unit away: each unit that moves is of no use for a period.
+fn sticky_part(
+    resource: &str,
+    total: u32,
+    leases: &BTreeMap<InstanceId, Lease>,
+    holder: &InstanceId,
+    held: u32,
+) -> u32 {
+    let demand = |lease: &Lease| f64::from(lease.demand.max(1));
+    let sum: f64 = leases.values().map(demand).sum();
+    let exact = leases
+        .get(holder)
+        .map_or(0.0, |lease| f64::from(total) * demand(lease) / sum);
+    let rounded = fair_part(resource, total, leases, holder);
+    if (exact - f64::from(held)).abs() >= 1.0 {
+        return rounded;
+    }
+    let sum: u32 = leases.values().map(|lease| lease.units).sum();
+    held + u32::from(rounded > held && sum < total)
+}
+
 /// Returns the part of `total` units that falls to `holder` by the demands of all holders.
 fn fair_part(resource: &str, total: u32, leases: &BTreeMap<InstanceId, Lease>, holder: &InstanceId) -> u32 {
     let demand = |lease: &Lease| f64::from(lease.demand.max(1));
--- a/kqr-placement/src/speed.rs
+++ b/kqr-placement/src/speed.rs
@@ -14,6 +14,11 @@
     /// Bound of the logarithm of one observation, so that a single outlier can't upset the average.
     const LOG_BOUND: f64 = 3.0;
 
+    /// Difference of logarithms, times the root of the observations, that chance does not explain.
+    const SIGNIFICANT: f64 = 2.5;
+    /// Observations beyond which the moving average gets no better.
+    const MOST_INDEPENDENT: f64 = 200.0;
+
     /// Creates the speed 1 without observations.
     pub fn new() -> Self {
         Self {
@@ -32,6 +37,13 @@
         self.observations.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the estimate differs from `other` by more than the scatter of its observations explains.
+    pub fn differs_from(&self, other: f64) -> bool {
+        let observations = f64::from(self.observations()).clamp(1.0, Self::MOST_INDEPENDENT);
+        let difference = (self.get() / other).ln().abs();
+        difference > Self::SIGNIFICANT / observations.sqrt()
+    }
+
     /// Takes in one observation: the time that the work takes at speed 1, and the time that it took here.
     pub fn observe(&self, typical: Duration, observed: Duration) {
         if typical.is_zero() || observed.is_zero() {
--- a/kqr-placement/src/target.rs
+++ b/kqr-placement/src/target.rs
@@ -30,8 +30,6 @@
 }
 
 impl Target {
-    /// Observations of a class on a target before its own speed is used.
-    const CLASS_OBSERVATIONS: u32 = 30;
     /// Long work may use one slot in this many of a target, but at least one.
     const LONG_DIVISOR: u32 = 2;
 
@@ -136,14 +134,14 @@
 
     /// Returns the learned speed for `class`, or over all classes as long as too little is known of the class.
     pub fn speed(&self, class: Option<&ClassName>) -> f64 {
+        let general = self.state.speed.get();
         if let Some(class) = class {
             let speeds = self.state.class_speeds.load();
-            let own = speeds.get(class);
-            if let Some(own) = own.filter(|own| own.observations() >= Self::CLASS_OBSERVATIONS) {
+            if let Some(own) = speeds.get(class).filter(|own| own.differs_from(general)) {
                 return own.get();
             }
         }
-        self.state.speed.get()
+        general
     }
 
     /// Takes in the run time of a completed task of `class`, which takes `typical` at speed 1.
