perf: move shares sooner when a holder is out of balance over all targets

Change: the keeper compares all that a holder has with its exact part, and moves single slots beyond 12%.

--- a/kqr-bench/src/measures.rs
+++ b/kqr-bench/src/measures.rs
@@ -28,6 +28,7 @@
     let counted = world.arrivals.iter().filter(|task| task.at >= from);
     let tasks = counted.count() as f64;
     measures.insert("wasted_per_task", world.wasted as f64 / tasks);
+    measures.insert("refused_starts_per_task", world.refused_starts as f64 / tasks);
     measures.insert("background_per_task", world.background as f64 / tasks);
     measures.insert("refused_part", refused(world, from, to));
     if let Some(crest) = scenario.crest {
--- a/kqr-bench/src/world.rs
+++ b/kqr-bench/src/world.rs
@@ -40,6 +40,8 @@
     pub counted_from: u64,
     /// Messages beyond one start and one answer for each task: probes, refusals, forwards.
     pub wasted: u64,
+    /// Starts that found no free slot at their target.
+    pub refused_starts: u64,
     /// Messages that are sent whether tasks come or not.
     pub background: u64,
     /// Whether starts beyond the free slots wait at the target.
@@ -61,6 +63,7 @@
             events,
             counted_from: scenario.warm_up.as_micros() as u64,
             wasted: 0,
+            refused_starts: 0,
             background: 0,
             has_target_queues: false,
         }
@@ -107,6 +110,7 @@
         }
         let end = End::Refused;
         self.waste(2);
+        self.refused_starts += u64::from(self.now >= self.counted_from);
         self.events
             .add(self.now + ONE_WAY, Event::Seen { task, target, end });
     }
--- a/kqr-placement/src/share_keeper.rs
+++ b/kqr-placement/src/share_keeper.rs
@@ -5,6 +5,12 @@
 
 use crate::{Resource, ShareClaim, ShareGrant, ShareOptions, ShareReport, Units};
 
+/// Units over all resources by which a holder may be out of balance whatever the part.
+const UNBALANCED_UNITS: f64 = 3.0;
+/// Part of its units over all resources by which a holder may have too much or too little before its shares of single
+/// resources change.
+const UNBALANCED_PART: f64 = 0.12;
+
 /// An input of a keeper.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeeperInput<Id> {
@@ -25,6 +31,13 @@
     pub grant: ShareGrant<Id>,
 }
 
+/// Units of a holder over all claimed resources, beyond its exact part.
+#[derive(Clone, Copy, Debug)]
+struct Balance {
+    surplus: f64,
+    allowed: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Lease {
     units: u32,
@@ -103,14 +116,15 @@
             return None;
         }
         self.reported.insert(report.from.clone(), report.number);
-        let mut granted = Vec::with_capacity(report.claims.len());
-        for claim in report.claims {
-            let home = self.view.home(&claim.resource.to_string());
-            let is_kept = home.is_some_and(|home| home.id == self.own);
-            if !is_kept {
-                continue;
-            }
-            let units = self.grant(now, &report.from, &claim);
+        let mut claims = report.claims;
+        claims.retain(|claim| self.keeps(&claim.resource));
+        for claim in &claims {
+            self.renew(now, &report.from, claim);
+        }
+        let mut balance = self.balance(&report.from, &claims);
+        let mut granted = Vec::with_capacity(claims.len());
+        for claim in claims {
+            let units = self.grant(now, &report.from, &claim.resource, &mut balance);
             granted.push(Units {
                 resource: claim.resource,
                 units,
@@ -128,53 +142,99 @@
         })
     }
 
-    /// Grants units of one resource to `holder` and records the largest number that it may use from now on.
-    fn grant(&mut self, now: Instant, holder: &InstanceId, claim: &ShareClaim<Id>) -> u32 {
-        let total = self.resources.get(&claim.resource).copied().unwrap_or(0);
+    fn keeps(&self, resource: &Id) -> bool {
+        let home = self.view.home(&resource.to_string());
+        home.is_some_and(|home| home.id == self.own)
+    }
+
+    /// Renews the lease of what `holder` holds of one resource.
+    fn renew(&mut self, now: Instant, holder: &InstanceId, claim: &ShareClaim<Id>) {
+        let total = self.total(&claim.resource);
         let expires = now + self.options.keeper_lease();
         let leases = self.leases.entry(claim.resource.clone()).or_default();
-        leases.retain(|id, lease| lease.expires > now || id == holder);
-        let others = leases.iter().filter(|(id, _)| *id != holder);
-        let left = total.saturating_sub(others.map(|(_, lease)| lease.units).sum());
-        let held = claim.held.min(left);
+        leases.retain(|id, lease| lease.expires > now && id != holder);
+        let others: u32 = leases.values().map(|lease| lease.units).sum();
         let lease = Lease {
-            units: held,
+            units: claim.held.min(total.saturating_sub(others)),
             demand: claim.demand,
             expires,
         };
         leases.insert(holder.clone(), lease);
+    }
+
+    /// Compares the leases of `holder` with its exact part of the claimed resources.
+    fn balance(&self, holder: &InstanceId, claims: &[ShareClaim<Id>]) -> Balance {
+        let mut surplus = 0.0;
+        let mut exact = 0.0;
+        for claim in claims {
+            let Some(leases) = self.leases.get(&claim.resource) else {
+                continue;
+            };
+            let part = exact_part(self.total(&claim.resource), leases, holder);
+            let held = leases.get(holder).map_or(0, |lease| lease.units);
+            surplus += f64::from(held) - part;
+            exact += part;
+        }
+        let allowed = (exact * UNBALANCED_PART).max(UNBALANCED_UNITS);
+        Balance { surplus, allowed }
+    }
+
+    /// Grants units of one resource to `holder` and records the largest number that it may use from now on.
+    fn grant(&mut self, now: Instant, holder: &InstanceId, resource: &Id, balance: &mut Balance) -> u32 {
+        let total = self.total(resource);
+        let Some(leases) = self.leases.get_mut(resource) else {
+            return 0;
+        };
+        let held = leases.get(holder).map_or(0, |lease| lease.units);
         // Before that, members of earlier epochs may hold what is not reported yet.
         if now < self.open {
             return held;
         }
-        let units = sticky_part(&claim.resource.to_string(), total, leases, holder, held).min(left);
+        let sum: u32 = leases.values().map(|lease| lease.units).sum();
+        let left = held + total.saturating_sub(sum);
+        let units = sticky_part(&resource.to_string(), total, leases, holder, *balance).min(left);
+        balance.surplus += f64::from(units) - f64::from(held);
         if let Some(lease) = leases.get_mut(holder) {
             lease.units = units.max(held);
         }
         units
     }
+
+    fn total(&self, resource: &Id) -> u32 {
+        self.resources.get(resource).copied().unwrap_or(0)
+    }
 }
 
 /// Returns the part of `total` units that falls to `holder`, which is left as it is while the exact part is less than
-/// one unit away: each unit that moves is of no use for a period.
+/// one unit away: each unit that moves is of no use for a period. A holder that is out of
+/// balance over all resources changes sooner.
 fn sticky_part(
     resource: &str,
     total: u32,
     leases: &BTreeMap<InstanceId, Lease>,
     holder: &InstanceId,
-    held: u32,
+    balance: Balance,
 ) -> u32 {
-    let demand = |lease: &Lease| f64::from(lease.demand.max(1));
-    let sum: f64 = leases.values().map(demand).sum();
-    let exact = leases
-        .get(holder)
-        .map_or(0.0, |lease| f64::from(total) * demand(lease) / sum);
+    let held = leases.get(holder).map_or(0, |lease| lease.units);
+    let distance = exact_part(total, leases, holder) - f64::from(held);
     let rounded = fair_part(resource, total, leases, holder);
-    if (exact - f64::from(held)).abs() >= 1.0 {
+    if distance.abs() >= 1.0 {
         return rounded;
     }
-    let sum: u32 = leases.values().map(|lease| lease.units).sum();
-    held + u32::from(rounded > held && sum < total)
+    if balance.surplus >= balance.allowed && distance < 0.0 {
+        return held.saturating_sub(1);
+    }
+    let is_wanted = rounded > held || (balance.surplus <= -balance.allowed && distance > 0.0);
+    held + u32::from(is_wanted)
+}
+
+/// Returns the part of `total` units that falls to `holder` by the demands of all holders, before rounding.
+fn exact_part(total: u32, leases: &BTreeMap<InstanceId, Lease>, holder: &InstanceId) -> f64 {
+    let demand = |lease: &Lease| f64::from(lease.demand.max(1));
+    let sum: f64 = leases.values().map(demand).sum();
+    leases
+        .get(holder)
+        .map_or(0.0, |lease| f64::from(total) * demand(lease) / sum)
 }
 
 /// Returns the part of `total` units that falls to `holder` by the demands of all holders.
