fix: count the waits of long and short work apart; count refused tasks as endless

Change: expected waits by kind of work, long work may wait its own run time, and p99 of short work counts refusals.

--- a/kqr-admission/src/options.rs
+++ b/kqr-admission/src/options.rs
@@ -11,6 +11,8 @@
     pub queue_wait: Duration,
     /// Longest expected wait of an admitted job of a team that is over its quota.
     pub over_quota_wait: Duration,
+    /// Part of its run time that a job with long work may be expected to wait.
+    pub long_wait_part: f64,
     /// Longest time that a task waits for a faster slot while slower ones are free.
     pub faster_wait: Duration,
     /// Expected run time of a class of which nothing is known and nothing was declared.
@@ -25,6 +27,7 @@
             kind: TargetKind::Worker,
             queue_wait: Duration::from_millis(250),
             over_quota_wait: Duration::from_millis(50),
+            long_wait_part: 1.0,
             faster_wait: Duration::from_millis(100),
             default_run_time: Duration::from_millis(200),
             least_retry_after: Duration::from_millis(100),
--- a/kqr-admission/src/queue.rs
+++ b/kqr-admission/src/queue.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use kqr_jobs::{NotAccepted, Outcome, RefusalReason, Submission, TaskSpec, WaitingTask};
-use kqr_placement::{Demand, PickFailure, Quarantine, QuarantineChange, QuarantineOptions, Table};
+use kqr_placement::{Demand, PickFailure, Quarantine, QuarantineChange, QuarantineOptions, Table, Target};
 use kqr_types::{ClassName, Instant, JobKey, KeyDigest, ServiceName, TaskIndex, TeamName};
 
 use crate::{
@@ -79,12 +79,10 @@
         }
         let count = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
         let is_within_quota = !self.quotas.has(&job.team) || self.quotas.take(now, &job.team, count);
-        let wait = self.expected_wait(table, &job.service, &job.team, capacity);
-        let allowed = if is_within_quota {
-            self.options.queue_wait
-        } else {
-            self.options.over_quota_wait
-        };
+        let is_long_class = |spec: &TaskSpec| table.classes().is_long(&job.service, &spec.class);
+        let is_long = job.tasks.iter().any(is_long_class);
+        let wait = self.expected_wait(table, job, is_long, capacity);
+        let allowed = self.allowed_wait(table, job, is_long, is_within_quota);
         let end = wait + self.expected_run(table, job, capacity);
         if wait <= allowed && end <= job.deadline {
             return Ok(());
@@ -204,32 +202,54 @@
         self.long_work.tick(now, table, is_waiting, outputs);
     }
 
-    /// Returns the time that a new task of `team` is expected to wait.
-    fn expected_wait(
-        &self,
-        table: &Table,
-        service: &ServiceName,
-        team: &TeamName,
-        capacity: f64,
-    ) -> Duration {
-        let Some(queue) = self.services.get(service) else {
+    /// Returns the time that the first task of a new job is expected to wait.
+    fn expected_wait(&self, table: &Table, job: &Submission, is_long: bool, capacity: f64) -> Duration {
+        let Some(queue) = self.services.get(&job.service) else {
             return Duration::ZERO;
         };
-        if table.free(service, self.options.kind) > queue.waiting {
+        if !is_long && table.free(&job.service, self.options.kind) > queue.waiting {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(queue.work_before(team, &self.quotas) / capacity)
+        let part = if is_long { Target::LONG_PART } else { 1.0 };
+        let work = queue.work_before(&job.team, is_long, &self.quotas);
+        Duration::from_secs_f64(work / (capacity * part))
+    }
+
+    /// Returns the longest expected wait with which a job is accepted. Long work may wait a part of its run time.
+    fn allowed_wait(
+        &self,
+        table: &Table,
+        job: &Submission,
+        is_long: bool,
+        is_within_quota: bool,
+    ) -> Duration {
+        if !is_within_quota {
+            return self.options.over_quota_wait;
+        }
+        if !is_long {
+            return self.options.queue_wait;
+        }
+        let longest = self.longest_run_time(table, job);
+        self.options
+            .queue_wait
+            .max(longest.mul_f64(self.options.long_wait_part))
+    }
+
+    fn longest_run_time(&self, table: &Table, job: &Submission) -> Duration {
+        let run_times = job
+            .tasks
+            .iter()
+            .map(|spec| self.run_time(table, &job.service, spec));
+        run_times.max().unwrap_or_default()
     }
 
     /// Returns the time from the first start to the end of a job that has the capacity for itself.
     fn expected_run(&self, table: &Table, job: &Submission, capacity: f64) -> Duration {
-        let mut longest = Duration::ZERO;
         let mut work = 0.0;
         for spec in &job.tasks {
-            let run_time = self.run_time(table, &job.service, spec);
-            work += run_time.as_secs_f64();
-            longest = longest.max(run_time);
+            work += self.run_time(table, &job.service, spec).as_secs_f64();
         }
+        let longest = self.longest_run_time(table, job);
         longest.max(Duration::from_secs_f64(work / capacity))
     }
 
--- a/kqr-admission/src/service_queue.rs
+++ b/kqr-admission/src/service_queue.rs
@@ -15,8 +15,6 @@
     turns: VecDeque<TeamName>,
     /// Number of waiting tasks.
     pub waiting: u32,
-    /// Expected run time of all waiting tasks, in seconds.
-    pub work: f64,
 }
 
 /// A task that may be placed next.
@@ -35,7 +33,6 @@
     /// Adds a task.
     pub fn push(&mut self, team: &TeamName, lane: Lane, number: u64, item: Item) {
         self.waiting += 1;
-        self.work += item.work;
         let queue = self.teams.entry(team.clone()).or_default();
         if queue.is_empty() {
             self.turns.push_back(team.clone());
@@ -52,7 +49,6 @@
             self.turns.retain(|other| other != team);
         }
         self.waiting -= 1;
-        self.work = (self.work - item.work).max(0.0);
         Some(item)
     }
 
@@ -96,17 +92,22 @@
     }
 
     /// Returns the work that is served before a new task of `team`, in seconds at speed 1: all that waits, or less if
-    /// the fair share of the team serves it sooner.
-    pub fn work_before(&self, team: &TeamName, quotas: &Quotas) -> f64 {
+    /// the fair share of the team serves it sooner. Long and short work are served apart.
+    pub fn work_before(&self, team: &TeamName, is_long: bool, quotas: &Quotas) -> f64 {
         let own_weight = quotas.weight(team);
-        let own_work = self.teams.get(team).map_or(0.0, |queue| queue.work);
+        let mut own_work = 0.0;
+        let mut all_work = 0.0;
         let mut weights = own_weight;
-        for other in self.teams.keys() {
-            if other != team {
+        for (other, queue) in &self.teams {
+            let work = queue.work(is_long);
+            all_work += work;
+            if other == team {
+                own_work = work;
+            } else if work > 0.0 {
                 weights += quotas.weight(other);
             }
         }
-        self.work.min(own_work * weights / own_weight)
+        f64::min(all_work, own_work * weights / own_weight)
     }
 
     /// Returns all waiting tasks with their places.
--- a/kqr-admission/src/team_queue.rs
+++ b/kqr-admission/src/team_queue.rs
@@ -21,14 +21,14 @@
     lanes: BTreeMap<Lane, BTreeMap<u64, Item>>,
     /// Expected run time that the team may still use in its turn, in seconds.
     pub deficit: f64,
-    /// Expected run time of all waiting tasks, in seconds.
-    pub work: f64,
+    short_work: f64,
+    long_work: f64,
 }
 
 impl TeamQueue {
     /// Adds a task.
     pub fn push(&mut self, lane: Lane, number: u64, item: Item) {
-        self.work += item.work;
+        *self.work_mut(lane.size.is_long) += item.work;
         self.lanes.entry(lane).or_default().insert(number, item);
     }
 
@@ -39,10 +39,24 @@
         if items.is_empty() {
             self.lanes.remove(lane);
         }
-        self.work = (self.work - item.work).max(0.0);
+        let work = self.work_mut(lane.size.is_long);
+        *work = (*work - item.work).max(0.0);
         Some(item)
     }
 
+    /// Returns the expected run time of the waiting tasks that are long or not, in seconds.
+    pub fn work(&self, is_long: bool) -> f64 {
+        if is_long { self.long_work } else { self.short_work }
+    }
+
+    fn work_mut(&mut self, is_long: bool) -> &mut f64 {
+        if is_long {
+            &mut self.long_work
+        } else {
+            &mut self.short_work
+        }
+    }
+
     /// Returns the oldest task of a lane that is not blocked.
     pub fn first(&self, blocked: &Blocked) -> Option<(&Lane, u64, &Item)> {
         let mut first: Option<(&Lane, u64, &Item)> = None;
--- a/kqr-bench/src/measures.rs
+++ b/kqr-bench/src/measures.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     scenario::Scenario,
-    workload::mean_work,
+    workload::{Arrival, mean_work},
     world::{Fate, World},
 };
 
@@ -51,8 +51,10 @@
         measures.insert("quota_part", answered / promised.min(sent.count() as f64));
     }
     if world.arrivals.iter().any(|task| task.is_long) || scenario.name == "short-only" {
-        let short = self::responses(world, from, to, |task| !task.is_long);
+        let short = all_responses(world, from, to, |task| !task.is_long);
         measures.insert("short_p99_ms", quantile(&short, 0.99) * 1e3);
+        let long = all_responses(world, from, to, |task| task.is_long);
+        measures.insert("long_median_ms", quantile(&long, 0.5) * 1e3);
     }
     measures
 }
@@ -60,7 +62,7 @@
 /// Returns the sorted response times in seconds of the tasks that arrived in a time and were answered.
 fn responses<F>(world: &World, from: u64, to: u64, wanted: F) -> Vec<f64>
 where
-    F: Fn(&crate::workload::Arrival) -> bool,
+    F: Fn(&Arrival) -> bool,
 {
     let mut responses = Vec::new();
     for (arrival, fate) in world.arrivals.iter().zip(&world.fates) {
@@ -129,11 +131,21 @@
 }
 
 fn p99_of_all(world: &World, from: u64, to: u64) -> f64 {
-    let mut responses = responses(world, from, to, |_| true);
+    quantile(&all_responses(world, from, to, |_| true), 0.99)
+}
+
+/// Returns the sorted response times in seconds; those of tasks that were not answered are endless.
+fn all_responses<F>(world: &World, from: u64, to: u64, wanted: F) -> Vec<f64>
+where
+    F: Fn(&Arrival) -> bool,
+{
+    let mut responses = responses(world, from, to, &wanted);
     let arrivals = world.arrivals.iter();
-    let all = arrivals.filter(|task| (from..to).contains(&task.at)).count();
-    responses.resize(all.max(responses.len()), f64::INFINITY);
-    quantile(&responses, 0.99)
+    let all = arrivals
+        .filter(|task| (from..to).contains(&task.at) && wanted(task))
+        .count();
+    responses.resize(all, f64::INFINITY);
+    responses
 }
 
 fn mean(sorted: &[f64]) -> f64 {
--- a/kqr-placement/src/target.rs
+++ b/kqr-placement/src/target.rs
@@ -30,8 +30,8 @@
 }
 
 impl Target {
-    /// Long work may use one slot in this many of a target, but at least one.
-    const LONG_DIVISOR: u32 = 2;
+    /// Part of a target's slots that long work may use; it may use at least one.
+    pub const LONG_PART: f64 = 0.5;
 
     pub(crate) fn new(announcement: Announcement, slots: SlotCounters) -> Self {
         let state = TargetState {
@@ -114,7 +114,7 @@
 
     /// Returns the number of slots that long work may use.
     pub fn long_bound(&self) -> u32 {
-        (self.limit() / Self::LONG_DIVISOR).max(1)
+        ((f64::from(self.limit()) * Self::LONG_PART) as u32).max(1)
     }
 
     /// Returns the number of pieces of long work of this instance.
