--- a/kqr-jobs/src/gate.rs
+++ b/kqr-jobs/src/gate.rs
@@ -11,6 +11,8 @@
     Start(AttemptId),
     /// A caller gets the answer of a job.
     Reply(CallerId),
+    /// Another data centre gets the promise that the key is not run here.
+    Renounce(CallerId),
     /// The final state of the job is known to each follower.
     Settle,
 }
@@ -22,6 +24,6 @@
     pub job: KeyDigest,
     /// For each follower the position that it must have acknowledged; `None` before the cause was sent.
     pub needs: Option<BTreeMap<InstanceId, u64>>,
-    /// The effect.
-    pub effect: Effect,
+    /// The effects.
+    pub effects: Vec<Effect>,
 }
--- a/kqr-jobs/src/machine/epochs.rs
+++ b/kqr-jobs/src/machine/epochs.rs
@@ -6,7 +6,10 @@
 
 use super::{Change, Machine, calls::reply};
 use crate::{
-    CallerId, Fault, Outcome, Output, Phase, Seal, TaskResult, Update, gate::Effect, job::Job, refusal,
+    CallerId, Fault, Outcome, Output, Phase, Seal, TaskResult, Update,
+    gate::Effect,
+    job::{Job, Role},
+    refusal,
     tombstones::Tombstone,
 };
 
@@ -17,11 +20,19 @@
             return;
         }
         self.suspend(outputs);
+        let present = self.cell.view.epoch;
+        let is_gap = view.epoch > present.next() && present.0 > 0;
+        if is_gap && !self.options.has(Fault::GapIgnored) {
+            // The views in between may have left this member out, and others may have gone on without it.
+            self.forget_all(outputs);
+            self.cell.complete.clear();
+        }
         let live = self.live.iter().copied();
         let owned: BTreeSet<KeyDigest> = live.filter(|digest| self.cell.is_own(*digest)).collect();
         self.cell.install(view);
         if !self.cell.is_full() {
             self.forget_all(outputs);
+            self.skip_copy(outputs);
             return;
         }
         self.leave_jobs(&owned, outputs);
@@ -37,9 +48,11 @@
 
     /// Takes back each effect that was not put out, so that nothing more happens under the old epoch.
     fn suspend(&mut self, outputs: &mut Vec<Output>) {
-        let live: Vec<KeyDigest> = self.live.iter().copied().collect();
-        for digest in live {
+        let held: BTreeSet<KeyDigest> = self.gates.iter().map(|gate| gate.job).collect();
+        for digest in held {
             self.revoke_starts(digest, outputs);
+        }
+        for digest in self.live.iter().copied() {
             let Some(job) = self.jobs.get(&digest) else {
                 continue;
             };
@@ -51,8 +64,12 @@
             }
         }
         for gate in std::mem::take(&mut self.gates) {
-            if let (Effect::Reply(caller), Some(job)) = (gate.effect, self.jobs.get_mut(&gate.job)) {
-                job.callers.push(caller);
+            for effect in gate.effects {
+                match (effect, self.jobs.get_mut(&gate.job)) {
+                    (Effect::Reply(caller), Some(job)) => job.callers.push(caller),
+                    (Effect::Renounce(caller), _) => refuse_callers(&mut vec![caller], outputs),
+                    _ => {}
+                }
             }
         }
         self.changes.clear();
@@ -72,6 +89,10 @@
         self.tombstone_updates.clear();
         self.cell.history = None;
         self.cell.open = vec![self.cell.view.clone()];
+    }
+
+    /// Pretends to have copied everything, if the machine has that deliberate fault.
+    fn skip_copy(&mut self, outputs: &mut Vec<Output>) {
         if self.options.has(Fault::ResyncSkipped) && self.cell.own_state() == Some(MemberState::Syncing) {
             self.cell.history = Some(Instant(0));
             self.cell.open.clear();
@@ -84,8 +105,8 @@
     /// Gives up the jobs that have another home now. `owned` are those that had this home before.
     fn leave_jobs(&mut self, owned: &BTreeSet<KeyDigest>, outputs: &mut Vec<Output>) {
         for (digest, job) in &mut self.jobs {
-            job.is_pushed = false;
             let is_own = self.cell.is_own(*digest);
+            job.role = if is_own { Role::NewHome } else { Role::Follower };
             if !is_own {
                 refuse_callers(&mut job.callers, outputs);
             }
@@ -255,7 +276,7 @@
 fn tombstone_update(now: Instant, tombstone: Tombstone) -> Update {
     Update::Tombstone {
         job: tombstone.job,
-        outcome: tombstone.outcome,
+        remains: tombstone.remains,
         remaining: tombstone.until.since(now),
     }
 }
--- a/kqr-spec/tests/start_once.rs
+++ b/kqr-spec/tests/start_once.rs
@@ -25,6 +25,7 @@
     submissions: 0,
     copies: 0,
     cancels: 0,
+    renounces: 0,
     duplicates: 0,
     epochs: 2,
     crashes: 0,
@@ -68,6 +69,17 @@
     ..PLAIN
 };
 
+const CUT_OFF_THEN_CRASH: Scenario = Scenario {
+    name: "home cut off but alive, then the other member crashes",
+    budget: Budget {
+        submissions: 2,
+        expiries: 1,
+        crashes: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
 const REPAIR: Scenario = Scenario {
     name: "a member joins, becomes the home, and the other crashes",
     full: 1,
@@ -102,6 +114,18 @@
     ..PLAIN
 };
 
+const RENOUNCED: Scenario = Scenario {
+    name: "another data centre asks for the key, and a crash",
+    budget: Budget {
+        submissions: 1,
+        copies: 1,
+        renounces: 1,
+        crashes: 1,
+        ..NOTHING
+    },
+    ..PLAIN
+};
+
 const TWO_TASKS: Scenario = Scenario {
     name: "two tasks, one may fail, and a crash",
     tasks: 2,
@@ -151,7 +175,7 @@
 };
 
 fn holds(scenario: Scenario) {
-    let verdict = search(&StartOnce::new(scenario), MOST);
+    let verdict = search(&StartOnce::new(scenario).unwrap(), MOST);
     println!("{}: {verdict}", scenario.name);
     assert!(
         matches!(verdict, Verdict::Holds { .. }),
@@ -161,7 +185,7 @@
 }
 
 fn is_violated(scenario: Scenario) {
-    let verdict = search(&StartOnce::new(scenario), MOST);
+    let verdict = search(&StartOnce::new(scenario).unwrap(), MOST);
     println!("{:?} in {}: {verdict}", scenario.fault, scenario.name);
     assert!(
         matches!(verdict, Verdict::Violated { .. }),
@@ -192,6 +216,11 @@
     holds(CUT_OFF);
 }
 
+#[test]
+fn home_cut_off_then_the_other_crashes() {
+    holds(CUT_OFF_THEN_CRASH);
+}
+
 #[test]
 fn member_joins_and_the_other_crashes() {
     holds(REPAIR);
@@ -207,6 +236,11 @@
     holds(CANCEL);
 }
 
+#[test]
+fn key_is_left_to_another_data_centre() {
+    holds(RENOUNCED);
+}
+
 #[test]
 fn answers_of_two_tasks_are_whole() {
     holds(TWO_TASKS);
@@ -265,6 +299,16 @@
     is_violated(with(Fault::ReplyBeforeAck, CANCEL));
 }
 
+#[test]
+fn old_records_after_missed_views_are_found() {
+    is_violated(with(Fault::GapIgnored, CUT_OFF_THEN_CRASH));
+}
+
+#[test]
+fn promise_before_the_acknowledgement_is_found() {
+    is_violated(with(Fault::ReplyBeforeAck, RENOUNCED));
+}
+
 #[test]
 fn unnoticed_cold_start_is_found() {
     is_violated(with(Fault::ColdStartIgnored, COLD_START));
