--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -105,7 +105,7 @@
         let settings = self.settings.present();
         let targets = self.engine.table.targets();
         let mut units = Vec::with_capacity(targets.len());
-        let mut uses = Vec::with_capacity(targets.len());
+        let mut resources = Vec::with_capacity(targets.len());
         let mut free = 0;
         for target in targets {
             let own = &target.announcement;
@@ -116,7 +116,7 @@
                 resource: own.id.clone(),
                 units: allowed_slots(&settings, own),
             });
-            uses.push(ResourceUse {
+            resources.push(ResourceUse {
                 resource: own.id.clone(),
                 used,
                 demand: used + waiting,
@@ -127,7 +127,7 @@
             units,
             ShareUse {
                 free,
-                uses,
+                uses: resources,
                 epoch_lease,
             },
         )
--- a/kqr-entry/tests/cell.rs
+++ b/kqr-entry/tests/cell.rs
@@ -19,9 +19,9 @@
 async fn frozen_home_that_goes_on_starts_nothing_twice() {
     let cluster = Cluster::start("frozen_home", &["a", "a", "a"], 4).await;
     let callers = Callers::start(&cluster, 60, Duration::from_millis(100));
-    tokio::time::sleep(Duration::from_millis(1000)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     cluster.freeze(0, true);
-    tokio::time::sleep(Duration::from_millis(3000)).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
     cluster.freeze(0, false);
     callers.check(&cluster).await;
 }
@@ -30,9 +30,9 @@
 async fn second_instance_lost_right_after_a_repair_strands_no_job() {
     let mut cluster = Cluster::start("second_loss", &["a", "a", "a"], 4).await;
     let callers = Callers::start(&cluster, 120, Duration::from_millis(60));
-    tokio::time::sleep(Duration::from_millis(1000)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     cluster.kill(2);
-    tokio::time::sleep(Duration::from_millis(1000)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     cluster.start_entry(2);
     cluster.wait_until_ready(2).await;
     cluster.kill(0);
@@ -43,7 +43,7 @@
 async fn cell_of_two_with_a_witness_survives_the_loss_of_one() {
     let mut cluster = Cluster::start("witness", &["a", "a", "b"], 3).await;
     let callers = Callers::start(&cluster, 60, Duration::from_millis(50));
-    tokio::time::sleep(Duration::from_millis(1000)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     cluster.kill(0);
     callers.check(&cluster).await;
 }
