--- a/kqr-entry/src/engine/effects.rs
+++ b/kqr-entry/src/engine/effects.rs
@@ -88,7 +88,7 @@
     }
 
     /// Performs the effects of the queue.
-    pub(super) fn perform_queue(&self, outputs: Vec<QueueOutput>, work: &mut Work) {
+    pub(super) fn perform_queue(self: &Arc<Self>, outputs: Vec<QueueOutput>, work: &mut Work) {
         for output in outputs {
             match output {
                 QueueOutput::Placed(task, target) => {
@@ -115,7 +115,10 @@
                 }
                 QueueOutput::Refused(task, refusal) => self.refuse(&task, refusal, work),
                 QueueOutput::Throttle { key, task, target } => {
-                    log::debug!("task {task} of {key} at {target} is long and should make room");
+                    let attempt = lock(&self.shards[shard_of(&key).0]).running_attempt(&key, task);
+                    if let Some(attempt) = attempt {
+                        self.throttle(attempt, target);
+                    }
                 }
             }
         }
@@ -151,6 +154,13 @@
         });
     }
 
+    /// Asks a target to slow down a long attempt, so that short work passes.
+    fn throttle(self: &Arc<Self>, attempt: AttemptId, target: TargetId) {
+        let engine = Arc::clone(self);
+        self.tracker
+            .spawn(async move { engine.starter.throttle(&engine, attempt, &target).await });
+    }
+
     /// Finds out what became of an attempt of an earlier home.
     fn query(self: &Arc<Self>, key: JobKey, attempt: AttemptId, target: TargetId, incarnation: Incarnation) {
         let engine = Arc::clone(self);
--- a/kqr-entry/src/starter.rs
+++ b/kqr-entry/src/starter.rs
@@ -142,6 +142,17 @@
         }
     }
 
+    /// Slows an attempt down, so that short work passes.
+    pub async fn throttle(&self, engine: &Arc<Engine>, attempt: AttemptId, target: &TargetId) {
+        let Some(target) = engine.table.get(target) else {
+            return;
+        };
+        let path = format!("/v1/tasks/{attempt}/throttle");
+        if let Err(cause) = self.question(Method::POST, &target, &path).await {
+            log::debug!("throttling {attempt} at {}: {cause}", target.announcement.id);
+        }
+    }
+
     /// Finds out how an attempt ended whose exchange was lost. An attempt that never arrived is fenced, so that a
     /// late start is refused by the target. If the life of the target has ended, nothing can be known.
     async fn resolve(&self, engine: &Engine, queried: &QueriedAttempt, cause: &str) -> TaskResult {
--- a/kqr-entry/tests/chaos.rs
+++ b/kqr-entry/tests/chaos.rs
@@ -44,3 +44,11 @@
 async fn seed_2() {
     run(2, "2s").await;
 }
+
+/// Runs the seed in `KQR_CHAOS_SEED`, to look for more cases than the two above.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes its seed from the environment"]
+async fn seed_of_the_environment() {
+    let seed = std::env::var("KQR_CHAOS_SEED").unwrap().parse().unwrap();
+    run(seed, "2s").await;
+}
--- a/kqr-jobs/src/machine/mod.rs
+++ b/kqr-jobs/src/machine/mod.rs
@@ -1,10 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use kqr_types::{ByteSize, CellView, Instant, JobKey, KeyDigest, TaskIndex};
+use kqr_types::{AttemptId, ByteSize, CellView, Instant, JobKey, KeyDigest, TaskIndex};
 
 use crate::{
-    Fault, Input, Member, Options, Output, StateSize, Update, cell::Cell, gate::Gate, job::Job, state_size,
-    tombstones::Tombstones,
+    Fault, Input, Member, Options, Output, Phase, StateSize, Update, cell::Cell, gate::Gate, job::Job,
+    state_size, tombstones::Tombstones,
 };
 
 mod calls;
@@ -74,6 +74,13 @@
         self.live.iter().filter(|job| self.cell.is_own(**job)).count()
     }
 
+    /// Returns the attempt of a task that runs, as far as this member knows.
+    pub fn running_attempt(&self, key: &JobKey, task: TaskIndex) -> Option<AttemptId> {
+        let job = self.jobs.get(&KeyDigest::of(key))?;
+        let state = job.tasks.get(usize::from(task.0))?;
+        matches!(state.record.phase, Phase::Intended { .. }).then(|| job.attempt_id(task))
+    }
+
     /// Returns the number of ended jobs that are remembered, copies included.
     pub fn remembered_jobs(&self) -> usize {
         self.remembered.len()
