fix: keep a group's log over leaving and entering it again

A voter with a disk that left a group and entered the same one again lost the group's log from its durable records; its leader then sent the missing entries again at each refusal. Change: the records keep the log; a leader resends at once only if the refusal is not behind what was acknowledged. The networks of the tests fail on 10,000 messages under way.

--- a/kqr-agreement/src/leading.rs
+++ b/kqr-agreement/src/leading.rs
@@ -87,13 +87,13 @@
         let Some(progress) = self.progress_mut(from) else {
             return;
         };
-        let is_late = round < progress.round;
+        let is_news = round >= progress.round && hint >= progress.matched;
         progress.round = progress.round.max(round);
-        if !is_late && hint >= progress.matched {
+        if is_news {
             progress.next = hint.next().min(progress.next);
         }
         self.count_answers(now, outputs);
-        if !is_late && self.leading.is_some() {
+        if is_news && self.leading.is_some() {
             self.send_entries(now, from, outputs);
         }
     }
--- a/kqr-agreement/tests/histories.rs
+++ b/kqr-agreement/tests/histories.rs
@@ -38,7 +38,7 @@
 
 fn disturb(network: &mut Network, step: u64) {
     let victim = pick(network);
-    match network.rng.random_range(0..12) {
+    match network.rng.random_range(0..14) {
         0 => network.crash(&victim),
         1..=3 => network.restart(&victim),
         4 => network.isolate(&victim, true),
@@ -46,6 +46,11 @@
         7 => network.compact(&victim),
         8 => network.read(&victim, step),
         9 => change_voters(network, step),
+        10..=11 => {
+            let other = pick(network);
+            network.cut.insert((victim, other));
+        }
+        12 => network.cut.clear(),
         _ => {}
     }
 }
@@ -72,6 +77,7 @@
         network.read(&to, READS + step);
     }
     network.loss_percent = 0;
+    network.cut.clear();
     network.crash_one_in = 0;
     for id in network.ids() {
         network.restart(&id);
--- a/kqr-agreement/tests/network/mod.rs
+++ b/kqr-agreement/tests/network/mod.rs
@@ -14,6 +14,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// More messages than this under way at once are a storm.
+const MOST_UNDER_WAY: usize = 10_000;
+
 pub const TICK: Duration = Duration::from_millis(30);
 
 /// Requests of voter changes are numbered from here; they are no commands.
@@ -44,6 +47,8 @@
     pub nodes: BTreeMap<VoterId, Node>,
     pub rng: ChaCha8Rng,
     pub loss_percent: u32,
+    /// Links that carry nothing, each in one direction.
+    pub cut: BTreeSet<(VoterId, VoterId)>,
     pub repeat_percent: u32,
     pub max_delay_micros: u64,
     /// A crash in the middle of a list of outputs happens once in this many inputs; never if zero.
@@ -67,6 +72,7 @@
             nodes: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             loss_percent: 0,
+            cut: BTreeSet::new(),
             repeat_percent: 0,
             max_delay_micros: 2_000,
             crash_one_in: 0,
@@ -291,9 +297,19 @@
     fn send(&mut self, from: &VoterId, to: &VoterId, message: &Message) {
         self.messages += 1;
         let is_cut = |id| self.nodes.get(id).is_none_or(|node| node.is_isolated);
-        if is_cut(from) || is_cut(to) || self.rng.random_ratio(self.loss_percent, 100) {
+        let link = (from.clone(), to.clone());
+        if self.cut.contains(&link)
+            || is_cut(from)
+            || is_cut(to)
+            || self.rng.random_ratio(self.loss_percent, 100)
+        {
             return;
         }
+        assert!(
+            self.queue.len() < MOST_UNDER_WAY,
+            "seed {}: a storm of messages",
+            self.seed
+        );
         let copies = 1 + u32::from(self.rng.random_ratio(self.repeat_percent, 100));
         for _ in 0..copies {
             let delay = Duration::from_micros(self.rng.random_range(100..=self.max_delay_micros));
--- a/kqr-membership/src/durable.rs
+++ b/kqr-membership/src/durable.rs
@@ -31,11 +31,12 @@
     pub fn apply(&mut self, record: CellRecord) {
         match record {
             CellRecord::Entered(founding) => {
-                let entered = self.left.remove(&founding.id).unwrap_or_default();
-                let agreement = std::mem::replace(&mut self.agreement, entered);
-                if let Some(founding) = self.founding.replace(founding) {
-                    self.left.insert(founding.id, agreement);
+                let agreement = std::mem::take(&mut self.agreement);
+                if let Some(left) = self.founding.take() {
+                    self.left.insert(left.id, agreement);
                 }
+                self.agreement = self.left.remove(&founding.id).unwrap_or_default();
+                self.founding = Some(founding);
             }
             CellRecord::Agreement(record) => self.agreement.apply(record),
         }
--- a/kqr-membership/tests/histories.rs
+++ b/kqr-membership/tests/histories.rs
@@ -22,7 +22,7 @@
 fn disturb(network: &mut Network) {
     let ids = network.ids();
     let victim = ids[network.rng.random_range(0..ids.len())].clone();
-    match network.rng.random_range(0..10) {
+    match network.rng.random_range(0..13) {
         0 => network.crash(&victim),
         1..=3 => network.start(&victim),
         4 => network.isolate(&victim, true),
@@ -32,6 +32,11 @@
             network.crash(&victim);
             network.start(&victim);
         }
+        9..=10 => {
+            let other = ids[network.rng.random_range(0..ids.len())].clone();
+            network.cut.insert((victim, other));
+        }
+        11 => network.cut.clear(),
         _ => {}
     }
 }
@@ -51,6 +56,7 @@
         disturb(&mut network);
     }
     network.loss_percent = 0;
+    network.cut.clear();
     for id in network.ids() {
         if network.nodes.get(&id).is_some_and(|node| node.is_leaving) {
             network.crash(&id);
--- a/kqr-membership/tests/network/mod.rs
+++ b/kqr-membership/tests/network/mod.rs
@@ -1,7 +1,10 @@
 //! A small network of cell instances in virtual time that checks epochs and leases.
 #![allow(dead_code, clippy::unwrap_used, clippy::missing_panics_doc)]
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bincode::Options as _;
 use kqr_membership::{Cell, CellDurable, CellMessage, Input, Life, Options, Output, WallClock};
@@ -9,6 +12,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// More messages than this under way at once are a storm.
+const MOST_UNDER_WAY: usize = 10_000;
+
 const TICK: Duration = Duration::from_millis(25);
 /// How long a member copies what it missed.
 const COPY: Duration = Duration::from_millis(100);
@@ -36,6 +42,8 @@
     pub nodes: BTreeMap<InstanceId, Node>,
     pub rng: ChaCha8Rng,
     pub loss_percent: u32,
+    /// Links that carry nothing, each in one direction.
+    pub cut: BTreeSet<(InstanceId, InstanceId)>,
     pub repeat_percent: u32,
     pub max_delay_micros: u64,
     pub views: BTreeMap<Epoch, CellView>,
@@ -68,6 +76,7 @@
             nodes: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             loss_percent: 0,
+            cut: BTreeSet::new(),
             repeat_percent: 0,
             max_delay_micros: 3_000,
             views: BTreeMap::new(),
@@ -301,9 +310,15 @@
         let node = self.nodes.get_mut(from).unwrap();
         node.bytes += bytes;
         let is_isolated = node.is_isolated || self.nodes.get(to).is_none_or(|node| node.is_isolated);
-        if is_isolated || self.rng.random_ratio(self.loss_percent, 100) {
+        let link = (from.clone(), to.clone());
+        if is_isolated || self.cut.contains(&link) || self.rng.random_ratio(self.loss_percent, 100) {
             return;
         }
+        assert!(
+            self.queue.len() < MOST_UNDER_WAY,
+            "seed {}: a storm of messages",
+            self.seed
+        );
         let copies = 1 + u32::from(self.rng.random_ratio(self.repeat_percent, 100));
         for _ in 0..copies {
             let delay = Duration::from_micros(self.rng.random_range(100..=self.max_delay_micros));
