--- a/kqr-bench/src/world.rs
+++ b/kqr-bench/src/world.rs
@@ -36,8 +36,12 @@
     pub fleet: Vec<FakeTarget>,
     /// Events to come.
     pub events: Events,
+    /// Instant in microseconds from which messages are counted.
+    pub counted_from: u64,
     /// Messages beyond one start and one answer for each task: probes, refusals, forwards.
     pub wasted: u64,
+    /// Starts that found no free slot at their target.
+    pub refused_starts: u64,
     /// Messages that are sent whether tasks come or not.
     pub background: u64,
     /// Whether starts beyond the free slots wait at the target.
@@ -57,12 +61,28 @@
             arrivals,
             fleet: FakeTarget::fleet(scenario),
             events,
+            counted_from: scenario.warm_up.as_micros() as u64,
             wasted: 0,
+            refused_starts: 0,
             background: 0,
             has_target_queues: false,
         }
     }
 
+    /// Counts messages beyond one start and one answer for each task.
+    pub fn waste(&mut self, messages: u64) {
+        if self.now >= self.counted_from {
+            self.wasted += messages;
+        }
+    }
+
+    /// Counts a message that is sent whether tasks come or not.
+    pub fn count_background(&mut self) {
+        if self.now >= self.counted_from {
+            self.background += 1;
+        }
+    }
+
     /// Sends the start of a task to a target.
     pub fn start(&mut self, task: usize, target: usize) {
         let event = Event::StartArrives { task, target };
@@ -89,7 +109,8 @@
             return;
         }
         let end = End::Refused;
-        self.wasted += 2;
+        self.waste(2);
+        self.refused_starts += u64::from(self.now >= self.counted_from);
         self.events
             .add(self.now + ONE_WAY, Event::Seen { task, target, end });
     }
--- a/kqr-jobs/src/machine/mod.rs
+++ b/kqr-jobs/src/machine/mod.rs
@@ -125,6 +125,7 @@
             Input::Ended(end) => self.ended(now, end, outputs),
             Input::Cancel { key, caller } => self.cancel(now, &key, caller, outputs),
             Input::Lookup { key, caller } => self.lookup(now, &key, caller, outputs),
+            Input::Renounce { key, caller } => self.renounce(now, &key, caller, outputs),
             Input::Detach { key, caller } => self.detach(&key, caller),
             Input::Epoch(view) => self.install(now, view, outputs),
             Input::Lease { until } => {
@@ -154,10 +155,7 @@
 
     /// Returns the job with `key` if this member is its home.
     fn own_job(&mut self, key: &JobKey) -> Option<&mut Job> {
-        let digest = KeyDigest::of(key);
-        if !self.cell.is_own(digest) {
-            return None;
-        }
-        self.jobs.get_mut(&digest)
+        let job = self.jobs.get_mut(&KeyDigest::of(key));
+        job.filter(|job| job.is_own())
     }
 }
--- a/kqr-jobs/src/options.rs
+++ b/kqr-jobs/src/options.rs
@@ -29,6 +29,11 @@
 }
 
 impl Options {
+    /// Returns how long something is known of a key after its job has ended.
+    pub(crate) fn memory(&self) -> Duration {
+        self.retention + self.tombstone_retention
+    }
+
     /// Returns whether the machine has the deliberate fault `fault`.
     pub(crate) fn has(&self, fault: Fault) -> bool {
         cfg!(feature = "faults") && self.fault == Some(fault)
@@ -40,7 +45,7 @@
         Self {
             retention: Duration::from_secs(600),
             retained_jobs: 100_000,
-            retained_bytes: ByteSize(64 << 20),
+            retained_bytes: ByteSize(8 << 20),
             tombstone_retention: Duration::from_secs(24 * 3600),
             cold_start_window: Duration::from_secs(60),
             start_within: Duration::from_millis(500),
