--- a/kqr-jobs/tests/random.rs
+++ b/kqr-jobs/tests/random.rs
@@ -24,16 +24,38 @@
         let pause = cell.rng.random_range(0..80_000);
         cell.run(pause);
     }
-    for index in 0..nodes {
+    heal(&mut cell);
+    cell.run(12_000_000);
+    cell.check();
+    for node in &cell.nodes {
+        let machine = node.machine.as_ref().unwrap();
+        assert!(machine.is_active(), "seed {seed}: {} does not act", node.id);
+        assert!(machine.is_complete(), "seed {seed}: {} has no copies", node.id);
+        assert_eq!(
+            machine.live_jobs(),
+            0,
+            "seed {seed}: a job is stranded at {}",
+            node.id
+        );
+    }
+    let is_complete = |answer: &&kqr_jobs::JobAnswer| answer.state == JobState::Complete;
+    cell.replies.values().flatten().filter(is_complete).count()
+}
+
+/// Ends each fault, so that all jobs must end.
+fn heal(cell: &mut Cell) {
+    for index in 0..cell.nodes.len() {
         cell.nodes[index].is_cut_off = false;
         if cell.nodes[index].machine.is_none() {
             cell.restart(index);
         }
     }
-    cell.run(2_000_000);
-    cell.check();
-    let is_complete = |answer: &&kqr_jobs::JobAnswer| answer.state == JobState::Complete;
-    cell.replies.values().flatten().filter(is_complete).count()
+    for target in &mut cell.targets {
+        target.is_refusing = false;
+        if !target.is_alive {
+            target.restart();
+        }
+    }
 }
 
 fn step(cell: &mut Cell, attempts: &mut [u32; 6]) {
