--- a/kqr-spec/src/search.rs
+++ b/kqr-spec/src/search.rs
@@ -11,6 +11,13 @@
     pub state: State,
 }
 
+impl<State> Step<State> {
+    /// Creates the step.
+    pub fn new(label: String, state: State) -> Self {
+        Self { label, state }
+    }
+}
+
 /// A specification.
 pub trait Model {
     /// A state of the whole system.
--- a/kqr-spec/src/start_once/mod.rs
+++ b/kqr-spec/src/start_once/mod.rs
@@ -1,9 +1,11 @@
 //! Specification of the hard promise: no task of a submission starts twice, answers are whole, "not run" is true.
 
+mod agreed;
 mod member;
 mod model;
 mod packet;
 mod scenario;
+pub mod scenarios;
 mod state;
 mod target;
 
--- a/kqr-spec/src/start_once/model.rs
+++ b/kqr-spec/src/start_once/model.rs
@@ -4,15 +4,19 @@
     CallerId, Input, Machine, Member, Options, Submission, Submit, TaskEnd, TaskSpec, home_order,
 };
 use kqr_types::{
-    Attempt, ByteSize, CellMember, CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest,
-    MemberState, ParseError, TargetId,
+    Attempt, ByteSize, Incarnation, InstanceId, Instant, JobKey, KeyDigest, MemberState, ParseError, TargetId,
 };
 
-use super::{member::Instance, packet::Packet, scenario::Scenario, state::State, target::Target};
+use super::{
+    agreed::{self, LEASE, install, view_of},
+    member::Instance,
+    packet::Packet,
+    scenario::Scenario,
+    state::State,
+    target::Target,
+};
 use crate::{Model, Step};
 
-/// Length of a lease.
-const LEASE: Duration = Duration::from_secs(1);
 /// Time for which a cell distrusts unknown keys after it lost its records; longer than any run.
 const MEMORY: Duration = Duration::from_secs(10);
 /// Time that the caller is willing to wait; longer than any run.
@@ -100,7 +104,7 @@
                 next.budget.submissions -= 1;
                 next.submitted += 1;
                 self.submit(&mut next, index);
-                steps.push(step(
+                steps.push(Step::new(
                     format!("caller submits attempt {} at {id}", next.submitted),
                     next,
                 ));
@@ -109,7 +113,7 @@
                 let mut next = state.clone();
                 next.budget.copies -= 1;
                 self.submit(&mut next, index);
-                steps.push(step(
+                steps.push(Step::new(
                     format!("copy of attempt {} arrives at {id}", next.submitted),
                     next,
                 ));
@@ -122,7 +126,7 @@
                     caller: CallerId(100),
                 };
                 next.handle(index, cancel);
-                steps.push(step(format!("caller cancels at {id}"), next));
+                steps.push(Step::new(format!("caller cancels at {id}"), next));
             }
             if state.budget.renounces > 0 {
                 let mut next = state.clone();
@@ -132,7 +136,10 @@
                     caller: CallerId(101),
                 };
                 next.handle(index, renounce);
-                steps.push(step(format!("another data centre asks {id} for the key"), next));
+                steps.push(Step::new(
+                    format!("another data centre asks {id} for the key"),
+                    next,
+                ));
             }
         }
     }
@@ -157,19 +164,19 @@
             let mut next = state.clone();
             next.network.remove(position);
             self.arrive(&mut next, packet, false);
-            steps.push(step(format!("arrives: {packet:?}"), next));
+            steps.push(Step::new(format!("arrives: {packet:?}"), next));
             if state.budget.duplicates > 0 {
                 let mut next = state.clone();
                 next.budget.duplicates -= 1;
                 self.arrive(&mut next, packet, false);
-                steps.push(step(format!("arrives, and will again: {packet:?}"), next));
+                steps.push(Step::new(format!("arrives, and will again: {packet:?}"), next));
             }
             if state.budget.failures > 0 && matches!(packet, Packet::Start(_)) {
                 let mut next = state.clone();
                 next.budget.failures -= 1;
                 next.network.remove(position);
                 self.arrive(&mut next, packet, true);
-                steps.push(step(format!("arrives and fails: {packet:?}"), next));
+                steps.push(Step::new(format!("arrives and fails: {packet:?}"), next));
             }
         }
     }
@@ -241,7 +248,7 @@
                 let mut next = state.clone();
                 next.budget.crashes -= 1;
                 next.instances[index].machine = None;
-                steps.push(step(format!("{id} crashes"), next));
+                steps.push(Step::new(format!("{id} crashes"), next));
             }
             if !is_alive && state.budget.restarts > 0 {
                 let mut next = state.clone();
@@ -250,14 +257,14 @@
                 instance.incarnation = instance.incarnation.next();
                 instance.is_reachable = true;
                 instance.machine = Some(self.machine(instance));
-                steps.push(step(format!("{id} restarts"), next));
+                steps.push(Step::new(format!("{id} restarts"), next));
             }
             if is_alive && instance.is_reachable && state.budget.expiries > 0 {
                 let mut next = state.clone();
                 next.budget.expiries -= 1;
                 next.instances[index].is_reachable = false;
                 next.instances[index].clock = next.instances[index].lease_until;
-                steps.push(step(format!("{id} is cut off and its lease ends"), next));
+                steps.push(Step::new(format!("{id} is cut off and its lease ends"), next));
             }
         }
         if state.budget.target_restarts > 0 {
@@ -265,45 +272,7 @@
                 let mut next = state.clone();
                 next.budget.target_restarts -= 1;
                 next.targets[index].restart();
-                steps.push(step(format!("target {index} restarts"), next));
-            }
-        }
-    }
-
-    fn cell_steps(state: &State, steps: &mut Vec<Step<State>>) {
-        for index in 0..state.instances.len() {
-            let instance = &state.instances[index];
-            let id = &instance.id;
-            let present = state.view.member(id);
-            let is_present_life = present.is_some_and(|member| member.incarnation == instance.incarnation);
-            let is_gone = instance.is_lease_over() || !is_present_life;
-            if present.is_some() && is_gone && state.budget.epochs > 0 {
-                let mut next = state.clone();
-                next.budget.epochs -= 1;
-                next.view.members.retain(|member| member.id != *id);
-                next.view.epoch = next.view.epoch.next();
-                if next
-                    .view
-                    .members
-                    .iter()
-                    .any(|member| member.state == MemberState::Full)
-                {
-                    steps.push(step(
-                        format!("the cell leaves {id} out: {}", next.view.epoch),
-                        next,
-                    ));
-                }
-            }
-            if let Some(next) = join(state, index) {
-                steps.push(step(format!("the cell takes in {id}: {}", next.view.epoch), next));
-            }
-            let Some(machine) = &instance.machine else {
-                continue;
-            };
-            if instance.is_reachable && machine.view().epoch < state.view.epoch {
-                let mut next = state.clone();
-                install(&mut next, index);
-                steps.push(step(format!("{id} enters epoch {}", state.view.epoch), next));
+                steps.push(Step::new(format!("target {index} restarts"), next));
             }
         }
     }
@@ -359,7 +328,7 @@
         self.caller_steps(state, &mut steps);
         self.network_steps(state, &mut steps);
         self.instance_steps(state, &mut steps);
-        Self::cell_steps(state, &mut steps);
+        agreed::steps(state, &mut steps);
         for step in &mut steps {
             step.state.drop_ignored();
         }
@@ -371,83 +340,6 @@
     }
 }
 
-/// Lets an instance enter the agreed view and renews its lease.
-fn install(state: &mut State, index: usize) {
-    let view = state.view.clone();
-    let instance = &mut state.instances[index];
-    instance.lease_until = instance.clock + LEASE;
-    let until = instance.lease_until;
-    instance.handle(vec![Input::Lease { until }]);
-    state.handle(index, Input::Epoch(view));
-}
-
-/// Returns the state in which the cell agreed to take in an instance that lives and is not part of the view.
-///
-/// If each full member has ended, the cell starts anew with this instance.
-fn join(state: &State, index: usize) -> Option<State> {
-    let instance = &state.instances[index];
-    let is_lost = !state.instances.iter().any(is_full_life(&state.view));
-    let is_present = state
-        .view
-        .member(&instance.id)
-        .is_some_and(|member| member.incarnation == instance.incarnation || !is_lost);
-    if instance.machine.is_none() || is_present || state.budget.epochs == 0 {
-        return None;
-    }
-    let mut next = state.clone();
-    next.budget.epochs -= 1;
-    next.instances[index].is_reachable = true;
-    next.view.epoch = next.view.epoch.next();
-    if is_lost {
-        next.view.members.clear();
-    }
-    next.view.members.push(CellMember {
-        id: instance.id.clone(),
-        incarnation: instance.incarnation,
-        weight: 1,
-        state: if is_lost {
-            MemberState::Full
-        } else {
-            MemberState::Syncing
-        },
-    });
-    next.view.members.sort();
-    Some(next)
-}
-
-/// Returns whether an instance lives and is a full member of `view` in this life.
-fn is_full_life(view: &CellView) -> impl Fn(&Instance) -> bool {
-    |instance| {
-        let member = view.member(&instance.id);
-        let is_member = member.is_some_and(|member| {
-            member.incarnation == instance.incarnation && member.state == MemberState::Full
-        });
-        is_member && instance.machine.is_some()
-    }
-}
-
-/// Returns a view in which the last `full` members are full ones.
-fn view_of(epoch: u64, members: &[InstanceId], full: u8) -> CellView {
-    let first_full = members.len() - usize::from(full);
-    let mut view = CellView {
-        epoch: Epoch(epoch),
-        members: Vec::new(),
-    };
-    for (index, id) in members.iter().enumerate() {
-        view.members.push(CellMember {
-            id: id.clone(),
-            incarnation: Incarnation(1),
-            weight: 1,
-            state: if index >= first_full {
-                MemberState::Full
-            } else {
-                MemberState::Syncing
-            },
-        });
-    }
-    view
-}
-
 /// Returns a key whose home is the first of `members`, and whose followers are the others in order.
 fn ordered_key(members: &[InstanceId]) -> Result<JobKey, ParseError> {
     let view = view_of(1, members, members.len() as u8);
@@ -461,7 +353,3 @@
         number += 1;
     }
 }
-
-fn step(label: String, state: State) -> Step<State> {
-    Step { label, state }
-}
--- a/kqr-spec/tests/start_once.rs
+++ b/kqr-spec/tests/start_once.rs
@@ -3,177 +3,18 @@
 use kqr_jobs::Fault;
 use kqr_spec::{
     Verdict, search,
-    start_once::{Budget, Scenario, StartOnce},
+    start_once::{
+        Scenario, StartOnce,
+        scenarios::{
+            CANCEL, COLD_START, CUT_OFF, CUT_OFF_THEN_CRASH, LATE, RENOUNCED, REPAIR, REPAIR_AFTER_CRASH,
+            TAKEOVER, TAKEOVER_OF_THREE, TARGET_RESTARTS, TWO_TASKS,
+        },
+    },
 };
 
 /// Most states of one search.
 const MOST: usize = 400_000;
 
-/// A scenario of one task without any fault.
-const PLAIN: Scenario = Scenario {
-    name: "plain",
-    members: 2,
-    full: 2,
-    tasks: 1,
-    budget: NOTHING,
-    fault: None,
-    is_late: false,
-    is_unfenced: false,
-};
-
-const NOTHING: Budget = Budget {
-    submissions: 0,
-    copies: 0,
-    cancels: 0,
-    renounces: 0,
-    duplicates: 0,
-    epochs: 2,
-    crashes: 0,
-    restarts: 0,
-    expiries: 0,
-    target_restarts: 0,
-    failures: 0,
-};
-
-const TAKEOVER: Scenario = Scenario {
-    name: "takeover after a crash",
-    budget: Budget {
-        submissions: 2,
-        duplicates: 1,
-        crashes: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const TAKEOVER_OF_THREE: Scenario = Scenario {
-    name: "two crashes of three members",
-    members: 3,
-    full: 3,
-    budget: Budget {
-        submissions: 2,
-        crashes: 2,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const CUT_OFF: Scenario = Scenario {
-    name: "home cut off but alive, a copy at the other member",
-    budget: Budget {
-        submissions: 1,
-        copies: 1,
-        expiries: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const CUT_OFF_THEN_CRASH: Scenario = Scenario {
-    name: "home cut off but alive, then the other member crashes",
-    budget: Budget {
-        submissions: 2,
-        expiries: 1,
-        crashes: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const REPAIR: Scenario = Scenario {
-    name: "a member joins, becomes the home, and the other crashes",
-    full: 1,
-    budget: Budget {
-        submissions: 2,
-        crashes: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const REPAIR_AFTER_CRASH: Scenario = Scenario {
-    name: "home crashes and restarts, then the follower crashes",
-    budget: Budget {
-        submissions: 2,
-        epochs: 4,
-        crashes: 2,
-        restarts: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const CANCEL: Scenario = Scenario {
-    name: "cancel, crash, and a resubmission",
-    budget: Budget {
-        submissions: 2,
-        cancels: 1,
-        crashes: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const RENOUNCED: Scenario = Scenario {
-    name: "another data centre asks for the key, and a crash",
-    budget: Budget {
-        submissions: 1,
-        copies: 1,
-        renounces: 1,
-        crashes: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const TWO_TASKS: Scenario = Scenario {
-    name: "two tasks, one may fail, and a crash",
-    tasks: 2,
-    budget: Budget {
-        submissions: 1,
-        crashes: 1,
-        failures: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const TARGET_RESTARTS: Scenario = Scenario {
-    name: "target restarts and home crashes",
-    budget: Budget {
-        submissions: 2,
-        crashes: 1,
-        target_restarts: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const COLD_START: Scenario = Scenario {
-    name: "all records are lost",
-    budget: Budget {
-        submissions: 2,
-        crashes: 2,
-        restarts: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
-const LATE: Scenario = Scenario {
-    name: "the only member is cut off, and another one starts anew",
-    full: 1,
-    is_late: true,
-    budget: Budget {
-        submissions: 1,
-        copies: 1,
-        epochs: 1,
-        expiries: 1,
-        ..NOTHING
-    },
-    ..PLAIN
-};
-
 fn holds(scenario: Scenario) {
     let verdict = search(&StartOnce::new(scenario).unwrap(), MOST);
     println!("{}: {verdict}", scenario.name);
