--- a/kqr-placement/src/target.rs
+++ b/kqr-placement/src/target.rs
@@ -30,10 +30,8 @@
 }
 
 impl Target {
-    /// Observations of a class on a target before its own speed is used.
-    const CLASS_OBSERVATIONS: u32 = 30;
-    /// Long work may use one slot in this many of a target, but at least one.
-    const LONG_DIVISOR: u32 = 2;
+    /// Part of a target's slots that long work may use; it may use at least one.
+    pub const LONG_PART: f64 = 0.5;
 
     pub(crate) fn new(announcement: Announcement, slots: SlotCounters) -> Self {
         let state = TargetState {
@@ -116,7 +114,7 @@
 
     /// Returns the number of slots that long work may use.
     pub fn long_bound(&self) -> u32 {
-        (self.limit() / Self::LONG_DIVISOR).max(1)
+        ((f64::from(self.limit()) * Self::LONG_PART) as u32).max(1)
     }
 
     /// Returns the number of pieces of long work of this instance.
@@ -136,14 +134,14 @@
 
     /// Returns the learned speed for `class`, or over all classes as long as too little is known of the class.
     pub fn speed(&self, class: Option<&ClassName>) -> f64 {
+        let general = self.state.speed.get();
         if let Some(class) = class {
             let speeds = self.state.class_speeds.load();
-            let own = speeds.get(class);
-            if let Some(own) = own.filter(|own| own.observations() >= Self::CLASS_OBSERVATIONS) {
+            if let Some(own) = speeds.get(class).filter(|own| own.differs_from(general)) {
                 return own.get();
             }
         }
-        self.state.speed.get()
+        general
     }
 
     /// Takes in the run time of a completed task of `class`, which takes `typical` at speed 1.
