--- a/kqr-jobs/src/input.rs
+++ b/kqr-jobs/src/input.rs
@@ -81,6 +81,16 @@
         /// The asking caller.
         caller: CallerId,
     },
+    /// Another data centre asks this one never to run a key that it does not know.
+    ///
+    /// The promise is a refusal with reason [`crate::RefusalReason::UnknownKey`] and outcome [`Outcome::NotRun`];
+    /// any other answer is none.
+    Renounce {
+        /// The key.
+        key: JobKey,
+        /// The caller that asks for the other data centre.
+        caller: CallerId,
+    },
     /// A waiting caller has gone.
     Detach {
         /// Key of the job.
@@ -112,6 +122,13 @@
 }
 
 impl TaskResult {
+    /// Returns the result of a completed task, or the reason of any other end.
+    pub fn text(&self) -> &str {
+        match self {
+            Self::Completed(text) | Self::Failed(text) | Self::NotStarted(text) | Self::Unknown(text) => text,
+        }
+    }
+
     /// Returns what the result says of whether the task was run.
     pub fn outcome(&self) -> Outcome {
         match self {
--- a/kqr-jobs/src/machine/calls.rs
+++ b/kqr-jobs/src/machine/calls.rs
@@ -5,7 +5,10 @@
 use kqr_types::{Instant, JobKey, KeyDigest};
 
 use super::Machine;
-use crate::{CallerId, NotAccepted, Output, Phase, Submission, Submit, gate::Effect, job::Job, refusal};
+use crate::{
+    CallerId, NotAccepted, Output, Phase, Remains, Submission, Submit, Update, gate::Effect, job::Job,
+    refusal,
+};
 
 impl Machine {
     pub(super) fn submit(&mut self, now: Instant, submit: Submit, outputs: &mut Vec<Output>) {
@@ -21,7 +24,7 @@
             return;
         }
         if self.jobs.contains_key(&digest) {
-            self.join(digest, caller, outputs);
+            self.join(now, digest, caller, outputs);
             return;
         }
         let mut job = Job::new(now, submission);
@@ -50,8 +53,8 @@
 
     /// Returns why a submission with an unknown key can't be accepted.
     fn objection(&self, now: Instant, digest: KeyDigest, submission: &Submission) -> Option<NotAccepted> {
-        if let Some(outcome) = self.tombstones.get(digest) {
-            return Some(refusal::forgotten(outcome));
+        if let Some(remains) = self.tombstones.get(digest) {
+            return Some(refusal::forgotten(remains));
         }
         if !self.cell.is_own(digest) {
             return Some(refusal::not_ready("the key has another home"));
@@ -64,20 +67,66 @@
         if self.options.cold_start_window.is_zero() {
             return None;
         }
-        let age = self.cell.history.map_or(Duration::ZERO, |since| now.since(since));
+        let age = self.history_age(now);
         let is_resubmission = submission.attempt.is_some_and(|attempt| attempt.0 >= 2);
         let needed = if is_resubmission {
-            self.options.retention + self.options.tombstone_retention
+            self.options.memory()
         } else {
             self.options.cold_start_window
         };
         (age < needed).then(refusal::history_lost)
     }
 
+    fn history_age(&self, now: Instant) -> Duration {
+        self.cell.history.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Promises another data centre that a key is not run here, if it was never seen.
+    pub(super) fn renounce(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        caller: CallerId,
+        outputs: &mut Vec<Output>,
+    ) {
+        let digest = KeyDigest::of(key);
+        if let Some(job) = self.jobs.get(&digest) {
+            let answer = if job.is_settled {
+                Ok(job.answer())
+            } else {
+                Err(refusal::not_ready("the job has not ended here"))
+            };
+            reply(Some(caller), answer, outputs);
+            return;
+        }
+        let refused = match self.tombstones.get(digest) {
+            Some(Remains::Ended(outcome)) => Some(refusal::forgotten(Remains::Ended(outcome))),
+            _ if !self.cell.is_own(digest) || !self.can_act(now) => {
+                Some(refusal::not_ready("the home of the key is changing"))
+            }
+            _ if self.history_age(now) < self.options.memory() => Some(refusal::history_lost()),
+            Some(Remains::Renounced) | None => None,
+        };
+        if let Some(refused) = refused {
+            reply(Some(caller), Err(refused), outputs);
+            return;
+        }
+        let remaining = self.options.tombstone_retention;
+        self.bury(now, digest, Remains::Renounced, remaining);
+        let update = Update::Tombstone {
+            job: digest,
+            remains: Remains::Renounced,
+            remaining,
+        };
+        self.tombstone_updates.insert(digest, update);
+        self.gate(digest, Effect::Renounce(caller));
+    }
+
     /// Lets a caller wait for the answer of a known job, or answers at once if each follower has the answer.
-    fn join(&mut self, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
+    fn join(&mut self, now: Instant, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
         let is_own = self.cell.is_own(digest);
         let is_active = self.cell.is_active;
+        let is_leased = now < self.cell.lease_until || self.can_act(now);
         let Some(job) = self.jobs.get_mut(&digest) else {
             return;
         };
@@ -86,10 +135,12 @@
             reply(Some(caller), Ok(job.answer()), outputs);
             return;
         }
-        if !is_own {
+        if !is_own || !is_leased {
             reply(
                 Some(caller),
-                Err(refusal::not_ready("the key has another home")),
+                Err(refusal::not_ready(
+                    "the key has another home, or its home has no lease",
+                )),
                 outputs,
             );
             return;
@@ -110,7 +161,7 @@
             return;
         };
         if job.ended.is_some() {
-            self.join(digest, Some(caller), outputs);
+            self.join(now, digest, Some(caller), outputs);
             return;
         }
         if !is_own || !can_act {
@@ -164,18 +215,51 @@
 
     fn unknown(&self, digest: KeyDigest, key: &JobKey) -> NotAccepted {
         match self.tombstones.get(digest) {
-            Some(outcome) => refusal::forgotten(outcome),
+            Some(remains) => refusal::forgotten(remains),
             None => refusal::unknown_key(key),
         }
     }
 
+    /// Refuses the waiting callers while there is no lease: another member may be the home of their jobs by now.
+    pub(super) fn refuse_unleased(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if self.can_act(now) || !self.cell.is_active {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for digest in &self.live {
+            if let Some(job) = self.jobs.get_mut(digest) {
+                waiting.append(&mut job.callers);
+            }
+        }
+        for gate in &mut self.gates {
+            gate.effects.retain(|effect| {
+                let (Effect::Reply(caller) | Effect::Renounce(caller)) = effect else {
+                    return true;
+                };
+                waiting.push(*caller);
+                false
+            });
+        }
+        for caller in waiting {
+            reply(
+                Some(caller),
+                Err(refusal::not_ready("the home of the key lost its lease")),
+                outputs,
+            );
+        }
+    }
+
     pub(super) fn detach(&mut self, key: &JobKey, caller: CallerId) {
         let digest = KeyDigest::of(key);
         if let Some(job) = self.jobs.get_mut(&digest) {
             job.callers.retain(|other| *other != caller);
         }
-        self.gates
-            .retain(|gate| gate.job != digest || gate.effect != Effect::Reply(caller));
+        for gate in &mut self.gates {
+            if gate.job == digest {
+                gate.effects
+                    .retain(|effect| *effect != Effect::Reply(caller) && *effect != Effect::Renounce(caller));
+            }
+        }
     }
 }
 
--- a/kqr-jobs/src/machine/peers.rs
+++ b/kqr-jobs/src/machine/peers.rs
@@ -3,7 +3,10 @@
 use kqr_types::{Incarnation, InstanceId, Instant, KeyDigest, MemberState};
 
 use super::{Change, Machine};
-use crate::{JobMessage, JobRecord, Output, Update, job::Job};
+use crate::{
+    JobMessage, JobRecord, Output, Update,
+    job::{Job, Role},
+};
 
 impl Machine {
     pub(super) fn receive(
@@ -71,11 +74,11 @@
             }
             Update::Tombstone {
                 job,
-                outcome,
+                remains,
                 remaining,
             } => {
                 if self.is_acceptable(from, job) {
-                    self.bury(now, job, outcome, remaining);
+                    self.bury(now, job, remains, remaining);
                 }
             }
             Update::Sealed(seal) => {
@@ -111,12 +114,15 @@
             return;
         }
         let is_preferred = self.cell.is_home(from, digest);
-        match self.jobs.get_mut(&digest) {
-            Some(job) => job.merge(now, record, is_preferred),
-            None => {
-                self.jobs.insert(digest, Job::from_record(now, record));
-                self.live.insert(digest);
+        if let Some(job) = self.jobs.get_mut(&digest) {
+            job.merge(now, record, is_preferred);
+        } else {
+            let mut job = Job::from_record(now, record);
+            if self.cell.is_own(digest) {
+                job.role = Role::NewHome;
             }
+            self.jobs.insert(digest, job);
+            self.live.insert(digest);
         }
         self.note_end(now, digest);
     }
@@ -152,8 +158,8 @@
         let Some(job) = self.jobs.get_mut(&digest) else {
             return;
         };
-        if !job.is_pushed {
-            job.is_pushed = true;
+        if job.role != Role::Home {
+            job.role = Role::Home;
             let update = Update::Record(Box::new(job.record(now)));
             self.cell.push(&copies, &update);
             return;
--- a/kqr-jobs/src/state_size.rs
+++ b/kqr-jobs/src/state_size.rs
@@ -1,9 +1,11 @@
 use kqr_types::ByteSize;
 
-use crate::{Phase, TaskResult, TaskSpec, job::Job, task::Task};
+use crate::{Phase, TaskSpec, job::Job, task::Task};
 
 /// Bytes that a map of the standard library and the allocator add to an entry.
-const ENTRY_BYTES: usize = 48;
+const ENTRY_BYTES: usize = 288;
+/// Bytes that the allocator adds to a text.
+const TEXT_BYTES: usize = 16;
 /// Bytes of one tombstone: digest and outcome, in tree nodes that are two thirds full.
 const TOMBSTONE_BYTES: usize = 30;
 
@@ -40,17 +42,12 @@
 }
 
 fn spec_bytes(spec: &TaskSpec) -> usize {
-    size_of::<TaskSpec>() + spec.payload.len()
+    size_of::<TaskSpec>() + spec.payload.len() + TEXT_BYTES
 }
 
 fn task_bytes(task: &Task) -> usize {
     let text = match &task.record.phase {
-        Phase::Ended(
-            TaskResult::Completed(text)
-            | TaskResult::Failed(text)
-            | TaskResult::NotStarted(text)
-            | TaskResult::Unknown(text),
-        ) => text.len(),
+        Phase::Ended(result) => result.text().len() + TEXT_BYTES,
         Phase::Waiting | Phase::Intended { .. } => 0,
     };
     size_of::<Task>() + text
