--- a/kqr-bench/src/lib.rs
+++ b/kqr-bench/src/lib.rs
@@ -4,6 +4,8 @@
 #![deny(missing_docs)]
 
 mod baseline;
+mod bound;
+mod check;
 mod event;
 mod fleet;
 mod measures;
@@ -14,6 +16,8 @@
 mod workload;
 mod world;
 
+pub use bound::{Bound, Bounds};
+pub use check::{Verdict, check};
 pub use measures::Measures;
 pub use runs::{Comparison, SYSTEM, compare};
 pub use scenario::{Classes, Crest, Scenario, Team};
--- a/kqr-bench/src/main.rs
+++ b/kqr-bench/src/main.rs
@@ -4,13 +4,14 @@
 mod options;
 
 use clap::Parser;
-use eyre::eyre;
-use kqr_bench::{Comparison, Scenario, compare};
-use options::{Command, Form, Options, PolicyOptions};
+use eyre::{WrapErr, bail};
+use kqr_bench::{Bounds, Comparison, Scenario, check, compare};
+use options::{CheckOptions, Command, Form, Options, PolicyOptions};
 
 fn main() -> eyre::Result<()> {
     match Options::parse().command {
         Command::Policy(options) => run(&options),
+        Command::Check(options) => run_check(&options),
         Command::List => {
             for scenario in Scenario::all() {
                 println!("{:<14} {}", scenario.name, scenario.about);
@@ -21,11 +22,9 @@
 }
 
 fn run(options: &PolicyOptions) -> eyre::Result<()> {
-    let all = Scenario::all();
-    let found = all.iter().find(|scenario| scenario.name == options.scenario);
-    let scenario = found.ok_or_else(|| eyre!("no scenario is named {}; see list", options.scenario))?;
+    let scenario = Scenario::find(&options.scenario)?;
     let load = options.load.unwrap_or(scenario.load);
-    let comparison = compare(scenario, load, options.seed);
+    let comparison = compare(&scenario, load, options.seed);
     match options.output {
         Form::Json => println!("{}", serde_json::to_string_pretty(&comparison)?),
         Form::Text => print(&comparison),
@@ -40,3 +39,31 @@
         }
     }
 }
+
+fn run_check(options: &CheckOptions) -> eyre::Result<()> {
+    let text = std::fs::read_to_string(&options.bounds)
+        .wrap_err_with(|| format!("reading {}", options.bounds.display()))?;
+    let bounds: Bounds =
+        serde_saphyr::from_str(&text).wrap_err_with(|| format!("parsing {}", options.bounds.display()))?;
+    let known = std::fs::read_to_string(&options.known)
+        .wrap_err_with(|| format!("reading {}", options.known.display()))?;
+    let mut exceeded = 0;
+    for verdict in check(&bounds)? {
+        let is_known = known.contains(&format!("bound {}:", verdict.bound.name));
+        let word = match (verdict.holds(), is_known) {
+            (true, false) => "ok",
+            (true, true) => "ok, though listed as failing",
+            (false, true) => "FAILS, known",
+            (false, false) => "FAILS",
+        };
+        exceeded += u32::from(!verdict.holds() && !is_known);
+        println!(
+            "{word}: {}: {:.4} at seed {}",
+            verdict.bound, verdict.worst, verdict.seed
+        );
+    }
+    if exceeded > 0 {
+        bail!("{exceeded} bounds are exceeded");
+    }
+    Ok(())
+}
--- a/kqr-bench/src/options.rs
+++ b/kqr-bench/src/options.rs
@@ -1,3 +1,5 @@
+use std::path::PathBuf;
+
 use clap::{Parser, Subcommand, ValueEnum};
 
 /// Virtual-time benchmarks of placement and admission.
@@ -16,6 +18,8 @@
     Policy(PolicyOptions),
     /// Lists the scenarios.
     List,
+    /// Holds all bounds and exits with 1 if any is exceeded that is not known to be.
+    Check(CheckOptions),
 }
 
 /// Form of the output.
@@ -43,3 +47,14 @@
     #[arg(long, value_enum, default_value = "text")]
     pub output: Form,
 }
+
+/// Options of `check`.
+#[derive(Debug, clap::Args)]
+pub struct CheckOptions {
+    /// File with the bounds.
+    #[arg(long, default_value = "kqr-bench/bounds.yaml")]
+    pub bounds: PathBuf,
+    /// File with the checks that fail for a known reason; a line `bound NAME: ...` names a bound.
+    #[arg(long, default_value = "KNOWN-RED.txt")]
+    pub known: PathBuf,
+}
--- a/kqr-bench/src/scenario.rs
+++ b/kqr-bench/src/scenario.rs
@@ -88,6 +88,16 @@
         speeds.sum::<f64>() * f64::from(self.slots)
     }
 
+    /// Returns the scenario with `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none.
+    pub fn find(name: &str) -> eyre::Result<Self> {
+        let found = Self::all().into_iter().find(|scenario| scenario.name == name);
+        found.ok_or_else(|| eyre::eyre!("no scenario is named {name}; see list"))
+    }
+
     /// Returns all scenarios.
     pub fn all() -> Vec<Self> {
         let users = Self::users();
