--- a/kqr-bench/src/scenario.rs
+++ b/kqr-bench/src/scenario.rs
@@ -103,6 +103,15 @@
         let users = Self::users();
         vec![
             users.clone(),
+            Self {
+                name: "smoke",
+                about: "a few seconds, to try the benchmark itself",
+                targets: 8,
+                warm_up: Duration::from_secs(3),
+                measured: Duration::from_secs(2),
+                has_baselines: false,
+                ..users.clone()
+            },
             Self {
                 name: "classes",
                 about: "the users' size; run times differ by class",
--- a/kqr-placement/src/target.rs
+++ b/kqr-placement/src/target.rs
@@ -31,7 +31,7 @@
 
 impl Target {
     /// Part of a target's slots that long work may use; it may use at least one.
-    pub const LONG_PART: f64 = 0.5;
+    pub const LONG_PART: f64 = 0.75;
 
     pub(crate) fn new(announcement: Announcement, slots: SlotCounters) -> Self {
         let state = TargetState {
