--- a/kqr-admission/src/retry_budget.rs
+++ b/kqr-admission/src/retry_budget.rs
@@ -7,6 +7,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     thousandths: AtomicI64,
+    kept: i64,
 }
 
 impl RetryBudget {
@@ -14,19 +15,26 @@
     const EARNED: i64 = 100;
     /// Thousandths of a token that a second send takes.
     const SPENT: i64 = 1000;
-    /// Most thousandths that are kept, for 50 second sends after a quiet time.
-    const KEPT: i64 = 50 * Self::SPENT;
+    /// Second sends that are kept after a quiet time, where nothing else is said.
+    const KEPT_TOKENS: u32 = 50;
 
     /// Creates a full budget.
     pub fn new() -> Self {
+        Self::with_kept(Self::KEPT_TOKENS)
+    }
+
+    /// Creates a full budget that keeps at most `tokens` second sends.
+    pub fn with_kept(tokens: u32) -> Self {
+        let kept = i64::from(tokens) * Self::SPENT;
         Self {
-            thousandths: AtomicI64::new(Self::KEPT),
+            thousandths: AtomicI64::new(kept),
+            kept,
         }
     }
 
     /// Counts a first send.
     pub fn earn(&self) {
-        let step = |present: i64| (present < Self::KEPT).then_some((present + Self::EARNED).min(Self::KEPT));
+        let step = |present: i64| (present < self.kept).then_some((present + Self::EARNED).min(self.kept));
         let _ = self
             .thousandths
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
--- a/kqr-admission/tests/queue.rs
+++ b/kqr-admission/tests/queue.rs
@@ -89,14 +89,12 @@
 
 #[test]
 fn a_tried_task_that_avoids_the_free_target_holds_up_no_others() {
-    let table = table(1, 2);
+    let table = table(2, 1);
+    let targets = table.targets();
+    assert!(targets[1].take_slot(), "the other target is busy");
     let mut queue = queue();
     let mut tried = waiting(at(0), &job("tried", "kitchen", "a", 1, SECOND));
-    tried[0].avoid = table
-        .targets()
-        .iter()
-        .map(|target| target.announcement.id.clone())
-        .collect();
+    tried[0].avoid = vec![targets[0].announcement.id.clone()];
     queue.push(at(0), &table, tried);
     queue.push(
         at(0),
@@ -107,6 +105,21 @@
     assert_eq!(placed(&outputs)[0].0.key.as_str(), "fresh");
 }
 
+#[test]
+fn a_task_that_tried_each_target_is_offered_to_them_again() {
+    let table = table(2, 1);
+    let mut queue = queue();
+    let mut tried = waiting(at(0), &job("tried", "kitchen", "a", 1, SECOND));
+    tried[0].avoid = table
+        .targets()
+        .iter()
+        .map(|target| target.announcement.id.clone())
+        .collect();
+    queue.push(at(0), &table, tried);
+    let outputs = dispatch(&mut queue, &table, 0);
+    assert_eq!(placed(&outputs).len(), 1);
+}
+
 #[test]
 fn a_job_is_refused_whole_and_truthfully_when_the_wait_is_too_long() {
     let table = table(1, 4);
--- /dev/null
+++ b/kqr-agreement/src/machine.rs
@@ -0,0 +1,177 @@
+use std::{collections::BTreeSet, time::Duration};
+
+use kqr_types::Instant;
+
+use crate::{
+    Body, Configuration, Durable, Index, Input, Message, Options, Output, Payload, ProposalResult, Record,
+    Refusal, Role, RoleView, VoterId, leader_state::LeaderState, log::Log,
+};
+
+/// One member of a replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Machine {
+    pub(crate) own: VoterId,
+    pub(crate) options: Options,
+    pub(crate) log: Log,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<VoterId>,
+    pub(crate) leading: Option<LeaderState>,
+    pub(crate) votes: BTreeSet<VoterId>,
+    pub(crate) commit: Index,
+    pub(crate) applied: Index,
+    /// When a leader was last heard; no vote is given for an election timeout from then.
+    pub(crate) heard: Instant,
+    pub(crate) election_deadline: Instant,
+    told: RoleView,
+    is_started: bool,
+}
+
+impl Machine {
+    /// Creates the member `own` from the state that its earlier lives persisted.
+    pub fn new(own: VoterId, options: Options, restored: Durable) -> Self {
+        let log = Log::new(restored, options.founding.clone());
+        let base = log.base();
+        let told = RoleView {
+            role: Role::Follower,
+            term: log.term(),
+            leader: None,
+        };
+        Self {
+            own,
+            options,
+            log,
+            role: Role::Follower,
+            leader: None,
+            leading: None,
+            votes: BTreeSet::new(),
+            commit: base,
+            applied: base,
+            heard: Instant(0),
+            election_deadline: Instant(0),
+            told,
+            is_started: false,
+        }
+    }
+
+    /// Handles `input` at `now` and appends the effects to `outputs`.
+    pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
+        if !self.is_started {
+            self.start(now, outputs);
+        }
+        match input {
+            Input::Tick => self.tick(now, outputs),
+            Input::Message { from, message } => self.receive(now, &from, message, outputs),
+            Input::Propose { request, command } => {
+                self.propose(now, request, Payload::Command(command), outputs);
+            }
+            Input::Read { request } => self.read(now, request, outputs),
+            Input::ChangeVoters { request, change } => self.change_voters(now, request, &change, outputs),
+            Input::HandOver => self.hand_over(now, outputs),
+            Input::Compact { index, snapshot } => self.compact(index, snapshot, outputs),
+        }
+        self.tell_role(outputs);
+    }
+
+    /// Ends the machine and returns the state that it has put out to be persisted.
+    pub fn close(self) -> Durable {
+        self.log.into_durable()
+    }
+
+    /// Returns the own identity.
+    pub const fn own(&self) -> &VoterId {
+        &self.own
+    }
+
+    /// Returns role, term and the known leader.
+    pub fn role(&self) -> RoleView {
+        RoleView {
+            role: self.role,
+            term: self.log.term(),
+            leader: self.leader.clone(),
+        }
+    }
+
+    /// Returns the highest index known to be committed.
+    pub const fn committed(&self) -> Index {
+        self.commit
+    }
+
+    /// Returns the index of the last entry of the log.
+    pub fn last_index(&self) -> Index {
+        self.log.last_index()
+    }
+
+    /// Returns the latest configuration in the log, committed or not.
+    pub fn configuration(&self) -> &Configuration {
+        self.log.configuration()
+    }
+
+    /// Returns whether this member leads, has committed an entry of its term, and no other leader can have been
+    /// elected by `now` within the bound of the clocks' drift.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        self.is_contacted_within(now, self.options.contact_window())
+    }
+
+    /// Returns whether this member leads, has committed an entry of its term, and a majority has answered a message
+    /// that was sent less than `window` ago.
+    pub fn is_contacted_within(&self, now: Instant, window: Duration) -> bool {
+        let Some(leading) = &self.leading else {
+            return false;
+        };
+        self.commit >= leading.first_index && self.quorum_contact(now) + window > now
+    }
+
+    fn start(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.is_started = true;
+        self.heard = now;
+        self.reset_election(now);
+        let Some(snapshot) = self.log.snapshot() else {
+            return;
+        };
+        outputs.push(Output::Restore {
+            index: snapshot.index,
+            snapshot: snapshot.state.clone(),
+        });
+    }
+
+    fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if self.leading.is_some() {
+            self.lead(now, outputs);
+            return;
+        }
+        if now >= self.election_deadline {
+            self.campaign(now, outputs);
+        }
+    }
+
+    pub(crate) fn refuse(&self) -> ProposalResult {
+        ProposalResult::Refused(Refusal::NotLeader {
+            leader: self.leader.clone(),
+        })
+    }
+
+    pub(crate) fn persist(&mut self, record: Record, outputs: &mut Vec<Output>) {
+        outputs.push(Output::Persist(record.clone()));
+        self.log.apply(record);
+    }
+
+    pub(crate) fn send(&self, to: &VoterId, body: Body, outputs: &mut Vec<Output>) {
+        let message = Message {
+            to: to.clone(),
+            term: self.log.term(),
+            body,
+        };
+        outputs.push(Output::Send {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    fn tell_role(&mut self, outputs: &mut Vec<Output>) {
+        let view = self.role();
+        if view != self.told {
+            self.told = view.clone();
+            outputs.push(Output::RoleChanged(view));
+        }
+    }
+}
--- /dev/null
+++ b/kqr-cli/src/commands/mod.rs
@@ -0,0 +1,7 @@
+//! The operations.
+
+pub mod drain;
+pub mod settings;
+pub mod status;
+pub mod targets;
+pub mod voters;
--- a/kqr-entry/src/callers/problem.rs
+++ b/kqr-entry/src/callers/problem.rs
@@ -44,6 +44,17 @@
         problem
     }
 
+    /// Says that the work may have run, since an earlier try ended without an answer.
+    pub fn after_uncertain_try(mut self) -> Self {
+        self.body.outcome = Outcome::MayHaveRun;
+        self
+    }
+
+    /// Returns what is known of whether the work was run.
+    pub fn outcome(&self) -> Outcome {
+        self.body.outcome
+    }
+
     fn new(status: StatusCode, kind: &str, field: Option<&str>, detail: String) -> Self {
         let body = ProblemBody {
             kind: kind.to_owned(),
--- /dev/null
+++ b/kqr-entry/src/entry.rs
@@ -0,0 +1,82 @@
+use std::sync::Arc;
+
+use kqr_settings::{Tree, Version, bootstrap::Instance};
+use kqr_telemetry::EventKind;
+use kqr_types::{Incarnation, InstanceId};
+use kqr_wire::mail::Mail;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    callers::Relay,
+    cell_seat::CellSeats,
+    engine::{Engine, ShardIndex},
+    homes::Homes,
+    live_settings::LiveSettings,
+    registry::Registry,
+    sibling_links::SiblingLinks,
+    slot_shares::SlotShares,
+};
+
+/// The parts of a running entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// This instance.
+    pub own: Instance,
+    /// Jobs, queue and targets.
+    pub engine: Arc<Engine>,
+    /// The rule that names the home data centre of each key.
+    pub homes: Homes,
+    /// The cell of the data centre, and those that this instance is a witness of.
+    pub seats: CellSeats,
+    /// The shares of the targets' slots.
+    pub shares: SlotShares,
+    /// The settings in force.
+    pub settings: Arc<LiveSettings>,
+    /// The targets of the data centre.
+    pub registry: Registry,
+    /// Connections to siblings.
+    pub links: Arc<SiblingLinks>,
+    /// The client that relays requests.
+    pub relay: Relay,
+    /// Cancelled when the shutdown begins.
+    pub shutdown: CancellationToken,
+}
+
+impl Entry {
+    /// Takes in a message of another entry's machines.
+    pub fn take_mail(&self, from: &InstanceId, incarnation: Incarnation, mail: Mail) {
+        match mail {
+            Mail::Jobs { shard, message } => {
+                let shard = ShardIndex(usize::from(shard));
+                self.engine.receive(shard, from.clone(), incarnation, message);
+            }
+            Mail::Cell { data_centre, message } => self.seats.receive(&data_centre, message),
+            Mail::SlotReport(report) => self.shares.take_report(report),
+            Mail::SlotGrant(grant) => self.shares.take_grant(grant),
+            Mail::Directory(message) => {
+                self.registry.handle(kqr_directory::Input::Peer {
+                    from: from.clone(),
+                    message,
+                });
+            }
+        }
+    }
+
+    /// Puts a version of the settings in force.
+    pub fn apply_settings(&self, version: Version, tree: &Tree) {
+        self.settings.apply(version, tree);
+        self.engine.set_quotas(&self.settings.present());
+        let mut event = self.engine.events.event(EventKind::SettingsApplied);
+        event.detail = Some(format!("version {version}"));
+        self.engine.events.record(event);
+        log::info!("settings version {version} is in force");
+    }
+
+    /// Lets the machines see that time has passed.
+    pub fn tick(&self) {
+        self.seats.tick();
+        self.engine.tick();
+        self.shares.tick();
+        self.registry.handle(kqr_directory::Input::Tick);
+    }
+}
--- /dev/null
+++ b/kqr-entry/src/lib.rs
@@ -0,0 +1,28 @@
+//! The entry: HTTP towards callers and targets, routing, jobs and retries.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod callers;
+mod cell_seat;
+mod clock;
+mod daemon;
+mod engine;
+mod entry;
+mod homes;
+mod limits;
+mod live_settings;
+mod options;
+mod outbox;
+mod registry;
+mod routing;
+mod running;
+mod sibling_links;
+mod sibling_server;
+mod slot_shares;
+mod starter;
+mod targets;
+
+pub use daemon::run;
+pub use limits::Limits;
+pub use options::Options;
+pub use running::Running;
--- /dev/null
+++ b/kqr-jobs/src/machine/calls.rs
@@ -0,0 +1,275 @@
+//! Calls of callers: submissions, cancellations and questions.
+
+use std::time::Duration;
+
+use kqr_types::{Instant, JobKey, KeyDigest};
+
+use super::Machine;
+use crate::{
+    CallerId, NotAccepted, Output, Phase, Remains, Submission, Submit, Update, gate::Effect, job::Job,
+    refusal,
+};
+
+impl Machine {
+    pub(super) fn submit(&mut self, now: Instant, submit: Submit, outputs: &mut Vec<Output>) {
+        let Submit { caller, submission } = submit;
+        let digest = KeyDigest::of(&submission.key);
+        let refused = match self.jobs.get(&digest) {
+            Some(job) if job.submission.fingerprint != submission.fingerprint => Some(refusal::key_reused()),
+            Some(_) => None,
+            None => self.objection(now, digest, &submission),
+        };
+        if let Some(refused) = refused {
+            reply(caller, Err(refused), outputs);
+            return;
+        }
+        if self.jobs.contains_key(&digest) {
+            self.join(now, digest, caller, outputs);
+            return;
+        }
+        let mut job = Job::new(now, submission);
+        job.callers.extend(caller);
+        self.jobs.insert(digest, job);
+        self.live.insert(digest);
+        self.change(digest);
+        self.enqueue_waiting(digest, outputs);
+    }
+
+    /// Returns whether `submission` would create a job here: its key is unknown and this member may act as its home.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a submission with an unknown key that can't be accepted.
+    pub fn is_new(&self, now: Instant, submission: &Submission) -> Result<bool, NotAccepted> {
+        let digest = KeyDigest::of(&submission.key);
+        if self.jobs.contains_key(&digest) {
+            return Ok(false);
+        }
+        match self.objection(now, digest, submission) {
+            Some(refusal) => Err(refusal),
+            None => Ok(true),
+        }
+    }
+
+    /// Returns why a submission with an unknown key can't be accepted.
+    fn objection(&self, now: Instant, digest: KeyDigest, submission: &Submission) -> Option<NotAccepted> {
+        if let Some(remains) = self.tombstones.get(digest) {
+            return Some(refusal::forgotten(remains));
+        }
+        if !self.cell.is_own(digest) {
+            return Some(refusal::not_ready("the key has another home"));
+        }
+        if !self.can_act(now) {
+            return Some(refusal::not_ready(
+                "the home of the key has no lease or is taking over",
+            ));
+        }
+        if self.options.cold_start_window.is_zero() {
+            return None;
+        }
+        let age = self.history_age(now);
+        let is_resubmission = submission.attempt.is_some_and(|attempt| attempt.0 >= 2);
+        let needed = if is_resubmission {
+            self.options.memory()
+        } else {
+            self.options.cold_start_window
+        };
+        (age < needed).then(refusal::history_lost)
+    }
+
+    fn history_age(&self, now: Instant) -> Duration {
+        self.cell.history.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Promises another data centre that a key is not run here, if it was never seen.
+    pub(super) fn renounce(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        caller: CallerId,
+        outputs: &mut Vec<Output>,
+    ) {
+        let digest = KeyDigest::of(key);
+        if let Some(job) = self.jobs.get(&digest) {
+            let answer = if job.is_settled {
+                Ok(job.answer())
+            } else {
+                Err(refusal::not_ready("the job has not ended here"))
+            };
+            reply(Some(caller), answer, outputs);
+            return;
+        }
+        let refused = match self.tombstones.get(digest) {
+            Some(Remains::Ended(outcome)) => Some(refusal::forgotten(Remains::Ended(outcome))),
+            _ if !self.cell.is_own(digest) || !self.can_act(now) => {
+                Some(refusal::not_ready("the home of the key is changing"))
+            }
+            _ if self.history_age(now) < self.options.memory() => Some(refusal::history_lost()),
+            Some(Remains::Renounced) | None => None,
+        };
+        if let Some(refused) = refused {
+            reply(Some(caller), Err(refused), outputs);
+            return;
+        }
+        let remaining = self.options.tombstone_retention;
+        self.bury(now, digest, Remains::Renounced, remaining);
+        let update = Update::Tombstone {
+            job: digest,
+            remains: Remains::Renounced,
+            remaining,
+        };
+        self.tombstone_updates.insert(digest, update);
+        self.gate(digest, Effect::Renounce(caller));
+    }
+
+    /// Lets a caller wait for the answer of a known job, or answers at once if each follower has the answer.
+    fn join(&mut self, now: Instant, digest: KeyDigest, caller: Option<CallerId>, outputs: &mut Vec<Output>) {
+        let is_own = self.cell.is_own(digest);
+        let is_active = self.cell.is_active;
+        let is_leased = now < self.cell.lease_until || self.can_act(now);
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
+        let Some(caller) = caller else { return };
+        if job.is_settled {
+            reply(Some(caller), Ok(job.answer()), outputs);
+            return;
+        }
+        if !is_own || !is_leased {
+            reply(
+                Some(caller),
+                Err(refusal::not_ready(
+                    "the key has another home, or its home has no lease",
+                )),
+                outputs,
+            );
+            return;
+        }
+        if job.ended.is_none() || !is_active {
+            job.callers.push(caller);
+            return;
+        }
+        self.gate(digest, Effect::Reply(caller));
+    }
+
+    pub(super) fn cancel(&mut self, now: Instant, key: &JobKey, caller: CallerId, outputs: &mut Vec<Output>) {
+        let digest = KeyDigest::of(key);
+        let can_act = self.can_act(now);
+        let is_own = self.cell.is_own(digest);
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            reply(Some(caller), Err(self.unknown(digest, key)), outputs);
+            return;
+        };
+        if job.ended.is_some() {
+            self.join(now, digest, Some(caller), outputs);
+            return;
+        }
+        if !is_own || !can_act {
+            reply(
+                Some(caller),
+                Err(refusal::not_ready("the home of the key is changing")),
+                outputs,
+            );
+            return;
+        }
+        job.callers.push(caller);
+        if job.is_cancelled {
+            return;
+        }
+        job.is_cancelled = true;
+        self.change(digest).is_cancelled = true;
+        self.abandon_unstarted(digest, "the job was cancelled", outputs);
+        self.stop_running(digest, outputs);
+        self.finish(now, digest);
+    }
+
+    /// Asks the targets of a cancelled job to stop what runs.
+    pub(super) fn stop_running(&self, digest: KeyDigest, outputs: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get(&digest) else { return };
+        for (index, task) in job.tasks.iter().enumerate() {
+            let Phase::Intended { target, .. } = &task.record.phase else {
+                continue;
+            };
+            outputs.push(Output::Stop {
+                attempt: job.attempt_id(kqr_types::TaskIndex(index as u16)),
+                target: target.clone(),
+            });
+        }
+    }
+
+    pub(super) fn lookup(&self, now: Instant, key: &JobKey, caller: CallerId, outputs: &mut Vec<Output>) {
+        let digest = KeyDigest::of(key);
+        let Some(job) = self.jobs.get(&digest) else {
+            reply(Some(caller), Err(self.unknown(digest, key)), outputs);
+            return;
+        };
+        let is_visible =
+            job.is_settled || (job.ended.is_none() && self.cell.is_own(digest) && self.can_act(now));
+        let answer = if is_visible {
+            Ok(job.answer())
+        } else {
+            Err(refusal::not_ready("the answer is not yet known to each follower"))
+        };
+        reply(Some(caller), answer, outputs);
+    }
+
+    fn unknown(&self, digest: KeyDigest, key: &JobKey) -> NotAccepted {
+        match self.tombstones.get(digest) {
+            Some(remains) => refusal::forgotten(remains),
+            None => refusal::unknown_key(key),
+        }
+    }
+
+    /// Refuses the waiting callers while there is no lease: another member may be the home of their jobs by now.
+    pub(super) fn refuse_unleased(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if self.can_act(now) || !self.cell.is_active {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for digest in &self.live {
+            if let Some(job) = self.jobs.get_mut(digest) {
+                waiting.append(&mut job.callers);
+            }
+        }
+        for gate in &mut self.gates {
+            gate.effects.retain(|effect| {
+                let (Effect::Reply(caller) | Effect::Renounce(caller)) = effect else {
+                    return true;
+                };
+                waiting.push(*caller);
+                false
+            });
+        }
+        for caller in waiting {
+            reply(
+                Some(caller),
+                Err(refusal::not_ready("the home of the key lost its lease")),
+                outputs,
+            );
+        }
+    }
+
+    pub(super) fn detach(&mut self, key: &JobKey, caller: CallerId) {
+        let digest = KeyDigest::of(key);
+        if let Some(job) = self.jobs.get_mut(&digest) {
+            job.callers.retain(|other| *other != caller);
+        }
+        for gate in &mut self.gates {
+            if gate.job == digest {
+                gate.effects
+                    .retain(|effect| *effect != Effect::Reply(caller) && *effect != Effect::Renounce(caller));
+            }
+        }
+    }
+}
+
+/// Puts out an answer if a caller waits for it.
+pub(super) fn reply(
+    caller: Option<CallerId>,
+    answer: Result<crate::JobAnswer, NotAccepted>,
+    outputs: &mut Vec<Output>,
+) {
+    if let Some(caller) = caller {
+        outputs.push(Output::Reply { caller, answer });
+    }
+}
--- /dev/null
+++ b/kqr-jobs/src/machine/release.rs
@@ -0,0 +1,126 @@
+//! Effects that wait for acknowledgements.
+
+use kqr_types::{AttemptId, Instant, KeyDigest};
+
+use super::{Machine, calls::reply};
+use crate::{
+    CallerId, Fault, Options, Output, Phase, StartTask, TaskResult,
+    gate::{Effect, Gate},
+    refusal,
+};
+
+impl Machine {
+    /// Holds an effect back until the followers of `job` know what it follows from.
+    pub(super) fn gate(&mut self, job: KeyDigest, effect: Effect) {
+        if let Some(last) = self.gates.last_mut()
+            && last.job == job
+            && last.needs.is_none()
+        {
+            last.effects.push(effect);
+            return;
+        }
+        self.gates.push(Gate {
+            job,
+            needs: None,
+            effects: vec![effect],
+        });
+    }
+
+    /// Notes which positions of the streams must be acknowledged before the held effects.
+    pub(super) fn stamp_gates(&mut self) {
+        for gate in &mut self.gates {
+            if gate.needs.is_some() {
+                continue;
+            }
+            let followers = self.cell.followers(gate.job).into_iter();
+            let position = |id| {
+                let end = self.cell.links.get(&id).map(crate::link::Link::end)?;
+                Some((id, end))
+            };
+            gate.needs = Some(followers.filter_map(position).collect());
+        }
+    }
+
+    /// Puts out the effects that each follower has acknowledged the cause of, while the lease holds.
+    pub(super) fn release(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if !self.can_act(now) {
+            return;
+        }
+        for mut gate in std::mem::take(&mut self.gates) {
+            let is_ready = self.is_ready(&gate);
+            let is_early = |effect: &mut Effect| is_ready || is_early(&self.options, effect);
+            let effects: Vec<Effect> = gate.effects.extract_if(.., is_early).collect();
+            for effect in effects {
+                match effect {
+                    Effect::Start(attempt) => self.start(now, gate.job, attempt, outputs),
+                    Effect::Reply(caller) => self.answer(gate.job, caller, outputs),
+                    Effect::Renounce(caller) => reply(Some(caller), Err(refusal::renounced()), outputs),
+                    Effect::Settle => self.settle(gate.job),
+                }
+            }
+            if !gate.effects.is_empty() {
+                self.gates.push(gate);
+            }
+        }
+    }
+
+    fn is_ready(&self, gate: &Gate) -> bool {
+        let Some(needs) = &gate.needs else { return false };
+        needs.iter().all(|(id, position)| {
+            let link = self.cell.links.get(id);
+            link.is_some_and(|link| link.acked() >= *position)
+        })
+    }
+
+    fn start(&mut self, now: Instant, digest: KeyDigest, attempt: AttemptId, outputs: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
+        if job.attempt_id(attempt.task) != attempt {
+            return;
+        }
+        let index = usize::from(attempt.task.0);
+        let Phase::Intended { target, incarnation } = job.tasks[index].record.phase.clone() else {
+            return;
+        };
+        if job.deadline <= now {
+            outputs.push(Output::ReleaseSlot { target });
+            let result = TaskResult::NotStarted("the deadline passed before the start".to_owned());
+            self.end_task(now, digest, attempt.task, result, outputs);
+            return;
+        }
+        job.tasks[index].is_driven = true;
+        outputs.push(Output::Start(Box::new(StartTask {
+            key: job.submission.key.clone(),
+            attempt,
+            target,
+            incarnation,
+            service: job.submission.service.clone(),
+            start_within: self.options.start_within.min(job.deadline.since(now)),
+            spec: job.submission.tasks[index].clone(),
+        })));
+    }
+
+    fn answer(&self, digest: KeyDigest, caller: CallerId, outputs: &mut Vec<Output>) {
+        if let Some(job) = self.jobs.get(&digest) {
+            reply(Some(caller), Ok(job.answer()), outputs);
+        }
+    }
+
+    fn settle(&mut self, digest: KeyDigest) {
+        let Some(job) = self.jobs.get_mut(&digest) else {
+            return;
+        };
+        job.is_settled = true;
+        self.change(digest).is_settled = true;
+    }
+}
+
+/// Returns whether a deliberate fault puts `effect` out before its cause is acknowledged.
+fn is_early(options: &Options, effect: &Effect) -> bool {
+    match effect {
+        Effect::Start(_) => options.has(Fault::StartBeforeAck),
+        Effect::Reply(_) | Effect::Renounce(_) => options.has(Fault::ReplyBeforeAck),
+        Effect::Settle => false,
+    }
+}
--- a/kqr-placement/src/group.rs
+++ b/kqr-placement/src/group.rs
@@ -61,11 +61,21 @@
         match found {
             Found::Target(target) => Ok(target),
             Found::FasterSoon => Err(PickFailure::FasterSoon),
+            Found::Nothing if self.avoids_all(demand) => Err(PickFailure::AllAvoided),
             Found::Nothing if self.fits_any(demand) => Err(PickFailure::AllBusy),
             Found::Nothing => Err(PickFailure::NoneFits),
         }
     }
 
+    /// Returns whether there are targets that are large enough, all of which `demand` avoids.
+    fn avoids_all(&self, demand: &Demand<'_>) -> bool {
+        if demand.avoid.is_empty() {
+            return false;
+        }
+        let mut fitting = self.targets().filter(|target| target.fits(demand)).peekable();
+        fitting.peek().is_some() && fitting.all(|target| demand.avoid.contains(&target.announcement.id))
+    }
+
     fn fits_any(&self, demand: &Demand<'_>) -> bool {
         self.sizes.iter().any(|(cores, memory, accelerators)| {
             demand.cores <= *cores && demand.memory <= *memory && demand.accelerators <= *accelerators
--- a/kqr-placement/src/pick_failure.rs
+++ b/kqr-placement/src/pick_failure.rs
@@ -9,6 +9,8 @@
     NoneFits,
     /// Each target that is large enough is busy.
     AllBusy,
+    /// Each target that is large enough is to be avoided.
+    AllAvoided,
     /// Free targets are so slow that a wait for a faster slot is expected to end sooner.
     FasterSoon,
 }
@@ -16,7 +18,7 @@
 impl PickFailure {
     /// Returns whether the work can be placed later without a change of the targets.
     pub const fn is_temporary(self) -> bool {
-        matches!(self, Self::AllBusy | Self::FasterSoon)
+        matches!(self, Self::AllBusy | Self::AllAvoided | Self::FasterSoon)
     }
 }
 
@@ -26,6 +28,7 @@
             Self::UnknownService => "no target serves the service",
             Self::NoneFits => "no target is large enough",
             Self::AllBusy => "each target that is large enough is busy",
+            Self::AllAvoided => "each target that is large enough was tried",
             Self::FasterSoon => "a faster slot is expected soon",
         })
     }
--- a/kqr-placement/src/share_keeper.rs
+++ b/kqr-placement/src/share_keeper.rs
@@ -121,6 +121,10 @@
         for claim in &claims {
             self.renew(now, &report.from, claim);
         }
+        if self.reported.len() == self.view.members.len() {
+            // Each member has told what it holds, and the leases of those that are no members have ended.
+            self.open = self.open.min(now);
+        }
         let mut balance = self.balance(&report.from, &claims);
         let mut granted = Vec::with_capacity(claims.len());
         for claim in claims {
--- /dev/null
+++ b/kqr-settings/src/tree/validation.rs
@@ -0,0 +1,93 @@
+use std::collections::BTreeSet;
+
+use super::{Problem, Problems, SettingPath, Tree, deadline_check, names_check, region_check};
+use crate::schema::{Location, Node, Rule};
+
+/// Returns the canonical text of `value` at `path`.
+///
+/// # Errors
+///
+/// Fails if the path is unknown or does not point at a value, or if the value is not allowed there.
+pub fn canonical_value(path: &SettingPath, value: &str) -> Result<String, Problem> {
+    let problem = |value: Option<&str>, allowed: String, nearest| Problem {
+        place: None,
+        path: path.clone(),
+        value: value.map(str::to_owned),
+        allowed,
+        nearest,
+    };
+    match Location::find(&path.segments()) {
+        Ok(Location::Value(_, rule)) => rule
+            .canonical(value)
+            .map_err(|allowed| problem(Some(value), allowed, None)),
+        Ok(Location::Node(_) | Location::Group(_)) => Err(problem(
+            Some(value),
+            "a mapping with at least one key".to_owned(),
+            None,
+        )),
+        Err(error) => Err(problem(None, error.allowed, error.nearest)),
+    }
+}
+
+/// Checks a whole tree.
+///
+/// # Errors
+///
+/// Fails with all problems that were found.
+pub fn validate(tree: &Tree) -> Result<(), Problems> {
+    validate_changed(tree, tree.iter().map(|(path, _)| path))
+}
+
+/// Checks a tree that was valid before the values at `touched` were set or removed.
+///
+/// # Errors
+///
+/// Fails with all problems that were found.
+pub fn validate_changed<'tree, Paths>(tree: &Tree, touched: Paths) -> Result<(), Problems>
+where
+    Paths: IntoIterator<Item = &'tree SettingPath>,
+{
+    let mut problems = Vec::new();
+    let mut touched_nodes = Vec::new();
+    let paths: BTreeSet<&SettingPath> = touched.into_iter().collect();
+    for path in paths.iter().copied() {
+        if let Some(value) = tree.get(path)
+            && let Err(problem) = canonical_value(path, value)
+        {
+            problems.push(problem);
+            continue;
+        }
+        if let Ok(Location::Value(node, rule)) = Location::find(&path.segments()) {
+            touched_nodes.push((node, rule));
+        }
+    }
+    region_check::check(tree, touched_nodes.iter().map(|(node, _)| node), &mut problems);
+    if touched_nodes
+        .iter()
+        .any(|touched| may_clash(tree, &paths, touched))
+    {
+        names_check::check(tree, &mut problems);
+    }
+    if touched_nodes.iter().any(is_deadline) {
+        deadline_check::check(tree, &mut problems);
+    }
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(Problems(problems))
+    }
+}
+
+/// Returns whether a touched value gives its target a name, or may be the first one that names the target.
+fn may_clash(tree: &Tree, paths: &BTreeSet<&SettingPath>, touched: &(Node, &Rule)) -> bool {
+    let (node, rule) = touched;
+    if node.target.is_none() {
+        return false;
+    }
+    let target = SettingPath::of(node);
+    rule.key == "names" || tree.subtree(&target).all(|(path, _)| paths.contains(path))
+}
+
+fn is_deadline(touched: &(Node, &Rule)) -> bool {
+    deadline_check::KEYS.contains(&touched.1.key)
+}
