--- a/kqr-bench/src/scenario.rs
+++ b/kqr-bench/src/scenario.rs
@@ -88,11 +88,30 @@
         speeds.sum::<f64>() * f64::from(self.slots)
     }
 
+    /// Returns the scenario with `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none.
+    pub fn find(name: &str) -> eyre::Result<Self> {
+        let found = Self::all().into_iter().find(|scenario| scenario.name == name);
+        found.ok_or_else(|| eyre::eyre!("no scenario is named {name}; see list"))
+    }
+
     /// Returns all scenarios.
     pub fn all() -> Vec<Self> {
         let users = Self::users();
         vec![
             users.clone(),
+            Self {
+                name: "smoke",
+                about: "a few seconds, to try the benchmark itself",
+                targets: 8,
+                warm_up: Duration::from_secs(3),
+                measured: Duration::from_secs(2),
+                has_baselines: false,
+                ..users.clone()
+            },
             Self {
                 name: "classes",
                 about: "the users' size; run times differ by class",
