--- a/kqr-entry/tests/relay.rs
+++ b/kqr-entry/tests/relay.rs
@@ -160,3 +160,28 @@
         assert_eq!(reply.status.as_u16(), 200, "{}", reply.text());
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_header_values_and_services_are_refused_and_nothing_is_sent() {
+    let system = system(1).await;
+    let cases = [
+        (PATH, ("kqr-idempotent", "maybe"), 400, "kqr-idempotent"),
+        (PATH, ("kqr-deadline-ms", "soon"), 400, "kqr-deadline-ms"),
+        (
+            "/v1/services/nothing/x",
+            ("kqr-idempotent", "true"),
+            404,
+            "service",
+        ),
+    ];
+    for (path, field, status, told) in cases {
+        let reply = system.send(0, Method::GET, path, &[field], "").await;
+        let problem = reply.problem();
+        assert_eq!(
+            (reply.status.as_u16(), problem.field.as_deref()),
+            (status, Some(told))
+        );
+        assert_eq!(problem.outcome, Outcome::NotRun);
+    }
+    assert_eq!(requests(&system), 0);
+}
