feat: put slots, queues, leases and connections of the settings in force; drop settings that nothing reads

Parts of slots for long work, separate budgets, quarantine parts, weights of data centres and rules of resubmission were accepted and had no effect; they come back with what they are for.

--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -26,7 +26,12 @@
 
 use self::{sync_reports::SyncReports, waiters::Waiters, work::Work};
 pub use self::{waiters::Answer, work::ShardIndex};
-use crate::{clock::Clock, live_settings::InForce, outbox::Outbox, starter::Starter};
+use crate::{
+    clock::Clock,
+    live_settings::{InForce, LiveSettings},
+    outbox::Outbox,
+    starter::Starter,
+};
 
 /// Number of parts that the jobs are divided into, each with a lock of its own. It must be the same in all entries.
 const SHARDS: usize = 16;
@@ -46,6 +51,8 @@
     pub tracker: TaskTracker,
     starter: Starter,
     outbox: Arc<Outbox>,
+    /// The settings in force.
+    pub settings: Arc<LiveSettings>,
     shards: Vec<Mutex<Machine>>,
     queue: Mutex<AdmissionQueue>,
     waiters: Waiters,
@@ -63,6 +70,7 @@
         metrics: Metrics,
         own: &Member,
         cold_start_window: Duration,
+        settings: Arc<LiveSettings>,
         outbox: Arc<Outbox>,
     ) -> Self {
         let options = kqr_jobs::Options {
@@ -78,6 +86,7 @@
             tracker: TaskTracker::new(),
             starter: Starter::new(),
             outbox,
+            settings,
             shards: (0..SHARDS).map(|_| machine()).collect(),
             queue: Mutex::new(AdmissionQueue::new(kqr_admission::Options::default())),
             waiters: Waiters::default(),
@@ -281,7 +290,14 @@
         let mut outputs = Vec::new();
         let mut machine = lock(&self.shards[shard.0]);
         if machine.is_new(now, &submission)? {
-            lock(&self.queue).admit(now, &self.table, &submission)?;
+            let settings = self.settings.present();
+            let most = settings.service(&submission.service).max_queued.0 as usize;
+            let mut queue = lock(&self.queue);
+            if queue.len() + submission.tasks.len() > most.max(Submission::MAX_TASKS) {
+                return Err(queue_full(most));
+            }
+            queue.admit(now, &self.table, &submission)?;
+            drop(queue);
         }
         machine.handle(now, Input::Submit(Submit { caller, submission }), &mut outputs);
         drop(machine);
@@ -331,6 +347,15 @@
     }
 }
 
+fn queue_full(most: usize) -> NotAccepted {
+    NotAccepted {
+        reason: RefusalReason::Overloaded,
+        outcome: Outcome::NotRun,
+        retry_after: Some(Duration::from_secs(1)),
+        detail: format!("more than {most} tasks would wait at this entry"),
+    }
+}
+
 fn shard_of(key: &JobKey) -> ShardIndex {
     ShardIndex(KeyDigest::of(key).0 as usize % SHARDS)
 }
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -151,18 +151,19 @@
         incarnation: new_incarnation(),
     };
     let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links, &events));
+    let region = bootstrap.region_of(&own.data_centre).cloned();
+    let settings = Arc::new(LiveSettings::new(region, own.data_centre.clone()));
     let engine = Arc::new(Engine::new(
         clock,
         events,
         Metrics::new()?,
         &member,
         limits.cold_start_window,
+        Arc::clone(&settings),
         Arc::clone(&outbox),
     ));
     let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
     let directory = Directory::new(own.id.clone(), clock.now());
-    let region = bootstrap.region_of(&own.data_centre).cloned();
-    let settings = Arc::new(LiveSettings::new(region, own.data_centre.clone()));
     let shares = SlotShares::new(
         own.id.clone(),
         Arc::clone(&engine),
--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -175,11 +175,13 @@
     }
 }
 
-/// Returns how many slots of a target may be used: none if the settings drain it.
+/// Returns how many slots of a target may be used: none if the settings drain it, and no more than connections, of
+/// which each exchange takes one.
 fn allowed_slots(settings: &InForce, target: &Announcement) -> u32 {
     let rules = settings.target(&target.service, &target.id);
     if rules.is_draining.0 {
         return 0;
     }
-    target.slots.0.min(rules.max_slots.0)
+    let connections = target.connections.min(rules.max_connections.0);
+    target.slots.0.min(rules.max_slots.0).min(connections)
 }
--- a/kqr-entry/src/starter.rs
+++ b/kqr-entry/src/starter.rs
@@ -18,8 +18,6 @@
 const MIN_EXCHANGE_TIME: Duration = Duration::from_secs(2);
 /// Multiple of the declared run time that an exchange may take.
 const EXCHANGE_FACTOR: u32 = 4;
-/// Lease of a task, over its start.
-const LEASE: Duration = Duration::from_secs(60);
 /// Longest time that a question about an attempt waits for its end.
 const QUESTION_WAIT: Duration = Duration::from_secs(1);
 /// Longest time for one question.
@@ -83,7 +81,7 @@
         let limit = MIN_EXCHANGE_TIME.max(expected * EXCHANGE_FACTOR);
         let sent = self
             .pooled
-            .json(Method::POST, uri, Some(&start_body(start)), limit)
+            .json(Method::POST, uri, Some(&start_body(engine, start)), limit)
             .await;
         let answer = match sent {
             Ok((status, bytes)) => parse_attempt(status, &bytes),
@@ -241,7 +239,10 @@
         .ok()
 }
 
-fn start_body(start: &StartTask) -> StartBody {
+fn start_body(engine: &Engine, start: &StartTask) -> StartBody {
+    let settings = engine.settings.present();
+    let rules = settings.service(&start.service);
+    let start_within = rules.start_within.0.min(start.start_within);
     StartBody {
         key: start.key.clone(),
         task: start.attempt.task,
@@ -251,8 +252,8 @@
         service: start.service.clone(),
         class: start.spec.class.clone(),
         payload: start.spec.payload.clone(),
-        start_within_ms: start.start_within.as_millis() as u64,
-        lease_ms: LEASE.as_millis() as u64,
+        start_within_ms: start_within.as_millis() as u64,
+        lease_ms: rules.task_lease.0.as_millis() as u64,
     }
 }
 
--- a/kqr-settings/src/schema/mod.rs
+++ b/kqr-settings/src/schema/mod.rs
@@ -8,4 +8,4 @@
 pub use level::Level;
 pub use location::{Location, LocationError, Node};
 pub use rule::Rule;
-pub use rules::{Rules, SiteRules, TargetRules, TeamRules, rules_of};
+pub use rules::{Rules, TargetRules, TeamRules, rules_of};
--- a/kqr-settings/src/schema/rules.rs
+++ b/kqr-settings/src/schema/rules.rs
@@ -1,7 +1,7 @@
 use kqr_types::{ByteSize, Rate};
 
 use super::{Level, Rule, rule::check};
-use crate::values::{Count, Flag, Names, ResubmissionRule, Share, TimeSpan};
+use crate::values::{Count, Flag, Names, TimeSpan};
 
 macro_rules! rules {
     (
@@ -69,26 +69,14 @@
     max_slots: Count = "limits/slots", "1024", Some(("1", "65536"));
     /// Most connections to one target, if it announces more.
     max_connections: Count = "limits/connections", "1024", Some(("1", "65536"));
-    /// Largest part of a target's slots for long tasks.
-    long_share: Share = "limits/long_share", "50%", Some(("0%", "100%"));
-    /// Expected run time from which a task counts as long.
-    long_from: TimeSpan = "limits/long_from", "2s", Some(("50ms", "1h"));
     /// Most tries of a task or idempotent request.
     attempts: Count = "retry/attempts", "3", Some(("1", "10"));
-    /// Retries as a part of first tries.
-    retry_budget: Share = "retry/budget", "10%", Some(("0%", "100%"));
     /// Whether idempotent requests may be hedged.
     is_hedging: Flag = "hedge/enabled", "true", None;
-    /// Hedges as a part of first tries.
-    hedge_budget: Share = "hedge/budget", "5%", Some(("0%", "50%"));
     /// Shortest wait before a hedge.
     hedge_after: TimeSpan = "hedge/after", "50ms", Some(("1ms", "1m"));
     /// Whether no new work is sent.
     is_draining: Flag = "drain", "false", None;
-    /// Time after which a target that did not renew its announcement is suspected.
-    announce_within: TimeSpan = "health/announce_within", "3s", Some(("200ms", "5m"));
-    /// Largest part of a service's targets in quarantine at a time.
-    quarantine_share: Share = "health/quarantine_share", "30%", Some(("0%", "100%"));
 }
 
 rules! {
@@ -98,13 +86,6 @@
     names: Names = "names", "", None;
 }
 
-rules! {
-    /// Settings of one data centre only.
-    SiteRules, &[Level::DataCentre],
-    /// Share of keys that are homed in the data centre, in relation to the others of its region.
-    home_weight: Count = "home_weight", "1", Some(("0", "1000"));
-}
-
 rules! {
     /// Settings of one team, inherited from the root over the region to the data centre.
     TeamRules, &[Level::Team],
@@ -112,20 +93,11 @@
     quota: Rate = "quota", "1000/s", Some(("0/s", "1000000/s"));
     /// Task starts that the team may use beyond its quota after a quiet time.
     burst: Count = "burst", "2000", Some(("0", "10000000"));
-    /// Share of a queue in relation to other teams.
-    weight: Count = "weight", "1", Some(("1", "1000"));
-    /// How resubmissions find the home of their key.
-    resubmissions: ResubmissionRule = "resubmissions", "unmarked", None;
 }
 
 /// Returns the settings that a node of `level` may carry.
 pub fn rules_of(level: Level) -> impl Iterator<Item = &'static Rule> {
-    let groups = [
-        Rules::RULES,
-        TargetRules::RULES,
-        SiteRules::RULES,
-        TeamRules::RULES,
-    ];
+    let groups = [Rules::RULES, TargetRules::RULES, TeamRules::RULES];
     groups
         .into_iter()
         .flatten()
--- a/kqr-settings/src/tree/resolved.rs
+++ b/kqr-settings/src/tree/resolved.rs
@@ -1,5 +1,5 @@
 use super::{Explained, Hidden, SettingPath, Tree};
-use crate::schema::{Level, Node, Rules, SiteRules, TargetRules, TeamRules, rules_of};
+use crate::schema::{Level, Node, Rules, TargetRules, TeamRules, rules_of};
 
 /// The settings in force at one node, with everything that it inherits.
 ///
@@ -11,8 +11,6 @@
     pub rules: Rules,
     /// Settings of the target only.
     pub target: TargetRules,
-    /// Settings of the data centre only.
-    pub site: SiteRules,
     /// Settings of the team; the defaults if the node is no team.
     pub team: TeamRules,
 }
@@ -27,7 +25,6 @@
         Self {
             rules,
             target: TargetRules::from_texts(lookup),
-            site: SiteRules::from_texts(lookup),
             team: TeamRules::from_texts(lookup),
         }
     }
--- a/kqr-settings/src/values/mod.rs
+++ b/kqr-settings/src/values/mod.rs
@@ -3,13 +3,9 @@
 mod count;
 mod flag;
 mod names;
-mod resubmission_rule;
-mod share;
 mod time_span;
 
 pub use count::Count;
 pub use flag::Flag;
 pub use names::Names;
-pub use resubmission_rule::ResubmissionRule;
-pub use share::Share;
 pub use time_span::TimeSpan;
--- a/kqr-settings/tests/changes.rs
+++ b/kqr-settings/tests/changes.rs
@@ -84,11 +84,11 @@
     )));
     let old = log.tree().clone();
     accepted(&log.apply(command("b", 1, vec![unset("drain"), set("limits/queued", "6")])));
-    accepted(&log.apply(command("c", 2, vec![set("teams/a/weight", "3")])));
+    accepted(&log.apply(command("c", 2, vec![set("teams/a/burst", "3")])));
     assert_eq!(accepted(&log.apply(rollback("d", 3, 1))), 4);
     assert_eq!(log.tree(), &old);
     assert_eq!(
-        log.tree_at(Version(3)).unwrap().get(&path("teams/a/weight")),
+        log.tree_at(Version(3)).unwrap().get(&path("teams/a/burst")),
         Some("3")
     );
 }
