test: use a setting that exists in the replicas' random changes

The team's weight was dropped from the schema; the random changes set it and so were refused, which the test's own lower bound on accepted changes told. They set the burst instead; the bounds are unchanged.

--- a/kqr-settings/tests/changes.rs
+++ b/kqr-settings/tests/changes.rs
@@ -152,7 +152,7 @@
         1 => set(&format!("teams/t{team}/quota"), "-3/s"),
         2 => set("deadlines/default", &format!("{}m", rng.random_range(1..15))),
         _ => set(
-            &format!("teams/t{team}/weight"),
+            &format!("teams/t{team}/burst"),
             &rng.random_range(1..9).to_string(),
         ),
     };
