fix: read on after an oversize body, so that its sender gets the refusal; lease new targets at once

Cause 1: the entry answered 413 and closed while the caller was still sending; the caller saw a broken pipe. Up to 64 MiB are read and dropped within the body's time limit. Cause 2: with the pause of idle shares, the slots of a new target were leased after up to 500 ms, and submissions until then were refused as overloaded. An entry with a target without a share is not idle. The tests wait for the lease instead of 300 ms.

--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -285,10 +285,13 @@
         self.metrics.set_dropped_events(self.events.dropped());
     }
 
-    /// Returns whether no slot is used and no task waits.
+    /// Returns whether no slot is used, no task waits and no target lacks a share.
     pub fn is_idle(&self) -> bool {
-        let is_unused = self.table.targets().iter().all(|target| target.used() == 0);
-        is_unused && lock(&self.queue).is_empty()
+        let targets = self.table.targets();
+        let is_settled = targets
+            .iter()
+            .all(|target| target.used() == 0 && target.limit() > 0);
+        is_settled && lock(&self.queue).is_empty()
     }
 
     /// Returns the number of waiting tasks of a service.
--- a/kqr-entry/tests/refusals.rs
+++ b/kqr-entry/tests/refusals.rs
@@ -215,3 +215,17 @@
         (400, Some("key"))
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sender_in_the_middle_of_an_oversize_body_gets_the_refusal() {
+    let system = System::start(&["a"]).await;
+    let body = " ".repeat(24 << 20);
+    let fields = [("idempotency-key", "large")];
+    let calls = (0..8).map(|_| system.send(0, Method::POST, "/v1/jobs", &fields, &body));
+    for reply in futures::future::join_all(calls).await {
+        assert_eq!(
+            (reply.status.as_u16(), reply.problem().field.as_deref()),
+            (413, Some("body"))
+        );
+    }
+}
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -111,9 +111,9 @@
         panic!("entry {index} did not become ready");
     }
 
-    /// Starts a stand-in that announces itself at the entry with `index`, and waits until each entry of the data
-    /// centre knows it.
+    /// Starts a stand-in that announces itself at the entry with `index`, and waits until slots of it are leased there.
     pub async fn add_standin(&mut self, index: usize, id: &str, more: &[&str]) {
+        let before = self.shared_slots(index).await;
         let target = self.addresses[index].targets.to_string();
         let mut line = vec![
             "kqr-standin",
@@ -128,7 +128,21 @@
         let options = kqr_standin::Options::parse_from(line);
         self.standins
             .push(kqr_standin::Running::start(options).await.unwrap());
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        for _ in 0..1200 {
+            if self.shared_slots(index).await > before {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no slots of {id} were leased to entry {index}");
+    }
+
+    /// Returns the number of slots that are leased to the entry with `index`.
+    async fn shared_slots(&self, index: usize) -> u64 {
+        let text = self.send(index, Method::GET, "/metrics", &[], "").await.text();
+        let line = text.lines().find(|line| line.starts_with("kqr_shared_slots"));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value.and_then(|value| value.parse().ok()).unwrap_or(0)
     }
 
     /// Sends one request to the entry with `index`.
--- a/kqr-http/src/body.rs
+++ b/kqr-http/src/body.rs
@@ -1,7 +1,7 @@
-use std::{fmt, time::Duration};
+use std::{fmt, pin::pin, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::{Response, StatusCode, body::Body, header};
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -40,6 +40,10 @@
 
 impl std::error::Error for BodyError {}
 
+/// Bytes beyond the limit that are still read and dropped, so that a sender in the middle of its body gets the refusal
+/// and not a broken connection.
+const DRAINED_BYTES: usize = 64 << 20;
+
 /// Reads a body whole.
 ///
 /// # Errors
@@ -50,15 +54,36 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let collected = tokio::time::timeout(limits.time, Limited::new(body, limits.bytes).collect()).await;
-    match collected {
+    match tokio::time::timeout(limits.time, collect(body, limits.bytes)).await {
+        Ok(result) => result,
         Err(_) => Err(BodyError::TooSlow(limits.time)),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge(limits.bytes)),
-        Ok(Err(error)) => Err(BodyError::Broken(error.to_string())),
     }
 }
 
+async fn collect<B>(body: B, most: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut body = pin!(body);
+    let mut collected = BytesMut::new();
+    let mut received = 0_usize;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Broken(error.into().to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        received = received.saturating_add(data.len());
+        if received <= most {
+            collected.extend_from_slice(&data);
+        } else if received > most.saturating_add(DRAINED_BYTES) {
+            break;
+        }
+    }
+    if received > most {
+        return Err(BodyError::TooLarge(most));
+    }
+    Ok(collected.freeze())
+}
+
 /// Reads a JSON body.
 ///
 /// # Errors
