--- a/kqr-admission/src/lib.rs
+++ b/kqr-admission/src/lib.rs
@@ -9,6 +9,7 @@
 mod long_work;
 mod options;
 mod output;
+mod pick;
 mod queue;
 mod quotas;
 mod retry_budget;
--- a/kqr-admission/src/queue.rs
+++ b/kqr-admission/src/queue.rs
@@ -2,13 +2,14 @@
 use std::time::Duration;
 
 use kqr_jobs::{NotAccepted, Outcome, RefusalReason, Submission, TaskSpec, WaitingTask};
-use kqr_placement::{Demand, PickFailure, Quarantine, QuarantineChange, QuarantineOptions, Table, Target};
-use kqr_types::{ClassName, Instant, JobKey, KeyDigest, ServiceName, TaskIndex, TeamName};
+use kqr_placement::{PickFailure, Quarantine, QuarantineChange, QuarantineOptions, Table, Target};
+use kqr_types::{Instant, JobKey, KeyDigest, ServiceName, TaskIndex, TeamName};
 
 use crate::{
     Ended, Options, Output, Quota, Quotas, Verdict,
     lane::{Item, Lane, Place},
     long_work::LongWork,
+    pick::pick,
     service_queue::{Candidate, ServiceQueue},
     team_queue::Blocked,
 };
@@ -355,41 +356,6 @@
     }
 }
 
-fn pick(
-    now: Instant,
-    table: &Table,
-    options: &Options,
-    service: &ServiceName,
-    candidate: &Candidate,
-    waiting: u32,
-) -> Result<kqr_types::TargetId, PickFailure> {
-    let task = &candidate.item.task;
-    let may_wait = now.since(candidate.item.pushed) < options.faster_wait;
-    let class: &ClassName = &task.spec.class;
-    let demand = Demand {
-        cores: task.spec.cores,
-        memory: task.spec.memory,
-        accelerators: task.spec.accelerators,
-        class: Some(class),
-        avoid: &task.avoid,
-        waiting: may_wait.then_some(waiting),
-        is_long: candidate.lane.size.is_long,
-        spread: spread(candidate.number),
-    };
-    let picked = match table.pick(service, options.kind, &demand) {
-        // A target that was tried before is better than none.
-        Err(PickFailure::AllAvoided) => table.pick(service, options.kind, &Demand { avoid: &[], ..demand }),
-        picked => picked,
-    };
-    let target = picked?;
-    Ok(target.announcement.id.clone())
-}
-
-/// Scatters consecutive numbers.
-fn spread(number: u64) -> u32 {
-    (number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32) as u32
-}
-
 fn block(blocked: &mut Blocked, lane: Lane, failure: PickFailure) {
     if failure == PickFailure::AllBusy && lane.tried.is_none() {
         blocked.sizes.insert(lane.size);
