fix: choose test ports outside the range of outgoing connections

The tests took a port from the system, closed it, and started the entry later. Any outgoing connection may get that port in between; the entry then ends with "Address already in use", and the test waited 60 s for a process that was gone. Ruled out: the founding of the cell (with the child's log in the failure, the only failure seen was the bind error) and load (the machine was quiet). Change: ports come from a block below the outgoing range, which is asserted against the system's setting; waiting for an entry fails at once with its log when the process has ended.

--- a/kqr-control/tests/daemons/mod.rs
+++ b/kqr-control/tests/daemons/mod.rs
@@ -1,10 +1,13 @@
 //! Three control processes on the loopback interface.
 #![allow(dead_code)]
 
+#[path = "../../../kqr-entry/tests/support/ports.rs"]
+mod ports;
+
 use std::{
     fmt::Write,
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::Path,
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
@@ -33,13 +36,7 @@
 }
 
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().unwrap())
-        .collect()
+    (0..count).map(|_| ports::free_address()).collect()
 }
 
 impl Processes {
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small system within the test process: entries and stand-ins on loopback ports.
 #![allow(dead_code, reason = "each test file uses a part of the support")]
 
+mod ports;
 pub mod processes;
 
 use std::{net::SocketAddr, time::Duration};
@@ -14,6 +15,7 @@
 use kqr_settings::bootstrap::Bootstrap;
 use kqr_telemetry::EventLog;
 use kqr_wire::callers::{JobAnswerBody, ProblemBody};
+use ports::free_address;
 
 /// Longest time for one exchange of a test.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -54,13 +56,6 @@
     }
 }
 
-pub fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 impl System {
     /// Starts one entry for each name in `data_centres`.
     pub async fn start(data_centres: &[&str]) -> Self {
--- a/kqr-entry/tests/support/processes.rs
+++ b/kqr-entry/tests/support/processes.rs
@@ -223,8 +223,12 @@
     }
 
     /// Waits until the cell has admitted the entry with `index`.
-    pub async fn wait_until_ready(&self, index: usize) {
+    pub async fn wait_until_ready(&mut self, index: usize) {
         for _ in 0..1200 {
+            let child = self.children[index].as_mut().unwrap();
+            if let Some(status) = child.try_wait().unwrap() {
+                panic!("entry {index} ended with {status}: {}", self.log(index));
+            }
             let uri = format!("http://{}/readyz", self.addresses[index].callers)
                 .parse()
                 .unwrap();
@@ -237,7 +241,12 @@
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        panic!("entry {index} did not become ready");
+        panic!("entry {index} did not become ready: {}", self.log(index));
+    }
+
+    /// Returns the log of the latest life of the entry with `index`.
+    fn log(&self, index: usize) -> String {
+        std::fs::read_to_string(self.folder.join(format!("entry-{index}.log"))).unwrap()
     }
 
     /// Kills the entry with `index`.
