fix: replace silent connections before an entry is suspected

Cause: a silent connection was replaced after 500 ms, the time of suspicion, and what was sent over it was lost. Change: a connection counts as silent when an open call exists and nothing was answered for two fifths of the time of suspicion; its batches are sent once more over the next one. Calls no longer end at that limit while others are answered. Ruled out: all connections silent at once as the test's cut, since the leader then loses its majority and suspects nobody.

--- a/kqr-entry/src/cell_seat.rs
+++ b/kqr-entry/src/cell_seat.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, PoisonError},
-    time::SystemTime,
+    time::{Duration, SystemTime},
 };
 
 use kqr_jobs::Member;
@@ -38,6 +38,7 @@
     pub fn new(
         own: &Member,
         site: &DataCentre,
+        suspicion: Duration,
         homes: &Homes,
         engine: &Arc<Engine>,
         outbox: &Arc<Outbox>,
@@ -49,7 +50,7 @@
                 continue;
             }
             let is_member = data_centre == site;
-            let mut options = Options::new(own.id.clone(), own.incarnation, voters);
+            let mut options = Options::new(own.id.clone(), own.incarnation, voters).with_suspicion(suspicion);
             options.weight = is_member.then_some(1);
             options.wall_clock = wall_clock();
             options.seed = xxh3_64(own.id.as_str().as_bytes());
@@ -150,6 +151,9 @@
                 }
                 Output::Suspicion { life, is_suspected } => {
                     log::info!("cell of {}: {life} suspected: {is_suspected}", self.data_centre);
+                    if is_suspected {
+                        self.engine.metrics.suspected();
+                    }
                 }
                 Output::Left => has_left = self.is_member,
             }
--- a/kqr-entry/src/daemon.rs
+++ b/kqr-entry/src/daemon.rs
@@ -25,6 +25,7 @@
         grace: options.grace.into(),
         cold_start_window: options.cold_start_window.into(),
         outcome_retention: options.outcome_retention.into(),
+        suspicion: options.suspicion.into(),
     };
     let running = Running::start(&bootstrap, own, events, limits).await?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("waiting for SIGTERM")?;
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod registry;
 mod routing;
 mod running;
+mod sibling_link;
 mod sibling_links;
 mod sibling_server;
 mod slot_shares;
--- a/kqr-entry/src/options.rs
+++ b/kqr-entry/src/options.rs
@@ -30,6 +30,10 @@
     /// remembered outcome takes about 32 bytes at each of up to three entries.
     #[arg(long, default_value = "24h")]
     pub outcome_retention: humantime::Duration,
+    /// Silence after which another entry is suspected. Leases last twice that, and a home that died is replaced after
+    /// about three times that. It must be the same at all entries; longer is right where messages take over 50 ms.
+    #[arg(long, default_value = "500ms")]
+    pub suspicion: humantime::Duration,
     /// Least severity that is logged.
     #[arg(long, default_value = "info")]
     pub log_level: log::LevelFilter,
--- a/kqr-entry/src/outbox.rs
+++ b/kqr-entry/src/outbox.rs
@@ -8,7 +8,7 @@
 use tarpc::context;
 use tokio::sync::{Semaphore, mpsc};
 
-use crate::sibling_links::SiblingLinks;
+use crate::{sibling_link::SiblingLink, sibling_links::SiblingLinks};
 
 /// Messages to one peer that may wait; further ones are dropped, which the machines tolerate.
 const QUEUED_MAILS: usize = 65_536;
@@ -16,8 +16,10 @@
 const BATCH: usize = 1024;
 /// Calls to one peer that may be open at the same time.
 const OPEN_CALLS: usize = 4;
-/// Time after which a call without an answer shows that its connection is silent.
-const SILENT_AFTER: Duration = Duration::from_millis(500);
+/// Longest time of a call.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// How often a batch is sent: once, and again over the next connection if the first one is lost.
+const SENDS: u32 = 2;
 
 /// The messages of this entry's machines to other entries. Those to one peer go in batches.
 #[derive(Debug)]
@@ -88,25 +90,41 @@
         }
     }
 
-    /// Sends one batch. A connection that fails or stays silent is replaced by the next call.
+    /// Sends one batch, and once more over a new connection if the present one fails or stays silent.
     async fn send(&self, batch: Vec<Mail>) {
-        let link = match self.links.get(&self.peer, self.address).await {
-            Ok(link) => link,
-            Err(error) => {
-                log::debug!("connecting to {}: {error}", self.peer);
-                return;
+        for _ in 0..SENDS {
+            let link = match self.links.get(&self.peer, self.address).await {
+                Ok(link) => link,
+                Err(error) => {
+                    log::debug!("connecting to {}: {error}", self.peer);
+                    return;
+                }
+            };
+            match self.send_over(&link, batch.clone()).await {
+                Ok(()) => return,
+                Err(cause) => {
+                    log::debug!("sending to {}: {cause}", self.peer);
+                    self.links.forget(&self.peer, &link);
+                }
             }
-        };
+        }
+    }
+
+    async fn send_over(&self, link: &SiblingLink, batch: Vec<Mail>) -> Result<(), String> {
         let mut cx = context::current();
-        cx.deadline = std::time::Instant::now() + SILENT_AFTER;
+        cx.deadline = std::time::Instant::now() + CALL_LIMIT;
         let own = &self.own;
-        if let Err(error) = link
+        let time = self.events.time();
+        let delivery = link
             .client
-            .deliver(cx, own.id.clone(), own.incarnation, self.events.time(), batch)
-            .await
-        {
-            log::debug!("sending to {}: {error}", self.peer);
-            self.links.forget(&self.peer, &link);
+            .deliver(cx, own.id.clone(), own.incarnation, time, batch);
+        tokio::select! {
+            answer = delivery => {
+                link.note_answer();
+                answer.map_err(|error| error.to_string())
+            }
+            () = link.lost.cancelled() => Err("the connection was lost".to_owned()),
+            () = link.silence() => Err("the connection is silent".to_owned()),
         }
     }
 }
--- a/kqr-entry/src/routing.rs
+++ b/kqr-entry/src/routing.rs
@@ -10,7 +10,7 @@
 use tarpc::context;
 use tokio::time::Instant;
 
-use crate::{engine::Answer, entry::Entry, sibling_links::SiblingLink};
+use crate::{engine::Answer, entry::Entry, sibling_link::SiblingLink};
 
 /// Forwards that a call may take: to the home data centre, then to the home, once more if that has just changed.
 pub const MAX_HOPS: u8 = 3;
@@ -24,8 +24,6 @@
 const SHORT_CALL: Duration = Duration::from_secs(30);
 /// Time between two checks of a connection on which an answer is waited for.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
-/// Time after which a probe without an answer shows that its connection is silent.
-const SILENT_AFTER: Duration = Duration::from_millis(500);
 
 /// Where a call goes next.
 enum Route {
@@ -137,18 +135,28 @@
         .client
         .job(context_of(limit + FORWARD_MARGIN), call, hops, time);
     tokio::select! {
-        answer = answer => answer.map_err(|error| error.to_string()),
+        answer = answer => {
+            link.note_answer();
+            answer.map_err(|error| error.to_string())
+        }
         () = link.lost.cancelled() => Err("the connection was lost".to_owned()),
-        () = silence(link) => Err("the connection is silent".to_owned()),
+        () = failed_probe(link) => Err("the connection is silent".to_owned()),
     }
 }
 
 /// Ends when a connection does not answer a probe.
-async fn silence(link: &SiblingLink) {
+async fn failed_probe(link: &SiblingLink) {
     loop {
         tokio::time::sleep(PROBE_EVERY).await;
-        if link.client.ping(context_of(SILENT_AFTER)).await.is_err() {
-            return;
+        let probe = link.client.ping(context_of(SHORT_CALL));
+        tokio::select! {
+            answer = probe => {
+                if answer.is_err() {
+                    return;
+                }
+                link.note_answer();
+            }
+            () = link.silence() => return,
         }
     }
 }
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -145,7 +145,7 @@
     let events = Arc::new(events);
     let homes = Homes::new(bootstrap, &own);
     let siblings = homes.siblings();
-    let links = Arc::new(SiblingLinks::default());
+    let links = Arc::new(SiblingLinks::new(limits.link_silence()));
     let member = Member {
         id: own.id.clone(),
         incarnation: new_incarnation(),
@@ -162,7 +162,14 @@
         Arc::clone(&settings),
         Arc::clone(&outbox),
     ));
-    let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
+    let seats = CellSeats::new(
+        &member,
+        &own.data_centre,
+        limits.suspicion,
+        &homes,
+        &engine,
+        &outbox,
+    );
     let directory = Directory::new(own.id.clone(), clock.now());
     let shares = SlotShares::new(
         own.id.clone(),
--- a/kqr-entry/src/sibling_links.rs
+++ b/kqr-entry/src/sibling_links.rs
@@ -8,29 +8,30 @@
 use kqr_types::InstanceId;
 use kqr_wire::siblings::SiblingClient;
 use tarpc::{client, serde_transport::tcp, tokio_serde::formats::Bincode};
-use tokio_util::sync::CancellationToken;
+
+use crate::sibling_link::SiblingLink;
 
 /// Longest time for opening a connection to a sibling.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest message between siblings, in bytes.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
 
-/// An open connection to a sibling entry.
-#[derive(Clone, Debug)]
-pub struct SiblingLink {
-    /// Calls to the sibling.
-    pub client: SiblingClient,
-    /// Cancelled when the connection was found to be broken or silent; open calls get no answer then.
-    pub lost: CancellationToken,
-}
-
 /// Connections to sibling entries, opened on first use.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SiblingLinks {
+    silence: Duration,
     links: Mutex<BTreeMap<InstanceId, SiblingLink>>,
 }
 
 impl SiblingLinks {
+    /// Creates links that count as silent after `silence` without an answer.
+    pub fn new(silence: Duration) -> Self {
+        Self {
+            silence,
+            links: Mutex::default(),
+        }
+    }
+
     /// Returns the open connection to `peer`, or opens one.
     ///
     /// # Errors
@@ -47,10 +48,7 @@
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         transport.get_ref().set_nodelay(true)?;
         let client = SiblingClient::new(client::Config::default(), transport).spawn();
-        let link = SiblingLink {
-            client,
-            lost: CancellationToken::new(),
-        };
+        let link = SiblingLink::new(client, self.silence);
         // Of two connections that were opened at the same time, one is kept for all.
         Ok(self.lock().entry(peer.clone()).or_insert(link).clone())
     }
--- a/kqr-membership/src/options.rs
+++ b/kqr-membership/src/options.rs
@@ -40,6 +40,9 @@
     pub seed: u64,
 }
 
+/// Usual silence after which a member is suspected.
+pub const USUAL_SUSPICION: Duration = Duration::from_millis(500);
+
 impl Options {
     /// Creates options with the usual timing.
     pub fn new<Voters>(own: InstanceId, incarnation: Incarnation, voters: Voters) -> Self
@@ -52,16 +55,31 @@
             storage: incarnation,
             weight: Some(1),
             voters: voters.into_iter().collect(),
-            lease: Duration::from_secs(1),
-            suspicion: Duration::from_millis(500),
-            renewal: Duration::from_millis(200),
-            election_timeout: Duration::from_millis(500),
-            heartbeat: Duration::from_millis(200),
-            grant_window: Duration::from_millis(300),
+            lease: Duration::ZERO,
+            suspicion: Duration::ZERO,
+            renewal: Duration::ZERO,
+            election_timeout: Duration::ZERO,
+            heartbeat: Duration::ZERO,
+            grant_window: Duration::ZERO,
             drift_per_mille: 10,
             wall_clock: WallClock(0),
             seed: 0,
         }
+        .with_suspicion(USUAL_SUSPICION)
+    }
+
+    /// Returns these options with all times in their usual proportions to `suspicion`.
+    #[must_use]
+    pub fn with_suspicion(self, suspicion: Duration) -> Self {
+        Self {
+            lease: suspicion * 2,
+            suspicion,
+            renewal: suspicion * 2 / 5,
+            election_timeout: suspicion,
+            heartbeat: suspicion * 2 / 5,
+            grant_window: suspicion * 3 / 5,
+            ..self
+        }
     }
 
     /// Returns how many voters form a majority.
--- a/kqr-telemetry/src/metrics.rs
+++ b/kqr-telemetry/src/metrics.rs
@@ -32,6 +32,7 @@
     starts: Counter<u64>,
     wasted: Counter<u64>,
     sibling_bytes: Counter<u64>,
+    suspicions: Counter<u64>,
     dropped_events: Gauge<u64>,
     levels: Vec<Gauge<u64>>,
 }
@@ -98,6 +99,11 @@
                 "kqr_sibling_bytes",
                 "Bytes of membership and directory messages sent",
             ),
+            suspicions: counter(
+                &meter,
+                "kqr_suspicions",
+                "Members that this instance suspected as leader of its cell",
+            ),
             dropped_events: gauge(&meter, "kqr_dropped_events", "Time-line events that were dropped"),
             levels: levels.into(),
             provider,
@@ -142,6 +148,11 @@
         self.sibling_bytes.add(bytes, &[]);
     }
 
+    /// Counts a member that is suspected from now on.
+    pub fn suspected(&self) {
+        self.suspicions.add(1, &[]);
+    }
+
     /// Records the time of a synced write.
     pub fn synced(&self, time: Duration) {
         self.sync.record(time.as_secs_f64(), &[]);
