perf: tick every 50 ms without work, look at renewals' ages every 200 ms

Cause: an entry without work woke 50 times a second for its machines' ticks, and looked at the age of each target's renewal each time. Ruled out: one hot function (the profile of idle entries is flat; wake-ups and system calls lead).

--- a/kqr-directory/src/directory.rs
+++ b/kqr-directory/src/directory.rs
@@ -10,6 +10,8 @@
     targets::Targets,
 };
 
+/// Time between two looks at the age of all renewals.
+const EXPIRE_EVERY: Duration = Duration::from_millis(200);
 /// Time between two beats.
 const BEAT_EVERY: Duration = Duration::from_secs(1);
 /// Siblings that get each beat, in turn.
@@ -29,6 +31,7 @@
     peers: BTreeMap<InstanceId, Peer>,
     change: u64,
     next_beat: Instant,
+    next_expiry: Instant,
     beat_turn: usize,
     pulled: Option<Instant>,
     last_input: Instant,
@@ -44,6 +47,7 @@
             peers: BTreeMap::new(),
             change: 0,
             next_beat: now,
+            next_expiry: now,
             beat_turn: 0,
             pulled: None,
             last_input: now,
@@ -224,7 +228,10 @@
 
     fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.is_cut_off |= now.since(self.last_input) >= CUT_OFF_AFTER;
-        self.targets.expire(now, self.is_cut_off, outputs);
+        if now >= self.next_expiry {
+            self.next_expiry = now + EXPIRE_EVERY;
+            self.targets.expire(now, self.is_cut_off, outputs);
+        }
         if now >= self.next_beat {
             self.next_beat = now + BEAT_EVERY;
             self.beat(now, outputs);
--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -166,21 +166,28 @@
         }
     }
 
-    /// Lets the machines see that time has passed.
-    pub fn tick(self: &Arc<Self>) {
+    /// Lets the machines see that time has passed. Returns whether jobs are live or tasks wait.
+    pub fn tick(self: &Arc<Self>) -> bool {
         let now = self.clock.now();
         let is_full_tick = self.is_full_tick_due(now);
+        let mut is_live = false;
         for index in 0..SHARDS {
             let shard = ShardIndex(index);
-            if is_full_tick || !lock(&self.shards[index]).is_idle() {
+            let is_shard_live = !lock(&self.shards[index]).is_idle();
+            is_live |= is_shard_live;
+            if is_full_tick || is_shard_live {
                 self.handle_at(shard, Input::Tick);
             }
         }
         let mut outputs = Vec::new();
-        lock(&self.queue).tick(self.clock.now(), &self.table, &mut outputs);
+        let mut queue = lock(&self.queue);
+        queue.tick(self.clock.now(), &self.table, &mut outputs);
+        is_live |= !queue.is_empty();
+        drop(queue);
         let mut work = Work::with_dispatch();
         self.perform_queue(outputs, &mut work);
         self.settle(work);
+        is_live
     }
 
     /// Returns whether idle shards must see the time as well.
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -72,11 +72,12 @@
         log::info!("settings version {version} is in force");
     }
 
-    /// Lets the machines see that time has passed.
-    pub fn tick(&self) {
+    /// Lets the machines see that time has passed. Returns whether jobs are live or tasks wait.
+    pub fn tick(&self) -> bool {
         self.seats.tick();
-        self.engine.tick();
+        let is_live = self.engine.tick();
         self.shares.tick();
         self.registry.handle(kqr_directory::Input::Tick);
+        is_live
     }
 }
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -16,7 +16,7 @@
 use kqr_telemetry::{EventKind, EventLog, Metrics};
 use kqr_types::Incarnation;
 use kqr_wire::control::{SettingsStream, peers_of};
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{net::TcpListener, task::JoinHandle, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -36,9 +36,12 @@
     targets,
 };
 
-/// Time between two ticks of the machines.
+/// Time between two ticks of the machines while jobs are live or tasks wait.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Time between two ticks without work: a part of the times of the cell and of the shares, which are due all the same.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+
 /// Time between two updates of the order of targets by their learned speeds.
 const REFRESH: Duration = Duration::from_millis(500);
 
@@ -243,11 +246,14 @@
 }
 
 async fn tick(entry: Arc<Entry>, shutdown: CancellationToken) {
-    let mut interval = tokio::time::interval(TICK);
+    let mut next = Instant::now();
     let mut refresh = tokio::time::interval(REFRESH);
     loop {
         tokio::select! {
-            _ = interval.tick() => entry.tick(),
+            () = tokio::time::sleep_until(next) => {
+                let pause = if entry.tick() { TICK } else { IDLE_TICK };
+                next = Instant::now() + pause;
+            }
             _ = refresh.tick() => entry.engine.table.refresh(),
             () = shutdown.cancelled() => return,
         }
