perf: return messages with the reply to a delivery; one task a peer

Cause: each message between entries was a call, and its answer carried nothing: a heartbeat and its acknowledgement, or a report and its grant, took two calls. Each call woke further threads for tasks of its own. Change: the reply to a delivery carries what waits for the caller; the calls to one peer run in one task; a delivery is handled in the task of its connection.

--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -3,7 +3,7 @@
 use kqr_settings::{Tree, Version, bootstrap::Instance};
 use kqr_telemetry::EventKind;
 use kqr_types::{Incarnation, InstanceId};
-use kqr_wire::mail::Mail;
+use kqr_wire::{mail::Mail, siblings::MailReply};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -12,6 +12,7 @@
     engine::{Engine, ShardIndex},
     homes::Homes,
     live_settings::LiveSettings,
+    outbox::Outbox,
     registry::Registry,
     sibling_links::SiblingLinks,
     slot_shares::SlotShares,
@@ -36,6 +37,8 @@
     pub registry: Registry,
     /// Connections to siblings.
     pub links: Arc<SiblingLinks>,
+    /// Messages to siblings.
+    pub outbox: Arc<Outbox>,
     /// The client that relays requests.
     pub relay: Relay,
     /// Cancelled when the shutdown begins.
@@ -62,6 +65,15 @@
         }
     }
 
+    /// Returns the messages that wait for `peer`, as the reply to a delivery by it.
+    pub fn reply_to(&self, peer: &InstanceId) -> MailReply {
+        MailReply {
+            incarnation: self.outbox.own.incarnation,
+            time: self.engine.events.time(),
+            mails: self.outbox.take(peer),
+        }
+    }
+
     /// Puts a version of the settings in force.
     pub fn apply_settings(&self, version: Version, tree: &Tree) {
         self.settings.apply(version, tree);
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -82,6 +82,7 @@
         let grace = limits.grace;
         let callers = serve(&entry, callers_address, &stop_accepting, grace, callers::handle).await?;
         let targets = serve(&entry, targets_address, &stop_serving, grace, targets::handle).await?;
+        Outbox::start(&entry, &entry.homes.others(), &stop_serving);
         let mut servers = vec![tokio::spawn(siblings)];
         servers.push(tokio::spawn(async move {
             let _ = targets.await;
@@ -153,7 +154,7 @@
         id: own.id.clone(),
         incarnation: new_incarnation(),
     };
-    let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links, &events));
+    let outbox = Arc::new(Outbox::new(member.clone(), &homes.others()));
     let region = bootstrap.region_of(&own.data_centre).cloned();
     let settings = Arc::new(LiveSettings::new(region, own.data_centre.clone()));
     let engine = Arc::new(Engine::new(
@@ -180,7 +181,7 @@
         Arc::clone(&settings),
         Arc::clone(&outbox),
     );
-    let registry = Registry::new(directory, Arc::clone(&engine), outbox);
+    let registry = Registry::new(directory, Arc::clone(&engine), Arc::clone(&outbox));
     registry.handle(kqr_directory::Input::Peers(siblings));
     Ok(Entry {
         homes,
@@ -191,6 +192,7 @@
         settings,
         registry,
         links,
+        outbox,
         relay: Relay::new(),
         shutdown: CancellationToken::new(),
     })
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -1,12 +1,12 @@
 use std::{future::Future, sync::Arc};
 
-use futures::StreamExt;
+use futures::{StreamExt, future::poll_immediate};
 use kqr_jobs::{JobAnswer, NotAccepted};
 use kqr_telemetry::HybridTime;
 use kqr_types::{Incarnation, InstanceId};
 use kqr_wire::{
     mail::Mail,
-    siblings::{JobCall, Sibling},
+    siblings::{JobCall, MailReply, Sibling},
 };
 use tarpc::{
     context::Context,
@@ -43,11 +43,12 @@
         incarnation: Incarnation,
         time: HybridTime,
         mails: Vec<Mail>,
-    ) {
+    ) -> MailReply {
         self.entry.engine.events.merge(time);
         for mail in mails {
             self.entry.take_mail(&from, incarnation, mail);
         }
+        self.entry.reply_to(&from)
     }
 
     async fn ping(self, _: Context) -> InstanceId {
@@ -80,9 +81,7 @@
                 entry: Arc::clone(&entry),
             };
             let channel = BaseChannel::with_defaults(transport);
-            let calls = channel.execute(server.serve()).for_each(|reply| async {
-                tokio::spawn(reply);
-            });
+            let calls = channel.execute(server.serve()).for_each(answer);
             let shutdown = shutdown.clone();
             tokio::spawn(async move {
                 tokio::select! {
@@ -93,3 +92,14 @@
         }
     })
 }
+
+/// Answers a call here if that needs no wait, as the delivery of messages does, and otherwise in a task of its own.
+async fn answer<F>(call: F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut call = Box::pin(call);
+    if poll_immediate(&mut call).await.is_none() {
+        tokio::spawn(call);
+    }
+}
--- a/kqr-wire/src/siblings.rs
+++ b/kqr-wire/src/siblings.rs
@@ -33,13 +33,30 @@
     }
 }
 
+/// Messages of the called entry's machines that return with the answer to a delivery.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MailReply {
+    /// Life of the called entry.
+    pub incarnation: Incarnation,
+    /// Time of the called entry.
+    pub time: HybridTime,
+    /// The messages.
+    pub mails: Vec<Mail>,
+}
+
 /// Calls that an entry answers to its sibling entries.
 #[tarpc::service]
 pub trait Sibling {
     /// Answers a call about a job, or forwards it if `hops` forwards are left.
     async fn job(call: JobCall, hops: u8, time: HybridTime) -> Result<JobAnswer, NotAccepted>;
-    /// Hands over messages of the caller's machines, in the life of the caller that is named.
-    async fn deliver(from: InstanceId, incarnation: Incarnation, time: HybridTime, mails: Vec<Mail>);
+    /// Hands over messages of the caller's machines, in the life of the caller that is named. The reply carries what the
+    /// called entry has for the caller by then.
+    async fn deliver(
+        from: InstanceId,
+        incarnation: Incarnation,
+        time: HybridTime,
+        mails: Vec<Mail>,
+    ) -> MailReply;
     /// Returns the identity of the called entry.
     async fn ping() -> InstanceId;
 }
