perf: report idle shares every 800 ms

Cause: without work, reports of slot shares and their grants are most of what a member sends. Change: two reports, not four, fit into a lease of 2 s; the loss of one still ends none.

--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -16,8 +16,9 @@
     outbox::Outbox,
 };
 
-/// Time between two reports while no slot is used and no task waits. It is a part of a lease, so that none ends.
-const IDLE_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two reports while no slot is used and no task waits. Two fit into a lease, so that it outlasts the loss of
+/// one.
+const IDLE_PERIOD: Duration = Duration::from_millis(800);
 
 /// The shares of targets' slots that are leased to this instance, and those that it leases to the cell's members.
 #[derive(Debug)]
