feat: borrow slots of the sibling with the most free ones

Cause: a task that found no free slot at its home waited until shares moved (100 ms and more), also while a sibling had free slots. Change: the home asks the sibling that last reported most free slots for one, records the intent and starts the task itself; loans are leased, renewed and given back. The output that releases a slot names its task. Before: with 60 tasks at one of two entries of 40 slots each, no slot of the sibling is used. Conclusion: three messages a loan; the starter stays the home, so that the death of a sibling leaves no start unknown.

--- a/kqr-entry/src/engine/effects.rs
+++ b/kqr-entry/src/engine/effects.rs
@@ -37,6 +37,7 @@
                 let mut outputs = Vec::new();
                 lock(&self.queue).dispatch(self.clock.now(), &self.table, &mut outputs);
                 self.perform_queue(outputs, &mut work);
+                self.borrow_slots();
                 continue;
             }
             let Some(shard) = work.next_unflushed() else {
@@ -51,12 +52,16 @@
     fn perform(self: &Arc<Self>, shard: ShardIndex, output: Output, work: &mut Work) {
         match output {
             Output::Enqueue(tasks) => {
+                lock(&self.borrowed).note_waiting(&tasks);
                 lock(&self.queue).push(self.clock.now(), &self.table, tasks);
                 work.is_dispatch_due = true;
             }
-            Output::Withdraw { key } => lock(&self.queue).withdraw([&key]),
-            Output::ReleaseSlot { target } => {
-                self.table.release(&target);
+            Output::Withdraw { key } => {
+                lock(&self.borrowed).withdraw(&key);
+                lock(&self.queue).withdraw([&key]);
+            }
+            Output::ReleaseSlot { key, task, target } => {
+                self.release_slot(&key, task, &target);
                 work.is_dispatch_due = true;
             }
             Output::Start(start) => self.start(*start),
@@ -183,6 +188,9 @@
 
     /// Gives back the slot of an ended attempt and learns from its end.
     fn learn(&self, start: &StartTask, end: &TaskEnd) {
+        if self.end_loan(start, end) {
+            return;
+        }
         let verdict = match end.result {
             TaskResult::Completed(_) => Verdict::Completed,
             TaskResult::Failed(_) => Verdict::Failed,
--- /dev/null
+++ b/kqr-entry/src/engine/loans.rs
@@ -0,0 +1,262 @@
+//! Uses slots that are leased to siblings for tasks that find no free one here, and lends slots to siblings.
+
+use std::sync::Arc;
+
+use kqr_admission::{Ended, Verdict};
+use kqr_jobs::{Input, StartTask, TaskEnd, TaskResult, WaitingTask};
+use kqr_placement::{Demand, TargetKind};
+use kqr_telemetry::{EventKind, WastedMessage};
+use kqr_types::{Incarnation, InstanceId, Instant, JobKey, TargetId, TaskIndex};
+use kqr_wire::{
+    loans::{LentSlot, LoanAnswer, LoanEnd, LoanRequest, LoanReturn},
+    mail::Mail,
+};
+
+use super::{
+    Engine,
+    borrowed_slots::BorrowedSlot,
+    lent_slots::{Loan, LoanId},
+    lock, shard_of,
+    work::Work,
+};
+
+/// Kind of targets that tasks are placed on.
+const KIND: TargetKind = TargetKind::Worker;
+
+impl Engine {
+    /// Takes in the number of free slots that a sibling reported.
+    pub fn sibling_reported(&self, sibling: InstanceId, free: u32) {
+        lock(&self.borrowed).reported(self.clock.now(), sibling, free);
+    }
+
+    /// Asks siblings with many free slots for slots for the tasks that found none here.
+    pub(super) fn borrow_slots(&self) {
+        let now = self.clock.now();
+        let services = lock(&self.borrowed).services();
+        for service in services {
+            loop {
+                let mut queue = lock(&self.queue);
+                let mut borrowed = lock(&self.borrowed);
+                if queue.waiting(&service) == 0 {
+                    borrowed.forget_service(&service);
+                    break;
+                }
+                if self.table.free(&service, KIND) > 0 {
+                    break;
+                }
+                let Some(sibling) = borrowed.choose(now) else {
+                    return;
+                };
+                let Some(task) = queue.take_for_forward(&service, 1).pop() else {
+                    break;
+                };
+                let number = borrowed.ask(now, sibling.clone(), task.clone());
+                drop((queue, borrowed));
+                self.ask(&sibling, number, task);
+            }
+        }
+    }
+
+    fn ask(&self, sibling: &InstanceId, number: u64, task: WaitingTask) {
+        let mut event = self.events.event(EventKind::Forwarded);
+        event.key = Some(task.key.clone());
+        event.peer = Some(sibling.clone());
+        event.detail = Some(format!("asks for a slot for task {}", task.task));
+        self.events.record(event);
+        let request = LoanRequest {
+            number,
+            key: task.key,
+            task: task.task,
+            service: task.service,
+            class: task.spec.class,
+            cores: task.spec.cores,
+            memory: task.spec.memory,
+            accelerators: task.spec.accelerators,
+            avoid: task.avoid,
+        };
+        self.post_wasted(sibling, Mail::LoanRequest(request));
+    }
+
+    /// Lends a slot to a sibling, if one is free and no task waits for it here.
+    pub fn lend(&self, borrower: &InstanceId, incarnation: Incarnation, request: LoanRequest) {
+        let number = request.number;
+        let id = LoanId {
+            borrower: borrower.clone(),
+            incarnation,
+            number,
+        };
+        let now = self.clock.now();
+        let mut lent = lock(&self.lent);
+        let mut slot = lent.slot(&id).cloned();
+        if slot.is_none() {
+            slot = self.take_slot(&request);
+            if let Some(slot) = &slot {
+                lent.lend(now, id, request, slot.clone());
+            }
+        }
+        drop(lent);
+        self.post_wasted(borrower, Mail::LoanAnswer(LoanAnswer { number, slot }));
+    }
+
+    fn take_slot(&self, request: &LoanRequest) -> Option<LentSlot> {
+        let service = &request.service;
+        // Long work takes its bounded part of the slots where its home can throttle it.
+        let is_long = self.table.classes().is_long(service, &request.class);
+        if is_long || self.waiting_for(service) > 0 {
+            return None;
+        }
+        let demand = Demand {
+            cores: request.cores,
+            memory: request.memory,
+            accelerators: request.accelerators,
+            class: Some(&request.class),
+            avoid: &request.avoid,
+            waiting: None,
+            is_long,
+            spread: request.number as u32,
+        };
+        let target = self.table.pick(service, KIND, &demand).ok()?;
+        Some(LentSlot {
+            target: target.announcement.id.clone(),
+            incarnation: target.announcement.incarnation,
+        })
+    }
+
+    /// Takes in the answer of a sibling that was asked for a slot.
+    pub fn take_loan(self: &Arc<Self>, sibling: &InstanceId, answer: LoanAnswer) {
+        let LoanAnswer { number, slot } = answer;
+        let mut work = Work::default();
+        let now = self.clock.now();
+        let Some(LentSlot { target, incarnation }) = slot else {
+            let refused = lock(&self.borrowed).refused(now, sibling, number);
+            self.wait_again(now, refused.into_iter().collect(), &mut work);
+            self.settle(work);
+            return;
+        };
+        let placed = lock(&self.borrowed).lent(sibling, number, &target);
+        let Some(task) = placed else {
+            let slot = BorrowedSlot {
+                sibling: sibling.clone(),
+                number,
+            };
+            self.give_back(&slot, LoanEnd::Unused);
+            return;
+        };
+        let input = Input::Placed {
+            key: task.key.clone(),
+            task: task.task,
+            target,
+            incarnation,
+        };
+        self.apply(shard_of(&task.key), input, &mut work);
+        self.settle(work);
+    }
+
+    /// Gives back a slot that was given to a task and is not used.
+    pub(super) fn release_slot(&self, key: &JobKey, task: TaskIndex, target: &TargetId) {
+        let borrowed = lock(&self.borrowed).end(key, task, target);
+        match borrowed {
+            Some(slot) => self.give_back(&slot, LoanEnd::Unused),
+            None => lock(&self.queue).not_used(&self.table, key, task, target),
+        }
+    }
+
+    /// Gives back the borrowed slot of an ended attempt. Returns whether it was a borrowed one.
+    pub(super) fn end_loan(&self, start: &StartTask, end: &TaskEnd) -> bool {
+        let (key, task) = (&start.key, start.attempt.task);
+        let borrowed = lock(&self.borrowed).end(key, task, &start.target);
+        let Some(slot) = borrowed else { return false };
+        let loan_end = match end.result {
+            TaskResult::Completed(_) => LoanEnd::Completed(end.run_time),
+            TaskResult::Failed(_) => LoanEnd::Failed,
+            TaskResult::NotStarted(_) => LoanEnd::NotStarted,
+            TaskResult::Unknown(_) => LoanEnd::Unknown,
+        };
+        if let LoanEnd::Completed(Some(run_time)) = loan_end {
+            self.table
+                .observe(&start.service, &start.spec.class, &start.target, run_time);
+        }
+        self.give_back(&slot, loan_end);
+        true
+    }
+
+    /// Takes in that a sibling gives back a slot.
+    pub fn end_lent(self: &Arc<Self>, borrower: InstanceId, incarnation: Incarnation, returned: LoanReturn) {
+        let id = LoanId {
+            borrower,
+            incarnation,
+            number: returned.number,
+        };
+        let Some(loan) = lock(&self.lent).end(&id) else {
+            return;
+        };
+        self.return_slot(loan, returned.end);
+        self.settle(Work::with_dispatch());
+    }
+
+    /// Takes in which loans a sibling still uses.
+    pub fn renew_lent(&self, borrower: &InstanceId, incarnation: Incarnation, numbers: &[u64]) {
+        lock(&self.lent).renew(self.clock.now(), borrower, incarnation, numbers);
+    }
+
+    /// Gives up requests without an answer, renews the loans in use, and ends those that a sibling did not renew.
+    pub(super) fn tick_loans(&self, work: &mut Work) {
+        let now = self.clock.now();
+        let mut borrowed = lock(&self.borrowed);
+        let unanswered = borrowed.expire(now);
+        let renewals = borrowed.renewals(now);
+        drop(borrowed);
+        self.wait_again(now, unanswered, work);
+        for (sibling, numbers) in renewals {
+            self.outbox.post(&sibling, Mail::LoansInUse(numbers));
+        }
+        let expired = lock(&self.lent).expire(now);
+        for loan in expired {
+            self.return_slot(loan, LoanEnd::Unknown);
+        }
+    }
+
+    /// Puts tasks back into the queue of this instance.
+    fn wait_again(&self, now: Instant, tasks: Vec<WaitingTask>, work: &mut Work) {
+        if tasks.is_empty() {
+            return;
+        }
+        lock(&self.borrowed).note_waiting(&tasks);
+        lock(&self.queue).push(now, &self.table, tasks);
+        work.is_dispatch_due = true;
+    }
+
+    fn return_slot(&self, loan: Loan, end: LoanEnd) {
+        let (verdict, run_time) = match end {
+            LoanEnd::Unused => {
+                self.table.release(&loan.slot.target);
+                return;
+            }
+            LoanEnd::Completed(run_time) => (Verdict::Completed, run_time),
+            LoanEnd::Failed => (Verdict::Failed, None),
+            LoanEnd::NotStarted => (Verdict::NotStarted, None),
+            LoanEnd::Unknown => (Verdict::Unknown, None),
+        };
+        let ended = Ended {
+            key: loan.key,
+            task: loan.task,
+            service: loan.service,
+            class: loan.class,
+            target: loan.slot.target,
+            verdict,
+            run_time,
+        };
+        lock(&self.queue).ended(self.clock.now(), &self.table, &ended);
+    }
+
+    fn give_back(&self, slot: &BorrowedSlot, end: LoanEnd) {
+        let number = slot.number;
+        self.post_wasted(&slot.sibling, Mail::LoanReturn(LoanReturn { number, end }));
+    }
+
+    /// Sends a message beyond the one start and the one answer of a task.
+    fn post_wasted(&self, to: &InstanceId, mail: Mail) {
+        self.metrics.wasted(WastedMessage::Forward);
+        self.outbox.post(to, mail);
+    }
+}
--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -1,6 +1,9 @@
 //! The jobs, the queue and the targets of this instance, and the effects of their machines.
 
+mod borrowed_slots;
 mod effects;
+mod lent_slots;
+mod loans;
 mod sync_reports;
 mod waiters;
 mod work;
@@ -24,7 +27,10 @@
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
-use self::{sync_reports::SyncReports, waiters::Waiters, work::Work};
+use self::{
+    borrowed_slots::BorrowedSlots, lent_slots::LentSlots, sync_reports::SyncReports, waiters::Waiters,
+    work::Work,
+};
 pub use self::{waiters::Answer, work::ShardIndex};
 use crate::{
     clock::Clock,
@@ -59,6 +65,8 @@
     pub settings: Arc<LiveSettings>,
     shards: Vec<Mutex<Machine>>,
     queue: Mutex<AdmissionQueue>,
+    borrowed: Mutex<BorrowedSlots>,
+    lent: Mutex<LentSlots>,
     waiters: Waiters,
     sync_reports: Mutex<SyncReports>,
     synced: watch::Sender<Epoch>,
@@ -95,6 +103,8 @@
             settings,
             shards: (0..SHARDS).map(|_| machine()).collect(),
             queue: Mutex::new(AdmissionQueue::new(kqr_admission::Options::default())),
+            borrowed: Mutex::default(),
+            lent: Mutex::default(),
             waiters: Waiters::default(),
             sync_reports: Mutex::new(SyncReports::new(SHARDS)),
             synced: watch::Sender::new(Epoch(0)),
@@ -179,6 +189,7 @@
         let mut outputs = Vec::new();
         lock(&self.queue).tick(self.clock.now(), &self.table, &mut outputs);
         let mut work = Work::with_dispatch();
+        self.tick_loans(&mut work);
         self.perform_queue(outputs, &mut work);
         self.settle(work);
     }
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -53,6 +53,10 @@
             Mail::Cell { data_centre, message } => self.seats.receive(&data_centre, message),
             Mail::SlotReport(report) => self.shares.take_report(report),
             Mail::SlotGrant(grant) => self.shares.take_grant(grant),
+            Mail::LoanRequest(request) => self.engine.lend(from, incarnation, request),
+            Mail::LoanAnswer(answer) => self.engine.take_loan(from, answer),
+            Mail::LoanReturn(returned) => self.engine.end_lent(from.clone(), incarnation, returned),
+            Mail::LoansInUse(numbers) => self.engine.renew_lent(from, incarnation, &numbers),
             Mail::Directory(message) => {
                 self.registry.handle(kqr_directory::Input::Peer {
                     from: from.clone(),
--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -98,6 +98,7 @@
 
     /// Takes in the report of a member.
     pub fn take_report(&self, report: ShareReport<TargetId>) {
+        self.engine.sibling_reported(report.from.clone(), report.free);
         let mut state = self.lock();
         self.keep(&mut state, report);
     }
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -12,8 +12,10 @@
 use hyper::{Method, Request, StatusCode};
 use kqr_entry::{Limits, Running};
 use kqr_http::{Client, ClientOptions};
+use kqr_jobs::home_order;
 use kqr_settings::bootstrap::Bootstrap;
 use kqr_telemetry::EventLog;
+use kqr_types::{CellMember, CellView, Epoch, Incarnation, KeyDigest, MemberState};
 use kqr_wire::callers::{JobAnswerBody, ProblemBody};
 use ports::free_address;
 
@@ -134,10 +136,12 @@
 
     /// Returns the number of slots that are leased to the entry with `index`.
     async fn shared_slots(&self, index: usize) -> u64 {
-        let text = self.send(index, Method::GET, "/metrics", &[], "").await.text();
-        let line = text.lines().find(|line| line.starts_with("kqr_shared_slots"));
-        let value = line.and_then(|line| line.rsplit(' ').next());
-        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+        self.metric(index, "kqr_shared_slots").await
+    }
+
+    /// Returns the first value of a metric of the entry with `index`, or 0 if there is none.
+    pub async fn metric(&self, index: usize, name: &str) -> u64 {
+        metric(&self.client, self.addresses[index].callers, name).await
     }
 
     /// Sends one request to the entry with `index`.
@@ -191,6 +195,38 @@
     (starts, starts - tasks.len())
 }
 
+/// Returns the first value of a metric, or 0 if there is none. `name` may go on with labels.
+pub async fn metric(client: &Client, callers: SocketAddr, name: &str) -> u64 {
+    let uri = format!("http://{callers}/metrics").parse().unwrap();
+    let (_, bytes) = client.json::<()>(Method::GET, uri, None, LIMIT).await.unwrap();
+    let text = String::from_utf8_lossy(&bytes);
+    let line = text.lines().find(|line| line.starts_with(name));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value.and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+/// Returns a key whose home is the entry with `index` while the entries `entry-0` to `entry-N` of `members` form a cell.
+pub fn key_homed_at(index: usize, members: usize, prefix: &str) -> String {
+    let member = |number: usize| CellMember {
+        id: format!("entry-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        weight: 1,
+        state: MemberState::Full,
+    };
+    let view = CellView {
+        epoch: Epoch(1),
+        members: (0..members).map(member).collect(),
+    };
+    for number in 0.. {
+        let key = format!("{prefix}-{number}");
+        let home = home_order(&view, KeyDigest::of(&key.parse().unwrap()))[0];
+        if home.id.as_str() == format!("entry-{index}") {
+            return key;
+        }
+    }
+    unreachable!("each entry is the home of some key")
+}
+
 /// Returns a bootstrap file with one entry for each name in `data_centres`, and the entries' listeners.
 pub fn bootstrap_yaml(data_centres: &[&str]) -> (String, Vec<Addresses>) {
     let mut lines = vec!["data_centres:".to_owned()];
--- a/kqr-entry/tests/support/processes.rs
+++ b/kqr-entry/tests/support/processes.rs
@@ -273,6 +273,11 @@
         self.children[index].take().unwrap().wait().unwrap()
     }
 
+    /// Returns the first value of a metric of the entry with `index`, or 0 if there is none.
+    pub async fn metric(&self, index: usize, name: &str) -> u64 {
+        super::metric(&self.client, self.addresses[index].callers, name).await
+    }
+
     /// Submits one job at the first entry.
     pub fn submit_in_background(
         &self,
--- a/kqr-jobs/src/machine/release.rs
+++ b/kqr-jobs/src/machine/release.rs
@@ -84,7 +84,11 @@
             return;
         };
         if job.deadline <= now {
-            outputs.push(Output::ReleaseSlot { target });
+            outputs.push(Output::ReleaseSlot {
+                key: job.submission.key.clone(),
+                task: attempt.task,
+                target,
+            });
             let result = TaskResult::NotStarted("the deadline passed before the start".to_owned());
             self.end_task(now, digest, attempt.task, result, outputs);
             return;
--- a/kqr-jobs/src/machine/tasks.rs
+++ b/kqr-jobs/src/machine/tasks.rs
@@ -21,12 +21,20 @@
         let is_active = self.cell.is_active;
         let waiting = self.own_job(key).filter(|job| is_active && is_waiting(job, task));
         let Some(job) = waiting else {
-            outputs.push(Output::ReleaseSlot { target });
+            outputs.push(Output::ReleaseSlot {
+                key: key.clone(),
+                task,
+                target,
+            });
             return;
         };
         let digest = job.digest;
         if job.deadline <= now {
-            outputs.push(Output::ReleaseSlot { target });
+            outputs.push(Output::ReleaseSlot {
+                key: key.clone(),
+                task,
+                target,
+            });
             self.end_task(
                 now,
                 digest,
@@ -168,12 +176,15 @@
                 let Effect::Start(attempt) = effect else {
                     return true;
                 };
-                let task = &mut job.tasks[usize::from(attempt.task.0)];
-                if let Phase::Intended { target, .. } = &task.record.phase {
-                    let target = target.clone();
-                    outputs.push(Output::ReleaseSlot { target });
+                let state = &mut job.tasks[usize::from(attempt.task.0)];
+                if let Phase::Intended { target, .. } = &state.record.phase {
+                    outputs.push(Output::ReleaseSlot {
+                        key: job.submission.key.clone(),
+                        task: attempt.task,
+                        target: target.clone(),
+                    });
                 }
-                task.record.phase = Phase::Waiting;
+                state.record.phase = Phase::Waiting;
                 false
             });
         }
--- a/kqr-jobs/src/output.rs
+++ b/kqr-jobs/src/output.rs
@@ -61,6 +61,10 @@
     },
     /// A slot that was given to a task is not used.
     ReleaseSlot {
+        /// Key of the job.
+        key: JobKey,
+        /// The task.
+        task: TaskIndex,
         /// The target.
         target: TargetId,
     },
--- a/kqr-wire/src/lib.rs
+++ b/kqr-wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod callers;
 pub mod control;
 pub mod headers;
+pub mod loans;
 pub mod mail;
 pub mod siblings;
 pub mod targets;
--- a/kqr-wire/src/mail.rs
+++ b/kqr-wire/src/mail.rs
@@ -4,6 +4,8 @@
 use kqr_types::{DataCentre, TargetId};
 use serde::{Deserialize, Serialize};
 
+use crate::loans::{LoanAnswer, LoanRequest, LoanReturn};
+
 /// One message between the machines of two entries. It may be lost, repeated or overtaken by others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Mail {
@@ -18,6 +20,14 @@
     SlotReport(ShareReport<TargetId>),
     /// The slots that are leased to the receiver.
     SlotGrant(ShareGrant<TargetId>),
+    /// The sender has no free slot for a waiting task and asks for one of the receiver's.
+    LoanRequest(LoanRequest),
+    /// The answer to a request for a slot.
+    LoanAnswer(LoanAnswer),
+    /// A lent slot is given back.
+    LoanReturn(LoanReturn),
+    /// The numbers of the loans that the sender still uses; it renews their leases.
+    LoansInUse(Vec<u64>),
     /// A message between the directories of targets.
     Directory(kqr_directory::Message),
     /// A message between the job machines of the same shard.
