feat: lease teams' quotas to the members of a cell by demand

Cause: each member admitted an equal part of a quota, set when settings applied and not at a change of the epoch: the part of a dead member was lost, and a team whose work came to one entry had a part of its quota. Change: the machine that leases slots leases tasks a second of each team as well; holder and keeper are put together in CellShares for both. The time that a caller over its quota is told to wait is bounded by what the whole quota takes.

--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod work;
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -22,8 +23,11 @@
     CallerId, Input, JobMessage, Machine, Member, NotAccepted, Outcome, RefusalReason, Submission, Submit,
 };
 use kqr_placement::Table;
+use kqr_settings::schema::TeamRules;
 use kqr_telemetry::{EventLog, Level, Metrics};
-use kqr_types::{CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, Rate, ServiceName};
+use kqr_types::{
+    CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, ServiceName, TeamName,
+};
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
@@ -32,13 +36,7 @@
     work::Work,
 };
 pub use self::{waiters::Answer, work::ShardIndex};
-use crate::{
-    clock::Clock,
-    limits::Limits,
-    live_settings::{InForce, LiveSettings},
-    outbox::Outbox,
-    starter::Starter,
-};
+use crate::{clock::Clock, limits::Limits, live_settings::LiveSettings, outbox::Outbox, starter::Starter};
 
 /// Number of parts that the jobs are divided into, each with a lock of its own. It must be the same in all entries.
 const SHARDS: usize = 16;
@@ -46,6 +44,9 @@
 /// Time between two ticks of shards without live jobs.
 const FULL_TICK: Duration = Duration::from_millis(500);
 
+/// Time in which parts of a quota move to the entry that has the demand, with some to spare.
+const LEAST_QUOTA_WAIT: Duration = Duration::from_secs(1);
+
 /// The jobs, the queue and the targets of this instance.
 #[derive(Debug)]
 pub struct Engine {
@@ -65,6 +66,7 @@
     pub settings: Arc<LiveSettings>,
     shards: Vec<Mutex<Machine>>,
     queue: Mutex<AdmissionQueue>,
+    arrivals: Mutex<BTreeMap<TeamName, u32>>,
     borrowed: Mutex<BorrowedSlots>,
     lent: Mutex<LentSlots>,
     waiters: Waiters,
@@ -103,6 +105,7 @@
             settings,
             shards: (0..SHARDS).map(|_| machine()).collect(),
             queue: Mutex::new(AdmissionQueue::new(kqr_admission::Options::default())),
+            arrivals: Mutex::default(),
             borrowed: Mutex::default(),
             lent: Mutex::default(),
             waiters: Waiters::default(),
@@ -159,21 +162,14 @@
         self.wait(&key, caller, rx).await
     }
 
-    /// Puts the quotas of the settings in force. Keys are spread evenly over the members of the cell, so that each
-    /// member admits an equal part of a team's quota.
-    pub fn set_quotas(&self, settings: &InForce) {
-        let now = self.clock.now();
-        let members = self.view().members.len().max(1) as f64;
-        let mut queue = lock(&self.queue);
-        for (team, rules) in settings.teams() {
-            let rate = rules.quota.0;
-            let burst = f64::from(rules.burst.0) / rate.max(1.0);
-            let quota = Quota {
-                rate: Rate(rate / members),
-                burst: Duration::from_secs_f64(burst),
-            };
-            queue.set_quota(now, team, Some(quota));
-        }
+    /// Sets the part of a team's quota that this instance may admit, or removes it.
+    pub fn set_quota(&self, now: Instant, team: &TeamName, quota: Option<Quota>) {
+        lock(&self.queue).set_quota(now, team, quota);
+    }
+
+    /// Returns the number of tasks that each team sent since the last call.
+    pub fn take_arrivals(&self) -> BTreeMap<TeamName, u32> {
+        std::mem::take(&mut *lock(&self.arrivals))
     }
 
     /// Lets the machines see that time has passed.
@@ -334,14 +330,17 @@
         let mut outputs = Vec::new();
         let mut machine = lock(&self.shards[shard.0]);
         if machine.is_new(now, &submission)? {
+            self.note_arrival(&submission);
             let settings = self.settings.present();
             let most = settings.service(&submission.service).max_queued.0 as usize;
             let mut queue = lock(&self.queue);
             if queue.len() + submission.tasks.len() > most.max(Submission::MAX_TASKS) {
                 return Err(queue_full(most));
             }
-            queue.admit(now, &self.table, &submission)?;
+            let admitted = queue.admit(now, &self.table, &submission);
             drop(queue);
+            admitted
+                .map_err(|refusal| bounded_by_quota(refusal, &submission, settings.team(&submission.team)))?;
         }
         machine.handle(now, Input::Submit(Submit { caller, submission }), &mut outputs);
         drop(machine);
@@ -352,6 +351,14 @@
         Ok(())
     }
 
+    /// Counts the tasks of a new job as demand of its team, also if it is refused.
+    fn note_arrival(&self, submission: &Submission) {
+        let tasks = u32::try_from(submission.tasks.len()).unwrap_or(u32::MAX);
+        let mut arrivals = lock(&self.arrivals);
+        let count = arrivals.entry(submission.team.clone()).or_default();
+        *count = count.saturating_add(tasks);
+    }
+
     /// Waits for the answer of a caller. A caller that goes away is forgotten.
     async fn wait(self: &Arc<Self>, key: &JobKey, caller: CallerId, rx: oneshot::Receiver<Answer>) -> Answer {
         let guard = WaiterGuard {
@@ -400,6 +407,22 @@
     }
 }
 
+/// Bounds the time that a caller over its quota is told to wait by what the whole quota takes for its job: the part
+/// that is leased to this entry grows with the demand.
+fn bounded_by_quota(
+    mut refusal: NotAccepted,
+    submission: &Submission,
+    rules: Option<&TeamRules>,
+) -> NotAccepted {
+    let (RefusalReason::QuotaExceeded, Some(rules)) = (refusal.reason, rules) else {
+        return refusal;
+    };
+    let tasks = submission.tasks.len() as f64;
+    let needed = Duration::from_secs_f64(tasks / rules.quota.0.max(1.0)).max(LEAST_QUOTA_WAIT);
+    refusal.retry_after = refusal.retry_after.map(|wait| wait.min(needed));
+    refusal
+}
+
 fn shard_of(key: &JobKey) -> ShardIndex {
     ShardIndex(KeyDigest::of(key).0 as usize % SHARDS)
 }
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -12,6 +12,7 @@
     engine::{Engine, ShardIndex},
     homes::Homes,
     live_settings::LiveSettings,
+    quota_shares::QuotaShares,
     registry::Registry,
     sibling_links::SiblingLinks,
     slot_shares::SlotShares,
@@ -30,6 +31,8 @@
     pub seats: CellSeats,
     /// The shares of the targets' slots.
     pub shares: SlotShares,
+    /// The shares of the teams' quotas.
+    pub quotas: QuotaShares,
     /// The settings in force.
     pub settings: Arc<LiveSettings>,
     /// The targets of the data centre.
@@ -53,6 +56,8 @@
             Mail::Cell { data_centre, message } => self.seats.receive(&data_centre, message),
             Mail::SlotReport(report) => self.shares.take_report(report),
             Mail::SlotGrant(grant) => self.shares.take_grant(grant),
+            Mail::QuotaReport(report) => self.quotas.take_report(report),
+            Mail::QuotaGrant(grant) => self.quotas.take_grant(grant),
             Mail::LoanRequest(request) => self.engine.lend(from, incarnation, request),
             Mail::LoanAnswer(answer) => self.engine.take_loan(from, answer),
             Mail::LoanReturn(returned) => self.engine.end_lent(from.clone(), incarnation, returned),
@@ -69,7 +74,7 @@
     /// Puts a version of the settings in force.
     pub fn apply_settings(&self, version: Version, tree: &Tree) {
         self.settings.apply(version, tree);
-        self.engine.set_quotas(&self.settings.present());
+        self.quotas.apply_settings();
         let mut event = self.engine.events.event(EventKind::SettingsApplied);
         event.detail = Some(format!("version {version}"));
         self.engine.events.record(event);
@@ -81,6 +86,7 @@
         self.seats.tick();
         self.engine.tick();
         self.shares.tick();
+        self.quotas.tick();
         self.registry.handle(kqr_directory::Input::Tick);
     }
 }
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod cell_seat;
+mod cell_shares;
 mod clock;
 mod daemon;
 mod engine;
@@ -13,6 +14,7 @@
 mod live_settings;
 mod options;
 mod outbox;
+mod quota_shares;
 mod registry;
 mod routing;
 mod running;
--- a/kqr-entry/src/live_settings.rs
+++ b/kqr-entry/src/live_settings.rs
@@ -111,6 +111,11 @@
         self.teams.iter()
     }
 
+    /// Returns the rules of a team, if the settings name it.
+    pub fn team(&self, team: &TeamName) -> Option<&TeamRules> {
+        self.teams.get(team)
+    }
+
     /// Returns the identity of the target that calls itself `name`.
     pub fn identity(&self, name: &TargetId) -> TargetId {
         self.names.identity(name).clone()
--- /dev/null
+++ b/kqr-entry/src/quota_shares.rs
@@ -0,0 +1,215 @@
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use kqr_admission::Quota;
+use kqr_placement::{ResourceUse, ShareGrant, ShareOptions, ShareReport, ShareUse, Units};
+use kqr_settings::schema::TeamRules;
+use kqr_types::{InstanceId, Instant, Rate, TeamName};
+use kqr_wire::mail::Mail;
+
+use crate::{
+    cell_shares::{CellShares, ShareEffects, ShareMessage},
+    engine::Engine,
+    live_settings::LiveSettings,
+    outbox::Outbox,
+};
+
+/// Time between two reports of teams that send nothing. It is a part of a lease, so that a lost report ends none.
+const QUIET_PERIOD: Duration = Duration::from_millis(800);
+
+/// The parts of teams' quotas that are leased to this instance, and those that it leases to the cell's members. A unit
+/// is one task a second.
+#[derive(Debug)]
+pub struct QuotaShares {
+    engine: Arc<Engine>,
+    settings: Arc<LiveSettings>,
+    outbox: Arc<Outbox>,
+    options: ShareOptions,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    shares: CellShares<TeamName>,
+    teams: BTreeMap<TeamName, Team>,
+    next_tick: Instant,
+    next_full_tick: Instant,
+    /// Instant until which each report names all teams: a keeper that has a report of each member takes what they
+    /// name for all that is leased.
+    full_until: Instant,
+}
+
+/// The quota of a team and the part that is leased to this instance.
+#[derive(Debug)]
+struct Team {
+    rules: TeamRules,
+    leased: u32,
+    demand: u32,
+}
+
+impl Team {
+    /// Returns the whole quota, of which a fraction of a task a second is dropped.
+    fn units(&self) -> u32 {
+        self.rules.quota.0 as u32
+    }
+
+    /// Returns the leased part of the quota. Unused quota is kept for the same time at each instance.
+    fn quota(&self) -> Quota {
+        let burst = f64::from(self.rules.burst.0) / self.rules.quota.0.max(1.0);
+        Quota {
+            rate: Rate(f64::from(self.leased)),
+            burst: Duration::from_secs_f64(burst),
+        }
+    }
+}
+
+impl QuotaShares {
+    /// Creates the shares of a member that holds none yet.
+    pub fn new(
+        own: InstanceId,
+        engine: Arc<Engine>,
+        settings: Arc<LiveSettings>,
+        outbox: Arc<Outbox>,
+    ) -> Self {
+        let options = ShareOptions::default();
+        let state = State {
+            shares: CellShares::new(own, &options),
+            teams: BTreeMap::new(),
+            next_tick: Instant(0),
+            next_full_tick: Instant(0),
+            full_until: Instant(0),
+        };
+        Self {
+            engine,
+            settings,
+            outbox,
+            options,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Puts the quotas of the settings in force. A part that is leased already stays until the next grant, as far as
+    /// the new quota allows.
+    pub fn apply_settings(&self) {
+        let now = self.engine.clock.now();
+        let settings = self.settings.present();
+        let mut state = self.lock();
+        let mut known = std::mem::take(&mut state.teams);
+        let mut units = Vec::new();
+        for (name, rules) in settings.teams() {
+            let present = known.remove(name);
+            let mut team = Team {
+                rules: rules.clone(),
+                leased: present.as_ref().map_or(0, |team| team.leased),
+                demand: present.map_or(0, |team| team.demand),
+            };
+            team.leased = team.leased.min(team.units());
+            units.push(Units {
+                resource: name.clone(),
+                units: team.units(),
+            });
+            self.engine.set_quota(now, name, Some(team.quota()));
+            state.teams.insert(name.clone(), team);
+        }
+        for name in known.keys() {
+            self.engine.set_quota(now, name, None);
+        }
+        state.shares.set_resources(now, units);
+    }
+
+    /// Reports the demand of teams once a period.
+    pub fn tick(&self) {
+        let now = self.engine.clock.now();
+        let mut state = self.lock();
+        if now < state.next_tick {
+            return;
+        }
+        state.next_tick = now + self.options.period;
+        if state.shares.set_view(now, &self.engine.view()) {
+            state.full_until = now + self.options.keeper_lease() + self.options.period;
+        }
+        let is_full = now < state.full_until || now >= state.next_full_tick;
+        if is_full {
+            state.next_full_tick = now + QUIET_PERIOD;
+        }
+        let uses = self.uses(&mut state, is_full);
+        let usage = ShareUse {
+            free: 0,
+            uses,
+            epoch_lease: self.engine.lease_until(),
+        };
+        let mut effects = state.shares.tick(now, usage);
+        // A member without an active team has something to tell only when it reports all.
+        effects.messages.retain(|(_, message)| match message {
+            ShareMessage::Report(report) => is_full || !report.claims.is_empty(),
+            ShareMessage::Grant(_) => true,
+        });
+        self.perform(&mut state, effects);
+    }
+
+    /// Takes in the report of a member.
+    pub fn take_report(&self, report: ShareReport<TeamName>) {
+        let mut state = self.lock();
+        let effects = state.shares.take_report(self.engine.clock.now(), report);
+        self.perform(&mut state, effects);
+    }
+
+    /// Takes in the grant of a member.
+    pub fn take_grant(&self, grant: ShareGrant<TeamName>) {
+        let mut state = self.lock();
+        let effects = state.shares.take_grant(self.engine.clock.now(), grant);
+        self.perform(&mut state, effects);
+    }
+
+    /// Returns the tasks a second of a team's quota that are leased to this instance.
+    pub fn leased(&self, team: &TeamName) -> u32 {
+        self.lock().teams.get(team).map_or(0, |team| team.leased)
+    }
+
+    /// Returns the demand of the teams that have any, or of all teams.
+    fn uses(&self, state: &mut State, is_full: bool) -> Vec<ResourceUse<TeamName>> {
+        let mut arrived = self.engine.take_arrivals();
+        let mut uses = Vec::new();
+        for (name, team) in &mut state.teams {
+            team.demand = team
+                .demand
+                .saturating_add(arrived.remove(name).unwrap_or_default());
+            if team.demand > 0 || is_full {
+                uses.push(ResourceUse {
+                    resource: name.clone(),
+                    used: 0,
+                    demand: team.demand,
+                });
+            }
+            // A moving sum over several periods, so that the shares don't follow each chance arrival.
+            team.demand -= team.demand.div_ceil(8);
+        }
+        uses
+    }
+
+    /// Performs effects in their order.
+    fn perform(&self, state: &mut State, effects: ShareEffects<TeamName>) {
+        let now = self.engine.clock.now();
+        for (to, message) in effects.messages {
+            let mail = match message {
+                ShareMessage::Report(report) => Mail::QuotaReport(report),
+                ShareMessage::Grant(grant) => Mail::QuotaGrant(grant),
+            };
+            self.outbox.post(&to, mail);
+        }
+        for Units { resource, units } in effects.limits {
+            let Some(team) = state.teams.get_mut(&resource) else {
+                continue;
+            };
+            team.leased = units.min(team.units());
+            self.engine.set_quota(now, &resource, Some(team.quota()));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -10,11 +10,11 @@
 use kqr_http::ServerOptions;
 use kqr_jobs::Member;
 use kqr_settings::{
-    Follower, FollowerOptions,
+    Follower, FollowerOptions, Tree, Version,
     bootstrap::{Bootstrap, Instance},
 };
 use kqr_telemetry::{EventKind, EventLog, Metrics};
-use kqr_types::Incarnation;
+use kqr_types::{Incarnation, TeamName};
 use kqr_wire::control::{SettingsStream, peers_of};
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
@@ -29,6 +29,7 @@
     limits::Limits,
     live_settings::LiveSettings,
     outbox::Outbox,
+    quota_shares::QuotaShares,
     registry::Registry,
     sibling_links::SiblingLinks,
     sibling_server,
@@ -103,6 +104,16 @@
         })
     }
 
+    /// Puts a version of the settings in force, as the stream of settings does.
+    pub fn apply_settings(&self, version: Version, tree: &Tree) {
+        self.entry.apply_settings(version, tree);
+    }
+
+    /// Returns the tasks a second of a team's quota that are leased to this entry.
+    pub fn leased_quota(&self, team: &TeamName) -> u32 {
+        self.entry.quotas.leased(team)
+    }
+
     /// Ends accepted work, then the servers. Returns whether all accepted work ended within the grace time.
     pub async fn close(self) -> bool {
         let engine = &self.entry.engine;
@@ -170,6 +181,12 @@
         Arc::clone(&settings),
         Arc::clone(&outbox),
     );
+    let quotas = QuotaShares::new(
+        own.id.clone(),
+        Arc::clone(&engine),
+        Arc::clone(&settings),
+        Arc::clone(&outbox),
+    );
     let registry = Registry::new(directory, Arc::clone(&engine), outbox);
     registry.handle(kqr_directory::Input::Peers(siblings));
     Ok(Entry {
@@ -178,6 +195,7 @@
         engine,
         seats,
         shares,
+        quotas,
         settings,
         registry,
         links,
--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -3,14 +3,12 @@
     time::Duration,
 };
 
-use kqr_placement::{
-    Announcement, HolderInput, HolderOutput, KeeperInput, KeeperOutput, ResourceUse, ShareGrant, ShareHolder,
-    ShareKeeper, ShareOptions, ShareReport, ShareUse, Units,
-};
-use kqr_types::{Epoch, InstanceId, Instant, TargetId};
+use kqr_placement::{Announcement, ResourceUse, ShareGrant, ShareOptions, ShareReport, ShareUse, Units};
+use kqr_types::{InstanceId, Instant, TargetId};
 use kqr_wire::mail::Mail;
 
 use crate::{
+    cell_shares::{CellShares, ShareEffects, ShareMessage},
     engine::Engine,
     live_settings::{InForce, LiveSettings},
     outbox::Outbox,
@@ -22,19 +20,16 @@
 /// The shares of targets' slots that are leased to this instance, and those that it leases to the cell's members.
 #[derive(Debug)]
 pub struct SlotShares {
-    own: InstanceId,
     engine: Arc<Engine>,
     settings: Arc<LiveSettings>,
     outbox: Arc<Outbox>,
+    period: Duration,
     state: Mutex<State>,
 }
 
 #[derive(Debug)]
 struct State {
-    options: ShareOptions,
-    holder: ShareHolder<TargetId>,
-    keeper: ShareKeeper<TargetId>,
-    epoch: Epoch,
+    shares: CellShares<TargetId>,
     next_tick: Instant,
     next_idle_tick: Instant,
 }
@@ -49,18 +44,15 @@
     ) -> Self {
         let options = ShareOptions::default();
         let state = State {
-            holder: ShareHolder::new(own.clone(), options.clone()),
-            keeper: ShareKeeper::new(own.clone(), options.clone()),
-            options,
-            epoch: Epoch(0),
+            shares: CellShares::new(own, &options),
             next_tick: Instant(0),
             next_idle_tick: Instant(0),
         };
         Self {
-            own,
             engine,
             settings,
             outbox,
+            period: options.period,
             state: Mutex::new(state),
         }
     }
@@ -75,42 +67,30 @@
         if self.engine.is_idle() && now < state.next_idle_tick {
             return;
         }
-        state.next_tick = now + state.options.period;
+        state.next_tick = now + self.period;
         state.next_idle_tick = now + IDLE_PERIOD;
-        let mut outputs = Vec::new();
-        let view = self.engine.view();
-        if view.epoch > state.epoch {
-            state.epoch = view.epoch;
-            state
-                .holder
-                .handle(now, HolderInput::View((*view).clone()), &mut outputs);
-            state
-                .keeper
-                .handle(now, KeeperInput::View((*view).clone()), &mut Vec::new());
-        }
+        state.shares.set_view(now, &self.engine.view());
         let (units, usage) = self.usage();
-        state
-            .keeper
-            .handle(now, KeeperInput::Resources(units), &mut Vec::new());
-        state.holder.handle(now, HolderInput::Tick(usage), &mut outputs);
-        self.perform(&mut state, outputs);
+        state.shares.set_resources(now, units);
+        let effects = state.shares.tick(now, usage);
+        self.perform(effects);
     }
 
     /// Takes in the report of a member.
     pub fn take_report(&self, report: ShareReport<TargetId>) {
         self.engine.sibling_reported(report.from.clone(), report.free);
+        let now = self.engine.clock.now();
         let mut state = self.lock();
-        self.keep(&mut state, report);
+        let effects = state.shares.take_report(now, report);
+        self.perform(effects);
     }
 
     /// Takes in the grant of a member.
     pub fn take_grant(&self, grant: ShareGrant<TargetId>) {
+        let now = self.engine.clock.now();
         let mut state = self.lock();
-        let mut outputs = Vec::new();
-        state
-            .holder
-            .handle(self.engine.clock.now(), HolderInput::Grant(grant), &mut outputs);
-        self.perform(&mut state, outputs);
+        let effects = state.shares.take_grant(now, grant);
+        self.perform(effects);
     }
 
     /// Returns all slots of the known targets, and what this instance uses of them.
@@ -146,36 +126,20 @@
         )
     }
 
-    fn keep(&self, state: &mut State, report: ShareReport<TargetId>) {
-        let mut outputs = Vec::new();
-        state
-            .keeper
-            .handle(self.engine.clock.now(), KeeperInput::Report(report), &mut outputs);
-        for KeeperOutput { to, grant } in outputs {
-            if to != self.own {
-                self.outbox.post(&to, Mail::SlotGrant(grant));
-                continue;
-            }
-            let mut limits = Vec::new();
-            state
-                .holder
-                .handle(self.engine.clock.now(), HolderInput::Grant(grant), &mut limits);
-            self.perform(state, limits);
+    /// Performs effects in their order, for which the state stays locked.
+    fn perform(&self, effects: ShareEffects<TargetId>) {
+        for (to, message) in effects.messages {
+            let mail = match message {
+                ShareMessage::Report(report) => Mail::SlotReport(report),
+                ShareMessage::Grant(grant) => Mail::SlotGrant(grant),
+            };
+            self.outbox.post(&to, mail);
         }
-    }
-
-    fn perform(&self, state: &mut State, outputs: Vec<HolderOutput<TargetId>>) {
         let mut is_changed = false;
-        for output in outputs {
-            match output {
-                HolderOutput::Report { to, report } if to == self.own => self.keep(state, report),
-                HolderOutput::Report { to, report } => self.outbox.post(&to, Mail::SlotReport(report)),
-                HolderOutput::Limit(Units { resource, units }) => {
-                    if let Some(target) = self.engine.table.get(&resource) {
-                        target.set_share(units);
-                        is_changed = true;
-                    }
-                }
+        for Units { resource, units } in effects.limits {
+            if let Some(target) = self.engine.table.get(&resource) {
+                target.set_share(units);
+                is_changed = true;
             }
         }
         if is_changed {
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -83,17 +83,23 @@
 
     /// Starts the entry with `index`.
     pub async fn start_entry(&self, index: usize) -> Running {
-        let own = self.bootstrap.instances[index].clone();
-        let events = EventLog::disabled(own.id.clone());
+        self.launch(index).await
+    }
+
+    /// Returns the start of the entry with `index`, to be run on any threads.
+    pub fn launch(&self, index: usize) -> impl Future<Output = Running> + Send + use<> {
+        let bootstrap = self.bootstrap.clone();
+        let own = bootstrap.instances[index].clone();
         let limits = Limits {
             drain_delay: Duration::from_millis(300),
             grace: Duration::from_secs(10),
             cold_start_window: self.cold_start_window,
             outcome_retention: Duration::from_secs(3600),
         };
-        Running::start(&self.bootstrap, own, events, limits)
-            .await
-            .unwrap()
+        async move {
+            let events = EventLog::disabled(own.id.clone());
+            Running::start(&bootstrap, own, events, limits).await.unwrap()
+        }
     }
 
     /// Waits until the cell has admitted the entry with `index`.
--- a/kqr-wire/src/mail.rs
+++ b/kqr-wire/src/mail.rs
@@ -1,7 +1,7 @@
 //! Messages of the decision machines, carried in batches between entries.
 
 use kqr_placement::{ShareGrant, ShareReport};
-use kqr_types::{DataCentre, TargetId};
+use kqr_types::{DataCentre, TargetId, TeamName};
 use serde::{Deserialize, Serialize};
 
 use crate::loans::{LoanAnswer, LoanRequest, LoanReturn};
@@ -20,6 +20,10 @@
     SlotReport(ShareReport<TargetId>),
     /// The slots that are leased to the receiver.
     SlotGrant(ShareGrant<TargetId>),
+    /// What a member uses of the teams' quotas that the receiver keeps.
+    QuotaReport(ShareReport<TeamName>),
+    /// The parts of teams' quotas that are leased to the receiver.
+    QuotaGrant(ShareGrant<TeamName>),
     /// The sender has no free slot for a waiting task and asks for one of the receiver's.
     LoanRequest(LoanRequest),
     /// The answer to a request for a slot.
