feat: home numbered tries where they arrive; find a later try's key in any data centre

Cause: teams that number their tries (marked) had no way in; the setting was accepted once and read by nothing. Attempt 1 is submitted where it arrives; a later one is looked up, all other data centres renounce the key, and only then it is submitted. A submission without a number is refused. An entry that waits for its first settings looks for each later try. A cell that is declared to have no earlier history promises at once.

--- a/kqr-entry/src/callers/jobs.rs
+++ b/kqr-entry/src/callers/jobs.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::problem::Problem;
-use crate::{engine::Answer, entry::Entry, live_settings::InForce, routing::MAX_HOPS};
+use crate::{engine::Answer, entry::Entry, live_settings::InForce};
 
 /// Longest time until the whole body of a submission has arrived.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -33,6 +33,10 @@
     let (parts, body) = req.into_parts();
     let settings = entry.settings.present();
     let submission = parse_submission(&settings, &parts.headers, body).await?;
+    if submission.attempt.is_none() && entry.is_marked(&submission) {
+        let detail = format!("the team {} must number its tries from 1", submission.team);
+        return Err(Problem::bad_request(headers::ATTEMPT, detail));
+    }
     let service = &submission.service;
     if !entry.engine.table.serves(service) && !settings.names_service(service) {
         let detail = format!("no target serves {}", submission.service);
@@ -45,15 +49,7 @@
     let begun = Instant::now();
     let deadline = submission.deadline;
     let ideal = submission.tasks.iter().filter_map(|task| task.run_time).max();
-    let answer = entry
-        .call(
-            JobCall::Submit {
-                submission,
-                is_waiting,
-            },
-            MAX_HOPS,
-        )
-        .await;
+    let answer = entry.submit(submission, is_waiting).await;
     let mut event = entry.engine.events.event(EventKind::Answered);
     event.key = Some(key);
     event.detail = answer.as_ref().err().map(ToString::to_string);
@@ -87,12 +83,12 @@
 
 /// Answers `GET /v1/jobs/{key}`.
 pub async fn lookup(entry: &Entry, key: &str) -> Reply {
-    reply(entry.call(JobCall::Lookup(parse_key(key)?), MAX_HOPS).await)
+    reply(entry.find(JobCall::Lookup(parse_key(key)?)).await)
 }
 
 /// Answers `DELETE /v1/jobs/{key}`.
 pub async fn cancel(entry: &Entry, key: &str) -> Reply {
-    reply(entry.call(JobCall::Cancel(parse_key(key)?), MAX_HOPS).await)
+    reply(entry.find(JobCall::Cancel(parse_key(key)?)).await)
 }
 
 fn reply(answer: Answer) -> Reply {
--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -149,6 +149,20 @@
         self.wait(&key, caller, rx).await
     }
 
+    /// Promises another data centre that a key is not run here. The promise is a refusal as an unknown key that was not
+    /// run; any other answer is none.
+    pub async fn renounce(self: &Arc<Self>, key: JobKey) -> Answer {
+        let (caller, rx) = self.waiters.add();
+        self.handle(
+            &key,
+            Input::Renounce {
+                key: key.clone(),
+                caller,
+            },
+        );
+        self.wait(&key, caller, rx).await
+    }
+
     /// Cancels a job and waits for its answer.
     pub async fn cancel(self: &Arc<Self>, key: JobKey) -> Answer {
         let (caller, rx) = self.waiters.add();
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -41,6 +41,8 @@
     pub links: Arc<SiblingLinks>,
     /// The client that relays requests.
     pub relay: Relay,
+    /// Whether settings are received from control instances.
+    pub has_control: bool,
     /// Cancelled when the shutdown begins.
     pub shutdown: CancellationToken,
 }
--- a/kqr-entry/src/homes.rs
+++ b/kqr-entry/src/homes.rs
@@ -37,14 +37,18 @@
 
     /// Returns the home data centre of `key`: the one that a prefix names, or the one chosen by hash.
     pub fn data_centre(&self, key: &JobKey) -> Option<&DataCentre> {
-        if let Some((prefix, _)) = key.as_str().split_once('/')
-            && let Some(site) = self.data_centres.iter().find(|site| site.as_str() == prefix)
-        {
-            return Some(site);
-        }
-        self.data_centres
-            .iter()
-            .max_by_key(|site| rendezvous_weight(key.as_str(), site.as_str(), 1))
+        let by_hash = || {
+            self.data_centres
+                .iter()
+                .max_by_key(|site| rendezvous_weight(key.as_str(), site.as_str(), 1))
+        };
+        self.named_data_centre(key).or_else(by_hash)
+    }
+
+    /// Returns the data centre that a prefix of `key` names.
+    pub fn named_data_centre(&self, key: &JobKey) -> Option<&DataCentre> {
+        let (prefix, _) = key.as_str().split_once('/')?;
+        self.data_centres.iter().find(|site| site.as_str() == prefix)
     }
 
     /// Returns the entries of a data centre, in an order that differs from key to key.
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod outbox;
 mod quota_shares;
 mod registry;
+mod resubmissions;
 mod routing;
 mod running;
 mod sibling_links;
--- a/kqr-entry/src/live_settings.rs
+++ b/kqr-entry/src/live_settings.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use kqr_settings::{
-    Resolved, TargetNames, Tree, Version,
+    Resolved, ResubmissionRule, TargetNames, Tree, Version,
     schema::{Location, Node, Rules, TeamRules},
 };
 use kqr_types::{DataCentre, Region, ServiceName, TargetId, TeamName};
@@ -116,6 +116,19 @@
         self.teams.get(team)
     }
 
+    /// Returns whether the first try of a submission of `team` is homed where it arrives.
+    pub fn is_marked(&self, team: &TeamName) -> bool {
+        self.team(team)
+            .is_some_and(|rules| rules.resubmissions == ResubmissionRule::Marked)
+    }
+
+    /// Returns whether any team marks its tries.
+    pub fn has_marked_teams(&self) -> bool {
+        self.teams
+            .values()
+            .any(|rules| rules.resubmissions == ResubmissionRule::Marked)
+    }
+
     /// Returns the identity of the target that calls itself `name`.
     pub fn identity(&self, name: &TargetId) -> TargetId {
         self.names.identity(name).clone()
--- a/kqr-entry/src/routing.rs
+++ b/kqr-entry/src/routing.rs
@@ -5,7 +5,7 @@
 use kqr_jobs::{NotAccepted, Outcome, RefusalReason, home_order};
 use kqr_settings::bootstrap::Instance;
 use kqr_telemetry::{EventKind, HybridTime, WastedMessage};
-use kqr_types::KeyDigest;
+use kqr_types::{DataCentre, KeyDigest};
 use kqr_wire::siblings::JobCall;
 use tarpc::context;
 use tokio::time::Instant;
@@ -36,18 +36,17 @@
 }
 
 impl Entry {
-    /// Answers a call about a job at the home of its key. A call that fails on its way is sent again: its key makes
-    /// that safe.
-    pub async fn call(&self, call: JobCall, hops: u8) -> Answer {
+    /// Answers a call about a job at the home of its key in `data_centre`, or here if there is none. A call that fails
+    /// on its way is sent again: its key makes that safe.
+    pub async fn call(&self, call: JobCall, data_centre: Option<&DataCentre>, hops: u8) -> Answer {
         let begun = Instant::now();
         let limit = match &call {
             JobCall::Submit { submission, .. } => submission.deadline,
-            JobCall::Lookup(_) | JobCall::Cancel(_) => SHORT_CALL,
+            JobCall::Lookup(_) | JobCall::Cancel(_) | JobCall::Renounce(_) => SHORT_CALL,
         };
         loop {
-            let answer = self
-                .try_call(remaining(&call, limit.saturating_sub(begun.elapsed())), hops)
-                .await;
+            let left = limit.saturating_sub(begun.elapsed());
+            let answer = self.try_call(remaining(&call, left), data_centre, hops).await;
             let Err(refusal) = &answer else { return answer };
             let is_passing = matches!(
                 refusal.reason,
@@ -61,11 +60,11 @@
         }
     }
 
-    async fn try_call(&self, call: JobCall, hops: u8) -> Answer {
-        match self.route(&call) {
+    async fn try_call(&self, call: JobCall, data_centre: Option<&DataCentre>, hops: u8) -> Answer {
+        match self.route(&call, data_centre) {
             Route::Here => self.answer_here(call).await,
             Route::Peers(_) if hops == 0 => Err(unreachable_home("the home of the key is changing")),
-            Route::Peers(peers) => self.forward(&call, &peers, hops - 1).await,
+            Route::Peers(peers) => self.forward(&call, data_centre, &peers, hops - 1).await,
         }
     }
 
@@ -77,12 +76,13 @@
             } => self.engine.submit(submission, is_waiting).await,
             JobCall::Lookup(key) => self.engine.lookup(key).await,
             JobCall::Cancel(key) => self.engine.cancel(key).await,
+            JobCall::Renounce(key) => self.engine.renounce(key).await,
         }
     }
 
-    fn route(&self, call: &JobCall) -> Route {
+    fn route(&self, call: &JobCall, data_centre: Option<&DataCentre>) -> Route {
         let key = call.key();
-        let Some(data_centre) = self.homes.data_centre(key) else {
+        let Some(data_centre) = data_centre else {
             return Route::Here;
         };
         if *data_centre != self.own.data_centre {
@@ -99,7 +99,13 @@
     }
 
     /// Forwards a call to the first of `peers` that can be reached.
-    async fn forward(&self, call: &JobCall, peers: &[Instance], hops: u8) -> Answer {
+    async fn forward(
+        &self,
+        call: &JobCall,
+        data_centre: Option<&DataCentre>,
+        peers: &[Instance],
+        hops: u8,
+    ) -> Answer {
         let mut failure = unreachable_home("the home of the key is not known");
         for peer in peers {
             let link = match self.links.get(&peer.id, peer.peers).await {
@@ -115,7 +121,7 @@
             self.engine.events.record(event);
             self.engine.metrics.wasted(WastedMessage::Forward);
             let time = self.engine.events.time();
-            match exchange(&link, call.clone(), hops, time).await {
+            match exchange(&link, call.clone(), data_centre.cloned(), hops, time).await {
                 Ok(answer) => return answer,
                 Err(cause) => {
                     self.links.forget(&peer.id, &link);
@@ -128,14 +134,20 @@
 }
 
 /// Sends a call and waits for its answer while the connection is alive.
-async fn exchange(link: &SiblingLink, call: JobCall, hops: u8, time: HybridTime) -> Result<Answer, String> {
+async fn exchange(
+    link: &SiblingLink,
+    call: JobCall,
+    data_centre: Option<DataCentre>,
+    hops: u8,
+    time: HybridTime,
+) -> Result<Answer, String> {
     let limit = match &call {
         JobCall::Submit { submission, .. } => submission.deadline,
-        JobCall::Lookup(_) | JobCall::Cancel(_) => SHORT_CALL,
+        JobCall::Lookup(_) | JobCall::Cancel(_) | JobCall::Renounce(_) => SHORT_CALL,
     };
     let answer = link
         .client
-        .job(context_of(limit + FORWARD_MARGIN), call, hops, time);
+        .job(context_of(limit + FORWARD_MARGIN), call, data_centre, hops, time);
     tokio::select! {
         answer = answer => answer.map_err(|error| error.to_string()),
         () = link.lost.cancelled() => Err("the connection was lost".to_owned()),
@@ -169,7 +181,7 @@
 }
 
 /// Refuses a key whose home can't be reached: an earlier try may have reached it.
-fn unreachable_home(detail: &str) -> NotAccepted {
+pub fn unreachable_home(detail: &str) -> NotAccepted {
     NotAccepted {
         reason: RefusalReason::HomeUnreachable,
         outcome: Outcome::MayHaveRun,
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -189,6 +189,7 @@
     );
     let registry = Registry::new(directory, Arc::clone(&engine), outbox);
     registry.handle(kqr_directory::Input::Peers(siblings));
+    let has_control = !peers_of(bootstrap, &own).is_empty();
     Ok(Entry {
         homes,
         own,
@@ -200,6 +201,7 @@
         registry,
         links,
         relay: Relay::new(),
+        has_control,
         shutdown: CancellationToken::new(),
     })
 }
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -3,7 +3,7 @@
 use futures::StreamExt;
 use kqr_jobs::{JobAnswer, NotAccepted};
 use kqr_telemetry::HybridTime;
-use kqr_types::{Incarnation, InstanceId};
+use kqr_types::{DataCentre, Incarnation, InstanceId};
 use kqr_wire::{
     mail::Mail,
     siblings::{JobCall, Sibling},
@@ -29,11 +29,12 @@
         self,
         _: Context,
         call: JobCall,
+        data_centre: Option<DataCentre>,
         hops: u8,
         time: HybridTime,
     ) -> Result<JobAnswer, NotAccepted> {
         self.entry.engine.events.merge(time);
-        self.entry.call(call, hops).await
+        self.entry.call(call, data_centre.as_ref(), hops).await
     }
 
     async fn deliver(
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small system within the test process: entries and stand-ins on loopback ports.
 #![allow(dead_code, reason = "each test file uses a part of the support")]
 
+pub mod cut;
 mod ports;
 pub mod processes;
 
@@ -8,6 +9,7 @@
 
 use bytes::Bytes;
 use clap::Parser;
+use cut::Cut;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use kqr_entry::{Limits, Running};
@@ -30,7 +32,7 @@
 
 /// Entries and stand-ins.
 pub struct System {
-    pub bootstrap: Bootstrap,
+    pub bootstraps: Vec<Bootstrap>,
     pub addresses: Vec<Addresses>,
     pub entries: Vec<Option<Running>>,
     pub standins: Vec<kqr_standin::Running>,
@@ -63,19 +65,42 @@
     pub async fn start(data_centres: &[&str]) -> Self {
         let (yaml, addresses) = bootstrap_yaml(data_centres);
         let bootstrap = Bootstrap::parse("test", &yaml).unwrap();
+        let bootstraps = vec![bootstrap; data_centres.len()];
+        Self::start_with(bootstraps, addresses).await
+    }
+
+    /// Starts one entry for each name in `data_centres`. All connections between entry 0 and the others go through the
+    /// returned cuts.
+    pub async fn start_with_cuts(data_centres: &[&str]) -> (Self, Vec<Cut>) {
+        let (yaml, addresses) = bootstrap_yaml(data_centres);
+        let bootstrap = Bootstrap::parse("test", &yaml).unwrap();
+        let mut bootstraps = vec![bootstrap.clone(); data_centres.len()];
+        let mut cuts = Vec::new();
+        for other in 1..data_centres.len() {
+            for (from, to) in [(0, other), (other, 0)] {
+                let cut = Cut::open(bootstrap.instances[to].peers).await;
+                bootstraps[from].instances[to].peers = cut.address;
+                cuts.push(cut);
+            }
+        }
+        (Self::start_with(bootstraps, addresses).await, cuts)
+    }
+
+    async fn start_with(bootstraps: Vec<Bootstrap>, addresses: Vec<Addresses>) -> Self {
+        let entries = bootstraps.len();
         let mut system = Self {
-            bootstrap,
+            bootstraps,
             addresses,
             entries: Vec::new(),
             standins: Vec::new(),
             client: Client::new(ClientOptions::default()),
             cold_start_window: Duration::ZERO,
         };
-        for index in 0..data_centres.len() {
+        for index in 0..entries {
             let entry = system.start_entry(index).await;
             system.entries.push(Some(entry));
         }
-        for index in 0..data_centres.len() {
+        for index in 0..entries {
             system.wait_until_ready(index).await;
         }
         system
@@ -88,7 +113,7 @@
 
     /// Returns the start of the entry with `index`, to be run on any threads.
     pub fn launch(&self, index: usize) -> impl Future<Output = Running> + Send + use<> {
-        let bootstrap = self.bootstrap.clone();
+        let bootstrap = self.bootstraps[index].clone();
         let own = bootstrap.instances[index].clone();
         let limits = Limits {
             drain_delay: Duration::from_millis(300),
--- a/kqr-jobs/src/machine/calls.rs
+++ b/kqr-jobs/src/machine/calls.rs
@@ -81,6 +81,12 @@
         self.cell.history.map_or(Duration::ZERO, |since| now.since(since))
     }
 
+    /// Returns whether a key may have been run here of which nothing is known. A window of zero tells that there is no
+    /// earlier history.
+    fn is_history_short(&self, now: Instant) -> bool {
+        !self.options.cold_start_window.is_zero() && self.history_age(now) < self.options.memory()
+    }
+
     /// Promises another data centre that a key is not run here, if it was never seen.
     pub(super) fn renounce(
         &mut self,
@@ -104,7 +110,7 @@
             _ if !self.cell.is_own(digest) || !self.can_act(now) => {
                 Some(refusal::not_ready("the home of the key is changing"))
             }
-            _ if self.history_age(now) < self.options.memory() => Some(refusal::history_lost()),
+            _ if self.is_history_short(now) => Some(refusal::history_lost()),
             Some(Remains::Renounced) | None => None,
         };
         if let Some(refused) = refused {
--- a/kqr-jobs/tests/named_failures.rs
+++ b/kqr-jobs/tests/named_failures.rs
@@ -353,6 +353,25 @@
     });
 }
 
+#[test]
+fn key_is_not_left_to_another_data_centre_while_the_records_are_too_young() {
+    each_seed(2, |cell| {
+        for index in 0..2 {
+            cell.crash(index);
+        }
+        cell.run(500_000);
+        for index in 0..2 {
+            cell.restart(index);
+        }
+        cell.run(SETTLED);
+        let asked = cell.renounce(0, &key());
+        cell.run(100_000);
+        let refused = answer(cell, asked).unwrap_err();
+        assert_eq!(refused.reason, RefusalReason::HistoryLost, "seed {}", cell.seed);
+        assert_eq!(refused.outcome, Outcome::MayHaveRun, "seed {}", cell.seed);
+    });
+}
+
 #[test]
 fn key_that_runs_here_is_not_left_to_another_data_centre() {
     each_seed(3, |cell| {
--- a/kqr-settings/src/lib.rs
+++ b/kqr-settings/src/lib.rs
@@ -22,4 +22,4 @@
     Digest, Explained, Hidden, Leaf, Problem, Problems, Resolved, SettingPath, TargetNames, Tree,
     canonical_value, from_yaml, to_yaml, validate, validate_changed,
 };
-pub use values::{Count, Flag, Names, TimeSpan};
+pub use values::{Count, Flag, Names, ResubmissionRule, TimeSpan};
--- a/kqr-settings/src/schema/rules.rs
+++ b/kqr-settings/src/schema/rules.rs
@@ -1,7 +1,7 @@
 use kqr_types::{ByteSize, Rate};
 
 use super::{Level, Rule, rule::check};
-use crate::values::{Count, Flag, Names, TimeSpan};
+use crate::values::{Count, Flag, Names, ResubmissionRule, TimeSpan};
 
 macro_rules! rules {
     (
@@ -93,6 +93,9 @@
     quota: Rate = "quota", "1000/s", Some(("0/s", "1000000/s"));
     /// Task starts that the team may use beyond its quota after a quiet time.
     burst: Count = "burst", "2000", Some(("0", "10000000"));
+    /// How submissions find the home of their key: by the key alone (unmarked), or where the first try arrives
+    /// (marked), for callers that number their tries.
+    resubmissions: ResubmissionRule = "resubmissions", "unmarked", None;
 }
 
 /// Returns the settings that a node of `level` may carry.
--- a/kqr-wire/src/siblings.rs
+++ b/kqr-wire/src/siblings.rs
@@ -2,7 +2,7 @@
 
 use kqr_jobs::{JobAnswer, NotAccepted, Submission};
 use kqr_telemetry::HybridTime;
-use kqr_types::{Incarnation, InstanceId, JobKey};
+use kqr_types::{DataCentre, Incarnation, InstanceId, JobKey};
 use serde::{Deserialize, Serialize};
 
 use crate::mail::Mail;
@@ -21,6 +21,8 @@
     Lookup(JobKey),
     /// Cancels a job and returns its answer.
     Cancel(JobKey),
+    /// Asks a data centre never to run a key that it does not know.
+    Renounce(JobKey),
 }
 
 impl JobCall {
@@ -28,7 +30,7 @@
     pub fn key(&self) -> &JobKey {
         match self {
             Self::Submit { submission, .. } => &submission.key,
-            Self::Lookup(key) | Self::Cancel(key) => key,
+            Self::Lookup(key) | Self::Cancel(key) | Self::Renounce(key) => key,
         }
     }
 }
@@ -36,8 +38,14 @@
 /// Calls that an entry answers to its sibling entries.
 #[tarpc::service]
 pub trait Sibling {
-    /// Answers a call about a job, or forwards it if `hops` forwards are left.
-    async fn job(call: JobCall, hops: u8, time: HybridTime) -> Result<JobAnswer, NotAccepted>;
+    /// Answers a call about a job that is homed in `data_centre`, or forwards it if `hops` forwards are left. Without a
+    /// data centre the called entry answers.
+    async fn job(
+        call: JobCall,
+        data_centre: Option<DataCentre>,
+        hops: u8,
+        time: HybridTime,
+    ) -> Result<JobAnswer, NotAccepted>;
     /// Hands over messages of the caller's machines, in the life of the caller that is named.
     async fn deliver(from: InstanceId, incarnation: Incarnation, time: HybridTime, mails: Vec<Mail>);
     /// Returns the identity of the called entry.
