feat: give up tasks that hang at live targets; measure starts, waits and suspected targets

Cause: an attempt that a live target neither ended nor told of was waited for without end; the metrics of starts and queue waits were never recorded, nor the number of suspected targets. Change: an attempt ends as may-have-run once deadline, lease and eight times its declared run time have passed, after one question to stop it. Waits are noted from the queue to the start. The registry counts suspected targets. Conclusion: the event of a suspected target needs a kind in kqr-telemetry and is left.

--- a/kqr-entry/src/engine/effects.rs
+++ b/kqr-entry/src/engine/effects.rs
@@ -6,7 +6,7 @@
 use kqr_jobs::{
     Input, NotAccepted, Outcome, Output, RefusalReason, StartTask, TaskEnd, TaskResult, WaitingTask,
 };
-use kqr_telemetry::EventKind;
+use kqr_telemetry::{EventKind, TaskLength};
 use kqr_types::{AttemptId, Incarnation, JobKey, TargetId};
 use kqr_wire::mail::Mail;
 
@@ -52,11 +52,14 @@
     fn perform(self: &Arc<Self>, shard: ShardIndex, output: Output, work: &mut Work) {
         match output {
             Output::Enqueue(tasks) => {
+                let now = self.clock.now();
+                lock(&self.waits).begin(now, &tasks);
                 lock(&self.borrowed).note_waiting(&tasks);
-                lock(&self.queue).push(self.clock.now(), &self.table, tasks);
+                lock(&self.queue).push(now, &self.table, tasks);
                 work.is_dispatch_due = true;
             }
             Output::Withdraw { key } => {
+                lock(&self.waits).withdraw(&key);
                 lock(&self.borrowed).withdraw(&key);
                 lock(&self.queue).withdraw([&key]);
             }
@@ -130,6 +133,7 @@
     }
 
     fn refuse(&self, task: &WaitingTask, refusal: NotAccepted, work: &mut Work) {
+        lock(&self.waits).end(&task.key, task.task);
         let input = Input::Refused {
             key: task.key.clone(),
             task: task.task,
@@ -139,6 +143,7 @@
     }
 
     fn start(self: &Arc<Self>, start: StartTask) {
+        self.measure_start(&start);
         self.record_attempt(
             EventKind::TaskStarted,
             &start.key,
@@ -159,6 +164,19 @@
         });
     }
 
+    /// Records how long a started task waited since it was put into the queue.
+    fn measure_start(&self, start: &StartTask) {
+        let since = lock(&self.waits).end(&start.key, start.attempt.task);
+        let wait = since.map_or(Duration::ZERO, |since| self.clock.now().since(since));
+        let is_long = self.table.classes().is_long(&start.service, &start.spec.class);
+        let length = if is_long {
+            TaskLength::Long
+        } else {
+            TaskLength::Short
+        };
+        self.metrics.task_started(length, wait);
+    }
+
     /// Asks a target to slow down a long attempt, so that short work passes.
     fn throttle(self: &Arc<Self>, attempt: AttemptId, target: TargetId) {
         let engine = Arc::clone(self);
--- a/kqr-entry/src/engine/mod.rs
+++ b/kqr-entry/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod loans;
 mod sync_reports;
 mod waiters;
+mod waits;
 mod work;
 
 use std::{
@@ -26,14 +27,14 @@
 use kqr_settings::schema::TeamRules;
 use kqr_telemetry::{EventLog, Level, Metrics};
 use kqr_types::{
-    CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, ServiceName, TeamName,
+    CellView, Epoch, Incarnation, InstanceId, Instant, JobKey, KeyDigest, ServiceName, TaskIndex, TeamName,
 };
 use tokio::sync::{oneshot, watch};
 use tokio_util::task::TaskTracker;
 
 use self::{
     borrowed_slots::BorrowedSlots, lent_slots::LentSlots, sync_reports::SyncReports, waiters::Waiters,
-    work::Work,
+    waits::Waits, work::Work,
 };
 pub use self::{waiters::Answer, work::ShardIndex};
 use crate::{clock::Clock, limits::Limits, live_settings::LiveSettings, outbox::Outbox, starter::Starter};
@@ -44,6 +45,11 @@
 /// Time between two ticks of shards without live jobs.
 const FULL_TICK: Duration = Duration::from_millis(500);
 
+/// Run time that is assumed for a task without a declared one.
+const DEFAULT_RUN_TIME: Duration = Duration::from_millis(500);
+/// Multiple of its declared run time for which a task is always waited for: declared run times may be far off.
+const OVERRUN_FACTOR: u32 = 8;
+
 /// Time in which parts of a quota move to the entry that has the demand, with some to spare.
 const LEAST_QUOTA_WAIT: Duration = Duration::from_secs(1);
 
@@ -67,6 +73,7 @@
     shards: Vec<Mutex<Machine>>,
     queue: Mutex<AdmissionQueue>,
     arrivals: Mutex<BTreeMap<TeamName, u32>>,
+    waits: Mutex<Waits>,
     borrowed: Mutex<BorrowedSlots>,
     lent: Mutex<LentSlots>,
     waiters: Waiters,
@@ -106,6 +113,7 @@
             shards: (0..SHARDS).map(|_| machine()).collect(),
             queue: Mutex::new(AdmissionQueue::new(kqr_admission::Options::default())),
             arrivals: Mutex::default(),
+            waits: Mutex::default(),
             borrowed: Mutex::default(),
             lent: Mutex::default(),
             waiters: Waiters::default(),
@@ -186,6 +194,20 @@
         std::mem::take(&mut *lock(&self.arrivals))
     }
 
+    /// Returns the time after which a task that does not end is given up: when its caller wants the answer, its lease has
+    /// ended and it runs many times longer than declared.
+    pub fn time_limit(&self, key: &JobKey, task: TaskIndex) -> Duration {
+        let bounds = lock(&self.shards[shard_of(key).0]).time_bounds(key, task);
+        let settings = self.settings.present();
+        let Some(bounds) = bounds else {
+            return settings.site().task_lease.0;
+        };
+        let lease = settings.service(&bounds.service).task_lease.0;
+        let run_time = bounds.run_time.unwrap_or(DEFAULT_RUN_TIME);
+        let left = bounds.deadline.since(self.clock.now());
+        left.max(lease).max(run_time * OVERRUN_FACTOR)
+    }
+
     /// Lets the machines see that time has passed.
     pub fn tick(self: &Arc<Self>) {
         let now = self.clock.now();
--- a/kqr-entry/src/registry.rs
+++ b/kqr-entry/src/registry.rs
@@ -1,7 +1,10 @@
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use kqr_directory::{Directory, Input, Output};
-use kqr_telemetry::EventKind;
+use kqr_telemetry::{EventKind, Level};
 use kqr_types::TargetId;
 use kqr_wire::mail::Mail;
 
@@ -11,6 +14,7 @@
 #[derive(Debug)]
 pub struct Registry {
     directory: Mutex<Directory>,
+    suspects: Mutex<BTreeSet<TargetId>>,
     engine: Arc<Engine>,
     outbox: Arc<Outbox>,
 }
@@ -20,6 +24,7 @@
     pub fn new(directory: Directory, engine: Arc<Engine>, outbox: Arc<Outbox>) -> Self {
         Self {
             directory: Mutex::new(directory),
+            suspects: Mutex::default(),
             engine,
             outbox,
         }
@@ -41,22 +46,42 @@
         match output {
             Output::Send { to, message } => self.outbox.post(&to, Mail::Directory(message)),
             Output::Present(announcement) => {
+                self.set_suspect(&announcement.id, false);
                 if self.engine.table.announce(&announcement) {
                     self.record(EventKind::TargetAnnounced, &announcement.id);
                     self.engine.dispatch_soon();
                 }
             }
-            Output::Suspect(id) => log::info!("target {id} is suspected"),
+            Output::Suspect(id) => {
+                log::warn!("target {id} is suspected: it missed renewals");
+                self.set_suspect(&id, true);
+            }
             Output::Leaving(id) => {
+                self.set_suspect(&id, false);
                 self.engine.table.set_leaving(&id);
                 self.record(EventKind::TargetLeft, &id);
             }
             Output::Gone(id) => {
+                self.set_suspect(&id, false);
                 self.engine.table.remove(&id);
             }
         }
     }
 
+    /// Counts a target among the suspected ones or not.
+    fn set_suspect(&self, id: &TargetId, is_suspect: bool) {
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_changed = if is_suspect {
+            suspects.insert(id.clone())
+        } else {
+            suspects.remove(id)
+        };
+        if is_changed {
+            let count = suspects.len() as u64;
+            self.engine.metrics.set(Level::SuspectTargets, count);
+        }
+    }
+
     fn record(&self, kind: EventKind, id: &TargetId) {
         let mut event = self.engine.events.event(kind);
         event.target = Some(id.clone());
--- a/kqr-entry/src/starter.rs
+++ b/kqr-entry/src/starter.rs
@@ -47,8 +47,22 @@
         }
     }
 
-    /// Starts an attempt and returns how it ended. The start is sent once.
+    /// Starts an attempt and returns how it ended. The start is sent once. An attempt that does not end in time is
+    /// stopped and given up.
     pub async fn run(&self, engine: &Arc<Engine>, start: &StartTask) -> TaskEnd {
+        let limit = engine.time_limit(&start.key, start.attempt.task);
+        if let Ok(end) = tokio::time::timeout(limit, self.start(engine, start)).await {
+            return end;
+        }
+        TaskEnd {
+            key: start.key.clone(),
+            attempt: start.attempt,
+            result: self.give_up(engine, &QueriedAttempt::of(start), limit).await,
+            run_time: None,
+        }
+    }
+
+    async fn start(&self, engine: &Arc<Engine>, start: &StartTask) -> TaskEnd {
         let end = |result, run_time| TaskEnd {
             key: start.key.clone(),
             attempt: start.attempt,
@@ -121,7 +135,12 @@
             target: target.clone(),
             incarnation,
         };
-        let result = self.resolve(engine, &queried, "its home was lost").await;
+        let limit = engine.time_limit(&key, attempt.task);
+        let resolving = self.resolve(engine, &queried, "its home was lost");
+        let result = match tokio::time::timeout(limit, resolving).await {
+            Ok(result) => result,
+            Err(_) => self.give_up(engine, &queried, limit).await,
+        };
         TaskEnd {
             key,
             attempt,
@@ -183,6 +202,26 @@
         }
     }
 
+    /// Stops an attempt that did not end within `limit`. If its target does not tell how it ended, nothing is known.
+    async fn give_up(&self, engine: &Engine, queried: &QueriedAttempt, limit: Duration) -> TaskResult {
+        let QueriedAttempt {
+            attempt, target: id, ..
+        } = queried;
+        log::warn!("giving up attempt {attempt} at {id}: it did not end within {limit:?}");
+        if let Some(target) = engine.table.get(id) {
+            engine.metrics.wasted(WastedMessage::Question);
+            match self.act(&target, *attempt).await {
+                Ok(answer) if queried.is_answered_by(&answer) => return task_result(answer),
+                Ok(_) => {}
+                Err(cause) => log::warn!("stopping {attempt} at {id}: {cause}"),
+            }
+        }
+        TaskResult::Unknown(format!(
+            "target {id} did not end the task within {} ms",
+            limit.as_millis()
+        ))
+    }
+
     async fn ask_or_fence(&self, target: &Target, attempt: AttemptId) -> Result<AttemptBody, String> {
         let answer = self.ask(target, attempt).await?;
         if answer.state == AttemptState::NeverSeen {
--- a/kqr-entry/tests/targets.rs
+++ b/kqr-entry/tests/targets.rs
@@ -6,6 +6,7 @@
 
 use hyper::Method;
 use kqr_jobs::{JobState, Outcome};
+use kqr_settings::{Tree, Version};
 use kqr_standin::Behaviour;
 use support::{System, job};
 
@@ -146,3 +147,98 @@
     );
     let _ = system.standins.pop();
 }
+
+/// Lets targets stop tasks, and the entry give them up, after a short time.
+fn shorten_leases(system: &System) {
+    let mut tree = Tree::default();
+    tree.set("deadlines/lease".parse().unwrap(), "100ms".to_owned());
+    system.entries[0]
+        .as_ref()
+        .unwrap()
+        .apply_settings(Version(1), &tree);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_at_a_live_target_that_never_answers_may_have_run_and_start_nowhere_else() {
+    let system = system(2).await;
+    shorten_leases(&system);
+    let silent = Behaviour {
+        is_silent: true,
+        ..Behaviour::default()
+    };
+    for standin in &system.standins {
+        standin.standin.behave(silent.clone());
+    }
+    let fields = [("idempotency-key", "k"), ("kqr-deadline-ms", "1000")];
+    let reply = system
+        .send(0, Method::POST, "/v1/jobs", &fields, &job(&[10; 4]))
+        .await;
+    let answer = reply.answer();
+    assert_eq!(
+        (answer.state, answer.outcome),
+        (JobState::Failed, Outcome::MayHaveRun),
+        "{}",
+        reply.text()
+    );
+    for standin in &system.standins {
+        standin.standin.behave(Behaviour::default());
+    }
+    assert_eq!(system.submit(0, "k", &[10; 4]).await.answer(), answer);
+    assert_eq!(
+        system.submit(0, "next", &[10; 16]).await.answer().state,
+        JobState::Complete,
+        "the slots of tasks that were given up are free again"
+    );
+    assert_eq!(system.starts().1, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn task_that_runs_far_over_its_declared_time_is_stopped() {
+    let system = system(1).await;
+    shorten_leases(&system);
+    let body = job(&[60_000]).replace("\"run_time_ms\":60000", "\"run_time_ms\":10");
+    let fields = [("idempotency-key", "k"), ("kqr-deadline-ms", "500")];
+    let reply = system.send(0, Method::POST, "/v1/jobs", &fields, &body).await;
+    let answer = reply.answer();
+    assert_eq!(
+        (answer.state, answer.outcome),
+        (JobState::Failed, Outcome::Ran),
+        "{}",
+        reply.text()
+    );
+    assert_eq!(system.starts(), (1, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn waits_and_starts_are_measured() {
+    let system = system(1).await;
+    let reply = system.submit(0, "k", &[100; 20]).await;
+    assert_eq!(reply.answer().state, JobState::Complete, "{}", reply.text());
+    assert_eq!(system.metric(0, "kqr_task_starts_total").await, 20);
+    let text = system.send(0, Method::GET, "/metrics", &[], "").await.text();
+    let value = |name: &str| -> f64 {
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        lines
+            .map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap())
+            .sum()
+    };
+    assert!((value("kqr_queue_wait_seconds_count") - 20.0).abs() < 0.5);
+    // Of 20 tasks of 100 ms on 8 slots, 12 wait for at least one other task.
+    assert!(value("kqr_queue_wait_seconds_sum") > 1.0, "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_target_is_counted_as_suspected_until_it_is_gone() {
+    let mut system = system(2).await;
+    assert_eq!(system.metric(0, "kqr_suspect_targets").await, 0);
+    system.standins.remove(0).kill();
+    for expected in [1, 0] {
+        for _ in 0..600 {
+            if system.metric(0, "kqr_suspect_targets").await == expected {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(system.metric(0, "kqr_suspect_targets").await, expected);
+    }
+}
--- a/kqr-jobs/src/lib.rs
+++ b/kqr-jobs/src/lib.rs
@@ -22,6 +22,7 @@
 mod state_size;
 mod submission;
 mod task;
+mod time_bounds;
 mod tombstones;
 
 pub use answer::{JobAnswer, JobState, NotAccepted, Outcome, RefusalReason, TaskAnswer};
@@ -36,3 +37,4 @@
 pub use remains::Remains;
 pub use state_size::StateSize;
 pub use submission::{Submission, TaskSpec};
+pub use time_bounds::TimeBounds;
--- a/kqr-jobs/src/machine/mod.rs
+++ b/kqr-jobs/src/machine/mod.rs
@@ -3,8 +3,8 @@
 use kqr_types::{AttemptId, ByteSize, CellView, Instant, JobKey, KeyDigest, TaskIndex};
 
 use crate::{
-    Fault, Input, Member, Options, Output, Phase, StateSize, Update, cell::Cell, gate::Gate, job::Job,
-    state_size, tombstones::Tombstones,
+    Fault, Input, Member, Options, Output, Phase, StateSize, TimeBounds, Update, cell::Cell, gate::Gate,
+    job::Job, state_size, tombstones::Tombstones,
 };
 
 mod calls;
@@ -81,6 +81,17 @@
         matches!(state.record.phase, Phase::Intended { .. }).then(|| job.attempt_id(task))
     }
 
+    /// Returns what the caller said of the time that a task of a live job may take.
+    pub fn time_bounds(&self, key: &JobKey, task: TaskIndex) -> Option<TimeBounds> {
+        let job = self.jobs.get(&KeyDigest::of(key))?;
+        let spec = job.submission.tasks.get(usize::from(task.0))?;
+        Some(TimeBounds {
+            service: job.submission.service.clone(),
+            deadline: job.deadline,
+            run_time: spec.run_time,
+        })
+    }
+
     /// Returns the number of ended jobs that are remembered, copies included.
     pub fn remembered_jobs(&self) -> usize {
         self.remembered.len()
