perf: give borrowed slots back with the next report of shares

Change: returns wait for the next report to the sibling and travel with it; request and answer remain.

--- a/kqr-entry/src/engine/borrowed_slots.rs
+++ b/kqr-entry/src/engine/borrowed_slots.rs
@@ -6,6 +6,7 @@
 use kqr_jobs::WaitingTask;
 use kqr_placement::SiblingChoice;
 use kqr_types::{InstanceId, Instant, JobKey, ServiceName, TargetId, TaskIndex};
+use kqr_wire::loans::{LoanEnd, LoanReturn};
 
 /// Free slots that a sibling must have reported beyond those that were asked for since.
 const RESERVE: u32 = 16;
@@ -42,6 +43,7 @@
     next_number: u64,
     asked: BTreeMap<u64, Asked>,
     used: BTreeMap<Placement, BorrowedSlot>,
+    returns: BTreeMap<InstanceId, Vec<LoanReturn>>,
     next_renewal: Instant,
 }
 
@@ -121,6 +123,18 @@
         self.used.remove(&(key.clone(), task, target.clone()))
     }
 
+    /// Notes that a slot is to be given back with the next report.
+    pub fn give_back(&mut self, slot: BorrowedSlot, end: LoanEnd) {
+        let number = slot.number;
+        let returns = self.returns.entry(slot.sibling).or_default();
+        returns.push(LoanReturn { number, end });
+    }
+
+    /// Returns what is given back to each sibling.
+    pub fn take_returns(&mut self) -> BTreeMap<InstanceId, Vec<LoanReturn>> {
+        std::mem::take(&mut self.returns)
+    }
+
     /// Returns the tasks whose requests were not answered in time; they wait here again.
     pub fn expire(&mut self, now: Instant) -> Vec<WaitingTask> {
         let mut expired = Vec::new();
--- a/kqr-entry/src/engine/loans.rs
+++ b/kqr-entry/src/engine/loans.rs
@@ -139,7 +139,7 @@
                 sibling: sibling.clone(),
                 number,
             };
-            self.give_back(&slot, LoanEnd::Unused);
+            lock(&self.borrowed).give_back(slot, LoanEnd::Unused);
             return;
         };
         let input = Input::Placed {
@@ -156,7 +156,7 @@
     pub(super) fn release_slot(&self, key: &JobKey, task: TaskIndex, target: &TargetId) {
         let borrowed = lock(&self.borrowed).end(key, task, target);
         match borrowed {
-            Some(slot) => self.give_back(&slot, LoanEnd::Unused),
+            Some(slot) => lock(&self.borrowed).give_back(slot, LoanEnd::Unused),
             None => lock(&self.queue).not_used(&self.table, key, task, target),
         }
     }
@@ -176,21 +176,37 @@
             self.table
                 .observe(&start.service, &start.spec.class, &start.target, run_time);
         }
-        self.give_back(&slot, loan_end);
+        lock(&self.borrowed).give_back(slot, loan_end);
         true
     }
 
-    /// Takes in that a sibling gives back a slot.
-    pub fn end_lent(self: &Arc<Self>, borrower: InstanceId, incarnation: Incarnation, returned: LoanReturn) {
-        let id = LoanId {
-            borrower,
-            incarnation,
-            number: returned.number,
-        };
-        let Some(loan) = lock(&self.lent).end(&id) else {
-            return;
-        };
-        self.return_slot(loan, returned.end);
+    /// Gives back the borrowed slots that are not used any more. Meant to be called right before a report of shares, so
+    /// that both travel in one batch.
+    pub fn return_loans(&self) {
+        let returns = lock(&self.borrowed).take_returns();
+        for (sibling, returned) in returns {
+            self.outbox.post(&sibling, Mail::LoanReturns(returned));
+        }
+    }
+
+    /// Takes in that a sibling gives back slots.
+    pub fn end_lent(
+        self: &Arc<Self>,
+        borrower: &InstanceId,
+        incarnation: Incarnation,
+        returned: Vec<LoanReturn>,
+    ) {
+        for LoanReturn { number, end } in returned {
+            let id = LoanId {
+                borrower: borrower.clone(),
+                incarnation,
+                number,
+            };
+            let loan = lock(&self.lent).end(&id);
+            if let Some(loan) = loan {
+                self.return_slot(loan, end);
+            }
+        }
         self.settle(Work::with_dispatch());
     }
 
@@ -249,11 +265,6 @@
         lock(&self.queue).ended(self.clock.now(), &self.table, &ended);
     }
 
-    fn give_back(&self, slot: &BorrowedSlot, end: LoanEnd) {
-        let number = slot.number;
-        self.post_wasted(&slot.sibling, Mail::LoanReturn(LoanReturn { number, end }));
-    }
-
     /// Sends a message beyond the one start and the one answer of a task.
     fn post_wasted(&self, to: &InstanceId, mail: Mail) {
         self.metrics.wasted(WastedMessage::Forward);
--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -62,7 +62,7 @@
             Mail::QuotaGrant(grant) => self.quotas.take_grant(grant),
             Mail::LoanRequest(request) => self.engine.lend(from, incarnation, request),
             Mail::LoanAnswer(answer) => self.engine.take_loan(from, answer),
-            Mail::LoanReturn(returned) => self.engine.end_lent(from.clone(), incarnation, returned),
+            Mail::LoanReturns(returned) => self.engine.end_lent(from, incarnation, returned),
             Mail::LoansInUse(numbers) => self.engine.renew_lent(from, incarnation, &numbers),
             Mail::Directory(message) => {
                 self.registry.handle(kqr_directory::Input::Peer {
--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -73,6 +73,7 @@
         let (units, usage) = self.usage();
         state.shares.set_resources(now, units);
         let effects = state.shares.tick(now, usage);
+        self.engine.return_loans();
         self.perform(effects);
     }
 
--- a/kqr-wire/src/mail.rs
+++ b/kqr-wire/src/mail.rs
@@ -28,8 +28,8 @@
     LoanRequest(LoanRequest),
     /// The answer to a request for a slot.
     LoanAnswer(LoanAnswer),
-    /// A lent slot is given back.
-    LoanReturn(LoanReturn),
+    /// Lent slots are given back.
+    LoanReturns(Vec<LoanReturn>),
     /// The numbers of the loans that the sender still uses; it renews their leases.
     LoansInUse(Vec<u64>),
     /// A message between the directories of targets.
