--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -3,7 +3,7 @@
 use kqr_settings::{Tree, Version, bootstrap::Instance};
 use kqr_telemetry::EventKind;
 use kqr_types::{Incarnation, InstanceId};
-use kqr_wire::mail::Mail;
+use kqr_wire::{mail::Mail, siblings::MailReply};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -12,6 +12,7 @@
     engine::{Engine, ShardIndex},
     homes::Homes,
     live_settings::LiveSettings,
+    outbox::Outbox,
     quota_shares::QuotaShares,
     registry::Registry,
     sibling_links::SiblingLinks,
@@ -39,6 +40,8 @@
     pub registry: Registry,
     /// Connections to siblings.
     pub links: Arc<SiblingLinks>,
+    /// Messages to siblings.
+    pub outbox: Arc<Outbox>,
     /// The client that relays requests.
     pub relay: Relay,
     /// Whether settings are received from control instances.
@@ -73,6 +76,15 @@
         }
     }
 
+    /// Returns the messages that wait for `peer`, as the reply to a delivery by it.
+    pub fn reply_to(&self, peer: &InstanceId) -> MailReply {
+        MailReply {
+            incarnation: self.outbox.own.incarnation,
+            time: self.engine.events.time(),
+            mails: self.outbox.take(peer),
+        }
+    }
+
     /// Puts a version of the settings in force.
     pub fn apply_settings(&self, version: Version, tree: &Tree) {
         self.settings.apply(version, tree);
@@ -83,12 +95,13 @@
         log::info!("settings version {version} is in force");
     }
 
-    /// Lets the machines see that time has passed.
-    pub fn tick(&self) {
+    /// Lets the machines see that time has passed. Returns whether jobs are live or tasks wait.
+    pub fn tick(&self) -> bool {
         self.seats.tick();
-        self.engine.tick();
+        let is_live = self.engine.tick();
         self.shares.tick();
         self.quotas.tick();
         self.registry.handle(kqr_directory::Input::Tick);
+        is_live
     }
 }
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -16,7 +16,7 @@
 use kqr_telemetry::{EventKind, EventLog, Metrics};
 use kqr_types::{Incarnation, TeamName};
 use kqr_wire::control::{SettingsStream, peers_of};
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{net::TcpListener, task::JoinHandle, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -37,9 +37,12 @@
     targets,
 };
 
-/// Time between two ticks of the machines.
+/// Time between two ticks of the machines while jobs are live or tasks wait.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Time between two ticks without work: a part of the times of the cell and of the shares, which are due all the same.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+
 /// Time between two updates of the order of targets by their learned speeds.
 const REFRESH: Duration = Duration::from_millis(500);
 
@@ -80,6 +83,7 @@
         let grace = limits.grace;
         let callers = serve(&entry, callers_address, &stop_accepting, grace, callers::handle).await?;
         let targets = serve(&entry, targets_address, &stop_serving, grace, targets::handle).await?;
+        Outbox::start(&entry, &entry.homes.others(), &stop_serving);
         let mut servers = vec![tokio::spawn(siblings)];
         servers.push(tokio::spawn(async move {
             let _ = targets.await;
@@ -156,12 +160,12 @@
     let events = Arc::new(events);
     let homes = Homes::new(bootstrap, &own);
     let siblings = homes.siblings();
-    let links = Arc::new(SiblingLinks::default());
+    let links = Arc::new(SiblingLinks::new(limits.link_silence()));
     let member = Member {
         id: own.id.clone(),
         incarnation: new_incarnation(),
     };
-    let outbox = Arc::new(Outbox::start(&member, &homes.others(), &links, &events));
+    let outbox = Arc::new(Outbox::new(member.clone(), &homes.others()));
     let region = bootstrap.region_of(&own.data_centre).cloned();
     let settings = Arc::new(LiveSettings::new(region, own.data_centre.clone()));
     let engine = Arc::new(Engine::new(
@@ -173,7 +177,14 @@
         Arc::clone(&settings),
         Arc::clone(&outbox),
     ));
-    let seats = CellSeats::new(&member, &own.data_centre, &homes, &engine, &outbox);
+    let seats = CellSeats::new(
+        &member,
+        &own.data_centre,
+        limits.suspicion,
+        &homes,
+        &engine,
+        &outbox,
+    );
     let directory = Directory::new(own.id.clone(), clock.now());
     let shares = SlotShares::new(
         own.id.clone(),
@@ -187,7 +198,7 @@
         Arc::clone(&settings),
         Arc::clone(&outbox),
     );
-    let registry = Registry::new(directory, Arc::clone(&engine), outbox);
+    let registry = Registry::new(directory, Arc::clone(&engine), Arc::clone(&outbox));
     registry.handle(kqr_directory::Input::Peers(siblings));
     let has_control = !peers_of(bootstrap, &own).is_empty();
     Ok(Entry {
@@ -200,6 +211,7 @@
         settings,
         registry,
         links,
+        outbox,
         relay: Relay::new(),
         has_control,
         shutdown: CancellationToken::new(),
@@ -256,11 +268,14 @@
 }
 
 async fn tick(entry: Arc<Entry>, shutdown: CancellationToken) {
-    let mut interval = tokio::time::interval(TICK);
+    let mut next = Instant::now();
     let mut refresh = tokio::time::interval(REFRESH);
     loop {
         tokio::select! {
-            _ = interval.tick() => entry.tick(),
+            () = tokio::time::sleep_until(next) => {
+                let pause = if entry.tick() { TICK } else { IDLE_TICK };
+                next = Instant::now() + pause;
+            }
             _ = refresh.tick() => entry.engine.table.refresh(),
             () = shutdown.cancelled() => return,
         }
