--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -13,6 +13,7 @@
     homes::Homes,
     live_settings::LiveSettings,
     outbox::Outbox,
+    quota_shares::QuotaShares,
     registry::Registry,
     sibling_links::SiblingLinks,
     slot_shares::SlotShares,
@@ -31,6 +32,8 @@
     pub seats: CellSeats,
     /// The shares of the targets' slots.
     pub shares: SlotShares,
+    /// The shares of the teams' quotas.
+    pub quotas: QuotaShares,
     /// The settings in force.
     pub settings: Arc<LiveSettings>,
     /// The targets of the data centre.
@@ -41,6 +44,8 @@
     pub outbox: Arc<Outbox>,
     /// The client that relays requests.
     pub relay: Relay,
+    /// Whether settings are received from control instances.
+    pub has_control: bool,
     /// Cancelled when the shutdown begins.
     pub shutdown: CancellationToken,
 }
@@ -56,6 +61,12 @@
             Mail::Cell { data_centre, message } => self.seats.receive(&data_centre, message),
             Mail::SlotReport(report) => self.shares.take_report(report),
             Mail::SlotGrant(grant) => self.shares.take_grant(grant),
+            Mail::QuotaReport(report) => self.quotas.take_report(report),
+            Mail::QuotaGrant(grant) => self.quotas.take_grant(grant),
+            Mail::LoanRequest(request) => self.engine.lend(from, incarnation, request),
+            Mail::LoanAnswer(answer) => self.engine.take_loan(from, answer),
+            Mail::LoanReturns(returned) => self.engine.end_lent(from, incarnation, returned),
+            Mail::LoansInUse(numbers) => self.engine.renew_lent(from, incarnation, &numbers),
             Mail::Directory(message) => {
                 self.registry.handle(kqr_directory::Input::Peer {
                     from: from.clone(),
@@ -77,7 +88,7 @@
     /// Puts a version of the settings in force.
     pub fn apply_settings(&self, version: Version, tree: &Tree) {
         self.settings.apply(version, tree);
-        self.engine.set_quotas(&self.settings.present());
+        self.quotas.apply_settings();
         let mut event = self.engine.events.event(EventKind::SettingsApplied);
         event.detail = Some(format!("version {version}"));
         self.engine.events.record(event);
@@ -89,6 +100,7 @@
         self.seats.tick();
         let is_live = self.engine.tick();
         self.shares.tick();
+        self.quotas.tick();
         self.registry.handle(kqr_directory::Input::Tick);
         is_live
     }
--- a/kqr-entry/src/lib.rs
+++ b/kqr-entry/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod cell_seat;
+mod cell_shares;
 mod clock;
 mod daemon;
 mod engine;
@@ -15,7 +16,9 @@
 mod mail_queue;
 mod options;
 mod outbox;
+mod quota_shares;
 mod registry;
+mod resubmissions;
 mod routing;
 mod running;
 mod sibling_link;
