test: search the reachable states of the cell

Cause: the promise that no two epochs' leases are held at once was checked by random histories only; the model search covered jobs and the log.

Change: kqr-spec::cell puts three real kqr_membership::Cell machines under the breadth-first search: isolation, one-way cuts, messages held back, doubled and reordered, crash, restart without a disk, restart of all or of a majority, leave, copies, and clocks at the ends of the allowed drift. Seven invariants from docs/design/cell.md. Events happen every 200 ms, ticks every 50 ms.

--- a/kqr-spec/src/lib.rs
+++ b/kqr-spec/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 pub mod agreement;
+pub mod cell;
 mod search;
 pub mod start_once;
 
