perf: merge event files while reading them

Change: each file is read line by line through a window of 1,024 events that brings what its threads wrote in order; the files are merged by a heap, and filters apply while reading. Table and JSON are written as they come, the page keeps the 5,000 events that it shows. Numbers of events are kept as spans, malformed lines are told 100 a file. Warnings of the table now stand at its end; events that stand too late for the window are counted and told.

The restart test also counts its events.

--- a/kqr-timeline/src/html.rs
+++ b/kqr-timeline/src/html.rs
@@ -3,7 +3,7 @@
 use kqr_telemetry::{Event, EventKind};
 use kqr_types::InstanceId;
 
-use crate::{Timeline, table::concerns};
+use crate::{Timeline, concerns::concerns};
 
 /// Width of the drawing, in pixels.
 const WIDTH: f64 = 1200.0;
@@ -16,7 +16,7 @@
 /// Marks of the scale.
 const MARKS: u32 = 10;
 /// Most events that are drawn and listed; a filter shows the others.
-const MAX_EVENTS: usize = 5000;
+pub const MAX_DRAWN_EVENTS: usize = 5000;
 
 const STYLE: &str = "body{font:14px system-ui,sans-serif;margin:1.5em;color:#222}\
 table{border-collapse:collapse;font-size:12px}td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #e4e4e4}\
@@ -25,20 +25,21 @@
 
 /// Formats the time line as one self-contained page with a lane for each process.
 pub fn to_html(timeline: &Timeline) -> String {
-    let shown = &timeline.events[..timeline.events.len().min(MAX_EVENTS)];
+    let shown = &timeline.events;
     let mut page = String::from("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">");
     let _ = write!(
         page,
         "<title>Time line</title><style>{STYLE}</style></head><body>\n<h1>Time line</h1>\n"
     );
-    for warning in timeline.warnings() {
+    for warning in timeline.findings.warnings() {
         let _ = writeln!(page, "<p class=\"warning\">{}</p>", escape(&warning));
     }
-    if shown.len() < timeline.events.len() {
-        let all = timeline.events.len();
+    let all = timeline.summary.matched;
+    if (shown.len() as u64) < all {
         let _ = writeln!(
             page,
-            "<p class=\"warning\">The first {MAX_EVENTS} of {all} events are shown.</p>"
+            "<p class=\"warning\">The first {} of {all} events are shown.</p>",
+            shown.len()
         );
     }
     if shown.is_empty() {
--- a/kqr-timeline/src/source.rs
+++ b/kqr-timeline/src/source.rs
@@ -1,64 +1,112 @@
-use std::{fs, path::Path};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    fs::File,
+    io::{BufRead, BufReader},
+    path::Path,
+};
 
 use eyre::WrapErr;
 use kqr_telemetry::Event;
 
-/// Largest part of a malformed line that is shown, in characters.
-const SHOWN_CHARS: usize = 60;
+use crate::{Torn, placed::Placed};
 
-/// A line that is not an event.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Torn {
-    /// Name of the file.
-    pub file: String,
-    /// Number of the line, from 1.
-    pub line: usize,
-    /// Whether it is the last line, without its end: the process was killed while writing.
-    pub is_last: bool,
-    /// Beginning of the line.
-    pub text: String,
+/// Events of a file that are held to bring them in order: the threads of a process record events a little out of
+/// order.
+pub const WINDOW_EVENTS: usize = 1024;
+/// Malformed lines of a file that are told; the others are counted.
+const MOST_TORN: usize = 100;
+/// Buffer of a file, in bytes.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// An event file that is read from its begin to its end. Only [`WINDOW_EVENTS`] events are held at a time.
+#[derive(Debug)]
+pub struct Source<Input> {
+    file: String,
+    input: Input,
+    line: Vec<u8>,
+    number: usize,
+    window: BinaryHeap<Reverse<Placed>>,
+    is_ended: bool,
+    torn: Vec<Torn>,
+    untold: u64,
 }
 
-/// What was read from one event file.
-#[derive(Clone, Debug, Default)]
-pub struct Source {
-    /// Events in the order of the file.
-    pub events: Vec<Event>,
-    /// Lines that are not events.
-    pub torn: Vec<Torn>,
+impl Source<BufReader<File>> {
+    /// Opens an event file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be opened.
+    pub fn open(path: &Path) -> eyre::Result<Self> {
+        let file = File::open(path).wrap_err_with(|| format!("opening {}", path.display()))?;
+        let input = BufReader::with_capacity(BUFFER_BYTES, file);
+        Ok(Self::new(&path.display().to_string(), input))
+    }
 }
 
-impl Source {
-    /// Reads an event file.
+impl<Input> Source<Input>
+where
+    Input: BufRead,
+{
+    /// Creates a source that reads the file called `file` from `input`.
+    pub fn new(file: &str, input: Input) -> Self {
+        Self {
+            file: file.to_owned(),
+            input,
+            line: Vec::new(),
+            number: 0,
+            window: BinaryHeap::new(),
+            is_ended: false,
+            torn: Vec::new(),
+            untold: 0,
+        }
+    }
+
+    /// Returns the next event in the order of places, or `None` at the end of the file. A malformed line is noted.
     ///
     /// # Errors
     ///
-    /// Fails if the file can't be read. A malformed line is reported, not an error.
-    pub fn read(path: &Path) -> eyre::Result<Self> {
-        let bytes = fs::read(path).wrap_err_with(|| format!("reading {}", path.display()))?;
-        Ok(Self::parse(&path.display().to_string(), &bytes))
+    /// Fails if the file can't be read.
+    pub fn next_event(&mut self) -> eyre::Result<Option<Placed>> {
+        while !self.is_ended && self.window.len() < WINDOW_EVENTS {
+            self.read_line()?;
+        }
+        Ok(self.window.pop().map(|Reverse(placed)| placed))
     }
 
-    /// Reads the events of a file from its content.
-    pub fn parse(file: &str, bytes: &[u8]) -> Self {
-        let mut source = Self::default();
-        let lines: Vec<&[u8]> = bytes.split(|byte| *byte == b'\n').collect();
-        for (index, line) in lines.iter().enumerate() {
-            if line.is_empty() {
-                continue;
-            }
-            if let Ok(event) = serde_json::from_slice(line) {
-                source.events.push(event);
-                continue;
+    /// Returns how many events are held.
+    pub fn held(&self) -> usize {
+        self.window.len()
+    }
+
+    /// Ends the reading; returns the lines that are not events, and how many there are beyond those.
+    pub fn close(self) -> (Vec<Torn>, u64) {
+        (self.torn, self.untold)
+    }
+
+    fn read_line(&mut self) -> eyre::Result<()> {
+        self.line.clear();
+        let read = self.input.read_until(b'\n', &mut self.line);
+        let read = read.wrap_err_with(|| format!("reading {}", self.file))?;
+        if read == 0 {
+            self.is_ended = true;
+            return Ok(());
+        }
+        self.number += 1;
+        let is_whole = self.line.last() == Some(&b'\n');
+        let line = self.line.strip_suffix(b"\n").unwrap_or(&self.line);
+        if line.is_empty() {
+            return Ok(());
+        }
+        match serde_json::from_slice::<Event>(line) {
+            Ok(event) => self.window.push(Reverse(Placed(event))),
+            Err(_) if self.torn.len() < MOST_TORN => {
+                self.torn
+                    .push(Torn::new(&self.file, self.number, !is_whole, line));
             }
-            let text = String::from_utf8_lossy(line);
-            source.torn.push(Torn {
-                file: file.to_owned(),
-                line: index + 1,
-                is_last: index + 1 == lines.len(),
-                text: text.chars().take(SHOWN_CHARS).collect(),
-            });
+            Err(_) => self.untold += 1,
         }
-        source
+        Ok(())
     }
 }
--- a/kqr-timeline/src/table.rs
+++ b/kqr-timeline/src/table.rs
@@ -1,47 +1,61 @@
-use std::fmt::Write;
+use std::io::Write;
 
+use eyre::WrapErr;
 use kqr_telemetry::Event;
 
-use crate::Timeline;
+use crate::{Findings, concerns::concerns};
 
-/// Formats the time line as a table: milliseconds since the first event, process, kind, and what it concerns.
-pub fn to_table(timeline: &Timeline) -> String {
-    let mut text = String::new();
-    for warning in timeline.warnings() {
-        let _ = writeln!(text, "# {warning}");
+/// Writes events as a table: milliseconds since the first one, process, kind, and what it concerns.
+#[derive(Debug)]
+pub struct Table<'out, Out> {
+    out: &'out mut Out,
+    first: Option<u64>,
+    /// Width of the processes' names.
+    width: usize,
+}
+
+impl<'out, Out> Table<'out, Out>
+where
+    Out: Write,
+{
+    /// Creates a table whose names are `width` wide, or wider where one is longer.
+    pub const fn new(out: &'out mut Out, width: usize) -> Self {
+        Self {
+            out,
+            first: None,
+            width,
+        }
     }
-    let first = timeline.events.iter().map(Event::placed_us).min().unwrap_or(0);
-    let width = timeline
-        .instances()
-        .iter()
-        .map(|id| id.as_str().len())
-        .max()
-        .unwrap_or(0);
-    for event in &timeline.events {
-        let millis = (event.placed_us() - first) as f64 / 1000.0;
+
+    /// Writes one line.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the line can't be written.
+    pub fn write(&mut self, event: &Event) -> eyre::Result<()> {
+        let placed = event.placed_us();
+        let first = *self.first.get_or_insert(placed);
+        let millis = (placed as f64 - first as f64) / 1000.0;
+        self.width = self.width.max(event.instance.as_str().len());
         let line = format!(
             "{millis:>12.3}  {:<width$}  {:<18}  {}",
             event.instance.as_str(),
             event.kind,
-            concerns(event)
+            concerns(event),
+            width = self.width
         );
-        let _ = writeln!(text, "{}", line.trim_end());
+        writeln!(self.out, "{}", line.trim_end()).wrap_err("writing the time line")
     }
-    text
-}
 
-/// Returns what an event concerns, as `name=value` pairs.
-pub fn concerns(event: &Event) -> String {
-    let mut parts = Vec::new();
-    let mut add = |name: &str, value: Option<String>| {
-        if let Some(value) = value {
-            parts.push(format!("{name}={value}"));
+    /// Ends the table with what is missing or malformed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a line can't be written.
+    pub fn close(self, findings: &Findings) -> eyre::Result<()> {
+        for warning in findings.warnings() {
+            writeln!(self.out, "# {warning}").wrap_err("writing the time line")?;
         }
-    };
-    add("key", event.key.as_ref().map(ToString::to_string));
-    add("attempt", event.attempt.as_ref().map(ToString::to_string));
-    add("target", event.target.as_ref().map(ToString::to_string));
-    add("peer", event.peer.as_ref().map(ToString::to_string));
-    add("detail", event.detail.clone());
-    parts.join(" ")
+        Ok(())
+    }
 }
--- a/kqr-timeline/tests/timeline.rs
+++ b/kqr-timeline/tests/timeline.rs
@@ -1,14 +1,14 @@
 //! Merging, filtering and formatting of event files.
 
-use std::fs;
+use std::{fs, io::Cursor};
 
 use clap::Parser;
-use kqr_telemetry::{Event, EventKind, EventLog};
-use kqr_timeline::{Filter, Options, Source, Timeline, run, to_html, to_table};
+use kqr_telemetry::{Event, EventKind, EventLog, HybridTime};
+use kqr_timeline::{Filter, MAX_DRAWN_EVENTS, Merge, Options, Source, Timeline, WINDOW_EVENTS, run, to_html};
 use kqr_types::{Attempt, AttemptId, KeyDigest, TaskIndex};
 
 /// Two processes with clocks that differ by 5 s: the first forwards a job to the second.
-fn sources() -> Vec<Source> {
+fn sources() -> Vec<Vec<Event>> {
     let (near, far) = (
         EventLog::disabled("entry-1".parse().unwrap()),
         EventLog::disabled("entry-2".parse().unwrap()),
@@ -32,14 +32,58 @@
     near.merge(started.time);
     let answered = with_key(near.event(EventKind::Answered), "order-17");
     let other = with_key(near.event(EventKind::Submitted), "order-18");
-    let source = |events| Source {
-        events,
-        torn: Vec::new(),
-    };
-    vec![
-        source(vec![started]),
-        source(vec![submitted, forwarded, answered, other]),
-    ]
+    vec![vec![started], vec![submitted, forwarded, answered, other]]
+}
+
+fn lines(events: &[Event]) -> String {
+    let mut text = String::new();
+    for event in events {
+        text.push_str(&serde_json::to_string(event).unwrap());
+        text.push('\n');
+    }
+    text
+}
+
+fn collect(files: &[Vec<Event>], filter: &Filter) -> Timeline {
+    let mut sources = Vec::new();
+    for events in files {
+        sources.push(Source::new("a.jsonl", Cursor::new(lines(events))));
+    }
+    Timeline::collect(Merge::new(sources).unwrap(), filter, MAX_DRAWN_EVENTS).unwrap()
+}
+
+fn merge(files: &[Vec<Event>]) -> Timeline {
+    collect(files, &Filter::default())
+}
+
+/// Runs the program on `files`; returns what it writes, and the most events that it held.
+fn written(files: &[Vec<Event>], arguments: &[&str]) -> (String, usize) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut options = vec!["kqr-timeline".to_owned()];
+    for (number, events) in files.iter().enumerate() {
+        let path = folder.path().join(format!("{number}.jsonl"));
+        fs::write(&path, lines(events)).unwrap();
+        options.push(path.display().to_string());
+    }
+    options.extend(arguments.iter().map(ToString::to_string));
+    let options = Options::try_parse_from(options).unwrap();
+    let mut out = Vec::new();
+    let summary = run(&options, &mut out).unwrap();
+    (String::from_utf8(out).unwrap(), summary.peak_held)
+}
+
+/// `count` events of a process, each a microsecond after the one before, the first with `number`.
+fn long_file(instance: &str, number: u64, count: u64) -> Vec<Event> {
+    let mut events = Vec::new();
+    let template = EventLog::disabled(instance.parse().unwrap()).event(EventKind::Submitted);
+    for sequence in number..number + count {
+        events.push(Event {
+            sequence,
+            time: HybridTime::at(1_000_000 + sequence),
+            ..template.clone()
+        });
+    }
+    events
 }
 
 fn kinds(timeline: &Timeline) -> Vec<EventKind> {
@@ -48,7 +92,7 @@
 
 #[test]
 fn events_are_in_causal_order_although_clocks_differ() {
-    let timeline = Timeline::merge(sources());
+    let timeline = merge(&sources());
     let expected = [
         EventKind::Submitted,
         EventKind::Forwarded,
@@ -57,18 +101,17 @@
         EventKind::Submitted,
     ];
     assert_eq!(kinds(&timeline), expected);
-    assert!(timeline.warnings().is_empty(), "{:?}", timeline.warnings());
+    assert!(timeline.findings.warnings().is_empty(), "{:?}", timeline.findings);
 }
 
 #[test]
 fn each_filter_keeps_what_matches() {
-    let all = Timeline::merge(sources());
+    let sources = sources();
+    let all = merge(&sources);
     let kept = |arguments: &[&str]| {
         let options = ["kqr-timeline", "file"].iter().chain(arguments);
         let filter: Filter = Options::try_parse_from(options).unwrap().filter;
-        let mut timeline = all.clone();
-        timeline.retain(&filter);
-        kinds(&timeline).len()
+        kinds(&collect(&sources, &filter)).len()
     };
     let first = all.events[0].placed_us();
     assert_eq!(
@@ -87,18 +130,16 @@
 
 #[test]
 fn a_torn_last_line_and_missing_events_are_told() {
-    let events = sources().remove(1).events;
-    let mut text = String::new();
-    for event in [&events[0], &events[3]] {
-        text.push_str(&serde_json::to_string(event).unwrap());
-        text.push('\n');
-    }
+    let events = sources().remove(1);
+    let mut text = lines(&[events[0].clone(), events[3].clone()]);
     text.push_str("{\"unix_us\":176");
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("a.jsonl");
     fs::write(&path, &text).unwrap();
     let options = Options::try_parse_from(["kqr-timeline", path.to_str().unwrap()]).unwrap();
-    let table = run(&options).unwrap();
+    let mut out = Vec::new();
+    run(&options, &mut out).unwrap();
+    let table = String::from_utf8(out).unwrap();
     assert!(
         table.contains("a.jsonl:3: torn last line, the process ended while writing"),
         "{table}"
@@ -119,29 +160,71 @@
             log.event(EventKind::Submitted),
         ]
     };
-    let source = |events| Source {
-        events,
-        torn: Vec::new(),
-    };
-    let timeline = Timeline::merge(vec![source(life()), source(life())]);
-    assert_eq!(timeline.gaps, []);
+    let timeline = merge(&[life(), life()]);
+    assert_eq!(timeline.findings.gaps, []);
+    assert_eq!(timeline.events.len(), 4);
 }
 
 #[test]
 fn an_event_in_two_files_is_shown_once() {
     let mut doubled = sources();
     doubled.push(doubled[1].clone());
-    assert_eq!(Timeline::merge(doubled).events.len(), 5);
+    assert_eq!(merge(&doubled).events.len(), 5);
 }
 
 #[test]
 fn the_page_has_a_lane_for_each_process_and_escapes_text() {
-    let mut timeline = Timeline::merge(sources());
+    let mut timeline = merge(&sources());
     timeline.events[0].detail = Some("<script>\"&".to_owned());
     let page = to_html(&timeline);
     assert_eq!(page.matches("class=\"lane\"").count(), 2);
     assert_eq!(page.matches("<circle").count(), 5);
     assert!(page.contains("&lt;script&gt;&quot;&amp;") && !page.contains("<script"));
     assert!(!page.contains("http"), "nothing is fetched");
-    assert_eq!(to_table(&timeline).lines().count(), 5);
+    assert_eq!(written(&sources(), &[]).0.lines().count(), 5);
+}
+
+#[test]
+fn only_a_window_of_each_file_is_held() {
+    let count = 20 * WINDOW_EVENTS as u64;
+    let files = [
+        long_file("entry-1", 0, count),
+        long_file("entry-1", count, count),
+        long_file("entry-2", 0, count),
+    ];
+    let most = files.len() * (WINDOW_EVENTS + 1) + 1;
+    for format in ["table", "json"] {
+        let (text, held) = written(&files, &["--format", format]);
+        assert_eq!(text.lines().count() as u64, 3 * count, "{format}");
+        assert!(held <= most, "{format}: {held} events held");
+    }
+    let (page, held) = written(&files, &["--format", "html"]);
+    assert!(page.contains(&format!(
+        "The first {MAX_DRAWN_EVENTS} of {} events are shown.",
+        3 * count
+    )));
+    assert!(held <= most + MAX_DRAWN_EVENTS, "{held} events held");
+}
+
+#[test]
+fn rotated_files_are_one_sequence_in_any_order() {
+    let (old, new) = (long_file("entry-1", 0, 3000), long_file("entry-1", 3000, 3000));
+    let timeline = merge(&[new, old]);
+    assert_eq!(timeline.findings.warnings(), Vec::<String>::new());
+    let sequences = timeline.events.iter().map(|event| event.sequence);
+    assert!(sequences.eq(0..MAX_DRAWN_EVENTS as u64));
+}
+
+#[test]
+fn events_out_of_order_are_put_in_order_or_told() {
+    let mut events = long_file("entry-1", 0, 3 * WINDOW_EVENTS as u64);
+    events.swap(10, 10 + WINDOW_EVENTS / 2);
+    let timeline = merge(&[events.clone()]);
+    assert!(timeline.events.is_sorted_by_key(|event| event.time));
+    assert_eq!(timeline.findings.warnings(), Vec::<String>::new());
+    let late = events.remove(10);
+    events.push(late);
+    let warnings = merge(&[events]).findings.warnings();
+    let expected = "1 events stand far out of order in their files and are not in causal order here";
+    assert_eq!(warnings, [expected]);
 }
