fix: give the load report's plots units, and keep legends off the lines

Cause: the pages of a demo run, checked by the geometry of their SVG: legends stood at the middle right, over the last tenth of the lines (in the first plot the tail of the distribution); no vertical axis had a name or unit; a plot without refusals was an empty frame; seconds without arrivals were drawn as a ratio of 0.

Change: a legend only for several lines, at the upper right, with room above the highest point; names with units on both axes; an empty plot says "none"; ratios are drawn only for seconds that have one.

Tests: the legend's bottom against the highest point of the lines, read from the SVG (fails at the old place, 167 px against 97, and without the room, 82 against 43); axis names and "none" in the page.

Not done: no browser was on the machine, so no rendering was looked at.

--- a/kqr-load/src/page.rs
+++ b/kqr-load/src/page.rs
@@ -69,11 +69,17 @@
             points: points.map(|(at, second)| (at as f64, value(second))).collect(),
         }
     };
+    let ratio = |name, value: fn(&Second) -> f64| {
+        let mut line = over_time(name, value);
+        line.points.retain(|(_, ratio)| *ratio > 0.0);
+        line
+    };
     let distribution = report.distribution.iter();
     vec![
         Plot {
             title: "Response over ideal",
-            x: "quantile",
+            x: "quantile of the jobs",
+            y: "response / ideal",
             lines: vec![Line {
                 name: "jobs",
                 points: distribution.map(|point| (point.quantile, point.ratio)).collect(),
@@ -81,15 +87,17 @@
         },
         Plot {
             title: "Crest: response over ideal by second of arrival",
-            x: "second",
+            x: "arrival, s since the begin",
+            y: "response / ideal",
             lines: vec![
-                over_time("p50", |second| second.over_ideal_p50),
-                over_time("p99", |second| second.over_ideal_p99),
+                ratio("p50", |second| second.over_ideal_p50),
+                ratio("p99", |second| second.over_ideal_p99),
             ],
         },
         Plot {
             title: "Goodput: answers in time",
-            x: "second",
+            x: "time since the begin, s",
+            y: "jobs and requests / s",
             lines: vec![
                 over_time("arrived", |second| second.arrived as f64),
                 over_time("answered in time", |second| second.in_time as f64),
@@ -97,7 +105,8 @@
         },
         Plot {
             title: "Refusals",
-            x: "second",
+            x: "time since the begin, s",
+            y: "refusals / s",
             lines: vec![
                 over_time("not run", |second| second.refused_not_run as f64),
                 over_time("may have run", |second| second.refused_may_have_run as f64),
--- a/kqr-load/src/plot.rs
+++ b/kqr-load/src/plot.rs
@@ -1,12 +1,21 @@
 use eyre::eyre;
 use plotters::{
-    chart::ChartBuilder,
+    chart::{ChartBuilder, SeriesLabelPosition},
     prelude::{IntoDrawingArea, LineSeries, SVGBackend},
-    style::{BLACK, Color, RGBColor, WHITE},
+    style::{
+        BLACK, Color, IntoTextStyle, RGBColor, WHITE,
+        text_anchor::{HPos, Pos, VPos},
+    },
 };
 
 /// Size of a plot, in pixels.
 const SIZE: (u32, u32) = (760, 300);
+/// Middle of a plot, in pixels.
+const MIDDLE: (i32, i32) = (380, 150);
+/// Part of the vertical axis above the highest point where one line is drawn.
+const HEADROOM: f64 = 1.05;
+/// The same where several lines need a legend, which stands above them.
+const LEGEND_HEADROOM: f64 = 1.4;
 /// Colours of the lines, in order.
 const COLOURS: [RGBColor; 3] = [
     RGBColor(31, 119, 180),
@@ -28,8 +37,10 @@
 pub struct Plot {
     /// Title.
     pub title: &'static str,
-    /// Name of the horizontal axis.
+    /// Name of the horizontal axis, with its unit.
     pub x: &'static str,
+    /// Name of the vertical axis, with its unit.
+    pub y: &'static str,
     /// Lines.
     pub lines: Vec<Line>,
 }
@@ -53,18 +64,22 @@
         let last = points().map(|point| point.0).fold(f64::NEG_INFINITY, f64::max);
         let top = points().map(|point| point.1).fold(0.0, f64::max);
         let (first, last) = if first < last { (first, last) } else { (0.0, 1.0) };
-        let top = if top > 0.0 { top * 1.05 } else { 1.0 };
+        let is_empty = top <= 0.0;
+        let has_legend = self.lines.len() > 1 && !is_empty;
+        let headroom = if has_legend { LEGEND_HEADROOM } else { HEADROOM };
+        let top = if is_empty { 1.0 } else { top * headroom };
         let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
         area.fill(&WHITE)?;
         let mut chart = ChartBuilder::on(&area)
             .caption(self.title, ("sans-serif", 16))
             .margin(10)
             .x_label_area_size(32)
-            .y_label_area_size(52)
+            .y_label_area_size(60)
             .build_cartesian_2d(first..last, 0.0..top)?;
         chart
             .configure_mesh()
             .x_desc(self.x)
+            .y_desc(self.y)
             .light_line_style(WHITE)
             .draw()?;
         for (line, colour) in self.lines.iter().zip(COLOURS.iter().cycle()) {
@@ -72,8 +87,18 @@
             let drawn = chart.draw_series(series)?.label(line.name);
             drawn.legend(move |(x, y)| plotters::element::PathElement::new([(x, y), (x + 14, y)], colour));
         }
+        if is_empty {
+            let style = ("sans-serif", 16).into_text_style(&area);
+            let centre = Pos::new(HPos::Center, VPos::Center);
+            area.draw_text("none", &style.pos(centre), MIDDLE)?;
+        }
+        if !has_legend {
+            area.present()?;
+            return Ok(());
+        }
         chart
             .configure_series_labels()
+            .position(SeriesLabelPosition::UpperRight)
             .background_style(WHITE.mix(0.8))
             .border_style(BLACK.mix(0.3))
             .draw()?;
--- a/kqr-load/tests/reports.rs
+++ b/kqr-load/tests/reports.rs
@@ -206,6 +206,11 @@
     let page = to_page(&report).unwrap();
     assert_eq!(page.matches("<svg").count(), 4);
     assert!(page.contains("two &lt;phases&gt;") && !page.contains("<script") && !page.contains("src="));
+    for axis in ["response / ideal", "time since the begin, s", "refusals / s"] {
+        assert!(page.contains(axis), "{axis}");
+    }
+    let refusals = page.split("<svg").nth(4).unwrap();
+    assert!(refusals.contains("none"), "an empty plot says so");
     let compared = compare(&report, &read);
     let line = compared
         .lines()
@@ -213,3 +218,39 @@
         .unwrap();
     assert!(line.ends_with("1.000"), "{line}");
 }
+
+/// Returns the values of `name="NUMBER"` in a drawn element.
+fn attribute(element: &str, name: &str) -> f64 {
+    let from = element.split(&format!(" {name}=\"")).nth(1).unwrap();
+    from.split('"').next().unwrap().parse().unwrap()
+}
+
+#[test]
+fn a_legend_covers_no_line() {
+    let mut refused = job(2500, 300, Ending::Complete);
+    refused.refusals.push(Refusal {
+        at: Duration::from_millis(3100),
+        ending: Ending::NotRun,
+    });
+    let page = to_page(&report(
+        &[job(100, 120, Ending::Complete), refused],
+        &started("a", &[0]),
+    ))
+    .unwrap();
+    for plot in page.split("<svg").skip(2) {
+        let legend = plot
+            .lines()
+            .find(|line| line.starts_with("<rect") && line.contains("opacity=\"0.8\""));
+        let legend = legend.expect("a legend");
+        let bottom = attribute(legend, "y") + attribute(legend, "height");
+        let lines = plot.lines().filter(|line| line.contains("stroke-width=\"2\""));
+        let points = lines.flat_map(|line| line.split("points=\"").nth(1).unwrap().split(' '));
+        let heights = points.filter_map(|point| point.split(',').nth(1)?.trim_end_matches('"').parse().ok());
+        let highest: f64 = heights.fold(f64::INFINITY, f64::min);
+        assert!(highest.is_finite(), "no line is drawn");
+        assert!(
+            bottom <= highest,
+            "the legend ends at {bottom}, a line is at {highest}"
+        );
+    }
+}
