--- a/kqr-settings/src/bootstrap.rs
+++ b/kqr-settings/src/bootstrap.rs
@@ -10,6 +10,8 @@
 use kqr_types::{DataCentre, InstanceId, Region};
 use serde::{Deserialize, Serialize};
 
+use crate::TlsFiles;
+
 /// Role of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -71,6 +73,10 @@
     /// File with the operators' token; a relative path starts at the folder of the bootstrap file.
     #[serde(default)]
     pub operator_token_file: Option<PathBuf>,
+    /// Files for mutual TLS between instances; a relative path starts at the folder of the bootstrap file, and
+    /// `{instance}` stands for the id of the instance. Without them the instances speak plain TCP.
+    #[serde(default)]
+    pub tls: Option<TlsFiles>,
 }
 
 /// A bootstrap file that can't be used.
@@ -159,6 +165,13 @@
         Some(config.parent().unwrap_or(Path::new("")).join(file))
     }
 
+    /// Returns the files of `own` for mutual TLS; `config` is the path of the bootstrap file.
+    pub fn tls_files(&self, config: &Path, own: &InstanceId) -> Option<TlsFiles> {
+        let folder = config.parent().unwrap_or(Path::new(""));
+        let files = self.tls.as_ref()?;
+        Some(files.of_instance(folder, own))
+    }
+
     fn check(&self) -> Result<(), String> {
         let sites: BTreeSet<&DataCentre> = self.data_centres.iter().map(|site| &site.name).collect();
         let mut ids = BTreeSet::new();
--- a/kqr-settings/src/lib.rs
+++ b/kqr-settings/src/lib.rs
@@ -10,6 +10,7 @@
 mod follower;
 mod log;
 pub mod schema;
+mod tls_files;
 mod tree;
 mod values;
 
@@ -18,6 +19,7 @@
     Action, Answer, Change, ChangeId, Command, Edit, LogOptions, OperatorName, Refusal, RestoreError,
     SettingsLog, Update, UpdateBody, UpdateError, Version,
 };
+pub use tls_files::TlsFiles;
 pub use tree::{
     Digest, Explained, Hidden, Leaf, Problem, Problems, Resolved, SettingPath, TargetNames, Tree,
     canonical_value, from_yaml, to_yaml, validate, validate_changed,
