feat: mutual TLS on the control instances' listener for others and on settings streams

The listener took whoever reached it: anybody could read the settings and vote. With TLS files in the bootstrap file the agreement, the calls to the leader and the settings streams run over kqr-tls; what a call claims must be an id of the sender's certificate, and messages of the agreement are taken from control instances only. Certificates and authorities are replaced without a restart.

Seen to fail: without the check of the claimed id and without the check of known ids the new tests fail.

--- a/kqr-control/src/control_service.rs
+++ b/kqr-control/src/control_service.rs
@@ -9,7 +9,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request as Call, Response, Status, Streaming};
 
-use crate::{Token, changes::Changes, links::Envelope, request::Request};
+use crate::{Token, changes::Changes, links::Envelope, peer_check::PeerCheck, request::Request};
 
 /// Messages of a settings stream that may wait before it is closed.
 const QUEUED_EVENTS: usize = 64;
@@ -19,12 +19,17 @@
 pub struct ControlService {
     changes: Changes,
     token: Token,
+    check: PeerCheck,
 }
 
 impl ControlService {
     /// Creates the service; changes that are handed over must carry `token`.
-    pub fn new(changes: Changes, token: Token) -> Self {
-        Self { changes, token }
+    pub fn new(changes: Changes, token: Token, check: PeerCheck) -> Self {
+        Self {
+            changes,
+            token,
+            check,
+        }
     }
 }
 
@@ -33,6 +38,7 @@
     type FollowStream = ReceiverStream<Result<FollowEvent, Status>>;
 
     async fn deliver(&self, call: Call<Streaming<Delivery>>) -> Result<Response<Delivered>, Status> {
+        let identity = PeerCheck::identity(&call)?;
         let mut deliveries = call.into_inner();
         while let Some(delivery) = deliveries.message().await? {
             for bytes in delivery.messages {
@@ -40,6 +46,7 @@
                     Status::invalid_argument(format!("message of {}: {error}", delivery.from))
                 })?;
                 let Envelope { from, message } = envelope;
+                self.check.delivers(&identity, &from)?;
                 self.changes.tell(Request::Message { from, message }).await;
             }
         }
@@ -48,7 +55,9 @@
 
     async fn follow(&self, call: Call<FollowRequest>) -> Result<Response<Self::FollowStream>, Status> {
         let (tx, rx) = mpsc::channel(QUEUED_EVENTS);
+        let identity = PeerCheck::identity(&call)?;
         let request = call.into_inner();
+        PeerCheck::follows(&identity, &request.instance)?;
         self.changes.tell(Request::Follow { request, tx }).await;
         Ok(Response::new(ReceiverStream::new(rx)))
     }
--- a/kqr-control/src/daemon.rs
+++ b/kqr-control/src/daemon.rs
@@ -7,10 +7,14 @@
 use kqr_settings::bootstrap::{Bootstrap, Instance, Role};
 use kqr_store::{FolderDisk, Opened, Owner, Store};
 use kqr_telemetry::{EventKind, EventLog, init_logging};
+use kqr_tls::{Listening, Security};
 use kqr_types::Incarnation;
 use kqr_wire::control::messages::{control_server::ControlServer, operators_server::OperatorsServer};
 use tokio::{net::TcpListener, signal::unix::SignalKind, sync::mpsc};
-use tokio_stream::wrappers::TcpListenerStream;
+use tokio_stream::{
+    StreamExt,
+    wrappers::{ReceiverStream, TcpListenerStream},
+};
 use tokio_util::sync::CancellationToken;
 use tonic::transport::Server;
 
@@ -22,6 +26,7 @@
     links::{Links, MAX_DELIVERY_BYTES},
     node::{Node, NodeOptions},
     operators_service::OperatorsService,
+    peer_check::PeerCheck,
     peers::Peers,
     request::Request,
 };
@@ -60,6 +65,7 @@
     ensure!(own.role == Role::Control, "{} is no control instance", own.id);
     let token_file = bootstrap.operator_token_file(&options.config);
     let token = Token::read(&token_file.ok_or_eyre("the bootstrap file names no operator_token_file")?)?;
+    let security = Security::of_bootstrap(&bootstrap, &options.config, &own.id)?;
     let events = match &options.events {
         Some(path) => EventLog::open(own.id.clone(), path)?,
         None => EventLog::disabled(own.id.clone()),
@@ -79,49 +85,65 @@
     };
     let machine = Machine::new(voter, agreement_options(founding, seed()), opened.durable);
     let (tx, rx) = mpsc::channel(QUEUED_REQUESTS);
-    let changes = Changes::new(tx, Peers::new(peers.clone(), token.clone()));
-    let links = Links::start(&own.id, &peers);
+    let changes = Changes::new(tx, Peers::new(peers.clone(), token.clone(), security.clone()));
+    let links = Links::start(&own.id, &peers, &security);
     let node = Node::new(NodeOptions::default(), machine);
     let driver = Driver::new(node, store, links, changes.clone(), events);
-    serve(own, changes, token, driver, rx).await
+    let controls = bootstrap.control_instances().map(|control| control.id.clone());
+    let service = ControlService::new(changes.clone(), token.clone(), PeerCheck::new(controls.collect()));
+    let shell = Shell {
+        own,
+        changes,
+        token,
+        security,
+    };
+    shell.serve(service, driver, rx).await
 }
 
-async fn serve(
+/// What the listeners need.
+struct Shell {
     own: Instance,
     changes: Changes,
     token: Token,
-    driver: Driver,
-    rx: mpsc::Receiver<Request>,
-) -> eyre::Result<()> {
-    let operators = own
-        .operators
-        .ok_or_eyre("a control instance needs an operators' listener")?;
-    let peers_listener = bind(own.peers).await?;
-    let operators_listener = bind(operators).await?;
-    let stop = CancellationToken::new();
-    let control = ControlServer::new(ControlService::new(changes.clone(), token.clone()))
-        .max_decoding_message_size(MAX_DELIVERY_BYTES);
-    let control = Server::builder()
-        .add_service(control)
-        .serve_with_incoming_shutdown(
-            TcpListenerStream::new(peers_listener),
-            stop.clone().cancelled_owned(),
-        );
-    let service = OperatorsService::new(changes.clone());
-    let service = OperatorsServer::with_interceptor(service, move |call| token.check(call));
-    let operators = Server::builder()
-        .add_service(service)
-        .serve_with_incoming_shutdown(
-            TcpListenerStream::new(operators_listener),
-            stop.clone().cancelled_owned(),
-        );
-    let driver = driver.run(rx, stop.clone());
-    log::info!("control instance {} is running", own.id);
-    tokio::select! {
-        result = driver => result.wrap_err("the driver of the settings log"),
-        result = control => result.wrap_err("the listener for other instances"),
-        result = operators => result.wrap_err("the listener for operators"),
-        result = stop_on_signal(changes, stop.clone()) => result,
+    security: Security,
+}
+
+impl Shell {
+    async fn serve(
+        self,
+        service: ControlService,
+        driver: Driver,
+        rx: mpsc::Receiver<Request>,
+    ) -> eyre::Result<()> {
+        let operators = self.own.operators;
+        let operators = operators.ok_or_eyre("a control instance needs an operators' listener")?;
+        let peers_listener = bind(self.own.peers).await?;
+        let operators_listener = bind(operators).await?;
+        let stop = CancellationToken::new();
+        tokio::spawn(self.security.clone().watch(stop.clone()));
+        let incoming = Listening::start(peers_listener, self.security, stop.clone());
+        let incoming = ReceiverStream::new(incoming).map(Ok::<_, std::io::Error>);
+        let control = ControlServer::new(service).max_decoding_message_size(MAX_DELIVERY_BYTES);
+        let control = Server::builder()
+            .add_service(control)
+            .serve_with_incoming_shutdown(incoming, stop.clone().cancelled_owned());
+        let service = OperatorsService::new(self.changes.clone());
+        let token = self.token;
+        let service = OperatorsServer::with_interceptor(service, move |call| token.check(call));
+        let operators = Server::builder()
+            .add_service(service)
+            .serve_with_incoming_shutdown(
+                TcpListenerStream::new(operators_listener),
+                stop.clone().cancelled_owned(),
+            );
+        let driver = driver.run(rx, stop.clone());
+        log::info!("control instance {} is running", self.own.id);
+        tokio::select! {
+            result = driver => result.wrap_err("the driver of the settings log"),
+            result = control => result.wrap_err("the listener for other instances"),
+            result = operators => result.wrap_err("the listener for operators"),
+            result = stop_on_signal(self.changes, stop.clone()) => result,
+        }
     }
 }
 
--- a/kqr-control/src/lib.rs
+++ b/kqr-control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 mod operators_service;
 mod options;
+mod peer_check;
 mod peers;
 mod request;
 mod token;
--- a/kqr-control/src/links.rs
+++ b/kqr-control/src/links.rs
@@ -2,9 +2,10 @@
 
 use bincode::Options;
 use kqr_agreement::{Message, VoterId};
+use kqr_tls::Security;
 use kqr_types::InstanceId;
 use kqr_wire::control::{
-    connect_watched,
+    Peer, connect_instance_watched,
     messages::{Delivery, control_client::ControlClient},
 };
 use serde::{Deserialize, Serialize};
@@ -58,11 +59,17 @@
 
 impl Links {
     /// Starts a link to each of `peers`; a link ends when this value is dropped.
-    pub fn start(own: &InstanceId, peers: &BTreeMap<InstanceId, SocketAddr>) -> Self {
+    pub fn start(own: &InstanceId, peers: &BTreeMap<InstanceId, SocketAddr>, security: &Security) -> Self {
         let mut queues = BTreeMap::new();
         for (peer, &address) in peers {
             let (tx, rx) = mpsc::channel(QUEUED_MESSAGES);
-            tokio::spawn(run(own.clone(), peer.clone(), address, rx));
+            let id = peer.clone();
+            let link = Link {
+                own: own.clone(),
+                peer: Peer { id, address },
+                security: security.clone(),
+            };
+            tokio::spawn(link.run(rx));
             queues.insert(peer.clone(), tx);
         }
         Self { queues }
@@ -84,55 +91,60 @@
     }
 }
 
-/// Opens one stream of deliveries after the other, each with a new connection.
-async fn run(own: InstanceId, peer: InstanceId, address: SocketAddr, mut rx: mpsc::Receiver<Vec<u8>>) {
-    let mut is_failing = false;
-    let mut batch = Vec::new();
-    while rx.recv_many(&mut batch, BATCH).await > 0 {
-        let first = delivery(&own, &mut batch);
-        let status = match deliver(&own, address, first, &mut rx).await {
-            Ok(()) => return,
-            Err(status) => status,
-        };
-        if !is_failing || status.code() != Code::Unavailable {
-            log::warn!("delivering to {peer}: {}", status.message());
+/// The link to one peer.
+#[derive(Debug)]
+struct Link {
+    own: InstanceId,
+    peer: Peer,
+    security: Security,
+}
+
+impl Link {
+    /// Opens one stream of deliveries after the other, each with a new connection.
+    async fn run(self, mut rx: mpsc::Receiver<Vec<u8>>) {
+        let mut is_failing = false;
+        let mut batch = Vec::new();
+        while rx.recv_many(&mut batch, BATCH).await > 0 {
+            let first = self.delivery(&mut batch);
+            let status = match self.deliver(first, &mut rx).await {
+                Ok(()) => return,
+                Err(status) => status,
+            };
+            if !is_failing || status.code() != Code::Unavailable {
+                log::warn!("delivering to {}: {}", self.peer.id, status.message());
+            }
+            is_failing = status.code() == Code::Unavailable;
         }
-        is_failing = status.code() == Code::Unavailable;
     }
-}
 
-fn delivery(own: &InstanceId, batch: &mut Vec<Vec<u8>>) -> Delivery {
-    Delivery {
-        from: own.as_str().to_owned(),
-        messages: std::mem::take(batch),
+    fn delivery(&self, batch: &mut Vec<Vec<u8>>) -> Delivery {
+        Delivery {
+            from: self.own.as_str().to_owned(),
+            messages: std::mem::take(batch),
+        }
     }
-}
 
-/// Streams `first` and what follows in `rx` until the connection fails.
-async fn deliver(
-    own: &InstanceId,
-    address: SocketAddr,
-    first: Delivery,
-    rx: &mut mpsc::Receiver<Vec<u8>>,
-) -> Result<(), Status> {
-    let mut client =
-        ControlClient::new(connect_watched(address).await?).max_encoding_message_size(MAX_DELIVERY_BYTES);
-    let (tx, deliveries) = mpsc::channel(QUEUED_DELIVERIES);
-    drop(tx.try_send(first));
-    let call = client.deliver(ReceiverStream::new(deliveries));
-    tokio::pin!(call);
-    let mut batch = Vec::new();
-    loop {
-        tokio::select! {
-            ended = &mut call => {
-                ended?;
-                return Err(Status::aborted("the stream was ended"));
-            }
-            count = rx.recv_many(&mut batch, BATCH) => {
-                if count == 0 {
-                    return Ok(());
+    /// Streams `first` and what follows in `rx` until the connection fails.
+    async fn deliver(&self, first: Delivery, rx: &mut mpsc::Receiver<Vec<u8>>) -> Result<(), Status> {
+        let channel = connect_instance_watched(&self.security, &self.peer.id, self.peer.address).await?;
+        let mut client = ControlClient::new(channel).max_encoding_message_size(MAX_DELIVERY_BYTES);
+        let (tx, deliveries) = mpsc::channel(QUEUED_DELIVERIES);
+        drop(tx.try_send(first));
+        let call = client.deliver(ReceiverStream::new(deliveries));
+        tokio::pin!(call);
+        let mut batch = Vec::new();
+        loop {
+            tokio::select! {
+                ended = &mut call => {
+                    ended?;
+                    return Err(Status::aborted("the stream was ended"));
+                }
+                count = rx.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    drop(tx.try_send(self.delivery(&mut batch)));
                 }
-                drop(tx.try_send(delivery(own, &mut batch)));
             }
         }
     }
--- /dev/null
+++ b/kqr-control/src/peer_check.rs
@@ -0,0 +1,59 @@
+use std::collections::BTreeSet;
+
+use kqr_agreement::VoterId;
+use kqr_tls::PeerIdentity;
+use kqr_types::InstanceId;
+use tonic::{Request, Status};
+
+/// Checks whether the other end of a connection may speak for the instance that it names.
+#[derive(Clone, Debug)]
+pub struct PeerCheck {
+    controls: BTreeSet<InstanceId>,
+}
+
+impl PeerCheck {
+    /// Creates the check; `controls` are the control instances.
+    pub fn new(controls: BTreeSet<InstanceId>) -> Self {
+        Self { controls }
+    }
+
+    /// Returns who sent `call`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener does not tell.
+    pub fn identity<Body>(call: &Request<Body>) -> Result<PeerIdentity, Status> {
+        let identity = call.extensions().get::<PeerIdentity>().cloned();
+        identity.ok_or_else(|| Status::internal("the listener does not tell who is at the other end"))
+    }
+
+    /// Checks that `identity` may follow the settings as `instance`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `permission-denied` if its certificate is that of another instance.
+    pub fn follows(identity: &PeerIdentity, instance: &str) -> Result<(), Status> {
+        let is_allowed = instance.parse().is_ok_and(|instance| identity.may_be(&instance));
+        if !is_allowed {
+            return Err(Status::permission_denied(format!(
+                "the certificate is not that of {instance}"
+            )));
+        }
+        Ok(())
+    }
+
+    /// Checks that `identity` may send messages of the replicated log as `voter`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `permission-denied` if `voter` is of no control instance, or the certificate is that of another one.
+    pub fn delivers(&self, identity: &PeerIdentity, voter: &VoterId) -> Result<(), Status> {
+        let instance = &voter.instance;
+        if !self.controls.contains(instance) {
+            return Err(Status::permission_denied(format!(
+                "{instance} is no control instance"
+            )));
+        }
+        Self::follows(identity, instance.as_str())
+    }
+}
--- a/kqr-control/src/peers.rs
+++ b/kqr-control/src/peers.rs
@@ -1,9 +1,10 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use kqr_settings::{Answer, Command, Version};
+use kqr_tls::Security;
 use kqr_types::InstanceId;
 use kqr_wire::control::{
-    connect,
+    connect_instance,
     messages::{ConfirmRequest, control_client::ControlClient},
     request_of,
 };
@@ -19,12 +20,17 @@
 pub struct Peers {
     addresses: BTreeMap<InstanceId, SocketAddr>,
     token: Token,
+    security: Security,
 }
 
 impl Peers {
     /// Creates the list of the other control instances; changes are handed over with `token`.
-    pub fn new(addresses: BTreeMap<InstanceId, SocketAddr>, token: Token) -> Self {
-        Self { addresses, token }
+    pub fn new(addresses: BTreeMap<InstanceId, SocketAddr>, token: Token, security: Security) -> Self {
+        Self {
+            addresses,
+            token,
+            security,
+        }
     }
 
     /// Hands `command` to `leader`.
@@ -56,7 +62,8 @@
     async fn client(&self, peer: &InstanceId) -> Result<ControlClient<Channel>, Status> {
         let address = self.addresses.get(peer);
         let address = *address.ok_or_else(|| Status::not_found(format!("{peer} is no control instance")))?;
-        Ok(ControlClient::new(connect(address).await?))
+        let channel = connect_instance(&self.security, peer, address).await?;
+        Ok(ControlClient::new(channel))
     }
 }
 
--- a/kqr-control/tests/daemons/mod.rs
+++ b/kqr-control/tests/daemons/mod.rs
@@ -40,7 +40,15 @@
 }
 
 impl Processes {
+    /// Starts a system of three that has just been founded.
     pub fn start() -> Self {
+        let mut processes = Self::prepare("");
+        processes.found();
+        processes
+    }
+
+    /// Writes the files of three processes; `more` is added to the bootstrap file.
+    pub fn prepare(more: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let addresses = free_addresses(7);
         let mut text = "data_centres: [{ name: uppsala, region: svealand }]\ninstances:\n".to_owned();
@@ -57,22 +65,24 @@
         writeln!(
             text,
             "  - {{ id: entry-1, role: entry, data_centre: uppsala, peers: \"{entry}\", callers: \"{entry}\", \
-             targets: \"{entry}\" }}\noperator_token_file: token"
+             targets: \"{entry}\" }}\noperator_token_file: token\n{more}"
         )
         .unwrap();
         fs::write(folder.path().join("instances.yaml"), text).unwrap();
         fs::write(folder.path().join("token"), TOKEN).unwrap();
         fs::write(folder.path().join("wrong"), "another-token-0123456789").unwrap();
-        let mut processes = Self {
+        Self {
             folder,
             peers: addresses[..3].to_vec(),
             operators: addresses[3..6].to_vec(),
             children: vec![None, None, None],
-        };
+        }
+    }
+
+    pub fn found(&mut self) {
         for number in 0..3 {
-            processes.start_one(number, &["--found"]);
+            self.start_one(number, &["--found"]);
         }
-        processes
     }
 
     pub fn start_one(&mut self, number: usize, arguments: &[&str]) {
--- /dev/null
+++ b/kqr-wire/src/control/connector.rs
@@ -0,0 +1,41 @@
+use std::{
+    io,
+    net::SocketAddr,
+    task::{Context, Poll},
+};
+
+use futures::future::BoxFuture;
+use hyper_util::rt::TokioIo;
+use kqr_tls::{PeerStream, Security};
+use kqr_types::InstanceId;
+use tonic::codegen::{Service, http::Uri};
+
+/// Opens the streams of a tonic channel to one instance, whatever the URI of the channel is.
+#[derive(Clone, Debug)]
+pub(super) struct Connector {
+    /// How the streams are opened.
+    pub(super) security: Security,
+    /// Instance that must be at the other end.
+    pub(super) peer: InstanceId,
+    /// Its listener for other instances.
+    pub(super) address: SocketAddr,
+}
+
+impl Service<Uri> for Connector {
+    type Response = TokioIo<PeerStream>;
+    type Error = io::Error;
+    type Future = BoxFuture<'static, io::Result<TokioIo<PeerStream>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _: Uri) -> Self::Future {
+        let Self {
+            security,
+            peer,
+            address,
+        } = self.clone();
+        Box::pin(async move { security.connect(&peer, address).await.map(TokioIo::new) })
+    }
+}
--- a/kqr-wire/src/control/mod.rs
+++ b/kqr-wire/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! Control messages, carried by tonic: agreement, the settings stream and the calls of operators.
 
 mod answers;
+mod connect;
+mod connector;
 mod copy;
 mod edits;
 mod peer;
@@ -13,7 +15,8 @@
     include!("generated/kqr.control.rs");
 }
 
+pub use connect::{connect, connect_instance, connect_instance_watched};
 pub use copy::{CopyError, SettingsCopy};
 pub use edits::{MessageError, command_of, request_of};
 pub use peer::{Peer, peers_of};
-pub use stream::{SettingsStream, connect, connect_watched};
+pub use stream::SettingsStream;
--- a/kqr-wire/src/control/stream.rs
+++ b/kqr-wire/src/control/stream.rs
@@ -1,24 +1,18 @@
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use kqr_settings::{Follower, FollowerInput, FollowerOutput, Tree, Version};
+use kqr_tls::Security;
 use kqr_types::{InstanceId, Instant};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
-use tonic::transport::{Channel, Endpoint};
 
 use super::{
-    MessageError, Peer,
+    MessageError, Peer, connect_instance,
     messages::{self, control_client::ControlClient, follow_event},
 };
 
 /// Time between two ticks of the follower.
 const TICK: Duration = Duration::from_millis(100);
-/// Longest time for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between two pings on a watched connection.
-const PING_EVERY: Duration = Duration::from_secs(5);
-/// Time within which a ping must be answered.
-const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Messages of a stream that may wait for the follower.
 const QUEUED_EVENTS: usize = 16;
 /// Largest message of a stream, in bytes.
@@ -30,6 +24,7 @@
     own: InstanceId,
     peers: Vec<Peer>,
     follower: Follower,
+    security: Security,
     origin: std::time::Instant,
     events: Option<Events>,
 }
@@ -49,11 +44,18 @@
             own,
             peers,
             follower,
+            security: Security::Plain,
             origin: std::time::Instant::now(),
             events: None,
         }
     }
 
+    /// Opens the connections as `security` says; they are plain otherwise.
+    #[must_use]
+    pub fn with_security(self, security: Security) -> Self {
+        Self { security, ..self }
+    }
+
     /// Streams until `shutdown` and calls `apply` for each version that comes into force.
     pub async fn run<Apply>(mut self, mut apply: Apply, shutdown: CancellationToken)
     where
@@ -103,10 +105,10 @@
     }
 
     fn open(&self, peer: InstanceId, request: messages::FollowRequest) -> Option<Events> {
-        let address = self.peers.iter().find(|known| known.id == peer)?.address;
+        let control = self.peers.iter().find(|known| known.id == peer)?.clone();
         let (tx, rx) = mpsc::channel(QUEUED_EVENTS);
         let cancel = CancellationToken::new();
-        let reading = read(address, request, tx);
+        let reading = read(self.security.clone(), control, request, tx);
         let (name, token) = (peer.clone(), cancel.clone());
         tokio::spawn(async move {
             let result = tokio::select! {
@@ -164,11 +166,12 @@
 
 /// Opens a stream and passes its messages on until it ends or nobody takes them.
 async fn read(
-    address: SocketAddr,
+    security: Security,
+    peer: Peer,
     request: messages::FollowRequest,
     tx: mpsc::Sender<messages::FollowEvent>,
 ) -> Result<(), tonic::Status> {
-    let channel = connect(address).await?;
+    let channel = connect_instance(&security, &peer.id, peer.address).await?;
     let mut client = ControlClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let mut events = client.follow(request).await?.into_inner();
     while let Some(event) = events.message().await? {
@@ -178,39 +181,3 @@
     }
     Ok(())
 }
-
-/// Opens a connection to the instance at `address`.
-///
-/// # Errors
-///
-/// Fails if no connection is opened in time; nothing was sent then.
-pub async fn connect(address: SocketAddr) -> Result<Channel, tonic::Status> {
-    open_channel(address, |endpoint| endpoint).await
-}
-
-/// Opens a connection that fails once the other end has not answered a ping in time.
-///
-/// # Errors
-///
-/// Fails if no connection is opened in time; nothing was sent then.
-pub async fn connect_watched(address: SocketAddr) -> Result<Channel, tonic::Status> {
-    let watched = |endpoint: Endpoint| {
-        endpoint
-            .http2_keep_alive_interval(PING_EVERY)
-            .keep_alive_timeout(PING_TIMEOUT)
-            .keep_alive_while_idle(true)
-    };
-    open_channel(address, watched).await
-}
-
-async fn open_channel<Configure>(address: SocketAddr, configure: Configure) -> Result<Channel, tonic::Status>
-where
-    Configure: FnOnce(Endpoint) -> Endpoint,
-{
-    let endpoint = Endpoint::from_shared(format!("http://{address}"))
-        .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_nodelay(true);
-    let connected = configure(endpoint).connect().await;
-    connected.map_err(|error| tonic::Status::unavailable(format!("connecting to {address}: {error}")))
-}
