--- a/kqr-control/tests/system/mod.rs
+++ b/kqr-control/tests/system/mod.rs
@@ -32,8 +32,10 @@
 const MOST_DELAY_US: u64 = 30_000;
 /// Time between two questions for the highest version on behalf of a stream.
 const CONFIRM_RETRY: Duration = Duration::from_millis(100);
-/// Bytes of HTTP/2, TCP and IP headers and acknowledgements around one message.
-const FRAMING_BYTES: u64 = 120;
+/// Bytes of HTTP/2, TLS, TCP and IP headers and acknowledgements around one message.
+const FRAMING_BYTES: u64 = 120 + TLS_RECORD_BYTES;
+/// Header, content type and tag of the record that carries a message over TLS.
+const TLS_RECORD_BYTES: u64 = 22;
 
 enum Event {
     NodeTick(InstanceId),
