feat: read the operators' token anew when its file changes

A leaked token could be replaced by restarts only. Each control instance looks at the file every 2 s; a token that can't be used is told and the former one stays. A change that another instance refuses for its token was not proposed and is tried again.

--- a/kqr-control/src/changes.rs
+++ b/kqr-control/src/changes.rs
@@ -168,7 +168,7 @@
 fn is_not_proposed(status: &Status) -> bool {
     matches!(
         status.code(),
-        tonic::Code::FailedPrecondition | tonic::Code::NotFound
+        tonic::Code::FailedPrecondition | tonic::Code::NotFound | tonic::Code::Unauthenticated
     ) || status.message().starts_with("connecting to ")
 }
 
--- a/kqr-control/src/daemon.rs
+++ b/kqr-control/src/daemon.rs
@@ -121,6 +121,7 @@
         let operators_listener = bind(operators).await?;
         let stop = CancellationToken::new();
         tokio::spawn(self.security.clone().watch(stop.clone()));
+        tokio::spawn(self.token.clone().watch(stop.clone()));
         let incoming = Listening::start(peers_listener, self.security, stop.clone());
         let incoming = ReceiverStream::new(incoming).map(Ok::<_, std::io::Error>);
         let control = ControlServer::new(service).max_decoding_message_size(MAX_DELIVERY_BYTES);
--- a/kqr-control/src/token.rs
+++ b/kqr-control/src/token.rs
@@ -1,6 +1,14 @@
-use std::{fmt, path::Path};
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
+use arc_swap::ArcSwap;
 use eyre::{WrapErr, ensure};
+use kqr_tls::FileStamp;
+use tokio_util::sync::CancellationToken;
 use tonic::{Request, Status};
 
 /// Shortest token, in bytes.
@@ -9,9 +17,16 @@
 /// Name of the metadata entry with the token.
 const AUTHORIZATION: &str = "authorization";
 
+/// Time between two looks at the file.
+const CHECK_EVERY: Duration = Duration::from_secs(2);
+
 /// The secret that operators send with each call. It is never printed.
 #[derive(Clone)]
-pub struct Token(String);
+pub struct Token {
+    path: PathBuf,
+    first_stamp: FileStamp,
+    secret: Arc<ArcSwap<String>>,
+}
 
 impl Token {
     /// Reads the token from the first line of the file at `path`.
@@ -20,15 +35,38 @@
     ///
     /// Fails if the file can't be read or its token is shorter than 16 bytes.
     pub fn read(path: &Path) -> eyre::Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .wrap_err_with(|| format!("reading the operators' token from {}", path.display()))?;
-        let token = text.lines().next().unwrap_or_default().trim();
-        let shown = path.display();
-        ensure!(
-            token.len() >= MIN_BYTES,
-            "the operators' token in {shown} is shorter than {MIN_BYTES} bytes"
-        );
-        Ok(Self(token.to_owned()))
+        let first_stamp = FileStamp::of(&[path]);
+        let secret = Arc::new(ArcSwap::from_pointee(read_secret(path)?));
+        Ok(Self {
+            path: path.to_owned(),
+            first_stamp,
+            secret,
+        })
+    }
+
+    /// Reads the token anew whenever its file changes, until `shutdown`. A token that can't be used is told in the
+    /// log, and the former one stays in force.
+    pub async fn watch(self, shutdown: CancellationToken) {
+        let mut seen = self.first_stamp.clone();
+        let mut checks = tokio::time::interval(CHECK_EVERY);
+        loop {
+            tokio::select! {
+                _ = checks.tick() => {}
+                () = shutdown.cancelled() => return,
+            }
+            let present = FileStamp::of(&[&self.path]);
+            if present == seen {
+                continue;
+            }
+            seen = present;
+            match read_secret(&self.path) {
+                Ok(secret) => {
+                    self.secret.store(Arc::new(secret));
+                    log::info!("the changed operators' token is in force");
+                }
+                Err(error) => log::error!("{error:#}; the former token stays in force"),
+            }
+        }
     }
 
     /// Checks that `request` carries the token.
@@ -53,7 +91,7 @@
     ///
     /// Fails if the token has characters that can't be sent.
     pub fn add_to<Body>(&self, request: &mut Request<Body>) -> Result<(), Status> {
-        let value = format!("Bearer {}", self.0).parse();
+        let value = format!("Bearer {}", self.secret.load()).parse();
         let value = value.map_err(|_| Status::internal("the operators' token can't be sent"))?;
         request.metadata_mut().insert(AUTHORIZATION, value);
         Ok(())
@@ -61,8 +99,9 @@
 
     /// Compares without stopping at the first difference.
     fn equals(&self, given: &str) -> bool {
-        let mut difference = self.0.len() ^ given.len();
-        for (own, other) in self.0.bytes().zip(given.bytes()) {
+        let secret = self.secret.load();
+        let mut difference = secret.len() ^ given.len();
+        for (own, other) in secret.bytes().zip(given.bytes()) {
             difference |= usize::from(own ^ other);
         }
         difference == 0
@@ -74,3 +113,16 @@
         f.write_str("Token(..)")
     }
 }
+
+/// Reads the first line of the file at `path`.
+fn read_secret(path: &Path) -> eyre::Result<String> {
+    let shown = path.display();
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("reading the operators' token from {shown}"))?;
+    let secret = text.lines().next().unwrap_or_default().trim();
+    ensure!(
+        secret.len() >= MIN_BYTES,
+        "the operators' token in {shown} is shorter than {MIN_BYTES} bytes"
+    );
+    Ok(secret.to_owned())
+}
--- a/kqr-tls/src/keys.rs
+++ b/kqr-tls/src/keys.rs
@@ -5,7 +5,7 @@
 use kqr_types::InstanceId;
 use tokio_util::sync::CancellationToken;
 
-use crate::{TlsError, material::Material, stamp::Stamp};
+use crate::{FileStamp, TlsError, material::Material};
 
 /// Time between two looks at the files.
 const CHECK_EVERY: Duration = Duration::from_secs(2);
@@ -17,7 +17,7 @@
     known: BTreeSet<InstanceId>,
     files: TlsFiles,
     material: ArcSwap<Material>,
-    first_stamp: Stamp,
+    first_stamp: FileStamp,
 }
 
 impl Keys {
@@ -28,7 +28,7 @@
     /// Fails if a file can't be read, is no PEM, the key is not that of the certificate, or the certificate does not
     /// carry the id of `own`.
     pub fn read(own: InstanceId, known: BTreeSet<InstanceId>, files: TlsFiles) -> Result<Self, TlsError> {
-        let first_stamp = Stamp::of(&files);
+        let first_stamp = stamp_of(&files);
         let material = Material::read(&files, &own)?;
         Ok(Self {
             own,
@@ -42,14 +42,14 @@
     /// Reads the files anew whenever they change, until `shutdown`. Files that can't be used are told in the log, and
     /// what was read before stays in force.
     pub async fn watch(&self, shutdown: CancellationToken) {
-        let mut seen = self.first_stamp;
+        let mut seen = self.first_stamp.clone();
         let mut checks = tokio::time::interval(CHECK_EVERY);
         loop {
             tokio::select! {
                 _ = checks.tick() => {}
                 () = shutdown.cancelled() => return,
             }
-            let present = Stamp::of(&self.files);
+            let present = stamp_of(&self.files);
             if present == seen {
                 continue;
             }
@@ -84,3 +84,7 @@
         self.material.load_full()
     }
 }
+
+fn stamp_of(files: &TlsFiles) -> FileStamp {
+    FileStamp::of(&[&files.certificate, &files.key, &files.authorities])
+}
--- a/kqr-tls/src/lib.rs
+++ b/kqr-tls/src/lib.rs
@@ -6,15 +6,16 @@
 #![deny(missing_docs)]
 
 mod error;
+mod file_stamp;
 mod incoming;
 mod keys;
 mod material;
 mod peer_identity;
 mod security;
-mod stamp;
 mod stream;
 
 pub use error::TlsError;
+pub use file_stamp::FileStamp;
 pub use incoming::{Incoming, Listening};
 pub use keys::Keys;
 pub use peer_identity::PeerIdentity;
