feat: kqr quota get, set and list, and kqr jobs show and cancel

Quotas could be reached as raw paths only, and jobs not at all. Quotas are settings changes with the same errors; jobs are asked for at an entry's callers' interface. A new exit code, 9, says that no job with the key is known.

--- a/kqr-cli/src/cli.rs
+++ b/kqr-cli/src/cli.rs
@@ -1,15 +1,18 @@
+use std::time::Duration;
+
 use clap::{CommandFactory, Parser, Subcommand};
 
 use crate::{
-    Connection, ConnectionOptions, Failure,
-    commands::{drain, settings, status, targets, voters},
-    output::render,
+    Connection, ConnectionOptions, Entries, Failure,
+    commands::{drain, jobs, quota, settings, status, targets, voters},
+    output::{Format, render},
 };
 
 /// Operates a system of kumquatroad.
 ///
 /// Exit codes: 0 done, 1 other failure, 2 wrong usage, 3 beaten by another change, 4 path or value not allowed,
-/// 5 version not retained or unknown, 6 no quorum answers, 7 token missing or wrong, 8 no control instance reachable.
+/// 5 version not retained or unknown, 6 no quorum or entry answers now, 7 token missing or wrong, 8 no control instance or
+/// entry reachable, 9 no job with the key is known.
 #[derive(Debug, Parser)]
 #[command(name = "kqr", version)]
 pub struct Cli {
@@ -31,6 +34,12 @@
     Targets(targets::Options),
     /// Stops or resumes sending new work to a target, service, data centre or region.
     Drain(drain::Options),
+    /// Reads and changes the quotas of teams.
+    #[command(subcommand)]
+    Quota(Quota),
+    /// Shows or cancels a job at an entry; no token is needed.
+    #[command(subcommand)]
+    Jobs(Jobs),
     /// Shows the state of the control instances.
     Status(status::Options),
     /// Adds, promotes or removes one voter of the settings log.
@@ -61,6 +70,26 @@
     Rollback(settings::rollback::Options),
 }
 
+/// An operation on the quotas of teams.
+#[derive(Debug, Subcommand)]
+pub enum Quota {
+    /// Prints the quota of one team and where it comes from.
+    Get(quota::get::Options),
+    /// Sets or removes the quota of one team.
+    Set(quota::set::Options),
+    /// Lists the quotas of all teams that the settings name.
+    List(quota::list::Options),
+}
+
+/// An operation on a job.
+#[derive(Debug, Subcommand)]
+pub enum Jobs {
+    /// Shows the state of a job.
+    Show(jobs::Options),
+    /// Cancels a job that has not ended.
+    Cancel(jobs::Options),
+}
+
 /// Runs the operation and returns its output.
 ///
 /// # Errors
@@ -72,22 +101,26 @@
         clap_complete::generate(shell, &mut Cli::command(), "kqr", &mut text);
         return Ok(String::from_utf8_lossy(&text).into_owned());
     }
-    let connection = Connection::new(&cli.connection)?;
     let format = cli.connection.output;
+    if let Operation::Jobs(operation) = cli.operation {
+        return run_jobs(Duration::from_secs(cli.connection.timeout), operation, format).await;
+    }
+    let connection = Connection::new(&cli.connection)?;
     match cli.operation {
         Operation::Settings(operation) => run_settings(&connection, operation, format).await,
         Operation::Targets(options) => render(&targets::run(&connection, &options).await?, format),
         Operation::Drain(options) => render(&drain::run(&connection, &options).await?, format),
+        Operation::Quota(operation) => run_quota(&connection, operation, format).await,
         Operation::Status(options) => render(&status::run(&connection, &options).await?, format),
         Operation::Voters(options) => render(&voters::run(&connection, &options).await?, format),
-        Operation::Completions { .. } => Ok(String::new()),
+        Operation::Jobs(_) | Operation::Completions { .. } => Ok(String::new()),
     }
 }
 
 async fn run_settings(
     connection: &Connection,
     operation: Settings,
-    format: crate::Format,
+    format: Format,
 ) -> Result<String, Failure> {
     match operation {
         Settings::Get(options) => render(&settings::get::run(connection, &options).await?, format),
@@ -99,3 +132,24 @@
         Settings::Rollback(options) => render(&settings::rollback::run(connection, &options).await?, format),
     }
 }
+
+async fn run_quota(connection: &Connection, operation: Quota, format: Format) -> Result<String, Failure> {
+    match operation {
+        Quota::Get(options) => render(&quota::get::run(connection, &options).await?, format),
+        Quota::Set(options) => render(&quota::set::run(connection, &options).await?, format),
+        Quota::List(options) => render(&quota::list::run(connection, &options).await?, format),
+    }
+}
+
+async fn run_jobs(timeout: Duration, operation: Jobs, format: Format) -> Result<String, Failure> {
+    match operation {
+        Jobs::Show(options) => {
+            let entries = Entries::new(&options.entries, timeout);
+            render(&jobs::show::run(&entries, &options).await?, format)
+        }
+        Jobs::Cancel(options) => {
+            let entries = Entries::new(&options.entries, timeout);
+            render(&jobs::cancel::run(&entries, &options).await?, format)
+        }
+    }
+}
--- a/kqr-cli/src/commands/mod.rs
+++ b/kqr-cli/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The operations.
 
 pub mod drain;
+pub mod jobs;
+pub mod quota;
 pub mod settings;
 pub mod status;
 pub mod targets;
--- a/kqr-cli/src/failure.rs
+++ b/kqr-cli/src/failure.rs
@@ -18,12 +18,14 @@
     Invalid,
     /// A version is not retained or does not exist.
     Version,
-    /// No quorum of control instances answers.
+    /// No quorum of control instances, or no entry, gives an answer now.
     Unavailable,
     /// The token is missing or wrong.
     Unauthenticated,
-    /// No control instance can be reached.
+    /// No control instance or entry can be reached.
     Unreachable,
+    /// No job with the key is known.
+    UnknownJob,
 }
 
 /// Why an operation failed.
@@ -33,7 +35,7 @@
     pub kind: FailureKind,
     /// Step that failed.
     pub step: &'static str,
-    /// Control instance at which it failed.
+    /// Control instance or entry at which it failed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub peer: Option<String>,
     /// Explanation for a person.
@@ -91,7 +93,8 @@
         }
     }
 
-    /// Returns the exit code: 1 other, 3 beaten, 4 invalid, 5 version, 6 unavailable, 7 unauthenticated, 8 unreachable.
+    /// Returns the exit code: 1 other, 3 beaten, 4 invalid, 5 version, 6 unavailable, 7 unauthenticated, 8 unreachable,
+    /// 9 unknown job.
     pub fn exit_code(&self) -> u8 {
         match self.kind {
             FailureKind::Other => 1,
@@ -101,10 +104,11 @@
             FailureKind::Unavailable => 6,
             FailureKind::Unauthenticated => 7,
             FailureKind::Unreachable => 8,
+            FailureKind::UnknownJob => 9,
         }
     }
 
-    /// Returns whether another control instance may give another answer.
+    /// Returns whether another control instance or entry may give another answer.
     pub fn may_differ_elsewhere(&self) -> bool {
         matches!(
             self.kind,
--- a/kqr-control/tests/operators.rs
+++ b/kqr-control/tests/operators.rs
@@ -123,3 +123,46 @@
     let status = operator.run("status").await.unwrap();
     assert_eq!(status["servers"].as_array().unwrap().len(), 3);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn quotas_are_set_listed_and_inherited() {
+    let operator = Operator::new().await;
+    let set = operator
+        .run("quota set press 500/s --burst 900 --change-id mine --base 0")
+        .await
+        .unwrap();
+    assert_eq!(set["version"], 1);
+    let resent = operator
+        .run("quota set press 500/s --burst 900 --change-id mine --base 0")
+        .await
+        .unwrap();
+    assert_eq!(resent, set);
+    let beaten = operator.run("quota set press 600/s --base 0").await.unwrap_err();
+    assert_eq!((beaten.kind, beaten.exit_code()), (FailureKind::Beaten, 3));
+    let wrong = operator.run("quota set press plenty").await.unwrap_err();
+    assert_eq!((wrong.kind, wrong.exit_code()), (FailureKind::Invalid, 4));
+    assert!(wrong.detail.contains("teams/press/quota"), "{wrong}");
+
+    operator
+        .run("quota set press 50/s --region svealand")
+        .await
+        .unwrap();
+    operator.run("settings set teams/riders/burst=7").await.unwrap();
+    let here = operator.run("quota get press --region svealand").await.unwrap();
+    assert_eq!(here["values"][0]["value"], "50/s");
+    assert_eq!(here["values"][0]["origin"], "regions/svealand/teams/press/quota");
+    assert_eq!(here["values"][0]["hidden"][0]["value"], "500/s");
+    assert_eq!(here["values"][1]["value"], "900");
+    let all = operator.run("quota list").await.unwrap();
+    assert_eq!(all["teams"].as_array().unwrap().len(), 2);
+    assert_eq!(all["teams"][0]["team"], "press");
+    assert_eq!(all["teams"][0]["values"][0]["value"], "500/s");
+    assert_eq!(all["teams"][1]["values"][0]["origin"], Value::Null);
+
+    operator
+        .run("quota set press --unset --region svealand")
+        .await
+        .unwrap();
+    let again = operator.run("quota get press --region svealand").await.unwrap();
+    assert_eq!(again["values"][0]["value"], "500/s");
+}
