fix: refuse to found a system again with a lost disk

Cause seen by test: two of three formed a second group at version 0 beside an accepted change. Now a founder votes only after each other founder has agreed, by numbers that their data folders draw and keep; an instance that belongs to a system refuses a folder that it was not founded with. The first start of a system therefore needs all its founders.

--- a/kqr-control/src/daemon.rs
+++ b/kqr-control/src/daemon.rs
@@ -1,16 +1,19 @@
 //! Start and stop of the control daemon.
 
-use std::{collections::BTreeMap, path::Path, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use eyre::{OptionExt, WrapErr, bail, ensure};
+use eyre::{OptionExt, WrapErr, ensure};
 use kqr_agreement::{Configuration, Machine, Options as AgreementOptions, VoterId};
 use kqr_settings::bootstrap::{Bootstrap, Instance, Role};
-use kqr_store::{FolderDisk, Opened, Owner, Store};
+use kqr_store::{FolderDisk, Founding, FoundingId, Opened, Store};
 use kqr_telemetry::{EventKind, EventLog, init_logging};
 use kqr_tls::{Listening, Security};
-use kqr_types::Incarnation;
-use kqr_wire::control::messages::{control_server::ControlServer, operators_server::OperatorsServer};
-use tokio::{net::TcpListener, signal::unix::SignalKind, sync::mpsc};
+use kqr_types::InstanceId;
+use kqr_wire::control::{
+    Peer,
+    messages::{control_server::ControlServer, operators_server::OperatorsServer},
+};
+use tokio::{net::TcpListener, signal::unix::SignalKind, sync::mpsc, task::JoinHandle};
 use tokio_stream::{
     StreamExt,
     wrappers::{ReceiverStream, TcpListenerStream},
@@ -22,7 +25,10 @@
     Options, Token,
     changes::Changes,
     control_service::ControlService,
+    data_folder::{DataFolder, FOUNDING_STORAGE, Start},
     driver::Driver,
+    founders::Founders,
+    founding_calls::FoundingCalls,
     links::{Links, MAX_DELIVERY_BYTES},
     node::{Node, NodeOptions},
     operators_service::OperatorsService,
@@ -39,8 +45,6 @@
 const AGREEMENT_HEARTBEAT: Duration = Duration::from_millis(500);
 /// Shortest time without a leader after which a voter campaigns.
 const ELECTION_TIMEOUT: Duration = Duration::from_secs(1);
-/// Storage incarnation of the founding voters.
-const FOUNDING_STORAGE: Incarnation = Incarnation(1);
 
 /// Returns the timing of the agreement among the control instances of `founding`.
 pub fn agreement_options(founding: Configuration, seed: u64) -> AgreementOptions {
@@ -57,7 +61,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the settings, the data folder or a listener can't be used, or if the durable state can't be written.
+/// Fails if the settings, the data folder or a listener can't be used, if a living system refuses to be founded again,
+/// or if the durable state can't be written.
 pub async fn run(options: Options) -> eyre::Result<()> {
     init_logging(&options.instance, options.log_level)?;
     let bootstrap = Bootstrap::read(&options.config)?;
@@ -71,83 +76,159 @@
         None => EventLog::disabled(own.id.clone()),
     };
     events.record(events.event(EventKind::ProcessStarted));
-    let (store, opened) = open_store(&options, &own)?;
-    let mut peers = BTreeMap::new();
-    for peer in bootstrap.control_instances() {
-        if peer.id != own.id {
-            peers.insert(peer.id.clone(), peer.peers);
-        }
-    }
-    let voter = VoterId::new(own.id.clone(), opened.identity.storage);
-    let founding = match opened.identity.storage {
-        FOUNDING_STORAGE => founding(&bootstrap),
-        _ => Configuration::default(),
-    };
-    let machine = Machine::new(voter, agreement_options(founding, seed()), opened.durable);
+    let folder = DataFolder::open(&options, &own)?;
     let (tx, rx) = mpsc::channel(QUEUED_REQUESTS);
-    let changes = Changes::new(tx, Peers::new(peers.clone(), token.clone(), security.clone()));
-    let links = Links::start(&own.id, &peers, &security);
-    let node = Node::new(NodeOptions::default(), machine);
-    let driver = Driver::new(node, store, links, changes.clone(), events);
-    let controls = bootstrap.control_instances().map(|control| control.id.clone());
-    let service = ControlService::new(changes.clone(), token.clone(), PeerCheck::new(controls.collect()));
+    let addresses = peer_addresses(&bootstrap, &own);
+    let changes = Changes::new(tx, Peers::new(addresses, token.clone(), security.clone()));
     let shell = Shell {
+        bootstrap,
         own,
         changes,
         token,
         security,
+        founders: Founders::starting(),
+        stop: CancellationToken::new(),
     };
-    shell.serve(service, driver, rx).await
+    shell.run(folder, events, rx).await
 }
 
-/// What the listeners need.
+/// What the parts of the process share.
 struct Shell {
+    bootstrap: Bootstrap,
     own: Instance,
     changes: Changes,
     token: Token,
     security: Security,
+    founders: Founders,
+    stop: CancellationToken,
 }
 
 impl Shell {
+    async fn run(
+        self,
+        folder: DataFolder,
+        events: EventLog,
+        rx: mpsc::Receiver<Request>,
+    ) -> eyre::Result<()> {
+        tokio::spawn(self.security.clone().watch(self.stop.clone()));
+        tokio::spawn(self.token.clone().watch(self.stop.clone()));
+        let instances = self.serve_instances().await?;
+        if folder.start() == Start::Found {
+            tokio::select! {
+                founded = self.found(&folder) => founded?,
+                stopped = wait_for_signal() => return stopped,
+            }
+        }
+        let founding = folder.founding()?;
+        let (store, opened) = folder.into_store()?;
+        let is_founder = opened.identity.storage == FOUNDING_STORAGE;
+        self.founders.run(founding.filter(|_| is_founder));
+        let driver = self.driver(store, opened, events);
+        self.serve(instances, driver, rx).await
+    }
+
+    /// Opens the listener for other instances and serves it in a task of its own.
+    async fn serve_instances(&self) -> eyre::Result<JoinHandle<Result<(), tonic::transport::Error>>> {
+        let listener = bind(self.own.peers).await?;
+        let incoming = Listening::start(listener, self.security.clone(), self.stop.clone());
+        let incoming = ReceiverStream::new(incoming).map(Ok::<_, std::io::Error>);
+        let controls = self.bootstrap.control_instances();
+        let check = PeerCheck::new(controls.map(|control| control.id.clone()).collect());
+        let service = ControlService::new(
+            self.changes.clone(),
+            self.token.clone(),
+            check,
+            self.founders.clone(),
+        );
+        let service = ControlServer::new(service).max_decoding_message_size(MAX_DELIVERY_BYTES);
+        let stopped = self.stop.clone().cancelled_owned();
+        let serving = Server::builder()
+            .add_service(service)
+            .serve_with_incoming_shutdown(incoming, stopped);
+        Ok(tokio::spawn(serving))
+    }
+
+    /// Founds a system together with the other founding instances.
+    async fn found(&self, folder: &DataFolder) -> eyre::Result<()> {
+        let own = folder.begin_founding(FoundingId(seed()))?;
+        self.founders.found(own);
+        let mut others = Vec::new();
+        for control in self.bootstrap.control_instances() {
+            if control.founding && control.id != self.own.id {
+                others.push(Peer {
+                    id: control.id.clone(),
+                    address: control.peers,
+                });
+            }
+        }
+        log::info!("founding a system together with {} others", others.len());
+        let calls = FoundingCalls {
+            own: self.own.id.clone(),
+            founding: own,
+            others,
+            security: self.security.clone(),
+        };
+        let others = calls.ask_all().await?;
+        let founding = Founding { own, others };
+        // From here on another folder of one of the founders is refused.
+        self.founders.run(Some(founding.clone()));
+        folder.write_founding(&founding)
+    }
+
+    fn driver(&self, store: Store<FolderDisk>, opened: Opened, events: EventLog) -> Driver {
+        let storage = opened.identity.storage;
+        let voter = VoterId::new(self.own.id.clone(), storage);
+        let founding = match storage {
+            FOUNDING_STORAGE => founding(&self.bootstrap),
+            _ => Configuration::default(),
+        };
+        let machine = Machine::new(voter, agreement_options(founding, seed()), opened.durable);
+        let addresses = peer_addresses(&self.bootstrap, &self.own);
+        let links = Links::start(&self.own.id, &addresses, &self.security);
+        let node = Node::new(NodeOptions::default(), machine);
+        Driver::new(node, store, links, self.changes.clone(), events)
+    }
+
     async fn serve(
         self,
-        service: ControlService,
+        instances: JoinHandle<Result<(), tonic::transport::Error>>,
         driver: Driver,
         rx: mpsc::Receiver<Request>,
     ) -> eyre::Result<()> {
         let operators = self.own.operators;
         let operators = operators.ok_or_eyre("a control instance needs an operators' listener")?;
-        let peers_listener = bind(self.own.peers).await?;
-        let operators_listener = bind(operators).await?;
-        let stop = CancellationToken::new();
-        tokio::spawn(self.security.clone().watch(stop.clone()));
-        tokio::spawn(self.token.clone().watch(stop.clone()));
-        let incoming = Listening::start(peers_listener, self.security, stop.clone());
-        let incoming = ReceiverStream::new(incoming).map(Ok::<_, std::io::Error>);
-        let control = ControlServer::new(service).max_decoding_message_size(MAX_DELIVERY_BYTES);
-        let control = Server::builder()
-            .add_service(control)
-            .serve_with_incoming_shutdown(incoming, stop.clone().cancelled_owned());
+        let listener = bind(operators).await?;
         let service = OperatorsService::new(self.changes.clone());
         let token = self.token;
         let service = OperatorsServer::with_interceptor(service, move |call| token.check(call));
         let operators = Server::builder()
             .add_service(service)
             .serve_with_incoming_shutdown(
-                TcpListenerStream::new(operators_listener),
-                stop.clone().cancelled_owned(),
+                TcpListenerStream::new(listener),
+                self.stop.clone().cancelled_owned(),
             );
-        let driver = driver.run(rx, stop.clone());
+        let driver = driver.run(rx, self.stop.clone());
         log::info!("control instance {} is running", self.own.id);
         tokio::select! {
             result = driver => result.wrap_err("the driver of the settings log"),
-            result = control => result.wrap_err("the listener for other instances"),
+            result = instances => result?.wrap_err("the listener for other instances"),
             result = operators => result.wrap_err("the listener for operators"),
-            result = stop_on_signal(self.changes, stop.clone()) => result,
+            result = stop_on_signal(self.changes, self.stop.clone()) => result,
         }
     }
 }
 
+/// Returns the listeners of the other control instances.
+fn peer_addresses(bootstrap: &Bootstrap, own: &Instance) -> BTreeMap<InstanceId, SocketAddr> {
+    let mut addresses = BTreeMap::new();
+    for peer in bootstrap.control_instances() {
+        if peer.id != own.id {
+            addresses.insert(peer.id.clone(), peer.peers);
+        }
+    }
+    addresses
+}
+
 /// Waits for a signal, gives up the lead and stops the driver; returns only if no signal can be waited for.
 async fn stop_on_signal(changes: Changes, stop: CancellationToken) -> eyre::Result<()> {
     wait_for_signal().await?;
@@ -172,51 +253,6 @@
     Ok(())
 }
 
-fn open_store(options: &Options, own: &Instance) -> eyre::Result<(Store<FolderDisk>, Opened)> {
-    let shown = options.data.display();
-    if !options.found && !options.join && is_unused(&options.data) {
-        bail!(
-            "the data folder {shown} is empty: give --found to start a new system, or --join to be added to a running \
-             one, also after the loss of a disk"
-        );
-    }
-    let storage = if options.found {
-        FOUNDING_STORAGE
-    } else {
-        new_storage()
-    };
-    let disk =
-        FolderDisk::open(&options.data).wrap_err_with(|| format!("opening the data folder {shown}"))?;
-    let owner = Owner {
-        log: "settings".to_owned(),
-        instance: own.id.clone(),
-    };
-    let opened = Store::open(disk, &owner, storage);
-    let (store, opened) = opened.wrap_err_with(|| format!("reading the data folder {shown}"))?;
-    if let Some(torn) = &opened.torn_tail {
-        log::warn!(
-            "dropped {} unacknowledged bytes at byte {} of {}",
-            torn.bytes,
-            torn.offset,
-            torn.file
-        );
-    }
-    Ok((store, opened))
-}
-
-/// Returns whether `folder` is missing or holds nothing but a lock.
-fn is_unused(folder: &Path) -> bool {
-    let Ok(files) = std::fs::read_dir(folder) else {
-        return true;
-    };
-    for file in files.flatten() {
-        if file.file_name() != "lock" {
-            return false;
-        }
-    }
-    true
-}
-
 fn founding(bootstrap: &Bootstrap) -> Configuration {
     let voters = bootstrap
         .control_instances()
@@ -225,12 +261,6 @@
     Configuration::of_voters(voters)
 }
 
-/// Returns the incarnation of a data folder that is created now.
-fn new_storage() -> Incarnation {
-    let unix = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
-    Incarnation(unix.unwrap_or_default().as_millis() as u64)
-}
-
 /// Returns a seed that differs between instances and starts.
 fn seed() -> u64 {
     let unix = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
--- /dev/null
+++ b/kqr-control/src/founding_calls.rs
@@ -0,0 +1,93 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use eyre::bail;
+use kqr_store::FoundingId;
+use kqr_tls::Security;
+use kqr_types::InstanceId;
+use kqr_wire::control::{
+    Peer, connect_instance,
+    messages::{FoundRequest, control_client::ControlClient},
+};
+use tokio::time::Instant;
+use tonic::{Code, Request, Status};
+
+/// Longest time for one question.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Wait before those that did not answer are asked again.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Time between two messages about those that do not answer.
+const TELL_EVERY: Duration = Duration::from_secs(5);
+
+/// Asks the other founders whether a system can be founded with them.
+#[derive(Debug)]
+pub struct FoundingCalls {
+    /// This instance.
+    pub own: InstanceId,
+    /// Number that its data folder drew.
+    pub founding: FoundingId,
+    /// The other founders.
+    pub others: Vec<Peer>,
+    /// How they are connected to.
+    pub security: Security,
+}
+
+impl FoundingCalls {
+    /// Asks until each of the others has agreed, and returns the numbers of their folders.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of them belongs to a system that was founded without this folder.
+    pub async fn ask_all(&self) -> eyre::Result<BTreeMap<InstanceId, FoundingId>> {
+        let mut agreed = BTreeMap::new();
+        let mut tell_at = Instant::now() + TELL_EVERY;
+        loop {
+            for other in &self.others {
+                if agreed.contains_key(&other.id) {
+                    continue;
+                }
+                match self.ask(other).await {
+                    Ok(founding) => drop(agreed.insert(other.id.clone(), founding)),
+                    Err(status) if status.code() == Code::FailedPrecondition => bail!(
+                        "{} refuses to found a system together with {}: {}. An instance that lost its disk is started with --join",
+                        other.id,
+                        self.own,
+                        status.message()
+                    ),
+                    Err(status) => log::debug!("founding with {}: {}", other.id, status.message()),
+                }
+            }
+            if agreed.len() == self.others.len() {
+                return Ok(agreed);
+            }
+            if Instant::now() >= tell_at {
+                log::warn!(
+                    "waiting for {} to found the system together",
+                    self.missing(&agreed)
+                );
+                tell_at = Instant::now() + TELL_EVERY;
+            }
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+    }
+
+    async fn ask(&self, other: &Peer) -> Result<FoundingId, Status> {
+        let channel = connect_instance(&self.security, &other.id, other.address).await?;
+        let mut request = Request::new(FoundRequest {
+            instance: self.own.as_str().to_owned(),
+            founding: self.founding.0,
+        });
+        request.set_timeout(CALL_TIMEOUT);
+        let reply = ControlClient::new(channel).found(request).await?;
+        Ok(FoundingId(reply.into_inner().founding))
+    }
+
+    fn missing(&self, agreed: &BTreeMap<InstanceId, FoundingId>) -> String {
+        let mut names = Vec::new();
+        for other in &self.others {
+            if !agreed.contains_key(&other.id) {
+                names.push(other.id.as_str());
+            }
+        }
+        names.join(", ")
+    }
+}
--- a/kqr-control/src/lib.rs
+++ b/kqr-control/src/lib.rs
@@ -7,7 +7,10 @@
 mod changes;
 mod control_service;
 pub mod daemon;
+mod data_folder;
 mod driver;
+mod founders;
+mod founding_calls;
 mod links;
 pub mod node;
 mod operators_service;
--- a/kqr-control/src/peer_check.rs
+++ b/kqr-control/src/peer_check.rs
@@ -1,6 +1,5 @@
 use std::collections::BTreeSet;
 
-use kqr_agreement::VoterId;
 use kqr_tls::PeerIdentity;
 use kqr_types::InstanceId;
 use tonic::{Request, Status};
@@ -42,13 +41,12 @@
         Ok(())
     }
 
-    /// Checks that `identity` may send messages of the replicated log as `voter`.
+    /// Checks that `identity` may vote on the settings as `instance`.
     ///
     /// # Errors
     ///
-    /// Fails with `permission-denied` if `voter` is of no control instance, or the certificate is that of another one.
-    pub fn delivers(&self, identity: &PeerIdentity, voter: &VoterId) -> Result<(), Status> {
-        let instance = &voter.instance;
+    /// Fails with `permission-denied` if `instance` is no control instance, or the certificate is that of another one.
+    pub fn votes(&self, identity: &PeerIdentity, instance: &InstanceId) -> Result<(), Status> {
         if !self.controls.contains(instance) {
             return Err(Status::permission_denied(format!(
                 "{instance} is no control instance"
--- a/kqr-store/src/file_name.rs
+++ b/kqr-store/src/file_name.rs
@@ -1,6 +1,9 @@
 /// Name of the file that holds the identity.
 pub(crate) const IDENTITY: &str = "identity";
 
+/// Name of the file that tells with which other folders a system was founded.
+pub(crate) const FOUNDING: &str = "founding";
+
 /// Ending of a file that is being written.
 pub(crate) const NEW: &str = ".new";
 
--- a/kqr-store/src/store.rs
+++ b/kqr-store/src/store.rs
@@ -27,18 +27,28 @@
 where
     Folder: Disk,
 {
+    /// Returns whether `disk` holds no state yet, so that [`open`](Self::open) will create it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the folder can't be read, or holds state without its identity.
+    pub fn is_unused(disk: &Folder) -> Result<bool, StoreError> {
+        let names = list(disk)?;
+        if names.iter().any(|name| name == file_name::IDENTITY) {
+            return Ok(false);
+        }
+        check_unused(disk, &names).map(|()| true)
+    }
+
     /// Opens the store of `owner` on `disk`; an empty folder becomes a store with the storage incarnation `storage`.
     ///
     /// # Errors
     ///
     /// Returns an error if the folder is damaged, incomplete, of another owner or format, or can't be read or written.
     pub fn open(disk: Folder, owner: &Owner, storage: Incarnation) -> Result<(Self, Opened), StoreError> {
-        let names = disk
-            .list()
-            .map_err(|source| StoreError::io(Step::List, "the folder", source))?;
-        let is_new = !names.iter().any(|name| name == file_name::IDENTITY);
+        let names = list(&disk)?;
+        let is_new = Self::is_unused(&disk)?;
         if is_new {
-            check_unused(&disk, &names)?;
             create(
                 &disk,
                 &Identity {
@@ -139,13 +149,21 @@
     }
 }
 
+fn list<Folder>(disk: &Folder) -> Result<Vec<String>, StoreError>
+where
+    Folder: Disk,
+{
+    disk.list()
+        .map_err(|source| StoreError::io(Step::List, "the folder", source))
+}
+
 /// Checks that a folder without identity holds no state.
 fn check_unused<Folder>(disk: &Folder, names: &[String]) -> Result<(), StoreError>
 where
     Folder: Disk,
 {
     for name in names {
-        let is_unfinished = name.ends_with(file_name::NEW);
+        let is_unfinished = name.ends_with(file_name::NEW) || name == file_name::FOUNDING;
         let is_first_log = *name == file_name::log(0) && read(disk, name)?.len() <= header().len();
         if !is_unfinished && !is_first_log {
             let file = file_name::IDENTITY.to_owned();
--- a/kqr-store/tests/folders.rs
+++ b/kqr-store/tests/folders.rs
@@ -4,7 +4,7 @@
 
 use std::{fs, path::Path};
 
-use kqr_store::{FORMAT_VERSION, FolderDisk, Opened, Store, StoreError};
+use kqr_store::{FORMAT_VERSION, FolderDisk, Founding, FoundingId, Opened, Store, StoreError};
 use kqr_types::Incarnation;
 use memory::{history, owner, states};
 
@@ -84,3 +84,26 @@
         assert!(matches!(error, StoreError::Missing { .. }), "{name}: {error}");
     }
 }
+
+#[test]
+fn a_founding_is_kept_beside_the_store_and_damage_is_told() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = FolderDisk::open(folder.path()).unwrap();
+    assert_eq!(Founding::read(&disk).unwrap(), None);
+    let mut founding = Founding::begin(FoundingId(7));
+    founding.write(&disk).unwrap();
+    assert!(Store::is_unused(&disk).unwrap());
+    founding.others.insert("i1".parse().unwrap(), FoundingId(8));
+    founding.write(&disk).unwrap();
+    let (store, opened) = Store::open(disk, &owner("i0"), Incarnation(1)).unwrap();
+    assert!(opened.is_new);
+    let disk = store.close();
+    assert!(!Store::is_unused(&disk).unwrap());
+    assert_eq!(Founding::read(&disk).unwrap(), Some(founding));
+
+    let path = folder.path().join("founding");
+    let mut content = fs::read(&path).unwrap();
+    *content.last_mut().unwrap() ^= 1;
+    fs::write(&path, content).unwrap();
+    assert!(matches!(Founding::read(&disk), Err(StoreError::Corrupt { .. })));
+}
