feat: mutual TLS between entries and on their settings streams

Cause: entries spoke plain TCP to each other, and could not follow control instances with TLS. Change: sibling connections and listeners use the streams of kqr-tls; messages in another instance's name are refused; certificates are read anew when their files change. Test: three entries with certificates serve jobs; another authority's certificate, none, an unknown name and a false name are refused. With the check of the name taken out the test fails (one message came back where none may).

--- a/kqr-entry/src/entry.rs
+++ b/kqr-entry/src/entry.rs
@@ -78,10 +78,18 @@
 
     /// Returns the messages that wait for `peer`, as the reply to a delivery by it.
     pub fn reply_to(&self, peer: &InstanceId) -> MailReply {
+        MailReply {
+            mails: self.outbox.take(peer),
+            ..self.empty_reply()
+        }
+    }
+
+    /// Returns a reply without messages.
+    pub fn empty_reply(&self) -> MailReply {
         MailReply {
             incarnation: self.outbox.own.incarnation,
             time: self.engine.events.time(),
-            mails: self.outbox.take(peer),
+            mails: Vec::new(),
         }
     }
 
--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -14,6 +14,7 @@
     bootstrap::{Bootstrap, Instance},
 };
 use kqr_telemetry::{EventKind, EventLog, Metrics};
+use kqr_tls::Security;
 use kqr_types::{Incarnation, TeamName};
 use kqr_wire::control::{SettingsStream, peers_of};
 use tokio::{net::TcpListener, task::JoinHandle, time::Instant};
@@ -61,7 +62,7 @@
 }
 
 impl Running {
-    /// Opens the listeners of `own` and starts to serve.
+    /// Opens the listeners of `own` and starts to serve. Other instances are spoken to as `security` says.
     ///
     /// # Errors
     ///
@@ -71,14 +72,16 @@
         own: Instance,
         events: EventLog,
         limits: Limits,
+        security: Security,
     ) -> eyre::Result<Self> {
         events.record(events.event(EventKind::ProcessStarted));
         let callers_address = own.callers.ok_or_eyre("the instance has no callers' listener")?;
         let targets_address = own.targets.ok_or_eyre("the instance has no targets' listener")?;
-        let entry = Arc::new(build(bootstrap, own, events, limits)?);
+        let entry = Arc::new(build(bootstrap, own, events, limits, &security)?);
         let stop_accepting = CancellationToken::new();
         let stop_serving = CancellationToken::new();
-        let siblings = sibling_server::listen(Arc::clone(&entry), stop_serving.clone()).await;
+        let siblings =
+            sibling_server::listen(Arc::clone(&entry), security.clone(), stop_serving.clone()).await;
         let siblings = siblings.wrap_err_with(|| format!("listening on {} for siblings", entry.own.peers))?;
         let grace = limits.grace;
         let callers = serve(&entry, callers_address, &stop_accepting, grace, callers::handle).await?;
@@ -88,7 +91,7 @@
         servers.push(tokio::spawn(async move {
             let _ = targets.await;
         }));
-        if let Some(stream) = settings_stream(bootstrap, &entry.own) {
+        if let Some(stream) = settings_stream(bootstrap, &entry.own, &security) {
             let (receiver, shutdown) = (Arc::clone(&entry), stop_serving.clone());
             servers.push(tokio::spawn(async move {
                 stream
@@ -96,6 +99,7 @@
                     .await;
             }));
         }
+        servers.push(tokio::spawn(security.watch(stop_serving.clone())));
         servers.push(tokio::spawn(tick(Arc::clone(&entry), stop_serving.clone())));
         log::info!("serving callers on {callers_address} and targets on {targets_address}");
         Ok(Self {
@@ -155,12 +159,18 @@
 }
 
 /// Puts the parts of an entry together.
-fn build(bootstrap: &Bootstrap, own: Instance, events: EventLog, limits: Limits) -> eyre::Result<Entry> {
+fn build(
+    bootstrap: &Bootstrap,
+    own: Instance,
+    events: EventLog,
+    limits: Limits,
+    security: &Security,
+) -> eyre::Result<Entry> {
     let clock = Clock::new();
     let events = Arc::new(events);
     let homes = Homes::new(bootstrap, &own);
     let siblings = homes.siblings();
-    let links = Arc::new(SiblingLinks::new(limits.link_silence()));
+    let links = Arc::new(SiblingLinks::new(limits.link_silence(), security.clone()));
     let member = Member {
         id: own.id.clone(),
         incarnation: new_incarnation(),
@@ -219,14 +229,15 @@
 }
 
 /// Creates the stream of settings, if there are control instances.
-fn settings_stream(bootstrap: &Bootstrap, own: &Instance) -> Option<SettingsStream> {
+fn settings_stream(bootstrap: &Bootstrap, own: &Instance, security: &Security) -> Option<SettingsStream> {
     let peers = peers_of(bootstrap, own);
     if peers.is_empty() {
         return None;
     }
     let ids = peers.iter().map(|peer| peer.id.clone()).collect();
     let follower = Follower::new(FollowerOptions::default(), ids, None);
-    Some(SettingsStream::new(own.id.clone(), peers, follower))
+    let stream = SettingsStream::new(own.id.clone(), peers, follower);
+    Some(stream.with_security(security.clone()))
 }
 
 /// Returns the number of this life. It grows with each restart as long as the wall clock does.
--- a/kqr-entry/src/sibling_links.rs
+++ b/kqr-entry/src/sibling_links.rs
@@ -5,29 +5,34 @@
     time::Duration,
 };
 
+use kqr_tls::{PeerStream, Security};
 use kqr_types::InstanceId;
 use kqr_wire::siblings::SiblingClient;
-use tarpc::{client, serde_transport::tcp, tokio_serde::formats::Bincode};
+use tarpc::{
+    client, serde_transport,
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+};
 
 use crate::sibling_link::SiblingLink;
 
-/// Longest time for opening a connection to a sibling.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest message between siblings, in bytes.
-pub const MAX_FRAME_BYTES: usize = 64 << 20;
+const MAX_FRAME_BYTES: usize = 64 << 20;
 
 /// Connections to sibling entries, opened on first use.
 #[derive(Debug)]
 pub struct SiblingLinks {
     silence: Duration,
+    security: Security,
     links: Mutex<BTreeMap<InstanceId, SiblingLink>>,
 }
 
 impl SiblingLinks {
-    /// Creates links that count as silent after `silence` without an answer.
-    pub fn new(silence: Duration) -> Self {
+    /// Creates links that are opened as `security` says and count as silent after `silence` without an answer.
+    pub fn new(silence: Duration, security: Security) -> Self {
         Self {
             silence,
+            security,
             links: Mutex::default(),
         }
     }
@@ -36,17 +41,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if no connection can be opened; nothing was sent then.
+    /// Fails if no connection can be opened or the other end does not prove to be `peer`; nothing was sent then.
     pub async fn get(&self, peer: &InstanceId, address: SocketAddr) -> std::io::Result<SiblingLink> {
         if let Some(link) = self.lock().get(peer) {
             return Ok(link.clone());
         }
-        let mut connecting = tcp::connect(address, Bincode::default);
-        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-        transport.get_ref().set_nodelay(true)?;
+        let stream = self.security.connect(peer, address).await?;
+        let transport = serde_transport::new(frames_of(stream), Bincode::default());
         let client = SiblingClient::new(client::Config::default(), transport).spawn();
         let link = SiblingLink::new(client, self.silence);
         // Of two connections that were opened at the same time, one is kept for all.
@@ -66,3 +67,11 @@
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Divides a stream between siblings into messages.
+pub fn frames_of(stream: PeerStream) -> Framed<PeerStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
+}
--- a/kqr-entry/src/sibling_server.rs
+++ b/kqr-entry/src/sibling_server.rs
@@ -3,6 +3,7 @@
 use futures::{StreamExt, future::poll_immediate};
 use kqr_jobs::{JobAnswer, NotAccepted};
 use kqr_telemetry::HybridTime;
+use kqr_tls::{Listening, PeerIdentity, Security};
 use kqr_types::{DataCentre, Incarnation, InstanceId};
 use kqr_wire::{
     mail::Mail,
@@ -10,18 +11,21 @@
 };
 use tarpc::{
     context::Context,
-    serde_transport::tcp,
+    serde_transport,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::{entry::Entry, sibling_links::MAX_FRAME_BYTES};
+use crate::{entry::Entry, sibling_links::frames_of};
 
 /// The calls that this entry answers to its siblings.
 #[derive(Clone)]
 pub struct SiblingServer {
     entry: Arc<Entry>,
+    /// Who is at the other end of the connection.
+    peer: PeerIdentity,
 }
 
 impl Sibling for SiblingServer {
@@ -45,6 +49,10 @@
         time: HybridTime,
         mails: Vec<Mail>,
     ) -> MailReply {
+        if !self.peer.may_be(&from) {
+            log::warn!("refused messages in the name of {from}: the certificate is another one's");
+            return self.entry.empty_reply();
+        }
         self.entry.engine.events.merge(time);
         for mail in mails {
             self.entry.take_mail(&from, incarnation, mail);
@@ -57,30 +65,25 @@
     }
 }
 
-/// Serves the siblings until `shutdown`.
+/// Serves the siblings, which connect as `security` says, until `shutdown`.
 ///
 /// # Errors
 ///
 /// Fails if the listener can't be opened.
 pub async fn listen(
     entry: Arc<Entry>,
+    security: Security,
     shutdown: CancellationToken,
 ) -> std::io::Result<impl Future<Output = ()>> {
-    let mut incoming = tcp::listen(entry.own.peers, Bincode::default).await?;
-    incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let listener = TcpListener::bind(entry.own.peers).await?;
+    let mut incoming = Listening::start(listener, security, shutdown.clone());
     Ok(async move {
-        loop {
-            let accepted = tokio::select! {
-                accepted = incoming.next() => accepted,
-                () = shutdown.cancelled() => return,
-            };
-            let Some(Ok(transport)) = accepted else { continue };
-            if transport.get_ref().set_nodelay(true).is_err() {
-                continue;
-            }
+        while let Some(stream) = incoming.recv().await {
             let server = SiblingServer {
                 entry: Arc::clone(&entry),
+                peer: stream.identity().clone(),
             };
+            let transport = serde_transport::new(frames_of(stream), Bincode::default());
             let channel = BaseChannel::with_defaults(transport);
             let calls = channel.execute(server.serve()).for_each(answer);
             let shutdown = shutdown.clone();
--- a/kqr-entry/tests/support/mod.rs
+++ b/kqr-entry/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use kqr_jobs::home_order;
 use kqr_settings::bootstrap::Bootstrap;
 use kqr_telemetry::EventLog;
+use kqr_tls::Security;
 use kqr_types::{CellMember, CellView, Epoch, Incarnation, KeyDigest, MemberState};
 use kqr_wire::callers::{JobAnswerBody, ProblemBody};
 use ports::free_address;
@@ -40,6 +41,8 @@
     pub client: Client,
     pub cold_start_window: Duration,
     pub suspicion: Duration,
+    /// How each entry speaks to the others; plainly if it is missing here.
+    pub securities: Vec<Security>,
 }
 
 /// A whole answer.
@@ -75,6 +78,7 @@
             client: Client::new(ClientOptions::default()),
             cold_start_window: Duration::ZERO,
             suspicion: Duration::from_millis(500),
+            securities: Vec::new(),
         }
     }
 
@@ -126,6 +130,7 @@
     pub fn launch(&self, index: usize) -> impl Future<Output = Running> + Send + use<> {
         let bootstrap = self.bootstrap.clone();
         let own = bootstrap.instances[index].clone();
+        let security = self.securities.get(index).cloned().unwrap_or(Security::Plain);
         let limits = Limits {
             drain_delay: Duration::from_millis(300),
             grace: Duration::from_secs(10),
@@ -135,7 +140,9 @@
         };
         async move {
             let events = EventLog::disabled(own.id.clone());
-            Running::start(&bootstrap, own, events, limits).await.unwrap()
+            Running::start(&bootstrap, own, events, limits, security)
+                .await
+                .unwrap()
         }
     }
 
@@ -177,6 +184,22 @@
         panic!("no slots of {id} were leased to entry {index}");
     }
 
+    /// Waits until each entry has slots.
+    pub async fn wait_for_slots_everywhere(&self) {
+        for index in 0..self.entries.len() {
+            for _ in 0..1200 {
+                if self.shared_slots(index).await > 0 {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            assert!(
+                self.shared_slots(index).await > 0,
+                "no slots were leased to entry {index}"
+            );
+        }
+    }
+
     /// Returns the number of slots that are leased to the entry with `index`.
     async fn shared_slots(&self, index: usize) -> u64 {
         self.metric(index, "kqr_shared_slots").await
--- /dev/null
+++ b/kqr-entry/tests/tls.rs
@@ -0,0 +1,101 @@
+//! Entries that speak mutual TLS to each other: strangers are refused, and no instance speaks in another one's name.
+
+#[path = "../../kqr-tls/tests/support/authority.rs"]
+mod authority;
+mod support;
+
+use std::{path::Path, sync::Arc};
+
+use authority::Authority;
+use kqr_agreement::VoterId;
+use kqr_jobs::JobState;
+use kqr_membership::{Body, CellMessage, WallClock};
+use kqr_telemetry::HybridTime;
+use kqr_tls::{Keys, Security};
+use kqr_types::{Epoch, Incarnation, InstanceId};
+use kqr_wire::{mail::Mail, siblings::SiblingClient};
+use support::System;
+use tarpc::{
+    client, context, serde_transport,
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+};
+
+fn id(text: &str) -> InstanceId {
+    text.parse().unwrap()
+}
+
+/// Returns how an instance with a certificate for `name` speaks to the entries.
+fn security(authority: &Authority, folder: &Path, name: &str) -> Security {
+    let known = (0..3).map(|index| id(&format!("entry-{index}")));
+    let files = authority.write(folder, name, name);
+    let keys = Keys::read(id(name), known.collect(), files).unwrap();
+    Security::Mutual(Arc::new(keys))
+}
+
+async fn start(authority: &Authority, folder: &Path) -> System {
+    let mut system = System::prepare(&["a", "a", "a"]);
+    for index in 0..3 {
+        let name = format!("entry-{index}");
+        system.securities.push(security(authority, folder, &name));
+    }
+    for index in 0..3 {
+        let entry = system.start_entry(index).await;
+        system.entries.push(Some(entry));
+    }
+    for index in 0..3 {
+        system.wait_until_ready(index).await;
+    }
+    system
+}
+
+/// Sends the greeting of an instance without a cell to entry 0 in the name of `name`. Returns the number of messages that
+/// came back.
+async fn greet(system: &System, security: &Security, name: &str) -> std::io::Result<usize> {
+    let peer = &system.bootstrap.instances[0];
+    let stream = security.connect(&peer.id, peer.peers).await?;
+    let frames = Framed::new(stream, LengthDelimitedCodec::new());
+    let transport = serde_transport::new(frames, Bincode::default());
+    let client = SiblingClient::new(client::Config::default(), transport).spawn();
+    let message = CellMessage {
+        from: VoterId::new(id(name), Incarnation(1)),
+        group: None,
+        bodies: vec![Body::Hello {
+            wall_clock: WallClock(0),
+            highest_epoch: Epoch(0),
+        }],
+    };
+    let mail = Mail::Cell {
+        data_centre: "a".parse().unwrap(),
+        message,
+    };
+    let time = HybridTime::default();
+    let reply = client.deliver(context::current(), id(name), Incarnation(1), time, vec![mail]);
+    let reply = reply.await.map_err(std::io::Error::other)?;
+    Ok(reply.mails.len())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_with_certificates_serve_and_refuse_strangers_and_false_names() {
+    let folder = tempfile::tempdir().unwrap();
+    let authority = Authority::new("own");
+    let mut system = start(&authority, folder.path()).await;
+    system.add_standin(0, "worker-a", &[]).await;
+    system.wait_for_slots_everywhere().await;
+    for number in 0..6 {
+        let reply = system.submit(number % 3, &format!("key-{number}"), &[10]).await;
+        assert_eq!(reply.answer().state, JobState::Complete, "{}", reply.text());
+    }
+    assert_eq!(system.starts(), (6, 0));
+
+    let other = tempfile::tempdir().unwrap();
+    let stranger = security(&Authority::new("other"), other.path(), "entry-1");
+    greet(&system, &stranger, "entry-1").await.unwrap_err();
+    greet(&system, &Security::Plain, "entry-1").await.unwrap_err();
+    let unknown = security(&authority, folder.path(), "entry-9");
+    greet(&system, &unknown, "entry-9").await.unwrap_err();
+
+    let member = system.securities[1].clone();
+    assert!(greet(&system, &member, "entry-1").await.unwrap() > 0);
+    assert_eq!(greet(&system, &member, "entry-2").await.unwrap(), 0);
+}
--- a/kqr-membership/src/options.rs
+++ b/kqr-membership/src/options.rs
@@ -41,7 +41,7 @@
 }
 
 /// Usual silence after which a member is suspected.
-pub const USUAL_SUSPICION: Duration = Duration::from_millis(500);
+const USUAL_SUSPICION: Duration = Duration::from_millis(500);
 
 impl Options {
     /// Creates options with the usual timing.
