--- a/kqr-control/src/founding_calls.rs
+++ b/kqr-control/src/founding_calls.rs
@@ -39,6 +39,7 @@
     /// Fails if one of them belongs to a system that was founded without this folder.
     pub async fn ask_all(&self) -> eyre::Result<BTreeMap<InstanceId, FoundingId>> {
         let mut agreed = BTreeMap::new();
+        let mut silent = BTreeMap::new();
         let mut tell_at = Instant::now() + TELL_EVERY;
         loop {
             for other in &self.others {
@@ -46,24 +47,29 @@
                     continue;
                 }
                 match self.ask(other).await {
-                    Ok(founding) => drop(agreed.insert(other.id.clone(), founding)),
+                    Ok(founding) => {
+                        silent.remove(&other.id);
+                        agreed.insert(other.id.clone(), founding);
+                    }
                     Err(status) if status.code() == Code::FailedPrecondition => bail!(
                         "{} refuses to found a system together with {}: {}. An instance that lost its disk is started with --join",
                         other.id,
                         self.own,
                         status.message()
                     ),
-                    Err(status) => log::debug!("founding with {}: {}", other.id, status.message()),
+                    Err(status) => drop(silent.insert(other.id.clone(), status)),
                 }
             }
             if agreed.len() == self.others.len() {
                 return Ok(agreed);
             }
             if Instant::now() >= tell_at {
-                log::warn!(
-                    "waiting for {} to found the system together",
-                    self.missing(&agreed)
-                );
+                for (other, status) in &silent {
+                    log::warn!(
+                        "waiting for {other} to found the system together: {}",
+                        status.message()
+                    );
+                }
                 tell_at = Instant::now() + TELL_EVERY;
             }
             tokio::time::sleep(RETRY_AFTER).await;
@@ -80,14 +86,4 @@
         let reply = ControlClient::new(channel).found(request).await?;
         Ok(FoundingId(reply.into_inner().founding))
     }
-
-    fn missing(&self, agreed: &BTreeMap<InstanceId, FoundingId>) -> String {
-        let mut names = Vec::new();
-        for other in &self.others {
-            if !agreed.contains_key(&other.id) {
-                names.push(other.id.as_str());
-            }
-        }
-        names.join(", ")
-    }
 }
