feat: split the response time of a benchmark run

Measures wait_ms (arrival to start), slowest_part and fastest_part (tasks that ran on the slowest and fastest targets), for each policy.

--- a/kqr-bench/src/measures.rs
+++ b/kqr-bench/src/measures.rs
@@ -25,6 +25,7 @@
     let responses = responses(world, from, to, |_| true);
     measures.insert("mean_ms", mean(&responses) * 1e3);
     measures.insert("p99_ms", quantile(&responses, 0.99) * 1e3);
+    add_split(&mut measures, world, from, to);
     let counted = world.arrivals.iter().filter(|task| task.at >= from);
     let tasks = counted.count() as f64;
     measures.insert("wasted_per_task", world.wasted as f64 / tasks);
@@ -59,6 +60,30 @@
     measures
 }
 
+/// Splits the mean response time: the wait until the start, the run time over that at speed 1, and the parts of the
+/// tasks that ran on the slowest and on the fastest targets.
+fn add_split(measures: &mut Measures, world: &World, from: u64, to: u64) {
+    let (mut tasks, mut wait, mut slowest, mut fastest) = (0.0, 0.0, 0.0, 0.0);
+    let speeds = world.fleet.iter().map(|target| target.speed);
+    let least = speeds.clone().fold(f64::INFINITY, f64::min);
+    let most = speeds.fold(0.0, f64::max);
+    for (arrival, start) in world.arrivals.iter().zip(&world.starts) {
+        let Some((at, target)) = *start else { continue };
+        if arrival.at < from || arrival.at >= to {
+            continue;
+        }
+        let speed = world.fleet[target].speed;
+        tasks += 1.0;
+        wait += (at - arrival.at) as f64 / 1e3;
+        slowest += f64::from(u8::from(speed <= least));
+        fastest += f64::from(u8::from(speed >= most));
+    }
+    let tasks = f64::max(tasks, 1.0);
+    measures.insert("wait_ms", wait / tasks);
+    measures.insert("slowest_part", slowest / tasks);
+    measures.insert("fastest_part", fastest / tasks);
+}
+
 /// Returns the sorted response times in seconds of the tasks that arrived in a time and were answered.
 fn responses<F>(world: &World, from: u64, to: u64, wanted: F) -> Vec<f64>
 where
--- a/kqr-bench/src/world.rs
+++ b/kqr-bench/src/world.rs
@@ -32,6 +32,8 @@
     pub arrivals: Vec<Arrival>,
     /// What became of them.
     pub fates: Vec<Fate>,
+    /// Instant in microseconds and target of the last start of each task.
+    pub starts: Vec<Option<(u64, usize)>>,
     /// Targets.
     pub fleet: Vec<FakeTarget>,
     /// Events to come.
@@ -58,6 +60,7 @@
         Self {
             now: 0,
             fates: vec![Fate::Open; arrivals.len()],
+            starts: vec![None; arrivals.len()],
             arrivals,
             fleet: FakeTarget::fleet(scenario),
             events,
@@ -132,6 +135,7 @@
     fn run(&mut self, task: usize, target: usize) {
         let own = &mut self.fleet[target];
         own.running += 1;
+        self.starts[task] = Some((self.now, target));
         let is_failing = own.fails_from.is_some_and(|from| from <= self.now);
         let run_time = if is_failing {
             FAIL_TIME
