fix: bound long work by the slots of all targets, not of each

Cause: the bound of three quarters was rounded down for each target at each entry. With shares of 2 and 3 slots that is about 0.6, with a share of 1 it is the whole: long work with 45% of the capacity does not fit on slow and medium targets within 0.6 of their slots and spills over to the fast ones, on which short work runs when it is alone. Change: long work gets three quarters of this instance's slots of all targets of one size, slow ones first. The bound of a target stays for the throttling of work that turns out long. No other bound changed.

--- a/kqr-placement/src/group.rs
+++ b/kqr-placement/src/group.rs
@@ -1,11 +1,12 @@
 use std::{collections::BTreeMap, sync::Arc};
 
-use kqr_types::{ByteSize, ClassName};
+use kqr_types::ClassName;
 
 use crate::{
     Demand, PickFailure, Target,
     classes::ClassLength,
     free_map::FreeMap,
+    long_room::{LongRoom, TargetSize},
     order::{Found, Order},
 };
 
@@ -16,7 +17,7 @@
     targets: Vec<Option<Arc<Target>>>,
     general: Order,
     classes: BTreeMap<ClassName, Order>,
-    sizes: Vec<(u32, ByteSize, u32)>,
+    sizes: Vec<TargetSize>,
 }
 
 impl Group {
@@ -26,8 +27,7 @@
         if self.targets.len() <= index {
             self.targets.resize(index + 1, None);
         }
-        let own = &target.announcement;
-        let size = (own.cores, own.memory, own.accelerators);
+        let size = target.size();
         if !self.sizes.contains(&size) {
             self.sizes.push(size);
         }
@@ -54,7 +54,8 @@
         let own = demand.class.and_then(|class| self.classes.get(class));
         let order = own.unwrap_or(&self.general);
         let found = if demand.is_long {
-            order.take_long(&self.targets, free, demand)
+            let room = LongRoom::of(self.targets());
+            order.take_long(&self.targets, free, demand, &room)
         } else {
             order.take(&self.targets, free, demand)
         };
--- a/kqr-placement/src/lib.rs
+++ b/kqr-placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod demand;
 mod free_map;
 mod group;
+mod long_room;
 mod order;
 mod pick_failure;
 mod quarantine;
--- a/kqr-placement/src/order.rs
+++ b/kqr-placement/src/order.rs
@@ -2,7 +2,7 @@
 
 use kqr_types::ClassName;
 
-use crate::{Demand, Target, free_map, free_map::FreeMap};
+use crate::{Demand, Target, free_map, free_map::FreeMap, long_room::LongRoom};
 
 /// Targets of about the same speed.
 #[derive(Debug, Default)]
@@ -64,17 +64,24 @@
             if demand.waiting.is_some_and(|waiting| waiting < bucket.hold_below) {
                 return Found::FasterSoon;
             }
-            if let Some(target) = bucket.take(targets, free, demand) {
+            if let Some(target) = bucket.take(targets, free, demand, Target::take_slot) {
                 return Found::Target(target);
             }
         }
         Found::Nothing
     }
 
-    /// Takes a slot of the slowest free target that suits the long work `demand`.
-    pub fn take_long(&self, targets: &[Option<Arc<Target>>], free: &FreeMap, demand: &Demand<'_>) -> Found {
+    /// Takes a slot of the slowest free target that suits the long work `demand` and has room for it.
+    pub fn take_long(
+        &self,
+        targets: &[Option<Arc<Target>>],
+        free: &FreeMap,
+        demand: &Demand<'_>,
+        room: &LongRoom,
+    ) -> Found {
+        let take = |target: &Target| room.is_at(target) && target.take_long_slot();
         for bucket in self.buckets.iter().rev() {
-            if let Some(target) = bucket.take(targets, free, demand) {
+            if let Some(target) = bucket.take(targets, free, demand, take) {
                 return Found::Target(target);
             }
         }
@@ -83,12 +90,17 @@
 }
 
 impl Bucket {
-    fn take(
+    /// Takes a slot of the first free target that suits `demand` and of which `take` takes one.
+    fn take<Take>(
         &self,
         targets: &[Option<Arc<Target>>],
         free: &FreeMap,
         demand: &Demand<'_>,
-    ) -> Option<Arc<Target>> {
+        take: Take,
+    ) -> Option<Arc<Target>>
+    where
+        Take: Fn(&Target) -> bool,
+    {
         let first = demand.spread as usize % self.masks.len().max(1);
         let words = self.masks.iter().skip(first).chain(self.masks.iter().take(first));
         for (word, mask) in words {
@@ -103,12 +115,7 @@
                 if !target.fits(demand) || demand.avoid.contains(&target.announcement.id) {
                     continue;
                 }
-                let is_taken = if demand.is_long {
-                    target.take_long_slot()
-                } else {
-                    target.take_slot()
-                };
-                if is_taken {
+                if take(target) {
                     return Some(Arc::clone(target));
                 }
             }
--- a/kqr-placement/src/target.rs
+++ b/kqr-placement/src/target.rs
@@ -10,7 +10,11 @@
 use arc_swap::ArcSwap;
 use kqr_types::ClassName;
 
-use crate::{Announcement, Demand, Speed, slot_counters::SlotCounters};
+use crate::{
+    Announcement, Demand, Speed,
+    long_room::{TargetSize, long_bound},
+    slot_counters::SlotCounters,
+};
 
 /// What is kept of a target over its announcements.
 #[derive(Debug)]
@@ -30,7 +34,7 @@
 }
 
 impl Target {
-    /// Part of a target's slots that long work may use; it may use at least one.
+    /// Part of the slots of all targets of one size that long work may use; it may use at least one.
     pub const LONG_PART: f64 = 0.75;
 
     pub(crate) fn new(announcement: Announcement, slots: SlotCounters) -> Self {
@@ -80,20 +84,11 @@
         debug_assert!(is_released, "a slot was released that was not taken");
     }
 
-    /// Takes a slot for long work, which may use a bounded part of the slots.
+    /// Takes a slot for long work.
     pub(crate) fn take_long_slot(&self) -> bool {
-        let bound = self.long_bound();
-        let step = |long: u32| (long < bound).then_some(long + 1);
-        let taken = self
-            .state
-            .long
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, step);
-        if taken.is_err() {
-            return false;
-        }
         let is_taken = self.take_slot();
-        if !is_taken {
-            self.end_long();
+        if is_taken {
+            self.count_long();
         }
         is_taken
     }
@@ -112,9 +107,15 @@
         self.state.long.fetch_add(1, Ordering::SeqCst);
     }
 
-    /// Returns the number of slots that long work may use.
+    /// Returns the number of slots beyond which work that turns out long while it runs should be throttled.
     pub fn long_bound(&self) -> u32 {
-        ((f64::from(self.limit()) * Self::LONG_PART) as u32).max(1)
+        long_bound(self.limit())
+    }
+
+    /// Returns the size that demands are compared with.
+    pub(crate) fn size(&self) -> TargetSize {
+        let own = &self.announcement;
+        (own.cores, own.memory, own.accelerators)
     }
 
     /// Returns the number of pieces of long work of this instance.
