refactor: compute the use of slots for reports of shares in the table

Cause: the benchmark and kqr-entry compute the demand of a report in different ways. The benchmark reports all work that runs or waits; kqr-entry adds the waiting tasks to what runs on each single target, so that its parts follow chance use. Change: Table::share_use gives the report's content, and the benchmark uses it, so that both can use the same code. kqr-entry has to call it.

--- a/kqr-bench/src/system/entry.rs
+++ b/kqr-bench/src/system/entry.rs
@@ -17,7 +17,6 @@
     slots: SlotShares,
     quotas: QuotaShares,
     siblings: SiblingChoice,
-    running: u32,
 }
 
 impl Entry {
@@ -55,7 +54,6 @@
             table,
             queue: AdmissionQueue::new(Options::default()),
             siblings: SiblingChoice::default(),
-            running: 0,
         }
     }
 
@@ -73,13 +71,10 @@
     /// Places waiting tasks.
     pub fn dispatch(&mut self, now: u64, outputs: &mut Vec<Output>) {
         self.queue.dispatch(Instant(now), &self.table, outputs);
-        let is_placed = |output: &&Output| matches!(output, Output::Placed(..));
-        self.running += outputs.iter().filter(is_placed).count() as u32;
     }
 
     /// Takes in the end of a placed task.
     pub fn ended(&mut self, now: u64, ended: &Ended) {
-        self.running -= 1;
         self.queue.ended(Instant(now), &self.table, ended);
     }
 
@@ -117,8 +112,8 @@
     /// Returns the reports of a period and their receivers.
     pub fn report(&mut self, now: u64) -> Vec<(usize, Message)> {
         let now = Instant(now);
-        let demand = self.running + self.queue.waiting(&self.service);
-        let slots = self.slots.report(now, &self.table, demand);
+        let waiting = self.queue.waiting(&self.service);
+        let slots = self.slots.report(now, &self.table, waiting);
         let quotas = self.quotas.report(now, &mut self.queue);
         let mut messages = self.addressed(slots, Message::SlotKeeper);
         messages.extend(self.addressed(quotas, Message::QuotaKeeper));
--- a/kqr-bench/src/system/slot_shares.rs
+++ b/kqr-bench/src/system/slot_shares.rs
@@ -1,6 +1,5 @@
 use kqr_placement::{
-    HolderInput, HolderOutput, KeeperInput, ResourceUse, ShareHolder, ShareKeeper, ShareOptions, ShareUse,
-    Table, Units,
+    HolderInput, HolderOutput, KeeperInput, ShareHolder, ShareKeeper, ShareOptions, Table, Units,
 };
 use kqr_types::{CellView, InstanceId, Instant, TargetId};
 
@@ -33,29 +32,14 @@
         Self { keeper, holder }
     }
 
-    /// Returns the reports of a period, and sets the limits of leases that end.
+    /// Returns the reports of a period, while `waiting` tasks wait, and sets the limits of leases that end.
     pub fn report(
         &mut self,
         now: Instant,
         table: &Table,
-        demand: u32,
+        waiting: u32,
     ) -> Vec<(InstanceId, KeeperInput<TargetId>)> {
-        let mut uses = Vec::new();
-        let mut free = 0;
-        for target in table.targets() {
-            free += target.free();
-            uses.push(ResourceUse {
-                resource: target.announcement.id.clone(),
-                used: target.used(),
-                demand,
-            });
-        }
-        let epoch_lease = Instant::MAX;
-        let usage = ShareUse {
-            free,
-            uses,
-            epoch_lease,
-        };
+        let usage = table.share_use(Instant::MAX, |_| waiting);
         self.holder(now, table, HolderInput::Tick(usage))
     }
 
--- a/kqr-placement/src/table.rs
+++ b/kqr-placement/src/table.rs
@@ -1,10 +1,11 @@
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
-use kqr_types::{ClassName, ServiceName, TargetId};
+use kqr_types::{ClassName, Instant, ServiceName, TargetId};
 
 use crate::{
-    Announcement, Classes, Demand, PickFailure, Target, TargetKind, free_map::FreeMap, snapshot::Snapshot,
+    Announcement, Classes, Demand, PickFailure, ResourceUse, ShareUse, Target, TargetKind, free_map::FreeMap,
+    snapshot::Snapshot,
 };
 
 /// The targets that an instance may use, read without locks.
@@ -167,6 +168,35 @@
         group.map_or(0, |group| group.targets().map(|target| target.free()).sum())
     }
 
+    /// Returns the use of all targets for a report of shares. The demand for a slot of any target is all work of its
+    /// service that runs or waits here: what runs on that target alone says nothing of how much could.
+    pub fn share_use<F>(&self, epoch_lease: Instant, waiting: F) -> ShareUse<TargetId>
+    where
+        F: Fn(&ServiceName) -> u32,
+    {
+        let snapshot = self.snapshot.load();
+        let mut demands: BTreeMap<&ServiceName, u32> = BTreeMap::new();
+        for target in snapshot.targets.values() {
+            let service = &target.announcement.service;
+            *demands.entry(service).or_insert_with(|| waiting(service)) += target.used();
+        }
+        let mut free = 0;
+        let mut uses = Vec::with_capacity(snapshot.targets.len());
+        for target in snapshot.targets.values() {
+            free += target.free();
+            uses.push(ResourceUse {
+                resource: target.announcement.id.clone(),
+                used: target.used(),
+                demand: demands.get(&target.announcement.service).copied().unwrap_or(0),
+            });
+        }
+        ShareUse {
+            free,
+            uses,
+            epoch_lease,
+        }
+    }
+
     /// Brings the orders of targets in line with the learned speeds and the shares. Meant to be called every second
     /// and after a change of shares; it is not part of a pick.
     pub fn refresh(&self) {
--- a/kqr-placement/tests/table.rs
+++ b/kqr-placement/tests/table.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kqr_placement::{Demand, PickFailure, Table, TargetKind};
-use kqr_types::{ClassName, Incarnation, Slots};
+use kqr_types::{ClassName, Incarnation, Instant, ServiceName, Slots};
 use support::{announcement, any, service, target_id};
 
 const WORKER: TargetKind = TargetKind::Worker;
@@ -220,6 +220,24 @@
     assert_eq!(left, 3, "a quarter of 12 slots without accelerators");
 }
 
+#[test]
+fn the_demand_for_each_target_is_all_work_of_its_service() {
+    let table = Table::new();
+    let mut other = announcement(3, 8);
+    other.service = "other".parse().unwrap();
+    for announcement in [announcement(1, 8), announcement(2, 8), other] {
+        table.announce(&announcement);
+    }
+    for _ in 0..3 {
+        assert!(table.get(&target_id(1)).unwrap().take_slot());
+    }
+    let waiting = |of: &ServiceName| if *of == service() { 5 } else { 2 };
+    let usage = table.share_use(Instant(7), waiting);
+    let demands: Vec<(u32, u32)> = usage.uses.iter().map(|item| (item.used, item.demand)).collect();
+    assert_eq!(demands, [(3, 8), (0, 8), (0, 2)]);
+    assert_eq!((usage.free, usage.epoch_lease), (21, Instant(7)));
+}
+
 #[test]
 fn threads_never_take_more_slots_than_there_are() {
     let table = Table::new();
