fix: give the time line's page round marks, and room for names and labels

Cause: on the page of a demo run (geometry of its SVG) the marks stood at odd times (1496.2 ms, 2992.4 ms ...), the last label ran out of the drawing (centred 20 px from its edge, about 65 px wide), and a name of more than some 27 characters ran into its lane.

Change: marks at steps of 1, 2 or 5 times a power of ten with the unit that fits the step; the lanes begin right of the longest name; margins are half of a label wide.

Not done: no browser was on the machine, so no rendering was looked at.

--- a/kqr-timeline/src/html.rs
+++ b/kqr-timeline/src/html.rs
@@ -3,18 +3,20 @@
 use kqr_telemetry::{Event, EventKind};
 use kqr_types::InstanceId;
 
-use crate::{Timeline, concerns::concerns};
-
-/// Width of the drawing, in pixels.
-const WIDTH: f64 = 1200.0;
-/// Width of the names left of the lanes, in pixels.
-const NAMES: f64 = 200.0;
+use crate::{Timeline, concerns::concerns, scale::Scale};
+
+/// Width of the lanes, in pixels.
+const LANES: f64 = 1000.0;
+/// Width of a name's character, in pixels, generously.
+const CHARACTER: f64 = 8.0;
+/// Width between the names and the lanes, in pixels: half of the first mark's label.
+const GAP: f64 = 40.0;
+/// Width right of the lanes, in pixels: half of the last mark's label.
+const MARGIN: f64 = 40.0;
 /// Height of a lane, in pixels.
 const LANE: f64 = 36.0;
 /// Height of the scale above the lanes, in pixels.
 const SCALE: f64 = 28.0;
-/// Marks of the scale.
-const MARKS: u32 = 10;
 /// Most events that are drawn and listed; a filter shows the others.
 pub const MAX_DRAWN_EVENTS: usize = 5000;
 
@@ -56,26 +58,37 @@
 struct Drawing<'a> {
     events: &'a [Event],
     lanes: BTreeMap<&'a InstanceId, usize>,
+    /// Where the lanes begin, right of the names.
+    left: f64,
     first: u64,
     span: u64,
 }
 
 impl<'a> Drawing<'a> {
     fn new(timeline: &'a Timeline, events: &'a [Event]) -> Self {
-        let lanes = timeline.instances().into_iter().zip(0..).collect();
+        let lanes: BTreeMap<_, _> = timeline.instances().into_iter().zip(0..).collect();
+        let longest = lanes.keys().map(|instance| instance.as_str().len()).max();
         let first = first_us(events);
         let last = events.iter().map(Event::placed_us).max().unwrap_or(first);
         Self {
             events,
             lanes,
+            left: longest.unwrap_or(0) as f64 * CHARACTER + GAP,
             first,
             span: (last - first).max(1),
         }
     }
 
     fn x(&self, event: &Event) -> f64 {
-        let part = (event.placed_us() - self.first) as f64 / self.span as f64;
-        NAMES + part * (WIDTH - NAMES - 20.0)
+        self.x_at(event.placed_us() - self.first)
+    }
+
+    fn x_at(&self, passed_us: u64) -> f64 {
+        self.left + passed_us as f64 / self.span as f64 * LANES
+    }
+
+    fn right(&self) -> f64 {
+        self.left + LANES
     }
 
     fn y(&self, instance: &InstanceId) -> Option<f64> {
@@ -85,13 +98,19 @@
 
     fn write(&self, page: &mut String) {
         let height = SCALE + LANE * self.lanes.len() as f64 + 8.0;
-        let _ = writeln!(page, "<svg width=\"{WIDTH}\" height=\"{height}\" role=\"img\">");
+        let _ = writeln!(
+            page,
+            "<svg width=\"{}\" height=\"{height}\" role=\"img\">",
+            self.right() + MARGIN
+        );
         self.write_scale(page, height);
         for (instance, lane) in &self.lanes {
             let y = SCALE + LANE * (*lane as f64 + 0.5);
             let _ = writeln!(
                 page,
-                "<line class=\"lane\" x1=\"{NAMES}\" x2=\"{WIDTH}\" y1=\"{y}\" y2=\"{y}\"/><text x=\"4\" y=\"{}\">{}</text>",
+                "<line class=\"lane\" x1=\"{:.1}\" x2=\"{:.1}\" y1=\"{y}\" y2=\"{y}\"/><text x=\"4\" y=\"{}\">{}</text>",
+                self.left,
+                self.right(),
                 y + 4.0,
                 escape(instance.as_str())
             );
@@ -104,14 +123,12 @@
     }
 
     fn write_scale(&self, page: &mut String, height: f64) {
-        for mark in 0..=MARKS {
-            let part = f64::from(mark) / f64::from(MARKS);
-            let x = NAMES + part * (WIDTH - NAMES - 20.0);
-            let millis = part * self.span as f64 / 1000.0;
+        for (passed_us, label) in Scale::new(self.span).marks() {
+            let x = self.x_at(passed_us);
             let _ = writeln!(
                 page,
                 "<line class=\"mark\" x1=\"{x:.1}\" x2=\"{x:.1}\" y1=\"{SCALE}\" y2=\"{height}\"/>\
-                 <text x=\"{x:.1}\" y=\"16\" text-anchor=\"middle\">{millis:.1} ms</text>"
+                 <text x=\"{x:.1}\" y=\"16\" text-anchor=\"middle\">{label}</text>"
             );
         }
     }
--- a/kqr-timeline/src/lib.rs
+++ b/kqr-timeline/src/lib.rs
@@ -11,6 +11,7 @@
 mod numbers;
 mod options;
 mod placed;
+mod scale;
 mod select;
 mod source;
 mod table;
--- a/kqr-timeline/tests/timeline.rs
+++ b/kqr-timeline/tests/timeline.rs
@@ -228,3 +228,64 @@
     let expected = "1 events stand far out of order in their files and are not in causal order here";
     assert_eq!(warnings, [expected]);
 }
+
+/// Returns position and text of each mark of a page's scale.
+fn marks(page: &str) -> Vec<(f64, String)> {
+    let mut marks = Vec::new();
+    for line in page.lines().filter(|line| line.contains("class=\"mark\"")) {
+        let text = line.split("<text x=\"").nth(1).unwrap();
+        let (x, rest) = text.split_once('"').unwrap();
+        let label = rest.split_once('>').unwrap().1.split('<').next().unwrap();
+        marks.push((x.parse().unwrap(), label.to_owned()));
+    }
+    marks
+}
+
+#[test]
+fn the_scale_has_round_marks_that_are_not_clipped() {
+    let log = EventLog::disabled("entry-of-a-data-centre-with-a-long-name-1".parse().unwrap());
+    let template = log.event(EventKind::Submitted);
+    let page = |span_us: u64| {
+        let at = |time| Event {
+            time: HybridTime::at(time),
+            sequence: time,
+            ..template.clone()
+        };
+        to_html(&merge(&[vec![at(1_000_000), at(1_000_000 + span_us)]]))
+    };
+    let labels = |span_us| -> Vec<String> {
+        let marks = marks(&page(span_us));
+        marks.into_iter().map(|(_, label)| label).collect()
+    };
+    assert_eq!(
+        labels(14_962_100),
+        ["0 s", "2 s", "4 s", "6 s", "8 s", "10 s", "12 s", "14 s"]
+    );
+    assert_eq!(
+        labels(34_000),
+        ["0 ms", "5 ms", "10 ms", "15 ms", "20 ms", "25 ms", "30 ms"]
+    );
+    assert_eq!(labels(2_000)[1], "0.200 ms");
+    assert!((2..=11).contains(&labels(u64::from(u32::MAX)).len()));
+    let page = page(1_000);
+    let width: f64 = page
+        .split("<svg width=\"")
+        .nth(1)
+        .unwrap()
+        .split('"')
+        .next()
+        .unwrap()
+        .parse()
+        .unwrap();
+    let marks = marks(&page);
+    let (first, last) = (marks.first().unwrap().0, marks.last().unwrap().0);
+    assert!(
+        last + 30.0 <= width,
+        "the last label is clipped: {last} of {width}"
+    );
+    let name = 8.0 * "entry-of-a-data-centre-with-a-long-name-1".len() as f64;
+    assert!(
+        first - 30.0 >= name,
+        "the first label is over a name of {name} pixels"
+    );
+}
