--- a/kqr-entry/src/quota_shares.rs
+++ b/kqr-entry/src/quota_shares.rs
@@ -131,6 +131,9 @@
         if state.shares.set_view(now, &self.engine.view()) {
             state.full_until = now + self.options.keeper_lease() + self.options.period;
         }
+        if state.teams.is_empty() {
+            return;
+        }
         let is_full = now < state.full_until || now >= state.next_full_tick;
         if is_full {
             state.next_full_tick = now + QUIET_PERIOD;
