--- a/kqr-wire/tests/siblings.rs
+++ b/kqr-wire/tests/siblings.rs
@@ -10,10 +10,10 @@
 use kqr_jobs::{JobAnswer, NotAccepted};
 use kqr_telemetry::HybridTime;
 use kqr_tls::{Keys, Listening, Security};
-use kqr_types::{Incarnation, InstanceId};
+use kqr_types::{DataCentre, Incarnation, InstanceId};
 use kqr_wire::{
     mail::Mail,
-    siblings::{JobCall, Sibling, SiblingClient},
+    siblings::{JobCall, MailReply, Sibling, SiblingClient},
 };
 use tarpc::{
     client,
@@ -32,11 +32,27 @@
 struct Server;
 
 impl Sibling for Server {
-    async fn job(self, _: Context, _: JobCall, _: u8, _: HybridTime) -> Result<JobAnswer, NotAccepted> {
+    async fn job(
+        self,
+        _: Context,
+        _: JobCall,
+        _: Option<DataCentre>,
+        _: u8,
+        _: HybridTime,
+    ) -> Result<JobAnswer, NotAccepted> {
         unimplemented!("not called")
     }
 
-    async fn deliver(self, _: Context, _: InstanceId, _: Incarnation, _: HybridTime, _: Vec<Mail>) {}
+    async fn deliver(
+        self,
+        _: Context,
+        _: InstanceId,
+        _: Incarnation,
+        _: HybridTime,
+        _: Vec<Mail>,
+    ) -> MailReply {
+        unimplemented!("not called")
+    }
 
     async fn ping(self, _: Context) -> InstanceId {
         id("entry-1")
