--- a/kqr-entry/src/slot_shares.rs
+++ b/kqr-entry/src/slot_shares.rs
@@ -3,8 +3,8 @@
     time::Duration,
 };
 
-use kqr_placement::{Announcement, ResourceUse, ShareGrant, ShareOptions, ShareReport, ShareUse, Units};
-use kqr_types::{InstanceId, Instant, TargetId};
+use kqr_placement::{Announcement, ShareGrant, ShareOptions, ShareReport, ShareUse, Units};
+use kqr_types::{InstanceId, Instant, ServiceName, TargetId};
 use kqr_wire::mail::Mail;
 
 use crate::{
@@ -71,9 +71,8 @@
         state.next_tick = now + self.period;
         state.next_idle_tick = now + IDLE_PERIOD;
         state.shares.set_view(now, &self.engine.view());
-        let (units, usage) = self.usage();
-        state.shares.set_resources(now, units);
-        let effects = state.shares.tick(now, usage);
+        state.shares.set_resources(now, self.units());
+        let effects = state.shares.tick(now, self.usage());
         self.engine.return_loans();
         self.perform(effects);
     }
@@ -95,37 +94,25 @@
         self.perform(effects);
     }
 
-    /// Returns all slots of the known targets, and what this instance uses of them.
-    fn usage(&self) -> (Vec<Units<TargetId>>, ShareUse<TargetId>) {
+    /// Returns all slots of the known targets that may be used.
+    fn units(&self) -> Vec<Units<TargetId>> {
         let settings = self.settings.present();
-        let targets = self.engine.table.targets();
-        let mut units = Vec::with_capacity(targets.len());
-        let mut resources = Vec::with_capacity(targets.len());
-        let mut free = 0;
-        for target in targets {
+        let mut units = Vec::new();
+        for target in self.engine.table.targets() {
             let own = &target.announcement;
-            let used = target.used();
-            free += target.free();
-            let waiting = self.engine.waiting_for(&own.service);
             units.push(Units {
                 resource: own.id.clone(),
                 units: allowed_slots(&settings, own),
             });
-            resources.push(ResourceUse {
-                resource: own.id.clone(),
-                used,
-                demand: used + waiting,
-            });
         }
-        let epoch_lease = self.engine.lease_until();
-        (
-            units,
-            ShareUse {
-                free,
-                uses: resources,
-                epoch_lease,
-            },
-        )
+        units
+    }
+
+    /// Returns what this instance uses of the known targets.
+    fn usage(&self) -> ShareUse<TargetId> {
+        let engine = &self.engine;
+        let waiting = |service: &ServiceName| engine.waiting_for(service);
+        engine.table.share_use(engine.lease_until(), waiting)
     }
 
     /// Performs effects in their order, for which the state stays locked.
@@ -145,6 +132,7 @@
             }
         }
         if is_changed {
+            self.engine.table.refresh();
             self.engine.dispatch_soon();
         }
     }
