fix: wait 10 ms for an own slot before one is borrowed; count both messages of a loan

Cause: kqr-entry borrows slots by a request and an answer, and the benchmark counted one message a forward. Most borrowers had a slot of their own free again a few milliseconds later. Change: the benchmark counts two; a task is taken for a forward only after it has waited 10 ms (Options::forward_wait).

--- a/kqr-admission/src/options.rs
+++ b/kqr-admission/src/options.rs
@@ -15,6 +15,8 @@
     pub long_wait_part: f64,
     /// Longest time that a task waits for a faster slot while slower ones are free.
     pub faster_wait: Duration,
+    /// Time that a task waits for a slot of this instance before one of a sibling is asked for.
+    pub forward_wait: Duration,
     /// Expected run time of a class of which nothing is known and nothing was declared.
     pub default_run_time: Duration,
     /// Shortest time told to a refused caller.
@@ -29,6 +31,7 @@
             over_quota_wait: Duration::from_millis(50),
             long_wait_part: 1.0,
             faster_wait: Duration::from_millis(100),
+            forward_wait: Duration::from_millis(10),
             default_run_time: Duration::from_millis(200),
             least_retry_after: Duration::from_millis(100),
         }
--- a/kqr-admission/src/queue.rs
+++ b/kqr-admission/src/queue.rs
@@ -141,8 +141,14 @@
         self.services.retain(|_, queue| queue.waiting > 0);
     }
 
-    /// Takes up to `count` tasks that found no slot here, so that a sibling with free slots can place them.
-    pub fn take_for_forward(&mut self, service: &ServiceName, count: usize) -> Vec<WaitingTask> {
+    /// Takes up to `count` tasks that have found no slot here for [`Options::forward_wait`], so that a sibling with free
+    /// slots can place them.
+    pub fn take_for_forward(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        count: usize,
+    ) -> Vec<WaitingTask> {
         let mut tasks = Vec::new();
         while tasks.len() < count {
             let Some(queue) = self.services.get_mut(service) else {
@@ -151,6 +157,9 @@
             let Some(candidate) = queue.next(&Blocked::default(), &self.quotas) else {
                 break;
             };
+            if now.since(candidate.item.pushed) < self.options.forward_wait {
+                break;
+            }
             queue.charge(&candidate.team, candidate.item.work);
             tasks.extend(self.remove(service, &candidate));
         }
--- a/kqr-admission/tests/queue.rs
+++ b/kqr-admission/tests/queue.rs
@@ -300,3 +300,15 @@
     assert!(lost <= 12, "{lost} tasks of a minute were lost");
     assert_eq!(queue.quarantined(), [bad]);
 }
+
+#[test]
+fn a_task_waits_for_an_own_slot_before_it_is_taken_for_a_forward() {
+    let table = table(1, 1);
+    let mut queue = queue();
+    let first = job("first", "kitchen", "a", 2, SECOND * 60);
+    queue.push(at(0), &table, waiting(at(0), &first));
+    assert_eq!(placed(&dispatch(&mut queue, &table, 0)).len(), 1);
+    assert!(queue.take_for_forward(at(9), &service(), 1).is_empty());
+    assert_eq!(queue.take_for_forward(at(10), &service(), 1).len(), 1);
+    assert!(queue.is_empty());
+}
--- a/kqr-bench/src/system/entry.rs
+++ b/kqr-bench/src/system/entry.rs
@@ -105,8 +105,8 @@
     }
 
     /// Takes a waiting task out of the queue.
-    pub fn take_for_forward(&mut self) -> Option<WaitingTask> {
-        self.queue.take_for_forward(&self.service, 1).pop()
+    pub fn take_for_forward(&mut self, now: u64) -> Option<WaitingTask> {
+        self.queue.take_for_forward(Instant(now), &self.service, 1).pop()
     }
 
     /// Returns the reports of a period and their receivers.
--- a/kqr-bench/src/system/mod.rs
+++ b/kqr-bench/src/system/mod.rs
@@ -24,6 +24,8 @@
 const SHARE_PERIOD: u64 = 100_000;
 /// Time between two refreshes of the orders, in microseconds.
 const REFRESH: u64 = 1_000_000;
+/// Messages of a forward: the entry asks the sibling for a slot and is answered. The slot goes back with a report.
+const MESSAGES_PER_FORWARD: u64 = 2;
 /// Free slots that a sibling must have reported for a forward.
 const FORWARD_RESERVE: u32 = 16;
 
@@ -90,7 +92,7 @@
         let delay = if from == to { 0 } else { ONE_WAY };
         if from != to {
             match message {
-                Message::Forward(_) => world.waste(1),
+                Message::Forward(_) => world.waste(MESSAGES_PER_FORWARD),
                 _ => world.count_background(),
             }
         }
@@ -138,7 +140,7 @@
             let Some(sibling) = entry.choose_sibling(world.now, FORWARD_RESERVE) else {
                 return;
             };
-            let Some(task) = entry.take_for_forward() else {
+            let Some(task) = entry.take_for_forward(world.now) else {
                 return;
             };
             let number = Names::task_number(&task.key);
--- a/kqr-entry/src/engine/loans.rs
+++ b/kqr-entry/src/engine/loans.rs
@@ -47,7 +47,7 @@
                 let Some(sibling) = borrowed.choose(now) else {
                     return;
                 };
-                let Some(task) = queue.take_for_forward(&service, 1).pop() else {
+                let Some(task) = queue.take_for_forward(now, &service, 1).pop() else {
                     break;
                 };
                 let number = borrowed.ask(now, sibling.clone(), task.clone());
