fix: tell counts of the load page without decimals, keep a legend's mark with its name

Seen in headless Chromium on the pages of a demo run: counts stood as 546.00, and a mark of the time line's legend stood at the end of a line with its name on the next. All plots, lanes, axes and tables were otherwise readable.

--- a/kqr-load/src/page.rs
+++ b/kqr-load/src/page.rs
@@ -4,6 +4,7 @@
     Report, Second,
     measures::{NamedFigure, figures},
     plot::{Line, Plot},
+    text::number,
 };
 
 const STYLE: &str = "body{font:14px system-ui,sans-serif;margin:1.5em;color:#222}\
@@ -31,7 +32,7 @@
     }
     page.push_str("<table><tr><th>measure</th><th>value</th></tr>\n");
     for NamedFigure { name, value } in figures(report) {
-        let _ = writeln!(page, "<tr><td>{name}</td><td>{value:.2}</td></tr>");
+        let _ = writeln!(page, "<tr><td>{name}</td><td>{}</td></tr>", number(value));
     }
     page.push_str("</table></body></html>\n");
     Ok(page)
--- a/kqr-load/src/text.rs
+++ b/kqr-load/src/text.rs
@@ -55,7 +55,8 @@
     text
 }
 
-fn number(value: f64) -> String {
+/// Formats a figure: a count without decimals, anything else with two.
+pub(crate) fn number(value: f64) -> String {
     if value.fract() == 0.0 {
         format!("{value:.0}")
     } else {
--- a/kqr-load/tests/reports.rs
+++ b/kqr-load/tests/reports.rs
@@ -206,6 +206,7 @@
     let page = to_page(&report).unwrap();
     assert_eq!(page.matches("<svg").count(), 4);
     assert!(page.contains("two &lt;phases&gt;") && !page.contains("<script") && !page.contains("src="));
+    assert!(page.contains("<td>jobs: submitted</td><td>2</td>"), "{page}");
     for axis in ["response / ideal", "time since the begin, s", "refusals / s"] {
         assert!(page.contains(axis), "{axis}");
     }
--- a/kqr-timeline/src/html.rs
+++ b/kqr-timeline/src/html.rs
@@ -23,7 +23,7 @@
 const STYLE: &str = "body{font:14px system-ui,sans-serif;margin:1.5em;color:#222}\
 table{border-collapse:collapse;font-size:12px}td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #e4e4e4}\
 td:first-child{text-align:right;font-variant-numeric:tabular-nums}text{font:12px system-ui,sans-serif}\
-.lane{stroke:#ccc}.mark{stroke:#eee}.way{stroke:#999;stroke-width:.7}.warning{color:#a00}.key span{margin-right:1em}";
+.lane{stroke:#ccc}.mark{stroke:#eee}.way{stroke:#999;stroke-width:.7}.warning{color:#a00}.key span{margin-right:1em;white-space:nowrap}";
 
 /// Formats the time line as one self-contained page with a lane for each process.
 pub fn to_html(timeline: &Timeline) -> String {
@@ -162,7 +162,7 @@
         for (kind, count) in kinds {
             let _ = write!(
                 page,
-                "<span style=\"color:{}\">&#9679; {kind} ({count})</span>",
+                "<span style=\"color:{}\">&#9679; {kind} ({count})</span> ",
                 colour(kind)
             );
         }
