--- /dev/null
+++ b/kqr-entry/src/engine/levels.rs
@@ -0,0 +1,54 @@
+//! Levels of the jobs, the queue and the targets, for metrics and for the times between reports.
+
+use kqr_telemetry::Level;
+use kqr_types::ServiceName;
+
+use super::{Engine, lock};
+
+impl Engine {
+    /// Brings the levels of the metrics up to date.
+    pub fn measure_levels(&self) {
+        let targets = self.table.targets();
+        let present = targets.iter().filter(|target| target.is_open()).count();
+        let shared: u32 = targets.iter().map(|target| target.limit()).sum();
+        let used: u32 = targets.iter().map(|target| target.used()).sum();
+        let queue = lock(&self.queue);
+        let (waiting, quarantined) = (queue.len(), queue.quarantined().len());
+        drop(queue);
+        let remembered: usize = self
+            .shards
+            .iter()
+            .map(|shard| lock(shard).remembered_jobs())
+            .sum();
+        self.metrics.set(Level::WaitingTasks, waiting as u64);
+        self.metrics.set(Level::QuarantinedTargets, quarantined as u64);
+        self.metrics.set(Level::LiveJobs, self.homed_jobs() as u64);
+        self.metrics.set(Level::RememberedKeys, remembered as u64);
+        self.metrics.set(Level::PresentTargets, present as u64);
+        self.metrics
+            .set(Level::LeavingTargets, (targets.len() - present) as u64);
+        self.metrics.set(Level::SharedSlots, u64::from(shared));
+        self.metrics.set(Level::UsedSlots, u64::from(used));
+        self.metrics.set(Level::Epoch, self.view().epoch.0);
+        self.metrics.set_dropped_events(self.events.dropped());
+    }
+
+    /// Returns whether no slot is used, no task waits and no target lacks a share.
+    pub fn is_idle(&self) -> bool {
+        let targets = self.table.targets();
+        let is_settled = targets
+            .iter()
+            .all(|target| target.used() == 0 && target.limit() > 0);
+        is_settled && lock(&self.queue).is_empty()
+    }
+
+    /// Returns the number of waiting tasks of a service.
+    pub fn waiting_for(&self, service: &ServiceName) -> u32 {
+        lock(&self.queue).waiting(service)
+    }
+
+    /// Returns the number of jobs that this instance is the home of and that have not ended.
+    pub fn homed_jobs(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).homed_jobs()).sum()
+    }
+}
