--- a/kqr-admission/src/options.rs
+++ b/kqr-admission/src/options.rs
@@ -7,8 +7,10 @@
 pub struct Options {
     /// Kind of targets that the tasks are placed on.
     pub kind: TargetKind,
-    /// Longest expected wait of an admitted job for its first slot.
+    /// Expected wait for its first slot with which a job is always admitted, its deadline permitting.
     pub queue_wait: Duration,
+    /// Part of its deadline that a job may be expected to wait for its first slot, if that is longer.
+    pub deadline_part: f64,
     /// Longest expected wait of an admitted job of a team that is over its quota.
     pub over_quota_wait: Duration,
     /// Part of its run time that a job with long work may be expected to wait.
@@ -28,6 +30,7 @@
         Self {
             kind: TargetKind::Worker,
             queue_wait: Duration::from_millis(250),
+            deadline_part: 0.125,
             over_quota_wait: Duration::from_millis(50),
             long_wait_part: 1.0,
             faster_wait: Duration::from_millis(100),
--- a/kqr-admission/src/queue.rs
+++ b/kqr-admission/src/queue.rs
@@ -237,13 +237,13 @@
         if !is_within_quota {
             return self.options.over_quota_wait;
         }
+        let by_deadline = job.deadline.mul_f64(self.options.deadline_part);
+        let allowed = self.options.queue_wait.max(by_deadline);
         if !is_long {
-            return self.options.queue_wait;
+            return allowed;
         }
         let longest = self.longest_run_time(table, job);
-        self.options
-            .queue_wait
-            .max(longest.mul_f64(self.options.long_wait_part))
+        allowed.max(longest.mul_f64(self.options.long_wait_part))
     }
 
     fn longest_run_time(&self, table: &Table, job: &Submission) -> Duration {
--- a/kqr-bench/src/measures.rs
+++ b/kqr-bench/src/measures.rs
@@ -39,6 +39,11 @@
         measures.insert("goodput", answered / (rate * length.as_secs_f64()));
         measures.insert("recovery_s", recovery(scenario, world, end, to).as_secs_f64());
     }
+    if scenario.most_tasks > 1 {
+        let jobs = job_responses(world, from, to);
+        measures.insert("job_mean_ms", mean(&jobs) * 1e3);
+        measures.insert("job_p99_ms", quantile(&jobs, 0.99) * 1e3);
+    }
     if scenario.failing.is_some() {
         measures.insert("lost_part", lost(world, from, to));
     }
@@ -102,6 +107,29 @@
     responses
 }
 
+/// Returns the sorted response times in seconds of the jobs that arrived in a time: a job is answered with its last task,
+/// and one with a task that was not answered takes endless.
+fn job_responses(world: &World, from: u64, to: u64) -> Vec<f64> {
+    let mut responses: Vec<f64> = Vec::new();
+    let mut last_job = None;
+    for (arrival, fate) in world.arrivals.iter().zip(&world.fates) {
+        if arrival.at < from || arrival.at >= to {
+            continue;
+        }
+        let response = match fate {
+            Fate::Answered(at) => (at - arrival.at) as f64 / 1e6,
+            Fate::Open | Fate::Lost(_) | Fate::Refused => f64::INFINITY,
+        };
+        match responses.last_mut() {
+            Some(present) if last_job == Some(arrival.job) => *present = present.max(response),
+            _ => responses.push(response),
+        }
+        last_job = Some(arrival.job);
+    }
+    responses.sort_by(f64::total_cmp);
+    responses
+}
+
 fn refused(world: &World, from: u64, to: u64) -> f64 {
     part(world, from, to, |fate| matches!(fate, Fate::Refused))
 }
--- a/kqr-bench/src/scenario.rs
+++ b/kqr-bench/src/scenario.rs
@@ -55,6 +55,8 @@
     pub load: f64,
     /// Time that callers are willing to wait.
     pub deadline: Duration,
+    /// Most tasks of a job; the logarithm of their number is spread evenly from 1 on.
+    pub most_tasks: usize,
     /// How run times relate to classes.
     pub classes: Classes,
     /// Crest that starts with the measured time.
@@ -118,6 +120,14 @@
                 classes: Classes::Distinct,
                 ..users.clone()
             },
+            Self {
+                name: "jobs",
+                about: "the users' size; jobs of 1 to 190 tasks, answered with their last task",
+                most_tasks: kqr_jobs::Submission::MAX_TASKS,
+                measured: Duration::from_secs(60),
+                load: 0.7,
+                ..users.clone()
+            },
             Self {
                 name: "crest",
                 about: "3 times the capacity for 10 s, deadline 2 s",
@@ -208,6 +218,7 @@
             measured: Duration::from_secs(30),
             load: 0.9,
             deadline: Duration::from_secs(30),
+            most_tasks: 1,
             classes: Classes::Alike,
             crest: None,
             teams: Vec::new(),
--- a/kqr-bench/src/system/names.rs
+++ b/kqr-bench/src/system/names.rs
@@ -95,7 +95,7 @@
         key.as_str().parse().unwrap_or(usize::MAX)
     }
 
-    /// Returns the submission of a task.
+    /// Returns the submission of the job whose first task is `task`.
     pub fn submission(&self, task: usize, arrival: &Arrival) -> Submission {
         Submission {
             key: parse(&task.to_string()),
@@ -104,7 +104,7 @@
             service: self.service.clone(),
             deadline: self.deadline,
             fingerprint: 0,
-            tasks: vec![self.spec(arrival)],
+            tasks: vec![self.spec(arrival); arrival.tasks],
         }
     }
 
