--- /dev/null
+++ b/kqr-dispatch/src/desk/mod.rs
@@ -0,0 +1,273 @@
+//! The owner's side: targets that this entry owns, what runs there, and orders that wait for room.
+
+mod answers;
+mod health;
+mod open_call;
+mod orders;
+mod polling;
+mod run;
+mod target;
+mod waiting;
+
+use std::collections::BTreeMap;
+
+use kqr_fleet::{FencingToken, TargetGrant, TargetReport};
+use kqr_types::{InstanceId, Instant, TargetId};
+
+use crate::{
+    CallId, LoadReport, Note, Options, Output, RunEnd, RunId, TargetCall, TargetLoad, Ticket,
+    load_report::RANKS,
+};
+use open_call::OpenCall;
+use target::Target;
+use waiting::Waiting;
+
+/// The end of an order, for its coordinator.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Ended {
+    pub(crate) coordinator: InstanceId,
+    pub(crate) ticket: Ticket,
+    pub(crate) end: RunEnd,
+    pub(crate) target: Option<TargetId>,
+}
+
+/// The targets that this entry owns.
+#[derive(Clone, Debug)]
+pub(crate) struct Desk {
+    options: Options,
+    targets: BTreeMap<TargetId, Target>,
+    /// Targets that went to another owner while orders of this one had not ended.
+    former: Vec<Target>,
+    waiting: BTreeMap<(u32, u64), Waiting>,
+    arrivals: u64,
+    calls: BTreeMap<CallId, OpenCall>,
+    next_call: u64,
+    is_leaving: bool,
+    ended: Vec<Ended>,
+    reports: Vec<TargetReport>,
+}
+
+impl Desk {
+    pub(crate) fn new(options: Options) -> Self {
+        Self {
+            options,
+            targets: BTreeMap::new(),
+            former: Vec::new(),
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            is_leaving: false,
+            ended: Vec::new(),
+            reports: Vec::new(),
+        }
+    }
+
+    /// Takes the ends of orders since the last call.
+    pub(crate) fn take_ended(&mut self) -> Vec<Ended> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Takes the reports of targets that control has to hear of.
+    pub(crate) fn take_reports(&mut self) -> Vec<TargetReport> {
+        std::mem::take(&mut self.reports)
+    }
+
+    /// Stops taking new work; targets are given back as they become idle.
+    pub(crate) fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Returns whether no run and no order is left.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.targets.values().all(|target| target.runs.is_empty())
+    }
+
+    /// Returns the number of owned targets.
+    pub(crate) fn targets(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns the number of runs that are at a target.
+    pub(crate) fn runs(&self) -> usize {
+        self.targets.values().map(|target| target.runs.len()).sum()
+    }
+
+    /// Returns the number of orders that wait for room.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Replaces the set of owned targets.
+    pub(crate) fn grant(&mut self, now: Instant, grants: &[TargetGrant], outputs: &mut Vec<Output>) {
+        let mut kept = BTreeMap::new();
+        for grant in grants {
+            let id = grant.record.id.clone();
+            let held = self.targets.remove(&id);
+            let target = match held {
+                Some(target) if target.token >= grant.token => target,
+                Some(target) => {
+                    self.former.push(target);
+                    attach(now, grant, outputs)
+                }
+                None => attach(now, grant, outputs),
+            };
+            kept.insert(id, target);
+        }
+        for grant in grants {
+            if let Some(target) = kept.get_mut(&grant.record.id) {
+                target.update(grant);
+            }
+        }
+        let lost = std::mem::replace(&mut self.targets, kept);
+        for target in lost.into_values() {
+            note(outputs, &target, "handed-over", format!("token {}", target.token));
+            self.former.push(target);
+        }
+        self.tick(now, outputs);
+    }
+
+    /// Takes what a target says of itself at this entry.
+    pub(crate) fn report(&mut self, report: TargetReport, outputs: &mut Vec<Output>) {
+        let is_news = match (&report, self.targets.get_mut(report.target())) {
+            (
+                TargetReport::Present {
+                    record, is_leaving, ..
+                },
+                Some(target),
+            ) => {
+                let is_news = *record != target.record || *is_leaving != target.is_leaving || !target.is_reported;
+                target.is_reported = true;
+                if *is_leaving && !target.is_leaving && record.life >= target.record.life {
+                    target.is_leaving = true;
+                    note(outputs, target, "leaving", "its own report".to_owned());
+                }
+                is_news || target.is_missing()
+            }
+            _ => true,
+        };
+        if is_news {
+            self.reports.push(report);
+        }
+    }
+
+    /// Returns the targets that nothing runs on any more and that are to be given back.
+    pub(crate) fn released(&self) -> Vec<(TargetId, FencingToken)> {
+        let mut released = Vec::new();
+        for target in self.targets.values() {
+            let is_due = self.is_leaving || target.must_release || target.is_fenced;
+            if is_due && target.runs.is_empty() {
+                released.push((target.record.id.clone(), target.token));
+            }
+        }
+        released
+    }
+
+    /// Returns the targets that have not answered for long.
+    pub(crate) fn missing(&self, now: Instant) -> Vec<(TargetId, FencingToken)> {
+        let mut missing = Vec::new();
+        for target in self.targets.values() {
+            if now.since(target.heard) >= self.options.missing_after {
+                missing.push((target.record.id.clone(), target.token));
+            }
+        }
+        missing
+    }
+
+    /// Returns the load that siblings are told.
+    pub(crate) fn load(&self, now: Instant) -> LoadReport {
+        let mut report = LoadReport {
+            is_leaving: self.is_leaving,
+            ..LoadReport::default()
+        };
+        for target in self.targets.values() {
+            report.targets.push(TargetLoad {
+                id: target.record.id.clone(),
+                service: target.record.service.clone(),
+                labels: target.record.labels.clone(),
+                capacity: target.record.capacity,
+                free: target.free(),
+                slowness: target.health.slowness(),
+                is_open: self.is_open(now, target),
+            });
+        }
+        for waiting in self.waiting.values() {
+            let rank = (waiting.order.priority as usize).min(RANKS - 1);
+            report.queued[rank] += waiting.order.needs.cpu_milli * waiting.order.estimate.as_millis() as u64 / 1000;
+        }
+        report
+    }
+
+    /// Does what time asks for: polls, repeated stops, ends of leases and of waits.
+    pub(crate) fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.expire_leases(now, outputs);
+        self.expire_waiting(now, outputs);
+        self.repeat_stops(now, outputs);
+        self.poll_due(now, outputs);
+        self.pump(now, outputs);
+    }
+
+    fn is_open(&self, now: Instant, target: &Target) -> bool {
+        !self.is_leaving && target.is_open(now, &self.options)
+    }
+
+    fn call(&mut self, open: OpenCall, call: TargetCall, outputs: &mut Vec<Output>) {
+        let Some(target) = self.targets.get(open.target()) else {
+            return;
+        };
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        let place = target.place();
+        self.calls.insert(id, open);
+        outputs.push(Output::Call { id, place, call });
+    }
+
+    fn end(&mut self, coordinator: InstanceId, ticket: Ticket, end: RunEnd, target: Option<TargetId>) {
+        self.ended.push(Ended {
+            coordinator,
+            ticket,
+            end,
+            target,
+        });
+    }
+
+    /// Ends all runs at a target, each of which has certainly ended.
+    fn clear_runs(&mut self, id: &TargetId, proof: &'static str, outputs: &mut Vec<Output>) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let runs: Vec<RunId> = target.runs.keys().cloned().collect();
+        for run in runs {
+            self.clear_run(id, &run, proof, outputs);
+        }
+    }
+
+    /// Ends one run that has certainly ended without a listed end.
+    fn clear_run(&mut self, id: &TargetId, run: &RunId, proof: &'static str, outputs: &mut Vec<Output>) {
+        let removed = self.targets.get_mut(id).and_then(|target| target.remove(run));
+        let Some(removed) = removed else { return };
+        outputs.push(Output::Note(Note::RunCleared {
+            run: run.clone(),
+            target: id.clone(),
+            proof,
+        }));
+        if let Some((coordinator, ticket)) = removed.ordered_by {
+            self.end(coordinator, ticket, RunEnd::Lost, Some(id.clone()));
+        }
+    }
+}
+
+fn attach(now: Instant, grant: &TargetGrant, outputs: &mut Vec<Output>) -> Target {
+    let target = Target::new(now, grant);
+    note(outputs, &target, "owned", format!("token {}", grant.token));
+    target
+}
+
+/// Logs a change of what is believed of a target.
+fn note(outputs: &mut Vec<Output>, target: &Target, belief: &'static str, input: String) {
+    outputs.push(Output::Note(Note::TargetChanged {
+        target: target.record.id.clone(),
+        belief,
+        input,
+    }));
+}
--- /dev/null
+++ b/kqr-dispatch/src/desk/orders.rs
@@ -0,0 +1,289 @@
+//! Orders of coordinators: waiting, starting, stopping.
+
+use kqr_types::{InstanceId, Instant, TargetId};
+
+use super::{
+    Desk,
+    open_call::OpenCall,
+    run::{Run, RunState},
+    target::{Target, longest},
+    waiting::Waiting,
+};
+use crate::{NotRun, Note, Output, RunEnd, RunId, RunOrder, StartCall, StopCall, TargetCall, Ticket};
+
+/// Waiting orders that may be passed over in one round for want of room; the rest would hardly fit either.
+const MAX_PASSED_OVER: usize = 24;
+/// Factor of the run time on a rack without the data, for the choice of a target.
+const FAR_FACTOR: f32 = 1.5;
+
+impl Desk {
+    /// Takes an order; it starts when a target has room.
+    pub(crate) fn order(
+        &mut self,
+        now: Instant,
+        coordinator: InstanceId,
+        order: RunOrder,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_possible = self.targets.values().any(|target| may_run(target, &order));
+        if self.is_leaving || !is_possible {
+            self.refuse(coordinator, &order, NotRun::NoTarget, outputs);
+            return;
+        }
+        self.arrivals += 1;
+        let waiting = Waiting {
+            coordinator,
+            arrived: now,
+            until: now + order.time_left,
+            order,
+        };
+        self.waiting
+            .insert((waiting.order.priority, self.arrivals), waiting);
+    }
+
+    /// Starts waiting orders where there is room, in their order.
+    pub(crate) fn pump(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let mut passed_over = 0;
+        let keys: Vec<(u32, u64)> = self.waiting.keys().copied().collect();
+        for key in keys {
+            if passed_over == MAX_PASSED_OVER {
+                break;
+            }
+            let Some(waiting) = self.waiting.get(&key) else {
+                continue;
+            };
+            match self.pick(now, &waiting.order) {
+                Some(target) => {
+                    if let Some(waiting) = self.waiting.remove(&key) {
+                        self.start(now, &target, &waiting, outputs);
+                    }
+                }
+                None => passed_over += 1,
+            }
+        }
+    }
+
+    /// Takes an order back: what runs is stopped.
+    pub(crate) fn cancel(
+        &mut self,
+        now: Instant,
+        coordinator: &InstanceId,
+        ticket: Ticket,
+        outputs: &mut Vec<Output>,
+    ) {
+        let mut waiting = self.waiting.iter();
+        let found = waiting.find(|(_, waiting)| {
+            waiting.order.ticket == ticket && waiting.coordinator == *coordinator
+        });
+        if let Some((&key, _)) = found {
+            self.waiting.remove(&key);
+            let end = RunEnd::NotRun(NotRun::Cancelled);
+            self.end(coordinator.clone(), ticket, end, None);
+            return;
+        }
+        let is_meant = |run: &Run| run.ordered_by.as_ref() == Some(&(coordinator.clone(), ticket));
+        self.stop_where(now, "cancelled", is_meant, outputs);
+    }
+
+    /// Drops the orders of a coordinator that is gone: nobody waits for them, and its callers may ask elsewhere.
+    pub(crate) fn drop_coordinator(
+        &mut self,
+        now: Instant,
+        coordinator: &InstanceId,
+        outputs: &mut Vec<Output>,
+    ) {
+        self.waiting.retain(|_, waiting| waiting.coordinator != *coordinator);
+        let is_meant = |run: &Run| run.ordered_by.as_ref().is_some_and(|(by, _)| by == coordinator);
+        self.stop_where(now, "coordinator-lost", is_meant, outputs);
+        for target in self.targets.values_mut().chain(&mut self.former) {
+            for run in target.runs.values_mut() {
+                if is_meant(run) {
+                    run.ordered_by = None;
+                }
+            }
+        }
+    }
+
+    /// Ends the waits that have taken too long.
+    pub(super) fn expire_waiting(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let mut expired = Vec::new();
+        for (&key, waiting) in &self.waiting {
+            if self.is_leaving {
+                expired.push((key, NotRun::NoTarget));
+            } else if waiting.until <= now {
+                expired.push((key, NotRun::Expired));
+            } else if !self.targets.values().any(|target| may_run(target, &waiting.order)) {
+                expired.push((key, NotRun::NoTarget));
+            }
+        }
+        for (key, cause) in expired {
+            if let Some(waiting) = self.waiting.remove(&key) {
+                self.refuse(waiting.coordinator, &waiting.order, cause, outputs);
+            }
+        }
+    }
+
+    /// Stops a run, and stops it again until the target lists its end.
+    pub(super) fn stop(
+        &mut self,
+        now: Instant,
+        target: &TargetId,
+        run: &RunId,
+        cause: &'static str,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(held) = self.targets.get_mut(target) else {
+            return;
+        };
+        let Some(state) = held.runs.get_mut(run) else {
+            return;
+        };
+        if state.state != RunState::Stopping {
+            outputs.push(Output::Note(Note::RunStopped {
+                run: run.clone(),
+                target: target.clone(),
+                cause,
+            }));
+        }
+        state.enter(now, RunState::Stopping);
+        let token = held.token;
+        let open = OpenCall::Stop {
+            target: target.clone(),
+            token,
+            run: run.clone(),
+        };
+        let call = StopCall { run: run.clone() };
+        self.call(open, TargetCall::Stop(call), outputs);
+    }
+
+    /// Sends stops again that the target has not confirmed.
+    pub(super) fn repeat_stops(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let mut due = Vec::new();
+        for (id, target) in &self.targets {
+            for (run, state) in &target.runs {
+                let is_due = state.state == RunState::Stopping
+                    && state.stop_confirmed.is_none()
+                    && now.since(state.since) >= self.options.stop_retry;
+                if is_due && !target.is_fenced {
+                    due.push((id.clone(), run.clone()));
+                }
+            }
+        }
+        for (target, run) in due {
+            self.stop(now, &target, &run, "unconfirmed", outputs);
+        }
+    }
+
+    fn stop_where<Meant>(&mut self, now: Instant, cause: &'static str, is_meant: Meant, outputs: &mut Vec<Output>)
+    where
+        Meant: Fn(&Run) -> bool,
+    {
+        let mut meant = Vec::new();
+        for (id, target) in &self.targets {
+            for (run, state) in &target.runs {
+                if is_meant(state) && state.state != RunState::Stopping {
+                    meant.push((id.clone(), run.clone()));
+                }
+            }
+        }
+        for (target, run) in meant {
+            self.stop(now, &target, &run, cause, outputs);
+        }
+    }
+
+    fn refuse(&mut self, coordinator: InstanceId, order: &RunOrder, cause: NotRun, outputs: &mut Vec<Output>) {
+        outputs.push(Output::Note(Note::OrderRefused {
+            run: order.run.clone(),
+            cause,
+        }));
+        self.end(coordinator, order.ticket, RunEnd::NotRun(cause), None);
+    }
+
+    /// Returns the target on which the order finishes first, among those with room.
+    fn pick(&self, now: Instant, order: &RunOrder) -> Option<TargetId> {
+        let mut best: Option<(f32, &TargetId)> = None;
+        for (id, target) in &self.targets {
+            let has_room = self.is_open(now, target)
+                && may_run(target, order)
+                && target.free().holds(&order.needs)
+                && has_spread(target, order);
+            if !has_room {
+                continue;
+            }
+            if order.preferred.as_ref() == Some(id) {
+                return Some(id.clone());
+            }
+            let is_far = order.near.as_ref().is_some_and(|rack| !target.record.has_label(rack));
+            let factor = if is_far { FAR_FACTOR } else { 1.0 };
+            let cost = target.health.slowness() * factor;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    fn start(&mut self, now: Instant, id: &TargetId, waiting: &Waiting, outputs: &mut Vec<Output>) {
+        let order = &waiting.order;
+        let start_by = now + longest(&self.options);
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let Some(lease_until) = target.extend(now, &self.options) else {
+            return;
+        };
+        let run = Run {
+            ordered_by: Some((waiting.coordinator.clone(), order.ticket)),
+            needs: order.needs,
+            estimate: order.estimate,
+            state: RunState::Starting,
+            sent: now,
+            since: now,
+            start_by,
+            stop_confirmed: None,
+            percent: 0,
+            progressed: now,
+            failures: order.failures,
+        };
+        target.runs.insert(order.run.clone(), run);
+        let open = OpenCall::Start {
+            target: id.clone(),
+            token: target.token,
+            run: order.run.clone(),
+        };
+        let call = StartCall {
+            run: order.run.clone(),
+            spec: order.spec.clone(),
+            lease_until,
+        };
+        outputs.push(Output::Note(Note::RunStarted {
+            run: order.run.clone(),
+            target: id.clone(),
+            waited_ms: now.since(waiting.arrived).as_millis() as u64,
+        }));
+        self.call(open, TargetCall::Start(call), outputs);
+    }
+}
+
+/// Returns whether the target could run the order, with or without room.
+fn may_run(target: &Target, order: &RunOrder) -> bool {
+    let is_usable = !target.is_leaving && !target.must_release && !target.is_fenced;
+    let has_label = order.label.as_ref().is_none_or(|label| target.record.has_label(label));
+    is_usable
+        && has_label
+        && target.record.service == order.service
+        && target.record.capacity.holds(&order.needs)
+        && !order.avoid.contains(&target.record.id)
+}
+
+/// Returns whether the target may take one more task of the step.
+fn has_spread(target: &Target, order: &RunOrder) -> bool {
+    let Some(most) = order.max_per_target else {
+        return true;
+    };
+    let task = &order.run.task;
+    let same_step = target.runs.keys().filter(|run| {
+        run.task.job == task.job && run.task.occurrence == task.occurrence && run.task.step == task.step
+    });
+    same_step.count() < most as usize
+}
--- /dev/null
+++ b/kqr-dispatch/src/desk/polling.rs
@@ -0,0 +1,91 @@
+//! Polls: they renew the lease of what runs, and list what runs and what has ended.
+
+use std::time::Duration;
+
+use kqr_types::{Instant, TargetId};
+
+use super::{Desk, note, open_call::OpenCall, target::Target};
+use crate::{Output, PollCall, TargetCall};
+
+impl Desk {
+    /// Sends the polls that are due.
+    pub(super) fn poll_due(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let mut due = Vec::new();
+        for (id, target) in &self.targets {
+            if !target.is_polling && !target.is_fenced && target.next_poll <= now {
+                due.push(id.clone());
+            }
+        }
+        for id in due {
+            self.poll(now, &id, outputs);
+        }
+    }
+
+    /// Ends the runs whose lease has certainly ended.
+    pub(super) fn expire_leases(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let mut expired = Vec::new();
+        for (id, target) in &self.targets {
+            let is_watched = target.is_attached || !target.runs.is_empty();
+            if is_watched && target.lease_ends <= now && (target.missed > 0 || target.is_fenced) {
+                expired.push(id.clone());
+            }
+        }
+        for id in expired {
+            self.clear_runs(&id, "the lease ended", outputs);
+        }
+        let former = std::mem::take(&mut self.former);
+        for target in former {
+            if target.lease_ends > now {
+                self.former.push(target);
+                continue;
+            }
+            self.end_former(target);
+        }
+    }
+
+    fn end_former(&mut self, target: Target) {
+        for run in target.runs.into_values() {
+            if let Some((coordinator, ticket)) = run.ordered_by {
+                let id = Some(target.record.id.clone());
+                self.end(coordinator, ticket, crate::RunEnd::Lost, id);
+            }
+        }
+    }
+
+    pub(super) fn poll(&mut self, now: Instant, id: &TargetId, outputs: &mut Vec<Output>) {
+        let options = self.options.clone();
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        // A target that did not answer, or whose runs are not known yet, gets no longer lease: what runs there must end.
+        let may_extend = target.is_attached && target.missed == 0 && target.has_work();
+        let lease_until = if may_extend { target.extend(now, &options) } else { None };
+        let is_first = !target.is_attached || target.missed > 0;
+        let wait = if is_first { Duration::ZERO } else { options.poll_wait };
+        target.is_polling = true;
+        let call = PollCall {
+            lease_until,
+            cursor: target.cursor,
+            wait,
+        };
+        let open = OpenCall::Poll {
+            target: id.clone(),
+            token: target.token,
+            sent: now,
+        };
+        self.call(open, TargetCall::Poll(call), outputs);
+    }
+
+    /// Notes that a poll was not answered; the next one follows after a short while.
+    pub(super) fn poll_missed(&mut self, now: Instant, id: &TargetId, cause: String, outputs: &mut Vec<Output>) {
+        let retry = self.options.poll_retry;
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.missed == 0 {
+            note(outputs, target, "silent", cause);
+        }
+        target.missed += 1;
+        target.next_poll = now + retry;
+    }
+}
--- /dev/null
+++ b/kqr-dispatch/src/desk/target.rs
@@ -0,0 +1,137 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use kqr_fleet::{FencingToken, Resources, TargetGrant, TargetRecord};
+use kqr_types::Instant;
+
+use super::{
+    health::Health,
+    run::{Run, RunState},
+};
+use crate::{Options, RunId, TargetPlace, TargetTime};
+
+/// A target that this entry owns.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Target {
+    pub(super) record: TargetRecord,
+    pub(super) token: FencingToken,
+    pub(super) is_leaving: bool,
+    pub(super) must_release: bool,
+    /// Whether the target refuses this token.
+    pub(super) is_fenced: bool,
+    /// Whether the target has reported here since it is owned.
+    pub(super) is_reported: bool,
+    /// Whether a look has shown what runs here; before it nothing is started.
+    pub(super) is_attached: bool,
+    pub(super) runs: BTreeMap<RunId, Run>,
+    /// Number of the last end that was taken in.
+    pub(super) cursor: u64,
+    pub(super) is_polling: bool,
+    pub(super) next_poll: Instant,
+    /// Failed polls since the last answer.
+    pub(super) missed: u32,
+    /// When the target last answered a poll, or was attached.
+    pub(super) heard: Instant,
+    clock: Option<(TargetTime, Instant)>,
+    /// By when all that runs here has ended, unless its lease is extended.
+    pub(super) lease_ends: Instant,
+    pub(super) health: Health,
+}
+
+impl Target {
+    pub(super) fn new(now: Instant, grant: &TargetGrant) -> Self {
+        Self {
+            record: grant.record.clone(),
+            token: grant.token,
+            is_leaving: grant.is_leaving,
+            must_release: grant.must_release,
+            is_fenced: false,
+            is_reported: false,
+            is_attached: false,
+            runs: BTreeMap::new(),
+            cursor: 0,
+            is_polling: false,
+            next_poll: now,
+            missed: 0,
+            heard: now,
+            clock: None,
+            lease_ends: now,
+            health: Health::new(&Options::default()),
+        }
+    }
+
+    /// Takes what control says beside the ownership.
+    pub(super) fn update(&mut self, grant: &TargetGrant) {
+        if grant.record.life >= self.record.life {
+            self.is_leaving |= grant.is_leaving;
+        }
+        self.must_release = grant.must_release;
+    }
+
+    pub(super) fn place(&self) -> TargetPlace {
+        TargetPlace {
+            target: self.record.id.clone(),
+            address: self.record.address,
+            token: self.token,
+        }
+    }
+
+    /// Returns what is free. What an earlier owner left has unknown needs: until it has ended nothing is free.
+    pub(super) fn free(&self) -> Resources {
+        let mut free = self.record.capacity;
+        for run in self.runs.values() {
+            free -= run.needs;
+        }
+        free
+    }
+
+    /// Returns whether the target takes new work now.
+    pub(super) fn is_open(&self, now: Instant, options: &Options) -> bool {
+        let is_usable = self.is_attached
+            && !self.is_leaving
+            && !self.must_release
+            && !self.is_fenced
+            && self.missed == 0
+            && now.since(self.heard) < options.silence;
+        let most = self.health.most_runs(now);
+        is_usable && most.is_none_or(|most| self.runs.len() < most)
+    }
+
+    /// Returns whether the target has not answered the last polls.
+    pub(super) fn is_missing(&self) -> bool {
+        self.missed > 1
+    }
+
+    pub(super) fn take_clock(&mut self, now: Instant, clock: TargetTime) {
+        if self.clock.is_none_or(|(known, at)| clock >= known + now.since(at) / 2) {
+            self.clock = Some((clock, now));
+        }
+    }
+
+    /// Forgets the clock, the cursor and the runs' numbers of an earlier life.
+    pub(super) fn begin_life(&mut self) {
+        self.clock = None;
+        self.cursor = 0;
+    }
+
+    /// Returns the end of a lease that begins now, by the target's clock, and notes how long runs may live.
+    pub(super) fn extend(&mut self, now: Instant, options: &Options) -> Option<TargetTime> {
+        let (clock, at) = self.clock?;
+        self.lease_ends = self.lease_ends.max(now + longest(options));
+        Some(clock + now.since(at) + options.lease)
+    }
+
+    /// Returns whether a run is being started or at work.
+    pub(super) fn has_work(&self) -> bool {
+        self.runs.values().any(|run| run.state != RunState::Stopping)
+    }
+
+    pub(super) fn remove(&mut self, run: &RunId) -> Option<Run> {
+        self.runs.remove(run)
+    }
+}
+
+/// Returns the longest time that a lease lasts by the own clock.
+pub(super) fn longest(options: &Options) -> Duration {
+    let slowest = 1000_u32.saturating_sub(options.drift_per_mille).max(1);
+    options.lease * 1000 / slowest + options.lease_margin
+}
--- /dev/null
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -0,0 +1,287 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use kqr_fleet::{EntryInfo, FencingToken, TargetReport};
+use kqr_types::{Incarnation, InstanceId, Instant, JobKey, TargetId};
+
+use crate::{
+    Input, LoadReport, Note, Options, Output, RunOrder, SiblingMessage,
+    desk::Desk,
+    jobs::{Candidates, Jobs, Placed},
+    siblings::Siblings,
+};
+
+/// Factor of the time between two reports after which an unchanged load is reported all the same, as a sign of life.
+const UNCHANGED_FACTOR: u32 = 2;
+
+/// The decisions of an entry, without input or output.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    own: EntryInfo,
+    options: Options,
+    desk: Desk,
+    jobs: Jobs,
+    siblings: Siblings,
+    reported: LoadReport,
+    reported_at: Instant,
+}
+
+impl Dispatcher {
+    /// Creates the decisions of the entry `own`.
+    pub fn new(own: EntryInfo, options: Options) -> Self {
+        Self {
+            own,
+            desk: Desk::new(options.clone()),
+            jobs: Jobs::new(options.clone()),
+            siblings: Siblings::default(),
+            options,
+            reported: LoadReport::default(),
+            reported_at: Instant(0),
+        }
+    }
+
+    /// Takes one input and adds what has to be done to `outputs`.
+    pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
+        match input {
+            Input::Tick => self.tick(now, outputs),
+            Input::Submit(request) => {
+                let key = request.key.clone();
+                let mut candidates = self.candidates(now);
+                if self.jobs.submit(now, request, &candidates, outputs) {
+                    self.place(now, &key, &mut candidates, outputs);
+                }
+            }
+            Input::Abandon(job) => self.jobs.abandon(now, &job, outputs),
+            Input::Cancel(job) => self.jobs.cancel(now, &job, outputs),
+            Input::View { entries, owned } => {
+                for gone in self.siblings.update(&self.own.id, entries) {
+                    self.lose(now, &gone, outputs);
+                }
+                self.desk.grant(now, &owned, outputs);
+            }
+            Input::Report(report) => self.desk.report(report, outputs),
+            Input::Message { from, message } => self.message(now, &from, message, outputs),
+            Input::LinkLost { sibling } => self.lose(now, &sibling, outputs),
+            Input::Started { call, answer } => self.desk.started(now, call, answer, outputs),
+            Input::Stopped { call, answer } => self.desk.stopped(now, call, answer, outputs),
+            Input::Polled { call, answer } => self.desk.polled(now, call, answer, outputs),
+            Input::Leave => {
+                self.own.is_leaving = true;
+                self.desk.leave();
+            }
+        }
+        self.settle(now, outputs);
+    }
+
+    /// Returns whether no job, run or order is left.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.len() == 0 && self.desk.is_idle()
+    }
+
+    /// Returns the targets that are given back to control.
+    pub fn released(&self) -> Vec<(TargetId, FencingToken)> {
+        self.desk.released()
+    }
+
+    /// Returns the owned targets that have not answered for long.
+    pub fn missing(&self, now: Instant) -> Vec<(TargetId, FencingToken)> {
+        self.desk.missing(now)
+    }
+
+    /// Takes the reports of targets that control has to hear of.
+    pub fn take_reports(&mut self) -> Vec<TargetReport> {
+        self.desk.take_reports()
+    }
+
+    /// Returns the siblings that were heard a short time ago, with their lives.
+    pub fn heard(&self, now: Instant) -> Vec<(InstanceId, Incarnation)> {
+        self.siblings.heard(now, &self.options)
+    }
+
+    /// Returns the number of jobs that wait for their first start.
+    pub fn unstarted_jobs(&self) -> usize {
+        self.jobs.unstarted()
+    }
+
+    /// Returns the number of jobs.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the number of runs at own targets.
+    pub fn runs(&self) -> usize {
+        self.desk.runs()
+    }
+
+    /// Returns the number of orders that wait for room at own targets.
+    pub fn waiting_orders(&self) -> usize {
+        self.desk.waiting()
+    }
+
+    /// Returns the number of owned targets.
+    pub fn owned_targets(&self) -> usize {
+        self.desk.targets()
+    }
+
+    fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        for silent in self.siblings.expire(now, &self.options) {
+            self.lose(now, &silent, outputs);
+        }
+        self.jobs.expire(now, outputs);
+        self.jobs.expire_lost(now, outputs);
+        self.desk.tick(now, outputs);
+        self.report_load(now, outputs);
+    }
+
+    fn message(&mut self, now: Instant, from: &InstanceId, message: SiblingMessage, outputs: &mut Vec<Output>) {
+        let lag = self.options.report_lag;
+        if let Some(sibling) = self.siblings.get_mut(from) {
+            if sibling.heard.is_none() {
+                note_sibling(outputs, from, "heard");
+            }
+            sibling.heard = Some(now);
+        }
+        match message {
+            SiblingMessage::Load(load) => {
+                if let Some(sibling) = self.siblings.get_mut(from) {
+                    sibling.take_load(now, load, lag);
+                }
+            }
+            SiblingMessage::Run(orders) => {
+                for order in orders {
+                    self.desk.order(now, from.clone(), order, outputs);
+                }
+            }
+            SiblingMessage::Cancel(tickets) => {
+                for ticket in tickets {
+                    self.desk.cancel(now, from, ticket, outputs);
+                }
+            }
+            SiblingMessage::Ended { ticket, end, target } => {
+                self.jobs.ended(now, ticket, end, target, outputs);
+            }
+        }
+    }
+
+    /// Treats a sibling as lost: its orders are stopped, and own orders there end with the leases.
+    fn lose(&mut self, now: Instant, sibling: &InstanceId, outputs: &mut Vec<Output>) {
+        note_sibling(outputs, sibling, "lost");
+        if let Some(known) = self.siblings.get_mut(sibling) {
+            known.heard = None;
+            known.load = LoadReport::default();
+        }
+        self.desk.drop_coordinator(now, sibling, outputs);
+        let ended_by = now + self.options.sibling_silence + self.lease_bound();
+        self.jobs.owner_lost(sibling, ended_by);
+    }
+
+    /// Returns how long runs outlive an owner that does not extend their leases.
+    fn lease_bound(&self) -> Duration {
+        let slowest = 1000_u32.saturating_sub(self.options.drift_per_mille).max(1);
+        self.options.lease * 1000 / slowest + self.options.lease_margin
+    }
+
+    /// Starts what has room, passes ends to their coordinators and orders what became ready.
+    fn settle(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        loop {
+            self.send_cancelled(now, outputs);
+            self.desk.pump(now, outputs);
+            self.pass_ends(now, outputs);
+            let ready = self.jobs.ready(now);
+            if ready.is_empty() {
+                break;
+            }
+            let mut candidates = self.candidates(now);
+            for key in ready {
+                self.place(now, &key, &mut candidates, outputs);
+            }
+        }
+        self.send_cancelled(now, outputs);
+    }
+
+    fn send_cancelled(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        for (owner, tickets) in self.jobs.take_cancelled() {
+            if owner != self.own.id {
+                let message = SiblingMessage::Cancel(tickets);
+                outputs.push(Output::Send { to: owner, message });
+                continue;
+            }
+            for ticket in tickets {
+                self.desk.cancel(now, &owner, ticket, outputs);
+            }
+        }
+    }
+
+    fn pass_ends(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        for ended in self.desk.take_ended() {
+            let (ticket, end, target) = (ended.ticket, ended.end, ended.target);
+            if ended.coordinator == self.own.id {
+                self.jobs.ended(now, ticket, end, target, outputs);
+                continue;
+            }
+            outputs.push(Output::Send {
+                to: ended.coordinator,
+                message: SiblingMessage::Ended { ticket, end, target },
+            });
+        }
+    }
+
+    fn place(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        candidates: &mut Candidates,
+        outputs: &mut Vec<Output>,
+    ) {
+        let mut remote: BTreeMap<InstanceId, Vec<RunOrder>> = BTreeMap::new();
+        for Placed { owner, order } in self.jobs.place(now, key, candidates, outputs) {
+            if owner == self.own.id {
+                self.desk.order(now, owner, order, outputs);
+                continue;
+            }
+            if let (Some(sibling), Some(target)) = (self.siblings.get_mut(&owner), &order.preferred) {
+                sibling.reserve(now, target, order.needs);
+            }
+            remote.entry(owner).or_default().push(order);
+        }
+        for (to, orders) in remote {
+            let message = SiblingMessage::Run(orders);
+            outputs.push(Output::Send { to, message });
+        }
+    }
+
+    fn candidates(&self, now: Instant) -> Candidates {
+        let mut candidates = Candidates::default();
+        candidates.add(&self.own.id, true, self.desk.load(now));
+        for sibling in self.siblings.live(now, &self.options) {
+            let is_near = sibling.info.data_centre == self.own.data_centre;
+            candidates.add(&sibling.info.id, is_near, sibling.load.clone());
+        }
+        candidates
+    }
+
+    fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let passed = now.since(self.reported_at);
+        if passed < self.options.report_every {
+            return;
+        }
+        let load = self.desk.load(now);
+        if load == self.reported && passed < self.options.report_every * UNCHANGED_FACTOR {
+            return;
+        }
+        self.reported_at = now;
+        self.reported = load;
+        for sibling in self.siblings.iter() {
+            outputs.push(Output::Send {
+                to: sibling.info.id.clone(),
+                message: SiblingMessage::Load(self.reported.clone()),
+            });
+        }
+    }
+}
+
+fn note_sibling(outputs: &mut Vec<Output>, sibling: &InstanceId, belief: &'static str) {
+    outputs.push(Output::Note(Note::SiblingChanged {
+        sibling: sibling.clone(),
+        belief,
+    }));
+}
--- /dev/null
+++ b/kqr-dispatch/src/input.rs
@@ -0,0 +1,61 @@
+use kqr_fleet::{EntryInfo, TargetGrant, TargetReport};
+use kqr_types::{InstanceId, JobKey};
+
+use crate::{CallFailure, CallId, JobRequest, PollAnswer, SiblingMessage, TargetTime};
+
+/// Input of the [`Dispatcher`](crate::Dispatcher).
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A caller submits a job. A key that is at work already is not run again.
+    Submit(JobRequest),
+    /// The caller of a job is gone.
+    Abandon(JobKey),
+    /// A caller cancels a job.
+    Cancel(JobKey),
+    /// Control told of the live entries and of the targets of this one.
+    View {
+        /// All entries, this one included.
+        entries: Vec<EntryInfo>,
+        /// The own targets.
+        owned: Vec<TargetGrant>,
+    },
+    /// A target reported to this entry.
+    Report(TargetReport),
+    /// A message of a sibling arrived.
+    Message {
+        /// Sibling.
+        from: InstanceId,
+        /// The message.
+        message: SiblingMessage,
+    },
+    /// Messages to or from a sibling may have been lost.
+    LinkLost {
+        /// Sibling.
+        sibling: InstanceId,
+    },
+    /// A start was answered with the target's clock, or failed.
+    Started {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: Result<TargetTime, CallFailure>,
+    },
+    /// A stop was answered with the target's clock, or failed.
+    Stopped {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: Result<TargetTime, CallFailure>,
+    },
+    /// A poll was answered, or failed.
+    Polled {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: Result<PollAnswer, CallFailure>,
+    },
+    /// The entry is shutting down: targets are given back as they become idle.
+    Leave,
+}
--- /dev/null
+++ b/kqr-dispatch/src/jobs/candidates.rs
@@ -0,0 +1,143 @@
+use std::time::Duration;
+
+use kqr_types::{InstanceId, TargetId};
+
+use crate::{JobRequest, LoadReport, RunOrder, StepSpec, TargetLoad, load_report::RANKS};
+
+/// Factor of the run time on a rack without the data, for the choice of a target.
+const FAR_FACTOR: f32 = 1.5;
+/// Cost of an owner in another data centre, as a part of the run time: a start and its end cross the link.
+const REMOTE_COST: f32 = 0.05;
+
+/// An owner with its load.
+#[derive(Clone, Debug, PartialEq)]
+struct OwnerLoad {
+    owner: InstanceId,
+    is_near: bool,
+    load: LoadReport,
+}
+
+/// The owners that orders may go to, with what each has room for. Orders are deducted as they are placed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Candidates {
+    owners: Vec<OwnerLoad>,
+}
+
+impl Candidates {
+    /// Adds an owner.
+    pub(crate) fn add(&mut self, owner: &InstanceId, is_near: bool, load: LoadReport) {
+        if !load.is_leaving {
+            self.owners.push(OwnerLoad {
+                owner: owner.clone(),
+                is_near,
+                load,
+            });
+        }
+    }
+
+    /// Returns whether some target could run each step, with or without room.
+    pub(crate) fn can_run(&self, request: &JobRequest) -> bool {
+        let mut steps = request.steps.iter();
+        steps.all(|step| self.targets().any(|target| fits_step(target, request, step)))
+    }
+
+    /// Returns how long the tasks of a job are expected to wait for room, or `None` if nothing can run them.
+    pub(crate) fn expected_wait(&self, request: &JobRequest) -> Option<Duration> {
+        let mut capacity = 0;
+        let mut has_room = false;
+        for target in self.targets() {
+            if target.service != request.service || !target.is_open {
+                continue;
+            }
+            capacity += target.capacity.cpu_milli;
+            let mut steps = request.steps.iter();
+            has_room |= steps.any(|step| target.free.holds(&step.needs));
+        }
+        if capacity == 0 {
+            return None;
+        }
+        if has_room {
+            return Some(Duration::ZERO);
+        }
+        let rank = (request.priority as usize).min(RANKS - 1);
+        let queued: u64 = self.owners.iter().map(|owner| ahead(&owner.load, rank)).sum();
+        Some(Duration::from_millis(queued * 1000 / capacity))
+    }
+
+    /// Picks the owner for an order: one with room on the target where the task ends first, or else the one with the
+    /// least work ahead of the order.
+    pub(crate) fn pick(&mut self, order: &RunOrder) -> Option<(InstanceId, Option<TargetId>)> {
+        let mut best: Option<(f32, usize, usize)> = None;
+        for (number, owner) in self.owners.iter().enumerate() {
+            for (index, target) in owner.load.targets.iter().enumerate() {
+                if !target.is_open || !target.free.holds(&order.needs) || !may_run(target, order) {
+                    continue;
+                }
+                let cost = cost(target, order, owner.is_near);
+                if best.is_none_or(|(least, ..)| cost < least) {
+                    best = Some((cost, number, index));
+                }
+            }
+        }
+        let Some((_, number, index)) = best else {
+            return self.pick_queue(order).map(|owner| (owner, None));
+        };
+        let owner = self.owners.get_mut(number)?;
+        let target = owner.load.targets.get_mut(index)?;
+        target.free -= order.needs;
+        Some((owner.owner.clone(), Some(target.id.clone())))
+    }
+
+    fn pick_queue(&mut self, order: &RunOrder) -> Option<InstanceId> {
+        let rank = (order.priority as usize).min(RANKS - 1);
+        let mut best: Option<(u64, usize)> = None;
+        for (number, owner) in self.owners.iter().enumerate() {
+            let targets = owner.load.targets.iter();
+            let usable = targets.filter(|target| may_run(target, order));
+            let capacity: u64 = usable.map(|target| target.capacity.cpu_milli).sum();
+            if capacity == 0 {
+                continue;
+            }
+            let wait = ahead(&owner.load, rank) * 1000 / capacity;
+            if best.is_none_or(|(least, _)| wait < least) {
+                best = Some((wait, number));
+            }
+        }
+        let (_, number) = best?;
+        let owner = self.owners.get_mut(number)?;
+        owner.load.queued[rank] += order.needs.cpu_milli * order.estimate.as_millis() as u64 / 1000;
+        Some(owner.owner.clone())
+    }
+
+    fn targets(&self) -> impl Iterator<Item = &TargetLoad> {
+        self.owners.iter().flat_map(|owner| &owner.load.targets)
+    }
+}
+
+
+/// Returns the work that an order of `rank` waits for, in core-milliseconds.
+fn ahead(load: &LoadReport, rank: usize) -> u64 {
+    load.queued.iter().take(rank + 1).sum()
+}
+
+fn fits_step(target: &TargetLoad, request: &JobRequest, step: &StepSpec) -> bool {
+    let has_label = step.label.as_ref().is_none_or(|label| target.labels.contains(label));
+    has_label && target.service == request.service && target.capacity.holds(&step.needs)
+}
+
+fn may_run(target: &TargetLoad, order: &RunOrder) -> bool {
+    let has_label = order.label.as_ref().is_none_or(|label| target.labels.contains(label));
+    has_label
+        && target.service == order.service
+        && target.capacity.holds(&order.needs)
+        && !order.avoid.contains(&target.id)
+}
+
+
+/// Returns the expected run time in relation to the estimate.
+fn cost(target: &TargetLoad, order: &RunOrder, is_near: bool) -> f32 {
+    let is_far = order.near.as_ref().is_some_and(|rack| !target.labels.contains(rack));
+    let rack = if is_far { FAR_FACTOR } else { 1.0 };
+    let link = if is_near { 0.0 } else { REMOTE_COST };
+    target.slowness * rack + link
+}
--- /dev/null
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -0,0 +1,73 @@
+use kqr_types::Instant;
+
+use super::task::{Task, TaskState};
+use crate::{JobRequest, Options, Ticket};
+
+/// A job that this entry coordinates.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Job {
+    pub(super) request: JobRequest,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    /// The tasks of each step.
+    pub(super) steps: Vec<Vec<Task>>,
+    /// Orders that were made.
+    pub(super) orders: u64,
+    /// Whether a run may have begun.
+    pub(super) has_begun: bool,
+}
+
+impl Job {
+    pub(super) fn new(now: Instant, mut request: JobRequest, options: &Options) -> Self {
+        let mut steps = Vec::new();
+        for step in &mut request.steps {
+            if step.estimate.is_zero() {
+                step.estimate = options.default_estimate;
+            }
+            steps.push(vec![Task::new(now); step.count as usize]);
+        }
+        Self {
+            arrived: now,
+            deadline: now + request.time_left,
+            steps,
+            orders: 0,
+            has_begun: false,
+            request,
+        }
+    }
+
+    /// Returns whether it is certain that no task was started.
+    pub(super) fn is_untouched(&self) -> bool {
+        !self.has_begun && self.open_tickets().is_empty()
+    }
+
+    pub(super) fn is_complete(&self) -> bool {
+        (0..self.steps.len()).all(|step| self.is_step_complete(step))
+    }
+
+    /// Returns whether the steps that `step` waits for are complete.
+    pub(super) fn is_step_due(&self, step: usize) -> bool {
+        let after = self.request.steps.get(step).map(|spec| &spec.after);
+        after.is_some_and(|after| after.iter().all(|step| self.is_step_complete(*step as usize)))
+    }
+
+    /// Returns the orders that have not ended.
+    pub(super) fn open_tickets(&self) -> Vec<Ticket> {
+        let mut tickets = Vec::new();
+        for task in self.steps.iter().flatten() {
+            if let TaskState::Ordered(ticket) = task.state {
+                tickets.push(ticket);
+            }
+        }
+        tickets
+    }
+
+    pub(super) fn task_mut(&mut self, step: u32, index: u32) -> Option<&mut Task> {
+        self.steps.get_mut(step as usize)?.get_mut(index as usize)
+    }
+
+    fn is_step_complete(&self, step: usize) -> bool {
+        let tasks = self.steps.get(step);
+        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.state == TaskState::Done))
+    }
+}
--- /dev/null
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -0,0 +1,179 @@
+//! The coordinator's side: jobs of callers, and the orders that are made for their tasks.
+
+mod candidates;
+mod job;
+mod orders;
+mod task;
+
+use std::collections::BTreeMap;
+
+use kqr_types::{InstanceId, Instant, JobKey};
+
+use crate::{GiveUp, JobEnd, JobRequest, Note, Options, Output, RefusalCause, Ticket};
+pub(crate) use candidates::Candidates;
+use job::Job;
+use orders::OpenOrder;
+pub(crate) use orders::Placed;
+
+/// Shortest time after which another try makes sense, and the step of longer ones.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// The jobs that this entry coordinates.
+#[derive(Clone, Debug)]
+pub(crate) struct Jobs {
+    options: Options,
+    jobs: BTreeMap<JobKey, Job>,
+    orders: BTreeMap<Ticket, OpenOrder>,
+    next_ticket: u64,
+    tasks: u64,
+    /// Orders that are to be taken back, by owner.
+    cancelled: BTreeMap<InstanceId, Vec<Ticket>>,
+}
+
+impl Jobs {
+    pub(crate) fn new(options: Options) -> Self {
+        Self {
+            options,
+            jobs: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            next_ticket: 0,
+            tasks: 0,
+            cancelled: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of jobs.
+    pub(crate) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the number of jobs of which nothing was started, as far as is known.
+    pub(crate) fn unstarted(&self) -> usize {
+        self.jobs.values().filter(|job| job.orders == 0).count()
+    }
+
+    /// Takes the orders that are to be taken back.
+    pub(crate) fn take_cancelled(&mut self) -> BTreeMap<InstanceId, Vec<Ticket>> {
+        std::mem::take(&mut self.cancelled)
+    }
+
+    /// Admits a job or refuses it. Returns whether its tasks are to be placed.
+    pub(crate) fn submit(
+        &mut self,
+        now: Instant,
+        request: JobRequest,
+        candidates: &Candidates,
+        outputs: &mut Vec<Output>,
+    ) -> bool {
+        if self.jobs.contains_key(&request.key) {
+            return false;
+        }
+        let (job, tasks) = (request.key.clone(), request.tasks());
+        if tasks == 0 {
+            let end = JobEnd::Completed;
+            outputs.push(Output::JobEnded { job, end });
+            return false;
+        }
+        let wait = candidates.expected_wait(&request);
+        let wait_ms = wait.map_or(u64::MAX, |wait| wait.as_millis() as u64);
+        if let Some(cause) = self.refusal(&request, wait_ms, candidates) {
+            let end = JobEnd::Refused {
+                cause,
+                retry_after: std::time::Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
+            };
+            note_end(outputs, &job, &end, 0, 0);
+            outputs.push(Output::JobEnded { job, end });
+            return false;
+        }
+        outputs.push(Output::Note(Note::JobAdmitted {
+            job: job.clone(),
+            tasks,
+            wait_ms,
+        }));
+        self.tasks += tasks;
+        self.jobs.insert(job, Job::new(now, request, &self.options));
+        true
+    }
+
+    /// Ends a job whose caller is gone.
+    pub(crate) fn abandon(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
+        if let Some(job) = self.remove(key) {
+            outputs.push(Output::Note(Note::JobAbandoned {
+                job: key.clone(),
+                after_ms: now.since(job.arrived).as_millis() as u64,
+            }));
+        }
+    }
+
+    /// Ends a job that its caller cancels.
+    pub(crate) fn cancel(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
+        self.finish(now, key, JobEnd::GivenUp(GiveUp::Cancelled), outputs);
+    }
+
+    /// Ends the jobs whose time is over.
+    pub(crate) fn expire(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let mut expired = Vec::new();
+        for (key, job) in &self.jobs {
+            if job.deadline <= now {
+                expired.push(key.clone());
+            }
+        }
+        for key in expired {
+            self.give_up(now, &key, outputs);
+        }
+    }
+
+    /// Ends a job whose time is over: as refused if it is certain that nothing was started.
+    fn give_up(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
+        let is_untouched = self.jobs.get(key).is_some_and(Job::is_untouched);
+        let end = if is_untouched {
+            JobEnd::Refused {
+                cause: RefusalCause::Expired,
+                retry_after: std::time::Duration::from_millis(RETRY_AFTER_MS),
+            }
+        } else {
+            JobEnd::GivenUp(GiveUp::Deadline)
+        };
+        self.finish(now, key, end, outputs);
+    }
+
+    fn finish(&mut self, now: Instant, key: &JobKey, end: JobEnd, outputs: &mut Vec<Output>) {
+        let Some(job) = self.remove(key) else { return };
+        let after_ms = now.since(job.arrived).as_millis() as u64;
+        note_end(outputs, key, &end, after_ms, job.orders);
+        outputs.push(Output::JobEnded { job: key.clone(), end });
+    }
+
+    /// Removes a job and takes its open orders back.
+    fn remove(&mut self, key: &JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
+        self.tasks -= job.request.tasks();
+        for ticket in job.open_tickets() {
+            if let Some(order) = self.orders.remove(&ticket) {
+                self.cancelled.entry(order.owner).or_default().push(ticket);
+            }
+        }
+        Some(job)
+    }
+
+    fn refusal(&self, request: &JobRequest, wait_ms: u64, candidates: &Candidates) -> Option<RefusalCause> {
+        if !request.is_ordered() || !candidates.can_run(request) {
+            return Some(RefusalCause::NoTarget);
+        }
+        if self.tasks + request.tasks() > self.options.max_tasks {
+            return Some(RefusalCause::TooManyTasks);
+        }
+        let longest = request.steps.iter().map(|step| step.estimate).max().unwrap_or_default();
+        let most = request.time_left.saturating_sub(longest).as_millis() as u64;
+        (wait_ms > most).then_some(RefusalCause::Overload)
+    }
+}
+
+fn note_end(outputs: &mut Vec<Output>, job: &JobKey, end: &JobEnd, after_ms: u64, orders: u64) {
+    outputs.push(Output::Note(Note::JobEnded {
+        job: job.clone(),
+        end: end.clone(),
+        after_ms,
+        orders,
+    }));
+}
--- /dev/null
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -0,0 +1,229 @@
+//! Orders for the tasks of a job: placing them, and taking their ends.
+
+use std::time::Duration;
+
+use kqr_types::{InstanceId, Instant, JobKey, TargetId};
+
+use super::{Candidates, Jobs, job::Job, task::TaskState};
+use crate::{JobEnd, NotRun, Note, Output, RunEnd, RunId, RunOrder, TaskId, Ticket};
+
+/// Pause before a task is ordered again that an owner could not take: until the next reports of loads.
+const REORDER_PAUSE: Duration = Duration::from_millis(20);
+/// Factor by which the attempt rises past one that a target has seen.
+const ATTEMPT_FACTOR: u32 = 2;
+
+/// An order that has not ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct OpenOrder {
+    pub(super) owner: InstanceId,
+    job: JobKey,
+    step: u32,
+    index: u32,
+    /// When the run has certainly ended, if its owner is lost.
+    lost_by: Option<Instant>,
+}
+
+/// An order that is to be sent to an owner.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Placed {
+    pub(crate) owner: InstanceId,
+    pub(crate) order: RunOrder,
+}
+
+impl Jobs {
+    /// Returns the jobs with tasks that may be ordered now, the oldest ones of the first ranks first.
+    pub(crate) fn ready(&self, now: Instant) -> Vec<JobKey> {
+        let mut ready = Vec::new();
+        for (key, job) in &self.jobs {
+            let tasks = job.steps.iter().flatten();
+            let has_ready = tasks.into_iter().any(|task| is_ready(now, task.state));
+            if has_ready {
+                ready.push((job.request.priority, job.arrived, key));
+            }
+        }
+        ready.sort_unstable();
+        ready.into_iter().map(|(.., key)| key.clone()).collect()
+    }
+
+    /// Orders the tasks of a job that may be ordered now.
+    pub(crate) fn place(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        candidates: &mut Candidates,
+        outputs: &mut Vec<Output>,
+    ) -> Vec<Placed> {
+        let mut placed = Vec::new();
+        let Some(job) = self.jobs.get_mut(key) else {
+            return placed;
+        };
+        for step in 0..job.steps.len() {
+            if !job.is_step_due(step) {
+                continue;
+            }
+            for index in 0..job.steps[step].len() {
+                if !is_ready(now, job.steps[step][index].state) {
+                    continue;
+                }
+                let ticket = Ticket(self.next_ticket + 1);
+                let Some(order) = order_of(now, job, ticket, step, index) else {
+                    continue;
+                };
+                let Some((owner, preferred)) = candidates.pick(&order) else {
+                    forgive_targets(now, job, step, index);
+                    continue;
+                };
+                self.next_ticket += 1;
+                let order = RunOrder { preferred, ..order };
+                note_order(job, step, index, &owner, &order, outputs);
+                let open = OpenOrder {
+                    owner: owner.clone(),
+                    job: key.clone(),
+                    step: step as u32,
+                    index: index as u32,
+                    lost_by: None,
+                };
+                self.orders.insert(ticket, open);
+                placed.push(Placed { owner, order });
+            }
+        }
+        placed
+    }
+
+    /// Takes the end of an order.
+    pub(crate) fn ended(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        end: RunEnd,
+        target: Option<TargetId>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(order) = self.orders.remove(&ticket) else {
+            return;
+        };
+        let key = order.job;
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        job.has_begun |= !matches!(end, RunEnd::NotRun(_));
+        let max_attempts = job.request.max_attempts;
+        let Some(task) = job.task_mut(order.step, order.index) else {
+            return;
+        };
+        if end != RunEnd::Done {
+            let run = run_id(&key, order.step, order.index, task.attempt);
+            task.avoid.extend(target.clone());
+            outputs.push(Output::Note(Note::OrderEnded { run, end, target }));
+        }
+        task.state = TaskState::Ready(now);
+        match end {
+            RunEnd::Done => task.state = TaskState::Done,
+            RunEnd::Failed => {
+                task.failures += 1;
+                if task.failures >= max_attempts {
+                    self.finish(now, &key, JobEnd::Failed, outputs);
+                    return;
+                }
+            }
+            RunEnd::Lost => {}
+            RunEnd::NotRun(NotRun::Superseded) => task.attempt *= ATTEMPT_FACTOR,
+            RunEnd::NotRun(NotRun::Expired) => {
+                self.give_up(now, &key, outputs);
+                return;
+            }
+            RunEnd::NotRun(_) => task.state = TaskState::Ready(now + REORDER_PAUSE),
+        }
+        if self.jobs.get(&key).is_some_and(Job::is_complete) {
+            self.finish(now, &key, JobEnd::Completed, outputs);
+        }
+    }
+
+    /// Notes that an owner is lost: what it runs has ended at `ended_by` at the latest.
+    pub(crate) fn owner_lost(&mut self, owner: &InstanceId, ended_by: Instant) {
+        for order in self.orders.values_mut() {
+            if order.owner == *owner && order.lost_by.is_none() {
+                order.lost_by = Some(ended_by);
+            }
+        }
+    }
+
+    /// Ends the orders of lost owners whose runs have certainly ended.
+    pub(crate) fn expire_lost(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let mut ended = Vec::new();
+        for (&ticket, order) in &self.orders {
+            if order.lost_by.is_some_and(|by| by <= now) {
+                ended.push(ticket);
+            }
+        }
+        for ticket in ended {
+            self.ended(now, ticket, RunEnd::Lost, None, outputs);
+        }
+    }
+}
+
+fn is_ready(now: Instant, state: TaskState) -> bool {
+    matches!(state, TaskState::Ready(from) if from <= now)
+}
+
+fn run_id(job: &JobKey, step: u32, index: u32, attempt: u32) -> RunId {
+    let task = TaskId {
+        job: job.clone(),
+        occurrence: 0,
+        step,
+        index,
+    };
+    RunId { task, attempt }
+}
+
+/// Returns the next order for a task.
+fn order_of(now: Instant, job: &Job, ticket: Ticket, step: usize, index: usize) -> Option<RunOrder> {
+    let spec = job.request.steps.get(step)?;
+    let task = job.steps.get(step)?.get(index)?;
+    let key = &job.request.key;
+    Some(RunOrder {
+        ticket,
+        run: run_id(key, step as u32, index as u32, task.attempt + 1),
+        service: job.request.service.clone(),
+        spec: job.request.spec.clone(),
+        needs: spec.needs,
+        estimate: spec.estimate,
+        label: spec.label.clone(),
+        near: spec.near.clone(),
+        max_per_target: spec.max_per_target,
+        priority: job.request.priority,
+        time_left: job.deadline.since(now),
+        preferred: None,
+        avoid: task.avoid.clone(),
+        failures: task.failures,
+    })
+}
+
+/// Marks a task as ordered.
+fn note_order(
+    job: &mut Job,
+    step: usize,
+    index: usize,
+    owner: &InstanceId,
+    order: &RunOrder,
+    outputs: &mut Vec<Output>,
+) {
+    job.orders += 1;
+    if let Some(task) = job.task_mut(step as u32, index as u32) {
+        task.attempt = order.run.attempt;
+        task.state = TaskState::Ordered(order.ticket);
+    }
+    outputs.push(Output::Note(Note::TaskOrdered {
+        run: order.run.clone(),
+        owner: owner.clone(),
+        preferred: order.preferred.clone(),
+    }));
+}
+
+/// Lets a task go to targets again on which it ended badly: no other one is left.
+fn forgive_targets(now: Instant, job: &mut Job, step: usize, index: usize) {
+    if let Some(task) = job.task_mut(step as u32, index as u32) {
+        task.avoid.clear();
+        task.state = TaskState::Ready(now + REORDER_PAUSE);
+    }
+}
--- /dev/null
+++ b/kqr-dispatch/src/lib.rs
@@ -0,0 +1,47 @@
+//! Decisions of an entry: jobs of callers, tasks on the targets that the entry owns, and work for sibling entries.
+//!
+//! [`Dispatcher`] is a state machine without input or output. The entry that a caller reached coordinates the job: it
+//! orders each task at the owner of a target. The owner alone starts and stops tasks there, under a fencing token, and
+//! extends the lease of what runs. A task that may run somewhere is never ordered a second time before its end is
+//! listed, refused or proved by the end of the lease.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod desk;
+mod dispatcher;
+mod input;
+mod job_end;
+mod job_request;
+mod jobs;
+mod load_report;
+mod note;
+mod options;
+mod output;
+mod run_end;
+mod run_order;
+mod sibling_message;
+mod siblings;
+mod step_spec;
+mod target_answer;
+mod target_call;
+mod target_time;
+mod task_id;
+mod ticket;
+
+pub use dispatcher::Dispatcher;
+pub use input::Input;
+pub use job_end::{GiveUp, JobEnd, RefusalCause};
+pub use job_request::JobRequest;
+pub use load_report::{LoadReport, TargetLoad};
+pub use note::Note;
+pub use options::Options;
+pub use output::Output;
+pub use run_end::{NotRun, RunEnd};
+pub use run_order::RunOrder;
+pub use sibling_message::SiblingMessage;
+pub use step_spec::StepSpec;
+pub use target_answer::{CallFailure, EndKind, EndedRun, PollAnswer, Refusal, RunningRun};
+pub use target_call::{CallId, PollCall, StartCall, StopCall, TargetCall, TargetPlace};
+pub use target_time::TargetTime;
+pub use task_id::{RunId, TaskId};
+pub use ticket::Ticket;
--- /dev/null
+++ b/kqr-dispatch/src/options.rs
@@ -0,0 +1,61 @@
+use std::time::Duration;
+
+/// Times and limits of the [`Dispatcher`](crate::Dispatcher).
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// Lease of what runs on a target. It bounds how long a task outlives a lost owner.
+    pub lease: Duration,
+    /// Longest wait of a poll; several fit into a lease.
+    pub poll_wait: Duration,
+    /// Time between two polls of a target that does not answer.
+    pub poll_retry: Duration,
+    /// Time without an answer after which a target gets no new work.
+    pub silence: Duration,
+    /// Time without an answer after which control is told that a target is missing.
+    pub missing_after: Duration,
+    /// Largest deviation of a target's clock, in thousandths.
+    pub drift_per_mille: u32,
+    /// Time by which a lease may end late at the target.
+    pub lease_margin: Duration,
+    /// Time after which an unanswered stop is sent again.
+    pub stop_retry: Duration,
+    /// Time without progress after which a run counts as hanging.
+    pub hang: Duration,
+    /// First pause of a target that failed tasks of several jobs; it doubles.
+    pub quarantine: Duration,
+    /// Longest pause of such a target.
+    pub max_quarantine: Duration,
+    /// Time between two reports of the load to siblings.
+    pub report_every: Duration,
+    /// Time without a report after which a sibling counts as lost.
+    pub sibling_silence: Duration,
+    /// Time for which an order may not yet be part of a sibling's report.
+    pub report_lag: Duration,
+    /// Most tasks of callers that an entry keeps; a task takes about 1 KiB.
+    pub max_tasks: u64,
+    /// Run time that is assumed where a caller tells none.
+    pub default_estimate: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(700),
+            poll_wait: Duration::from_millis(250),
+            poll_retry: Duration::from_millis(100),
+            silence: Duration::from_millis(550),
+            missing_after: Duration::from_secs(5),
+            drift_per_mille: 20,
+            lease_margin: Duration::from_millis(60),
+            stop_retry: Duration::from_millis(150),
+            hang: Duration::from_millis(300),
+            quarantine: Duration::from_millis(1500),
+            max_quarantine: Duration::from_secs(6),
+            report_every: Duration::from_millis(50),
+            sibling_silence: Duration::from_millis(400),
+            report_lag: Duration::from_millis(10),
+            max_tasks: 20_000,
+            default_estimate: Duration::from_millis(200),
+        }
+    }
+}
--- /dev/null
+++ b/kqr-dispatch/src/output.rs
@@ -0,0 +1,33 @@
+use kqr_types::{InstanceId, JobKey};
+
+use crate::{CallId, JobEnd, Note, SiblingMessage, TargetCall, TargetPlace};
+
+/// Output of the [`Dispatcher`](crate::Dispatcher).
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Call a target.
+    Call {
+        /// Number of the call.
+        id: CallId,
+        /// Where it goes.
+        place: TargetPlace,
+        /// The call.
+        call: TargetCall,
+    },
+    /// Send a message to a sibling.
+    Send {
+        /// Sibling.
+        to: InstanceId,
+        /// The message.
+        message: SiblingMessage,
+    },
+    /// Answer the callers of a job.
+    JobEnded {
+        /// Job.
+        job: JobKey,
+        /// How it ended.
+        end: JobEnd,
+    },
+    /// Log a decision.
+    Note(Note),
+}
--- /dev/null
+++ b/kqr-dispatch/src/siblings.rs
@@ -0,0 +1,125 @@
+//! What an entry knows of its siblings: their loads, and whether they are alive.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kqr_fleet::{EntryInfo, Resources};
+use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
+
+use crate::{LoadReport, Options};
+
+/// A sibling entry.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Sibling {
+    pub(crate) info: EntryInfo,
+    pub(crate) load: LoadReport,
+    /// When the last message arrived.
+    pub(crate) heard: Option<Instant>,
+    /// Orders that the last report may not show yet.
+    recent: Vec<(Instant, TargetId, Resources)>,
+}
+
+impl Sibling {
+    fn new(info: EntryInfo) -> Self {
+        Self {
+            info,
+            load: LoadReport::default(),
+            heard: None,
+            recent: Vec::new(),
+        }
+    }
+
+    /// Takes a report; orders that are younger than `lag` stay deducted.
+    pub(crate) fn take_load(&mut self, now: Instant, load: LoadReport, lag: Duration) {
+        self.load = load;
+        self.recent.retain(|(ordered, ..)| now.since(*ordered) < lag);
+        for (_, target, needs) in &self.recent {
+            deduct(&mut self.load, target, *needs);
+        }
+    }
+
+    /// Deducts an order from the load until a report shows it.
+    pub(crate) fn reserve(&mut self, now: Instant, target: &TargetId, needs: Resources) {
+        deduct(&mut self.load, target, needs);
+        self.recent.push((now, target.clone(), needs));
+    }
+
+    pub(crate) fn is_heard(&self, now: Instant, silence: Duration) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < silence)
+    }
+}
+
+/// The siblings of an entry.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Siblings {
+    known: BTreeMap<InstanceId, Sibling>,
+}
+
+impl Siblings {
+    /// Takes the list of live entries. Returns those that are gone or have begun another life.
+    pub(crate) fn update(&mut self, own: &InstanceId, entries: Vec<EntryInfo>) -> Vec<InstanceId> {
+        let mut before = std::mem::take(&mut self.known);
+        let mut gone = Vec::new();
+        for info in entries {
+            if info.id == *own {
+                continue;
+            }
+            let held = before.remove(&info.id);
+            let sibling = match held {
+                Some(mut held) if held.info.incarnation == info.incarnation => {
+                    held.info = info;
+                    held
+                }
+                Some(held) => {
+                    gone.push(held.info.id);
+                    Sibling::new(info)
+                }
+                None => Sibling::new(info),
+            };
+            self.known.insert(sibling.info.id.clone(), sibling);
+        }
+        gone.extend(before.into_keys());
+        gone
+    }
+
+    pub(crate) fn get_mut(&mut self, id: &InstanceId) -> Option<&mut Sibling> {
+        self.known.get_mut(id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Sibling> {
+        self.known.values()
+    }
+
+    /// Returns the siblings that were heard a short time ago.
+    pub(crate) fn live(&self, now: Instant, options: &Options) -> impl Iterator<Item = &Sibling> {
+        let silence = options.sibling_silence;
+        self.known
+            .values()
+            .filter(move |sibling| sibling.is_heard(now, silence))
+    }
+
+    /// Returns the siblings that were heard a short time ago, with their lives.
+    pub(crate) fn heard(&self, now: Instant, options: &Options) -> Vec<(InstanceId, Incarnation)> {
+        let live = self.live(now, options);
+        live.map(|sibling| (sibling.info.id.clone(), sibling.info.incarnation)).collect()
+    }
+
+    /// Forgets the siblings that have become silent, and returns them.
+    pub(crate) fn expire(&mut self, now: Instant, options: &Options) -> Vec<InstanceId> {
+        let mut silent = Vec::new();
+        for sibling in self.known.values_mut() {
+            if sibling.heard.is_some() && !sibling.is_heard(now, options.sibling_silence) {
+                silent.push(sibling.info.id.clone());
+                sibling.heard = None;
+                sibling.load = LoadReport::default();
+            }
+        }
+        silent
+    }
+}
+
+fn deduct(load: &mut LoadReport, target: &TargetId, needs: Resources) {
+    let mut targets = load.targets.iter_mut();
+    if let Some(load) = targets.find(|load| load.id == *target) {
+        load.free -= needs;
+    }
+}
--- /dev/null
+++ b/kqr-fleet/src/lib.rs
@@ -0,0 +1,38 @@
+//! Replicated state of a fleet: the catalog of queues and services, and which entry owns which target.
+//!
+//! [`FleetState`] is what the replicated log adds up to. [`FleetNode`] is a control instance without input or output: a
+//! member of the log that takes catalogs and reports of targets, and hands targets to entries.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod catalog;
+mod catalog_error;
+mod catalog_version;
+mod command;
+mod entry_info;
+mod fencing_token;
+mod limits;
+mod node;
+mod queue;
+mod resources;
+mod service_pool;
+mod state;
+mod sync;
+mod target_record;
+mod target_report;
+
+pub use catalog::Catalog;
+pub use catalog_error::CatalogError;
+pub use catalog_version::CatalogVersion;
+pub use command::{Command, Handover};
+pub use entry_info::EntryInfo;
+pub use fencing_token::FencingToken;
+pub use limits::Limits;
+pub use node::{CallId, FleetInput, FleetNode, FleetOptions, FleetOutput};
+pub use queue::Queue;
+pub use resources::Resources;
+pub use service_pool::ServicePool;
+pub use state::{FleetState, OwnedTarget, Owner};
+pub use sync::{SyncReply, SyncRequest, SyncView, TargetGrant};
+pub use target_record::TargetRecord;
+pub use target_report::{ReportReceipt, TargetReport};
--- /dev/null
+++ b/kqr-fleet/src/node/machine.rs
@@ -0,0 +1,378 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use kqr_agreement::{
+    Configuration, Index, Input, Machine, Output, ProposalResult, Refusal, RequestId, Role, VoterId,
+};
+use kqr_types::{DataCentre, InstanceId, Instant};
+
+use super::{
+    CallId, FleetInput, FleetOptions, FleetOutput,
+    calls::{Calls, Purpose},
+    directory::Directory,
+    planning::Planner,
+    voters::Voters,
+};
+use crate::{
+    Catalog, Command, EntryInfo, FleetState, ReportReceipt, SyncReply, SyncRequest, SyncView, TargetGrant,
+    TargetReport,
+};
+
+/// A control instance without input or output: a member of the replicated log that hands targets to entries.
+#[derive(Clone, Debug)]
+pub struct FleetNode {
+    options: FleetOptions,
+    agreement: Machine,
+    state: FleetState,
+    calls: Calls,
+    directory: Directory,
+    voters: Voters,
+    /// When this instance was elected, if it leads.
+    elected: Option<Instant>,
+    /// Since when no entry of a data centre was alive.
+    silent_since: BTreeMap<DataCentre, Instant>,
+    applied: Index,
+    compacted: Index,
+}
+
+impl FleetNode {
+    /// Creates the instance around its member of the log.
+    pub fn new(options: FleetOptions, agreement: Machine) -> Self {
+        Self {
+            options,
+            agreement,
+            state: FleetState::default(),
+            calls: Calls::default(),
+            directory: Directory::default(),
+            voters: Voters::default(),
+            elected: None,
+            silent_since: BTreeMap::new(),
+            applied: Index(0),
+            compacted: Index(0),
+        }
+    }
+
+    /// Returns the state as far as this instance knows it to be accepted.
+    pub const fn state(&self) -> &FleetState {
+        &self.state
+    }
+
+    /// Returns the member of the log.
+    pub const fn agreement(&self) -> &Machine {
+        &self.agreement
+    }
+
+    /// Returns the leader, if one is known.
+    pub fn leader(&self) -> Option<InstanceId> {
+        self.agreement.role().leader.map(|leader| leader.instance)
+    }
+
+    /// Returns whether this instance leads and no other leader can have been elected by `now`.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.agreement.holds_lease(now)
+    }
+
+    /// Returns whether this instance is a member of the log.
+    pub fn is_member(&self) -> bool {
+        let own = self.agreement.own();
+        self.agreement.configuration().members().any(|member| member == own)
+    }
+
+    /// Takes one input and adds what has to be done to `outputs`.
+    pub fn handle(&mut self, now: Instant, input: FleetInput, outputs: &mut Vec<FleetOutput>) {
+        match input {
+            FleetInput::Tick => {
+                self.drive(now, Input::Tick, outputs);
+                self.lead(now, outputs);
+            }
+            FleetInput::Message { from, message } => {
+                self.voters.heard(now, &from);
+                self.drive(now, Input::Message { from, message }, outputs);
+            }
+            FleetInput::Replace { call, catalog } => self.replace(now, call, catalog, outputs),
+            FleetInput::Read { call } => {
+                let request = self.calls.open(Purpose::Read(call));
+                self.drive(now, Input::Read { request }, outputs);
+            }
+            FleetInput::Join { voter } => self.voters.join(now, voter, self.agreement.configuration()),
+            FleetInput::HandOver => self.drive(now, Input::HandOver, outputs),
+        }
+        if self.applied.0 >= self.compacted.0 + self.options.compact_after {
+            self.compact(now, outputs);
+        }
+    }
+
+    /// Takes what an entry says and returns what it has to know.
+    pub fn sync(&mut self, now: Instant, request: &SyncRequest) -> SyncReply {
+        if !self.is_current(now) {
+            let leader = self.leader();
+            return SyncReply::NotLeader { leader };
+        }
+        self.directory.take_sync(now, request);
+        let is_newer = |catalog: &&Arc<Catalog>| request.catalog.is_none_or(|held| held < catalog.version);
+        let catalog = self.state.catalog().filter(is_newer);
+        let revision = self.revision();
+        SyncReply::Current {
+            catalog: catalog.map(|catalog| Box::new(Catalog::clone(catalog))),
+            view: (revision != request.view).then(|| self.view(&request.entry, revision)),
+        }
+    }
+
+    /// Takes what a target says of itself, or returns the leader that has to hear it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the leader, if it is known, where this instance does not lead.
+    pub fn report(&mut self, now: Instant, report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>> {
+        if !self.is_current(now) {
+            return Err(self.leader());
+        }
+        let owned = self.state.targets().get(report.target());
+        let owner = owned.and_then(|owned| self.directory.entries.get(&owned.owner.entry));
+        let report_to = owner.map(|entry| entry.info.reports);
+        self.directory.take_report(now, report);
+        Ok(ReportReceipt { report_to })
+    }
+
+    /// Returns a number that differs whenever entries have to hear of a change.
+    fn revision(&self) -> u64 {
+        let term = self.agreement.role().term.0;
+        (term << 40) + (self.applied.0 << 20) + u64::from(self.directory.changes)
+    }
+
+    fn view(&self, entry: &EntryInfo, revision: u64) -> SyncView {
+        let mut owned = Vec::new();
+        for (id, target) in self.state.targets() {
+            let is_own = target.owner.entry == entry.id && target.owner.incarnation == entry.incarnation;
+            if !is_own || self.directory.gone.contains(id) {
+                continue;
+            }
+            let known = self.directory.targets.get(id);
+            owned.push(TargetGrant {
+                record: target.record.clone(),
+                token: target.token,
+                is_leaving: known.is_some_and(|known| known.is_leaving),
+                must_release: self.directory.moving.contains(id),
+            });
+        }
+        let entries = self.directory.entries.values().map(|entry| entry.info.clone());
+        let members = self.agreement.configuration().members();
+        SyncView {
+            revision,
+            entries: entries.collect(),
+            owned,
+            controls: members.map(|member| member.instance.clone()).collect(),
+        }
+    }
+
+    fn replace(&mut self, now: Instant, call: CallId, catalog: Box<Catalog>, outputs: &mut Vec<FleetOutput>) {
+        let in_force = self.state.catalog_version();
+        if catalog.version <= in_force {
+            outputs.push(FleetOutput::Accepted { call, in_force });
+            return;
+        }
+        self.propose(now, Purpose::Replace(call), &Command::Replace(catalog), outputs);
+    }
+
+    fn propose(
+        &mut self,
+        now: Instant,
+        purpose: Purpose,
+        command: &Command,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        match serde_json::to_vec(command) {
+            Ok(command) => {
+                let request = self.calls.open(purpose);
+                self.drive(now, Input::Propose { request, command }, outputs);
+            }
+            Err(error) => outputs.push(FleetOutput::Failed {
+                detail: format!("encoding a command: {error}"),
+            }),
+        }
+    }
+
+    /// Hands out targets and changes members, if this instance leads.
+    fn lead(&mut self, now: Instant, outputs: &mut Vec<FleetOutput>) {
+        if !self.is_current(now) {
+            return;
+        }
+        let Some(elected) = self.elected else { return };
+        self.change_voters(now, outputs);
+        if self.calls.is_open(Purpose::Plan) || now.since(elected) < self.options.leader_grace {
+            return;
+        }
+        let owned = self.state.targets();
+        self.directory
+            .expire(now, self.options.entry_timeout, self.options.target_timeout, owned);
+        self.note_silence(now);
+        self.forget_targets(now, outputs);
+        let mut planner = Planner::new(&self.directory, &self.state, &self.options);
+        let handovers = planner.handovers(now, &self.silent_since);
+        let moves = if handovers.is_empty() { planner.moves() } else { Vec::new() };
+        if self.directory.moving.is_empty() && !moves.is_empty() {
+            self.directory.changes += 1;
+            self.directory.moving.extend(moves);
+        }
+        if handovers.is_empty() {
+            return;
+        }
+        for handover in &handovers {
+            self.directory.moving.remove(&handover.record.id);
+            let (target, owner) = (&handover.record.id, &handover.owner.entry);
+            let detail = format!("target {target} goes to {owner}");
+            outputs.push(FleetOutput::Note { detail });
+        }
+        self.propose(now, Purpose::Plan, &Command::HandOver(handovers), outputs);
+    }
+
+    fn note_silence(&mut self, now: Instant) {
+        let mut silent = BTreeMap::new();
+        for target in self.state.targets().values() {
+            let data_centre = &target.record.data_centre;
+            if self.directory.takers(data_centre).next().is_none() {
+                let since = self.silent_since.get(data_centre).copied().unwrap_or(now);
+                silent.insert(data_centre.clone(), since);
+            }
+        }
+        self.silent_since = silent;
+    }
+
+    fn forget_targets(&mut self, now: Instant, outputs: &mut Vec<FleetOutput>) {
+        let owned = self.state.targets();
+        self.directory.gone.retain(|target| owned.contains_key(target));
+        if self.directory.gone.is_empty() {
+            return;
+        }
+        let gone: Vec<_> = self.directory.gone.iter().cloned().collect();
+        let detail = format!("forgetting {} targets that ended", gone.len());
+        outputs.push(FleetOutput::Note { detail });
+        self.propose(now, Purpose::Plan, &Command::Forget(gone), outputs);
+    }
+
+    fn change_voters(&mut self, now: Instant, outputs: &mut Vec<FleetOutput>) {
+        if self.calls.is_open(Purpose::Voters) {
+            return;
+        }
+        let configuration: Configuration = self.agreement.configuration().clone();
+        let (own, wanted) = (self.agreement.own().clone(), self.options.voters);
+        let timeout = self.options.voter_timeout;
+        let change = self.voters.next_change(now, &own, &configuration, wanted, timeout);
+        let Some(change) = change else { return };
+        let detail = format!("changing the members of the log: {change:?}");
+        outputs.push(FleetOutput::Note { detail });
+        let request = self.calls.open(Purpose::Voters);
+        self.drive(now, Input::ChangeVoters { request, change }, outputs);
+    }
+
+    fn drive(&mut self, now: Instant, input: Input, outputs: &mut Vec<FleetOutput>) {
+        let mut effects = Vec::new();
+        self.agreement.handle(now, input, &mut effects);
+        for effect in effects {
+            self.perform(now, effect, outputs);
+        }
+    }
+
+    fn perform(&mut self, now: Instant, effect: Output, outputs: &mut Vec<FleetOutput>) {
+        match effect {
+            Output::Send { to, message } => outputs.push(FleetOutput::Send { to, message }),
+            Output::Persist(record) => outputs.push(FleetOutput::Persist(record)),
+            Output::Apply { index, command, .. } => self.apply(index, &command, outputs),
+            Output::Restore { index, snapshot } => self.restore(index, &snapshot, outputs),
+            Output::Proposed { request, result } => self.proposed(request, result, outputs),
+            Output::ReadReady { request, .. } => {
+                if let Some(Purpose::Read(call)) = self.calls.close(request) {
+                    let catalog = self.state.catalog().cloned();
+                    outputs.push(FleetOutput::Newest { call, catalog });
+                }
+            }
+            Output::ReadFailed { request, leader } => {
+                if let Some(Purpose::Read(call)) = self.calls.close(request) {
+                    outputs.push(FleetOutput::NotHere {
+                        call,
+                        leader: leader.map(instance_of),
+                        is_unknown: false,
+                    });
+                }
+            }
+            Output::RoleChanged(view) => {
+                if view.role == Role::Leader {
+                    self.elected = Some(now);
+                    self.directory = Directory::default();
+                    self.silent_since.clear();
+                    self.voters.reset(now, self.agreement.configuration());
+                } else {
+                    self.elected = None;
+                }
+                outputs.push(FleetOutput::RoleChanged(view));
+            }
+            Output::VotersChanged { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, index: Index, command: &[u8], outputs: &mut Vec<FleetOutput>) {
+        self.applied = index;
+        let before = self.state.catalog_version();
+        match serde_json::from_slice::<Command>(command) {
+            Ok(command) => self.state.apply(command),
+            Err(error) => {
+                let detail = format!("decoding the command at index {index}: {error}");
+                outputs.push(FleetOutput::Failed { detail });
+            }
+        }
+        let version = self.state.catalog_version();
+        if version != before {
+            outputs.push(FleetOutput::CatalogApplied { version });
+        }
+    }
+
+    fn restore(&mut self, index: Index, snapshot: &[u8], outputs: &mut Vec<FleetOutput>) {
+        match FleetState::restore(snapshot) {
+            Ok(state) => {
+                self.state = state;
+                self.applied = index;
+                self.compacted = index;
+            }
+            Err(error) => outputs.push(FleetOutput::Failed {
+                detail: format!("decoding the snapshot at index {index}: {error}"),
+            }),
+        }
+    }
+
+    fn proposed(&mut self, request: RequestId, result: ProposalResult, outputs: &mut Vec<FleetOutput>) {
+        let Some(Purpose::Replace(call)) = self.calls.close(request) else {
+            return;
+        };
+        let (leader, is_unknown) = match result {
+            ProposalResult::Committed { .. } => {
+                let in_force = self.state.catalog_version();
+                outputs.push(FleetOutput::Accepted { call, in_force });
+                return;
+            }
+            ProposalResult::Unknown { leader } => (leader, true),
+            ProposalResult::Refused(Refusal::NotLeader { leader }) => (leader, false),
+            ProposalResult::Refused(_) => (None, false),
+        };
+        outputs.push(FleetOutput::NotHere {
+            call,
+            leader: leader.map(instance_of),
+            is_unknown,
+        });
+    }
+
+    fn compact(&mut self, now: Instant, outputs: &mut Vec<FleetOutput>) {
+        self.compacted = self.applied;
+        match self.state.snapshot() {
+            Ok(snapshot) => {
+                let index = self.applied;
+                self.drive(now, Input::Compact { index, snapshot }, outputs);
+            }
+            Err(error) => outputs.push(FleetOutput::Failed {
+                detail: format!("encoding a snapshot: {error}"),
+            }),
+        }
+    }
+}
+
+fn instance_of(voter: VoterId) -> InstanceId {
+    voter.instance
+}
--- /dev/null
+++ b/kqr-fleet/src/node/options.rs
@@ -0,0 +1,31 @@
+use std::time::Duration;
+
+/// Times and limits of the [`FleetNode`](super::FleetNode).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetOptions {
+    /// Time without a sign of an entry after which its targets get other owners: four lost exchanges.
+    pub entry_timeout: Duration,
+    /// Time after an election before an entry may be missed: entries look for the new leader meanwhile.
+    pub leader_grace: Duration,
+    /// Time that a target's owner misses it, without a report, before it is forgotten.
+    pub target_timeout: Duration,
+    /// Time without a message after which a voter may be replaced by a learner.
+    pub voter_timeout: Duration,
+    /// Number of voters that is aimed at.
+    pub voters: usize,
+    /// Applied commands after which the log is compacted.
+    pub compact_after: u64,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            entry_timeout: Duration::from_millis(800),
+            leader_grace: Duration::from_millis(1500),
+            target_timeout: Duration::from_secs(6),
+            voter_timeout: Duration::from_secs(9),
+            voters: 3,
+            compact_after: 400,
+        }
+    }
+}
--- /dev/null
+++ b/kqr-fleet/src/state.rs
@@ -0,0 +1,103 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use kqr_types::{Incarnation, InstanceId, TargetId};
+use serde::{Deserialize, Serialize};
+
+use crate::{Catalog, CatalogVersion, Command, FencingToken, Handover, TargetRecord};
+
+/// One life of an entry that owns targets.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Owner {
+    /// Entry.
+    pub entry: InstanceId,
+    /// Life of its process.
+    pub incarnation: Incarnation,
+}
+
+/// A target with its owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnedTarget {
+    /// The target.
+    pub record: TargetRecord,
+    /// Its owner.
+    pub owner: Owner,
+    /// Token of the ownership.
+    pub token: FencingToken,
+}
+
+/// What the commands of the replicated log add up to.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetState {
+    catalog: Option<Arc<Catalog>>,
+    targets: BTreeMap<TargetId, OwnedTarget>,
+    last_token: FencingToken,
+}
+
+impl FleetState {
+    /// Returns the catalog in force.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Returns the version in force, or 0 without a catalog.
+    pub fn catalog_version(&self) -> CatalogVersion {
+        self.catalog.as_ref().map_or_else(CatalogVersion::default, |catalog| catalog.version)
+    }
+
+    /// Returns the targets with their owners.
+    pub const fn targets(&self) -> &BTreeMap<TargetId, OwnedTarget> {
+        &self.targets
+    }
+
+    /// Applies `command`.
+    pub fn apply(&mut self, command: Command) {
+        match command {
+            Command::Replace(catalog) => self.replace(*catalog),
+            Command::HandOver(handovers) => {
+                for handover in handovers {
+                    self.hand_over(handover);
+                }
+            }
+            Command::Forget(targets) => {
+                for target in targets {
+                    self.targets.remove(&target);
+                }
+            }
+        }
+    }
+
+    /// Returns the state as bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the state can't be encoded.
+    pub fn snapshot(&self) -> serde_json::Result<Vec<u8>> {
+        serde_json::to_vec(self)
+    }
+
+    /// Returns the state in `snapshot`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no snapshot.
+    pub fn restore(snapshot: &[u8]) -> serde_json::Result<Self> {
+        serde_json::from_slice(snapshot)
+    }
+
+    fn replace(&mut self, catalog: Catalog) {
+        let is_newer = self.catalog.as_ref().is_none_or(|held| held.version < catalog.version);
+        if is_newer {
+            self.catalog = Some(Arc::new(catalog));
+        }
+    }
+
+    fn hand_over(&mut self, handover: Handover) {
+        self.last_token.0 += 1;
+        let owned = OwnedTarget {
+            record: handover.record,
+            owner: handover.owner,
+            token: self.last_token,
+        };
+        self.targets.insert(owned.record.id.clone(), owned);
+    }
+}
--- /dev/null
+++ b/kqr-runtime/src/control/daemon.rs
@@ -0,0 +1,150 @@
+use std::{sync::mpsc, thread::JoinHandle, time::Duration};
+
+use eyre::{WrapErr, eyre};
+use kqr_agreement::{Machine, Options as AgreementOptions, VoterId};
+use kqr_fleet::{FleetNode, FleetOptions};
+use kqr_types::InstanceId;
+use tarpc::{client, context};
+use tokio::{net::TcpListener, runtime::Handle, sync::oneshot};
+
+use super::{
+    ControlHandle, ControlSettings, agreement_links::AgreementLinks, data_folder::DataFolder, driver::Driver,
+    request::Request, service,
+};
+use crate::{BootClock, calls::ControlCallsClient, frames};
+
+/// Time between heartbeats of the leader.
+const HEARTBEAT: Duration = Duration::from_millis(120);
+/// Shortest time without a leader after which a voter campaigns: several lost heartbeats and a slow sync.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between two requests to be taken into the log.
+const JOIN_PERIOD: Duration = Duration::from_millis(700);
+/// Longest time for such a request.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for the hand-over of the lead before the process ends.
+const HAND_OVER_TIME: Duration = Duration::from_millis(300);
+
+/// A running control instance.
+#[derive(Debug)]
+pub struct Control {
+    handle: ControlHandle,
+    driver: JoinHandle<()>,
+    ended: oneshot::Receiver<eyre::Result<()>>,
+}
+
+impl Control {
+    /// Opens the data folder and joins the other control instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings contradict each other, or the folder or the listener can't be used.
+    pub async fn start(settings: &ControlSettings) -> eyre::Result<Self> {
+        settings.check()?;
+        let address = settings.fleet();
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.wrap_err_with(|| format!("opening the listener {address}"))?;
+        let folder = DataFolder::open(settings)?;
+        let own = settings.identity()?;
+        let voter = folder.voter.clone();
+        kqr_telemetry::decision(
+            "control-started",
+            &[
+                ("voter", voter.to_string()),
+                ("founders", folder.founding.voters.len().to_string()),
+                ("is_new", folder.opened.is_new.to_string()),
+            ],
+        );
+        let is_founder = folder.founding.is_voter(&voter);
+        let agreement = AgreementOptions {
+            founding: folder.founding,
+            election_timeout: ELECTION_TIMEOUT,
+            heartbeat: HEARTBEAT,
+            seed: BootClock.now().0 ^ seed_of(&own),
+            ..AgreementOptions::default()
+        };
+        let options = FleetOptions {
+            voters: settings.voters(),
+            ..FleetOptions::default()
+        };
+        let node = FleetNode::new(options, Machine::new(voter.clone(), agreement, folder.opened.durable));
+        let links = AgreementLinks::new(Handle::current(), voter.clone());
+        let driver = Driver::new(own.clone(), node, folder.store, links);
+        let (tx, rx) = mpsc::channel();
+        let (ended_tx, ended) = oneshot::channel();
+        let driver = std::thread::Builder::new()
+            .name("replicated-log".to_owned())
+            .spawn(move || drop(ended_tx.send(driver.run(&rx))))?;
+        let handle = ControlHandle::new(own, tx);
+        tokio::spawn(service::serve(listener, handle.clone()));
+        if !is_founder {
+            tokio::spawn(keep_joining(voter, settings.seed_identities()?));
+        }
+        Ok(Self {
+            handle,
+            driver,
+            ended,
+        })
+    }
+
+    /// Returns access to the instance.
+    pub fn handle(&self) -> ControlHandle {
+        self.handle.clone()
+    }
+
+    /// Waits until the instance can't continue.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't.
+    pub async fn failed(&mut self) -> eyre::Result<()> {
+        match (&mut self.ended).await {
+            Ok(result) => result,
+            Err(_) => Err(eyre!("the thread of the replicated log ended")),
+        }
+    }
+
+    /// Gives up the lead and closes the data folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the data folder can't be closed.
+    pub async fn close(self) -> eyre::Result<()> {
+        self.handle.tell(Request::HandOver);
+        tokio::time::sleep(HAND_OVER_TIME).await;
+        self.handle.tell(Request::Stop);
+        let result = self.ended.await.unwrap_or(Ok(()));
+        drop(self.driver);
+        result
+    }
+}
+
+/// Asks to be taken into the log again and again. The leader ignores a request of a voter; it hears by it that a
+/// learner is still there.
+async fn keep_joining(voter: VoterId, mut known: Vec<InstanceId>) {
+    loop {
+        for instance in known.clone() {
+            let asked = tokio::time::timeout(JOIN_TIMEOUT, ask_to_join(&instance, &voter)).await;
+            match asked {
+                Ok(Ok(Some(leader))) if !known.contains(&leader) => known.push(leader),
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => log::debug!("asking {instance} to be taken in: {error}"),
+                Err(_) => log::debug!("asking {instance} to be taken in: no answer"),
+            }
+        }
+        tokio::time::sleep(JOIN_PERIOD).await;
+    }
+}
+
+async fn ask_to_join(instance: &InstanceId, voter: &VoterId) -> eyre::Result<Option<InstanceId>> {
+    let stream = frames::connect(instance.as_str().parse()?).await?;
+    let client = ControlCallsClient::new(client::Config::default(), frames::messages_of(stream)).spawn();
+    Ok(client.join(context::current(), voter.clone()).await?)
+}
+
+/// Spreads the election timeouts of instances that start at the same time.
+fn seed_of(own: &InstanceId) -> u64 {
+    let bytes = own.as_str().bytes();
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/kqr-runtime/src/control/data_folder.rs
@@ -0,0 +1,93 @@
+use std::{path::Path, time::SystemTime};
+
+use eyre::WrapErr;
+use kqr_agreement::{Configuration, VoterId};
+use kqr_store::{FolderDisk, Founding, FoundingId, Opened, Owner, Store};
+use kqr_types::{Incarnation, InstanceId};
+
+use super::ControlSettings;
+
+/// Storage incarnation of the founding voters.
+const FOUNDING_STORAGE: Incarnation = Incarnation(1);
+/// Name of the replicated log in the folder.
+const LOG_NAME: &str = "fleet";
+
+/// The opened data folder of a control instance.
+#[derive(Debug)]
+pub(super) struct DataFolder {
+    pub(super) store: Store<FolderDisk>,
+    pub(super) opened: Opened,
+    pub(super) voter: VoterId,
+    /// The founding voters, if this folder is one of theirs.
+    pub(super) founding: Configuration,
+}
+
+impl DataFolder {
+    /// Opens the folder; an empty one becomes that of a founder, or of a member that is yet to be taken in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder is damaged, foreign, or can't be read or written.
+    pub(super) fn open(settings: &ControlSettings) -> eyre::Result<Self> {
+        let path = &settings.data_folder;
+        Self::open_at(path, settings).wrap_err_with(|| format!("the data folder {}", path.display()))
+    }
+
+    fn open_at(path: &Path, settings: &ControlSettings) -> eyre::Result<Self> {
+        let instance = settings.identity()?;
+        let disk = FolderDisk::open(path)?;
+        let founders = founders(&disk, &instance, settings)?;
+        let storage = match founders {
+            Some(_) => FOUNDING_STORAGE,
+            None => new_storage(),
+        };
+        let owner = Owner {
+            log: LOG_NAME.to_owned(),
+            instance: instance.clone(),
+        };
+        let (store, opened) = Store::open(disk, &owner, storage)?;
+        if let Some(torn) = &opened.torn_tail {
+            let (bytes, offset, file) = (torn.bytes, torn.offset, &torn.file);
+            log::warn!("dropped {bytes} bytes that were never acknowledged, at byte {offset} of {file}");
+        }
+        let voters = founders.unwrap_or_default().into_iter();
+        let voters = voters.map(|founder| VoterId::new(founder, FOUNDING_STORAGE));
+        Ok(Self {
+            voter: VoterId::new(instance, opened.identity.storage),
+            founding: Configuration::of_voters(voters),
+            store,
+            opened,
+        })
+    }
+}
+
+/// Returns the founders of the system if the folder is one of theirs. They are noted at the founding, as seeds change.
+fn founders(
+    disk: &FolderDisk,
+    own: &InstanceId,
+    settings: &ControlSettings,
+) -> eyre::Result<Option<Vec<InstanceId>>> {
+    if let Some(founding) = Founding::read(disk)? {
+        let mut founders: Vec<InstanceId> = founding.others.into_keys().collect();
+        founders.push(own.clone());
+        return Ok(Some(founders));
+    }
+    let seeds = settings.seed_identities()?;
+    let is_founder = settings.is_founding && seeds.contains(own) && Store::is_unused(disk)?;
+    if !is_founder {
+        return Ok(None);
+    }
+    let mut founding = Founding::begin(FoundingId(FOUNDING_STORAGE.0));
+    for seed in seeds.iter().filter(|seed| *seed != own) {
+        founding.others.insert(seed.clone(), founding.own);
+    }
+    founding.write(disk)?;
+    Ok(Some(seeds))
+}
+
+/// Returns the incarnation of a data folder that is created now. It never equals that of a founder.
+fn new_storage() -> Incarnation {
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let random = u64::from(std::process::id()) & 0xffff;
+    Incarnation((unix.unwrap_or_default().as_millis() as u64) << 16 | random)
+}
--- /dev/null
+++ b/kqr-runtime/src/control/request.rs
@@ -0,0 +1,38 @@
+use std::sync::Arc;
+
+use kqr_agreement::{Message, VoterId};
+use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_types::InstanceId;
+use tokio::sync::oneshot;
+
+use super::NotHere;
+
+/// A request to the thread that drives the control instance.
+#[derive(Debug)]
+pub(super) enum Request {
+    Message {
+        from: VoterId,
+        message: Message,
+    },
+    Replace {
+        catalog: Box<Catalog>,
+        reply: oneshot::Sender<Result<CatalogVersion, NotHere>>,
+    },
+    Read {
+        reply: oneshot::Sender<Result<Option<Arc<Catalog>>, NotHere>>,
+    },
+    Sync {
+        request: Box<SyncRequest>,
+        reply: oneshot::Sender<SyncReply>,
+    },
+    Report {
+        report: TargetReport,
+        reply: oneshot::Sender<Result<ReportReceipt, Option<InstanceId>>>,
+    },
+    Join {
+        voter: VoterId,
+        reply: oneshot::Sender<Option<InstanceId>>,
+    },
+    HandOver,
+    Stop,
+}
--- /dev/null
+++ b/kqr-runtime/src/control/service.rs
@@ -0,0 +1,62 @@
+use futures::StreamExt;
+use kqr_agreement::{Message, VoterId};
+use kqr_fleet::{ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_types::InstanceId;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::net::TcpListener;
+
+use super::ControlHandle;
+use crate::{calls::ControlCalls, frames::messages_of};
+
+/// The calls that a control instance answers to other instances.
+#[derive(Clone, Debug)]
+pub(super) struct ControlService {
+    handle: ControlHandle,
+}
+
+impl ControlCalls for ControlService {
+    async fn deliver(self, _: Context, from: VoterId, messages: Vec<Message>) {
+        for message in messages {
+            self.handle.deliver(from.clone(), message);
+        }
+    }
+
+    async fn join(self, _: Context, voter: VoterId) -> Option<InstanceId> {
+        self.handle.join(voter).await
+    }
+
+    async fn sync(self, _: Context, request: SyncRequest) -> SyncReply {
+        self.handle.sync(request).await
+    }
+
+    async fn report(self, _: Context, report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>> {
+        self.handle.report_here(report).await.unwrap_or(Err(None))
+    }
+}
+
+/// Serves other instances on `listener`.
+pub(super) async fn serve(listener: TcpListener, handle: ControlHandle) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting another instance: {error}");
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("a connection of another instance: {error}");
+        }
+        let service = ControlService {
+            handle: handle.clone(),
+        };
+        let channel = BaseChannel::with_defaults(messages_of(stream));
+        let calls = channel.execute(service.serve()).for_each(|call| async move {
+            tokio::spawn(call);
+        });
+        tokio::spawn(calls);
+    }
+}
--- /dev/null
+++ b/kqr-runtime/src/entry/mailbox.rs
@@ -0,0 +1,191 @@
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError, Weak},
+    time::Duration,
+};
+
+use kqr_dispatch::{Input, SiblingMessage};
+use kqr_fleet::EntryInfo;
+use kqr_types::{Incarnation, InstanceId};
+use tarpc::{client, context};
+use tokio::{sync::Notify, task::JoinHandle, time::Instant};
+
+use super::{Shell, TargetPort};
+use crate::{calls::SiblingCallsClient, frames};
+
+/// Messages that may wait for a sibling; with more the link counts as lost.
+const QUEUED_MESSAGES: usize = 8192;
+/// Messages that are handed over together.
+const BATCH: usize = 256;
+/// Longest time for a delivery before the connection is replaced: some round trips and one lost packet.
+const DELIVERY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which messages that can't be delivered are given up: by then the sibling has given this entry up.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(600);
+/// Pause after a failed delivery.
+const RETRY_PAUSE: Duration = Duration::from_millis(30);
+
+/// What waits for a sibling.
+#[derive(Debug, Default)]
+struct Queue {
+    messages: Mutex<VecDeque<SiblingMessage>>,
+    changed: Notify,
+}
+
+/// Messages to one life of a sibling. They arrive in their order and once, or the link is reported lost.
+#[derive(Debug)]
+pub(super) struct Mailbox {
+    sibling: Incarnation,
+    address: SocketAddr,
+    queue: Arc<Queue>,
+    task: JoinHandle<()>,
+}
+
+impl Mailbox {
+    /// Opens the mailbox for `sibling`.
+    pub(super) fn open<Port>(shell: &Arc<Shell<Port>>, sibling: &EntryInfo) -> Self
+    where
+        Port: TargetPort,
+    {
+        let queue = Arc::new(Queue::default());
+        let sender = Sender {
+            shell: Arc::downgrade(shell),
+            own: shell.own.id.clone(),
+            incarnation: shell.own.incarnation,
+            sibling: sibling.id.clone(),
+            address: sibling.siblings,
+            queue: Arc::clone(&queue),
+            epoch: 0,
+            first: 0,
+        };
+        Self {
+            sibling: sibling.incarnation,
+            address: sibling.siblings,
+            queue,
+            task: tokio::spawn(sender.run()),
+        }
+    }
+
+    /// Returns whether the mailbox is for the present life of `entry`.
+    pub(super) fn is_for(&self, entry: &EntryInfo) -> bool {
+        self.sibling == entry.incarnation && self.address == entry.siblings
+    }
+
+    /// Queues a message. Of several loads that wait only the last one is kept.
+    pub(super) fn send(&self, message: SiblingMessage) {
+        let mut messages = self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_load = matches!(message, SiblingMessage::Load(_));
+        if is_load && let Some(last @ SiblingMessage::Load(_)) = messages.back_mut() {
+            *last = message;
+        } else {
+            messages.push_back(message);
+        }
+        self.queue.changed.notify_one();
+    }
+}
+
+impl Drop for Mailbox {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The task that hands messages over.
+#[derive(Debug)]
+struct Sender<Port>
+where
+    Port: TargetPort,
+{
+    shell: Weak<Shell<Port>>,
+    own: InstanceId,
+    incarnation: Incarnation,
+    sibling: InstanceId,
+    address: SocketAddr,
+    queue: Arc<Queue>,
+    /// Rises each time that messages were given up.
+    epoch: u64,
+    /// Number of the next message within the epoch.
+    first: u64,
+}
+
+impl<Port> Sender<Port>
+where
+    Port: TargetPort,
+{
+    async fn run(mut self) {
+        let mut client = None;
+        loop {
+            let batch = self.next_batch().await;
+            let begun = Instant::now();
+            let mut is_delivered = false;
+            while !is_delivered && begun.elapsed() < GIVE_UP_AFTER && !self.is_overfull() {
+                match self.deliver(&mut client, &batch).await {
+                    Ok(()) => is_delivered = true,
+                    Err(error) => {
+                        log::debug!("delivering to sibling {}: {error}", self.sibling);
+                        client = None;
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+            if is_delivered {
+                self.first += batch.len() as u64;
+                continue;
+            }
+            if !self.give_up() {
+                return;
+            }
+        }
+    }
+
+    async fn next_batch(&self) -> Vec<SiblingMessage> {
+        loop {
+            let changed = self.queue.changed.notified();
+            {
+                let mut messages = self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner);
+                let count = messages.len().min(BATCH);
+                if count > 0 {
+                    return messages.drain(..count).collect();
+                }
+            }
+            changed.await;
+        }
+    }
+
+    fn is_overfull(&self) -> bool {
+        let messages = self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner);
+        messages.len() > QUEUED_MESSAGES
+    }
+
+    async fn deliver(
+        &self,
+        client: &mut Option<SiblingCallsClient>,
+        batch: &[SiblingMessage],
+    ) -> eyre::Result<()> {
+        let open = match client {
+            Some(open) => open,
+            None => {
+                let stream = frames::connect(self.address).await?;
+                let transport = frames::messages_of(stream);
+                client.insert(SiblingCallsClient::new(client::Config::default(), transport).spawn())
+            }
+        };
+        let (own, messages) = (self.own.clone(), batch.to_vec());
+        let call = open.deliver(context::current(), own, self.incarnation, self.epoch, self.first, messages);
+        tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+        Ok(())
+    }
+
+    /// Gives up all that waits. Returns whether the entry is still there.
+    fn give_up(&mut self) -> bool {
+        self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        self.epoch += 1;
+        self.first = 0;
+        let Some(shell) = self.shell.upgrade() else {
+            return false;
+        };
+        let sibling = self.sibling.clone();
+        shell.handle(Input::LinkLost { sibling });
+        true
+    }
+}
--- /dev/null
+++ b/kqr-runtime/src/entry/notes.rs
@@ -0,0 +1,129 @@
+//! Log lines of the dispatcher's decisions.
+
+use kqr_dispatch::{JobEnd, Note};
+use kqr_telemetry::decision;
+
+/// Writes a decision to the log.
+pub(super) fn log(note: &Note) {
+    match note {
+        Note::JobAdmitted { job, tasks, wait_ms } => decision(
+            "job-admitted",
+            &[
+                ("job", job.to_string()),
+                ("tasks", tasks.to_string()),
+                ("expected_wait_ms", wait_ms.to_string()),
+            ],
+        ),
+        Note::JobEnded {
+            job,
+            end,
+            after_ms,
+            orders,
+        } => decision(
+            "job-ended",
+            &[
+                ("job", job.to_string()),
+                ("end", end_text(end)),
+                ("after_ms", after_ms.to_string()),
+                ("orders", orders.to_string()),
+            ],
+        ),
+        Note::JobAbandoned { job, after_ms } => decision(
+            "job-abandoned",
+            &[("job", job.to_string()), ("after_ms", after_ms.to_string())],
+        ),
+        Note::TaskOrdered { run, owner, preferred } => decision(
+            "task-ordered",
+            &[
+                ("run", run.to_string()),
+                ("owner", owner.to_string()),
+                ("target", text_of(preferred.as_ref())),
+            ],
+        ),
+        Note::OrderEnded { run, end, target } => decision(
+            "order-ended",
+            &[
+                ("run", run.to_string()),
+                ("end", format!("{end:?}")),
+                ("target", text_of(target.as_ref())),
+            ],
+        ),
+        Note::RunStarted {
+            run,
+            target,
+            waited_ms,
+        } => decision(
+            "run-started",
+            &[
+                ("run", run.to_string()),
+                ("target", target.to_string()),
+                ("waited_ms", waited_ms.to_string()),
+            ],
+        ),
+        Note::RunEnded {
+            run,
+            target,
+            how,
+            after_ms,
+        } => decision(
+            "run-ended",
+            &[
+                ("run", run.to_string()),
+                ("target", target.to_string()),
+                ("how", format!("{how:?}")),
+                ("after_ms", after_ms.to_string()),
+            ],
+        ),
+        Note::RunCleared { run, target, proof } => decision(
+            "run-cleared",
+            &[
+                ("run", run.to_string()),
+                ("target", target.to_string()),
+                ("proof", (*proof).to_owned()),
+            ],
+        ),
+        Note::RunStopped { run, target, cause } => decision(
+            "run-stopped",
+            &[
+                ("run", run.to_string()),
+                ("target", target.to_string()),
+                ("cause", (*cause).to_owned()),
+            ],
+        ),
+        Note::OrderRefused { run, cause } => decision(
+            "order-refused",
+            &[("run", run.to_string()), ("cause", format!("{cause:?}"))],
+        ),
+        Note::TargetChanged { target, belief, input } => decision(
+            "target-changed",
+            &[
+                ("target", target.to_string()),
+                ("belief", (*belief).to_owned()),
+                ("input", input.clone()),
+            ],
+        ),
+        Note::SiblingChanged { sibling, belief } => decision(
+            "sibling-changed",
+            &[
+                ("sibling", sibling.to_string()),
+                ("belief", (*belief).to_owned()),
+            ],
+        ),
+    }
+}
+
+fn end_text(end: &JobEnd) -> String {
+    match end {
+        JobEnd::Completed => "completed".to_owned(),
+        JobEnd::Failed => "failed".to_owned(),
+        JobEnd::Refused { cause, .. } => format!("refused: {cause}"),
+        JobEnd::GivenUp(cause) => format!("given up: {}", cause.as_str()),
+    }
+}
+
+fn text_of<Value>(value: Option<&Value>) -> String
+where
+    Value: ToString,
+{
+    value.map_or_else(String::new, ToString::to_string)
+}
--- a/kqr-telemetry/src/lib.rs
+++ b/kqr-telemetry/src/lib.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod bounded_output;
+mod decision;
 mod event;
 mod event_log;
 mod event_writer;
@@ -19,6 +21,8 @@
 pub use hybrid_time::HybridTime;
 pub use labels::{AnswerClass, TaskLength, WastedMessage, WorkKind};
 pub use level::Level;
-pub use logging::init_logging;
+pub use logging::{init_bounded_logging, init_logging};
+pub use bounded_output::{BoundedOutput, dropped_lines};
+pub use decision::decision;
 pub use metrics::Metrics;
 pub use rotating_file::RotationOptions;
--- a/kqr-telemetry/src/logging.rs
+++ b/kqr-telemetry/src/logging.rs
@@ -4,6 +4,12 @@
 use kqr_types::InstanceId;
 use serde::Serialize;
 
+use crate::{
+    BoundedOutput,
+    bounded_output::set_output,
+    decision::set_instance,
+};
+
 #[derive(Serialize)]
 struct Line<'a> {
     unix_ms: u128,
@@ -19,6 +25,27 @@
 ///
 /// Fails if a logger was set before.
 pub fn init_logging(instance: &InstanceId, level: log::LevelFilter) -> eyre::Result<()> {
+    lines(instance, level)
+        .chain(std::io::stderr())
+        .apply()
+        .wrap_err("setting the logger")
+}
+
+/// Sends log records and decisions as JSON lines to standard output, through a bounded queue that nobody waits for.
+///
+/// # Errors
+///
+/// Fails if a logger was set before, or no thread can be started.
+pub fn init_bounded_logging(instance: &InstanceId, level: log::LevelFilter) -> eyre::Result<()> {
+    let output = BoundedOutput::start(std::io::stdout())?;
+    let sink = fern::Output::call(move |record| output.push(record.args().to_string()));
+    lines(instance, level).chain(sink).apply().wrap_err("setting the logger")?;
+    set_output(output);
+    set_instance(instance);
+    Ok(())
+}
+
+fn lines(instance: &InstanceId, level: log::LevelFilter) -> fern::Dispatch {
     let instance = instance.clone();
     fern::Dispatch::new()
         .level(level)
@@ -37,7 +64,4 @@
             let text = serde_json::to_string(&line).unwrap_or_default();
             out.finish(format_args!("{text}"));
         })
-        .chain(std::io::stderr())
-        .apply()
-        .wrap_err("setting the logger")
 }
