fix: a new leader's first view lacks no entry

A leader elected after the freeze of another one told the first entry that asked of itself only, so each entry dropped its siblings and stopped their runs.

--- a/kqr-dispatch/src/desk/orders.rs
+++ b/kqr-dispatch/src/desk/orders.rs
@@ -143,6 +143,7 @@
                 run: run.clone(),
                 target: target.clone(),
                 cause,
+                percent: state.percent,
             }));
         }
         state.enter(now, RunState::Stopping);
@@ -246,6 +247,7 @@
             failures: order.failures,
         };
         target.runs.insert(order.run.clone(), run);
+        let slowness_milli = (target.health.slowness() * 1000.0) as u64;
         let open = OpenCall::Start {
             target: id.clone(),
             token: target.token,
@@ -260,6 +262,8 @@
             run: order.run.clone(),
             target: id.clone(),
             waited_ms: now.since(waiting.arrived).as_millis() as u64,
+            estimate_ms: order.estimate.as_millis() as u64,
+            slowness_milli,
         }));
         self.call(open, TargetCall::Start(call), outputs);
     }
--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -53,7 +53,8 @@
             Input::Abandon(job) => self.jobs.abandon(now, &job, outputs),
             Input::Cancel(job) => self.jobs.cancel(now, &job, outputs),
             Input::View { entries, owned } => {
-                for gone in self.siblings.update(&self.own.id, entries) {
+                let silence = self.options.sibling_silence;
+                for gone in self.siblings.update(now, &self.own.id, entries, silence) {
                     self.lose(now, &gone, outputs);
                 }
                 self.desk.grant(now, &owned, outputs);
@@ -97,6 +98,11 @@
         self.siblings.heard(now, &self.options)
     }
 
+    /// Returns the siblings that messages are exchanged with.
+    pub fn siblings(&self) -> Vec<EntryInfo> {
+        self.siblings.iter().map(|sibling| sibling.info.clone()).collect()
+    }
+
     /// Returns the number of jobs that wait for their first start.
     pub fn unstarted_jobs(&self) -> usize {
         self.jobs.unstarted()
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -89,6 +89,7 @@
             job: job.clone(),
             tasks,
             wait_ms,
+            time_left_ms: request.time_left.as_millis() as u64,
         }));
         self.tasks += tasks;
         self.jobs.insert(job, Job::new(now, request, &self.options));
--- a/kqr-dispatch/src/note.rs
+++ b/kqr-dispatch/src/note.rs
@@ -13,6 +13,8 @@
         tasks: u64,
         /// Expected wait, in milliseconds.
         wait_ms: u64,
+        /// Time that is left for the answer, in milliseconds.
+        time_left_ms: u64,
     },
     /// A job ended.
     JobEnded {
@@ -58,6 +60,10 @@
         target: TargetId,
         /// Wait at the owner, in milliseconds.
         waited_ms: u64,
+        /// Estimated run time, in milliseconds.
+        estimate_ms: u64,
+        /// Run time on the target over the estimate, as learned, in thousandths.
+        slowness_milli: u64,
     },
     /// A run ended at a target, other than by being done.
     RunEnded {
@@ -87,6 +93,8 @@
         target: TargetId,
         /// Why.
         cause: &'static str,
+        /// How much of its work was done, in percent.
+        percent: u8,
     },
     /// An order can't be served here.
     OrderRefused {
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -55,8 +55,15 @@
 }
 
 impl Siblings {
-    /// Takes the list of live entries. Returns those that are gone or have begun another life.
-    pub(crate) fn update(&mut self, own: &InstanceId, entries: Vec<EntryInfo>) -> Vec<InstanceId> {
+    /// Takes the list of live entries. Returns those that are gone or have begun another life. A sibling that is still
+    /// heard is kept: control may miss it.
+    pub(crate) fn update(
+        &mut self,
+        now: Instant,
+        own: &InstanceId,
+        entries: Vec<EntryInfo>,
+        silence: Duration,
+    ) -> Vec<InstanceId> {
         let mut before = std::mem::take(&mut self.known);
         let mut gone = Vec::new();
         for info in entries {
@@ -77,7 +84,13 @@
             };
             self.known.insert(sibling.info.id.clone(), sibling);
         }
-        gone.extend(before.into_keys());
+        for (id, sibling) in before {
+            if sibling.is_heard(now, silence) {
+                self.known.insert(id, sibling);
+            } else {
+                gone.push(id);
+            }
+        }
         gone
     }
 
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -110,10 +110,13 @@
         self.directory.take_sync(now, request);
         let is_newer = |catalog: &&Arc<Catalog>| request.catalog.is_none_or(|held| held < catalog.version);
         let catalog = self.state.catalog().filter(is_newer);
+        // Until all entries have had the time to ask a new leader, its view lacks some of them.
+        let is_complete = self.elected.is_some_and(|at| now.since(at) >= self.options.leader_grace);
         let revision = self.revision();
+        let is_due = is_complete && revision != request.view;
         SyncReply::Current {
             catalog: catalog.map(|catalog| Box::new(Catalog::clone(catalog))),
-            view: (revision != request.view).then(|| self.view(&request.entry, revision)),
+            view: is_due.then(|| self.view(&request.entry, revision)),
         }
     }
 
--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -163,10 +163,10 @@
         kqr_telemetry::decision("view-applied", &fields);
         self.view = view.revision;
         self.known = view.controls;
-        self.shell.link_siblings(&view.entries);
         self.shell.handle(Input::View {
             entries: view.entries,
             owned: view.owned,
         });
+        self.shell.link_siblings();
     }
 }
--- a/kqr-runtime/src/entry/notes.rs
+++ b/kqr-runtime/src/entry/notes.rs
@@ -6,12 +6,18 @@
 /// Writes a decision to the log.
 pub(super) fn log(note: &Note) {
     match note {
-        Note::JobAdmitted { job, tasks, wait_ms } => decision(
+        Note::JobAdmitted {
+            job,
+            tasks,
+            wait_ms,
+            time_left_ms,
+        } => decision(
             "job-admitted",
             &[
                 ("job", job.to_string()),
                 ("tasks", tasks.to_string()),
                 ("expected_wait_ms", wait_ms.to_string()),
+                ("time_left_ms", time_left_ms.to_string()),
             ],
         ),
         Note::JobEnded {
@@ -52,12 +58,16 @@
             run,
             target,
             waited_ms,
+            estimate_ms,
+            slowness_milli,
         } => decision(
             "run-started",
             &[
                 ("run", run.to_string()),
                 ("target", target.to_string()),
                 ("waited_ms", waited_ms.to_string()),
+                ("estimate_ms", estimate_ms.to_string()),
+                ("slowness_milli", slowness_milli.to_string()),
             ],
         ),
         Note::RunEnded {
@@ -82,12 +92,18 @@
                 ("proof", (*proof).to_owned()),
             ],
         ),
-        Note::RunStopped { run, target, cause } => decision(
+        Note::RunStopped {
+            run,
+            target,
+            cause,
+            percent,
+        } => decision(
             "run-stopped",
             &[
                 ("run", run.to_string()),
                 ("target", target.to_string()),
                 ("cause", (*cause).to_owned()),
+                ("percent", percent.to_string()),
             ],
         ),
         Note::OrderRefused { run, cause } => decision(
--- a/kqr-runtime/src/entry/shell.rs
+++ b/kqr-runtime/src/entry/shell.rs
@@ -157,14 +157,15 @@
     }
 
     /// Opens links to new siblings and closes those of siblings that are gone.
-    pub(super) fn link_siblings(self: &Arc<Self>, entries: &[EntryInfo]) {
+    pub(super) fn link_siblings(self: &Arc<Self>) {
+        let entries = self.machine().siblings();
         let mut mailboxes = lock(&self.mailboxes);
         mailboxes.retain(|id, mailbox| {
             let mut entries = entries.iter();
             entries.any(|entry| entry.id == *id && mailbox.is_for(entry))
         });
-        for entry in entries {
-            if entry.id != self.own.id && !mailboxes.contains_key(&entry.id) {
+        for entry in &entries {
+            if !mailboxes.contains_key(&entry.id) {
                 mailboxes.insert(entry.id.clone(), Mailbox::open(self, entry));
             }
         }
