fix: messages flow again after a cut, and a returning data centre keeps its owners

A mailbox that was opened again began at epoch 0, below the one that the receiver had seen, so all its messages were dropped.

--- a/kqr-dispatch/src/desk/answers.rs
+++ b/kqr-dispatch/src/desk/answers.rs
@@ -130,7 +130,12 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        note(outputs, target, "start-refused", format!("{run}: {}", refusal.as_str()));
+        note(
+            outputs,
+            target,
+            "start-refused",
+            format!("{run}: {}", refusal.as_str()),
+        );
         let cause = match refusal {
             Refusal::Superseded => NotRun::Superseded,
             Refusal::Unhealthy => {
@@ -170,7 +175,12 @@
     fn replaced(&mut self, id: &TargetId, outputs: &mut Vec<Output>) {
         self.clear_runs(id, "another target has the address", outputs);
         if let Some(target) = self.targets.remove(id) {
-            note(outputs, &target, "replaced", format!("at {}", target.record.address));
+            note(
+                outputs,
+                &target,
+                "replaced",
+                format!("at {}", target.record.address),
+            );
             self.reports.push(TargetReport::Gone {
                 id: id.clone(),
                 life: Some(target.record.life),
@@ -202,7 +212,12 @@
             return;
         };
         if target.missed > 0 {
-            note(outputs, target, "answering", format!("after {} missed polls", target.missed));
+            note(
+                outputs,
+                target,
+                "answering",
+                format!("after {} missed polls", target.missed),
+            );
         }
         target.missed = 0;
         target.heard = now;
@@ -229,7 +244,12 @@
             EndKind::Done => target.health.done(&self.options, took, run.estimate),
             EndKind::Failed if run.failures == 0 => {
                 if target.health.failed(now, &self.options, &ended.run.task.job) {
-                    note(outputs, target, "paused", "failed runs of several jobs".to_owned());
+                    note(
+                        outputs,
+                        target,
+                        "paused",
+                        "failed runs of several jobs".to_owned(),
+                    );
                 }
             }
             EndKind::Failed | EndKind::Stopped => {}
--- a/kqr-dispatch/src/desk/mod.rs
+++ b/kqr-dispatch/src/desk/mod.rs
@@ -136,7 +136,8 @@
                 },
                 Some(target),
             ) => {
-                let is_news = *record != target.record || *is_leaving != target.is_leaving || !target.is_reported;
+                let is_news =
+                    *record != target.record || *is_leaving != target.is_leaving || !target.is_reported;
                 target.is_reported = true;
                 if *is_leaving && !target.is_leaving && record.life >= target.record.life {
                     target.is_leaving = true;
@@ -193,7 +194,8 @@
         }
         for waiting in self.waiting.values() {
             let rank = (waiting.order.priority as usize).min(RANKS - 1);
-            report.queued[rank] += waiting.order.needs.cpu_milli * waiting.order.estimate.as_millis() as u64 / 1000;
+            report.queued[rank] +=
+                waiting.order.needs.cpu_milli * waiting.order.estimate.as_millis() as u64 / 1000;
         }
         report
     }
--- a/kqr-dispatch/src/desk/orders.rs
+++ b/kqr-dispatch/src/desk/orders.rs
@@ -72,9 +72,8 @@
         outputs: &mut Vec<Output>,
     ) {
         let mut waiting = self.waiting.iter();
-        let found = waiting.find(|(_, waiting)| {
-            waiting.order.ticket == ticket && waiting.coordinator == *coordinator
-        });
+        let found = waiting
+            .find(|(_, waiting)| waiting.order.ticket == ticket && waiting.coordinator == *coordinator);
         if let Some((&key, _)) = found {
             self.waiting.remove(&key);
             let end = RunEnd::NotRun(NotRun::Cancelled);
@@ -92,7 +91,8 @@
         coordinator: &InstanceId,
         outputs: &mut Vec<Output>,
     ) {
-        self.waiting.retain(|_, waiting| waiting.coordinator != *coordinator);
+        self.waiting
+            .retain(|_, waiting| waiting.coordinator != *coordinator);
         let is_meant = |run: &Run| run.ordered_by.as_ref().is_some_and(|(by, _)| by == coordinator);
         self.stop_where(now, "coordinator-lost", is_meant, outputs);
         for target in self.targets.values_mut().chain(&mut self.former) {
@@ -112,7 +112,11 @@
                 expired.push((key, NotRun::NoTarget));
             } else if waiting.until <= now {
                 expired.push((key, NotRun::Expired));
-            } else if !self.targets.values().any(|target| may_run(target, &waiting.order)) {
+            } else if !self
+                .targets
+                .values()
+                .any(|target| may_run(target, &waiting.order))
+            {
                 expired.push((key, NotRun::NoTarget));
             }
         }
@@ -175,8 +179,13 @@
         }
     }
 
-    fn stop_where<Meant>(&mut self, now: Instant, cause: &'static str, is_meant: Meant, outputs: &mut Vec<Output>)
-    where
+    fn stop_where<Meant>(
+        &mut self,
+        now: Instant,
+        cause: &'static str,
+        is_meant: Meant,
+        outputs: &mut Vec<Output>,
+    ) where
         Meant: Fn(&Run) -> bool,
     {
         let mut meant = Vec::new();
@@ -192,7 +201,13 @@
         }
     }
 
-    fn refuse(&mut self, coordinator: InstanceId, order: &RunOrder, cause: NotRun, outputs: &mut Vec<Output>) {
+    fn refuse(
+        &mut self,
+        coordinator: InstanceId,
+        order: &RunOrder,
+        cause: NotRun,
+        outputs: &mut Vec<Output>,
+    ) {
         outputs.push(Output::Note(Note::OrderRefused {
             run: order.run.clone(),
             cause,
@@ -214,7 +229,10 @@
             if order.preferred.as_ref() == Some(id) {
                 return Some(id.clone());
             }
-            let is_far = order.near.as_ref().is_some_and(|rack| !target.record.has_label(rack));
+            let is_far = order
+                .near
+                .as_ref()
+                .is_some_and(|rack| !target.record.has_label(rack));
             let factor = if is_far { FAR_FACTOR } else { 1.0 };
             let cost = target.health.slowness() * factor;
             if best.is_none_or(|(least, _)| cost < least) {
@@ -272,7 +290,10 @@
 /// Returns whether the target could run the order, with or without room.
 fn may_run(target: &Target, order: &RunOrder) -> bool {
     let is_usable = !target.is_leaving && !target.must_release && !target.is_fenced;
-    let has_label = order.label.as_ref().is_none_or(|label| target.record.has_label(label));
+    let has_label = order
+        .label
+        .as_ref()
+        .is_none_or(|label| target.record.has_label(label));
     is_usable
         && has_label
         && target.record.service == order.service
--- a/kqr-dispatch/src/desk/polling.rs
+++ b/kqr-dispatch/src/desk/polling.rs
@@ -59,9 +59,17 @@
         };
         // A target that did not answer, or whose runs are not known yet, gets no longer lease: what runs there must end.
         let may_extend = target.is_attached && target.missed == 0 && target.has_work();
-        let lease_until = if may_extend { target.extend(now, &options) } else { None };
+        let lease_until = if may_extend {
+            target.extend(now, &options)
+        } else {
+            None
+        };
         let is_first = !target.is_attached || target.missed > 0;
-        let wait = if is_first { Duration::ZERO } else { options.poll_wait };
+        let wait = if is_first {
+            Duration::ZERO
+        } else {
+            options.poll_wait
+        };
         target.is_polling = true;
         let call = PollCall {
             lease_until,
@@ -77,7 +85,13 @@
     }
 
     /// Notes that a poll was not answered; the next one follows after a short while.
-    pub(super) fn poll_missed(&mut self, now: Instant, id: &TargetId, cause: String, outputs: &mut Vec<Output>) {
+    pub(super) fn poll_missed(
+        &mut self,
+        now: Instant,
+        id: &TargetId,
+        cause: String,
+        outputs: &mut Vec<Output>,
+    ) {
         let retry = self.options.poll_retry;
         let Some(target) = self.targets.get_mut(id) else {
             return;
--- a/kqr-dispatch/src/desk/target.rs
+++ b/kqr-dispatch/src/desk/target.rs
@@ -102,7 +102,10 @@
     }
 
     pub(super) fn take_clock(&mut self, now: Instant, clock: TargetTime) {
-        if self.clock.is_none_or(|(known, at)| clock >= known + now.since(at) / 2) {
+        if self
+            .clock
+            .is_none_or(|(known, at)| clock >= known + now.since(at) / 2)
+        {
             self.clock = Some((clock, now));
         }
     }
--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -138,7 +138,13 @@
         self.report_load(now, outputs);
     }
 
-    fn message(&mut self, now: Instant, from: &InstanceId, message: SiblingMessage, outputs: &mut Vec<Output>) {
+    fn message(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        message: SiblingMessage,
+        outputs: &mut Vec<Output>,
+    ) {
         let lag = self.options.report_lag;
         if let Some(sibling) = self.siblings.get_mut(from) {
             if sibling.heard.is_none() {
@@ -231,13 +237,7 @@
         }
     }
 
-    fn place(
-        &mut self,
-        now: Instant,
-        key: &JobKey,
-        candidates: &mut Candidates,
-        outputs: &mut Vec<Output>,
-    ) {
+    fn place(&mut self, now: Instant, key: &JobKey, candidates: &mut Candidates, outputs: &mut Vec<Output>) {
         let mut remote: BTreeMap<InstanceId, Vec<RunOrder>> = BTreeMap::new();
         for Placed { owner, order } in self.jobs.place(now, key, candidates, outputs) {
             if owner == self.own.id {
--- a/kqr-dispatch/src/jobs/candidates.rs
+++ b/kqr-dispatch/src/jobs/candidates.rs
@@ -114,29 +114,36 @@
     }
 }
 
-
 /// Returns the work that an order of `rank` waits for, in core-milliseconds.
 fn ahead(load: &LoadReport, rank: usize) -> u64 {
     load.queued.iter().take(rank + 1).sum()
 }
 
 fn fits_step(target: &TargetLoad, request: &JobRequest, step: &StepSpec) -> bool {
-    let has_label = step.label.as_ref().is_none_or(|label| target.labels.contains(label));
+    let has_label = step
+        .label
+        .as_ref()
+        .is_none_or(|label| target.labels.contains(label));
     has_label && target.service == request.service && target.capacity.holds(&step.needs)
 }
 
 fn may_run(target: &TargetLoad, order: &RunOrder) -> bool {
-    let has_label = order.label.as_ref().is_none_or(|label| target.labels.contains(label));
+    let has_label = order
+        .label
+        .as_ref()
+        .is_none_or(|label| target.labels.contains(label));
     has_label
         && target.service == order.service
         && target.capacity.holds(&order.needs)
         && !order.avoid.contains(&target.id)
 }
 
-
 /// Returns the expected run time in relation to the estimate.
 fn cost(target: &TargetLoad, order: &RunOrder, is_near: bool) -> f32 {
-    let is_far = order.near.as_ref().is_some_and(|rack| !target.labels.contains(rack));
+    let is_far = order
+        .near
+        .as_ref()
+        .is_some_and(|rack| !target.labels.contains(rack));
     let rack = if is_far { FAR_FACTOR } else { 1.0 };
     let link = if is_near { 0.0 } else { REMOTE_COST };
     target.slowness * rack + link
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -79,7 +79,9 @@
         if let Some(cause) = self.refusal(&request, wait_ms, candidates) {
             let end = JobEnd::Refused {
                 cause,
-                retry_after: std::time::Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
+                retry_after: std::time::Duration::from_millis(
+                    RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5)),
+                ),
             };
             note_end(outputs, &job, &end, 0, 0);
             outputs.push(Output::JobEnded { job, end });
@@ -142,7 +144,10 @@
         let Some(job) = self.remove(key) else { return };
         let after_ms = now.since(job.arrived).as_millis() as u64;
         note_end(outputs, key, &end, after_ms, job.orders);
-        outputs.push(Output::JobEnded { job: key.clone(), end });
+        outputs.push(Output::JobEnded {
+            job: key.clone(),
+            end,
+        });
     }
 
     /// Removes a job and takes its open orders back.
@@ -164,7 +169,12 @@
         if self.tasks + request.tasks() > self.options.max_tasks {
             return Some(RefusalCause::TooManyTasks);
         }
-        let longest = request.steps.iter().map(|step| step.estimate).max().unwrap_or_default();
+        let longest = request
+            .steps
+            .iter()
+            .map(|step| step.estimate)
+            .max()
+            .unwrap_or_default();
         let most = request.time_left.saturating_sub(longest).as_millis() as u64;
         (wait_ms > most).then_some(RefusalCause::Overload)
     }
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -113,7 +113,8 @@
     /// Returns the siblings that were heard a short time ago, with their lives.
     pub(crate) fn heard(&self, now: Instant, options: &Options) -> Vec<(InstanceId, Incarnation)> {
         let live = self.live(now, options);
-        live.map(|sibling| (sibling.info.id.clone(), sibling.info.incarnation)).collect()
+        live.map(|sibling| (sibling.info.id.clone(), sibling.info.incarnation))
+            .collect()
     }
 
     /// Forgets the siblings that have become silent, and returns them.
--- a/kqr-fleet/src/node/directory.rs
+++ b/kqr-fleet/src/node/directory.rs
@@ -5,9 +5,7 @@
 
 use kqr_types::{DataCentre, Incarnation, InstanceId, Instant, TargetId};
 
-use crate::{
-    EntryInfo, FencingToken, Owner, OwnedTarget, SyncRequest, TargetRecord, TargetReport,
-};
+use crate::{EntryInfo, FencingToken, OwnedTarget, Owner, SyncRequest, TargetRecord, TargetReport};
 
 /// What the leader heard of an entry.
 #[derive(Clone, Debug)]
@@ -115,7 +113,8 @@
         owned: &BTreeMap<TargetId, OwnedTarget>,
     ) {
         let before = self.entries.len();
-        self.entries.retain(|_, entry| now.since(entry.alive) < entry_timeout);
+        self.entries
+            .retain(|_, entry| now.since(entry.alive) < entry_timeout);
         self.changes += (before - self.entries.len()) as u32;
         self.unreachable
             .retain(|target, token| owned.get(target).is_some_and(|owned| owned.token == *token));
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -1,15 +1,16 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use kqr_agreement::{
     Configuration, Index, Input, Machine, Output, ProposalResult, Refusal, RequestId, Role, VoterId,
 };
-use kqr_types::{DataCentre, InstanceId, Instant};
+use kqr_types::{InstanceId, Instant};
 
 use super::{
     CallId, FleetInput, FleetOptions, FleetOutput,
     calls::{Calls, Purpose},
     directory::Directory,
     planning::Planner,
+    presence::Presence,
     voters::Voters,
 };
 use crate::{
@@ -28,8 +29,7 @@
     voters: Voters,
     /// When this instance was elected, if it leads.
     elected: Option<Instant>,
-    /// Since when no entry of a data centre was alive.
-    silent_since: BTreeMap<DataCentre, Instant>,
+    presence: Presence,
     applied: Index,
     compacted: Index,
 }
@@ -45,7 +45,7 @@
             directory: Directory::default(),
             voters: Voters::default(),
             elected: None,
-            silent_since: BTreeMap::new(),
+            presence: Presence::default(),
             applied: Index(0),
             compacted: Index(0),
         }
@@ -74,7 +74,10 @@
     /// Returns whether this instance is a member of the log.
     pub fn is_member(&self) -> bool {
         let own = self.agreement.own();
-        self.agreement.configuration().members().any(|member| member == own)
+        self.agreement
+            .configuration()
+            .members()
+            .any(|member| member == own)
     }
 
     /// Takes one input and adds what has to be done to `outputs`.
@@ -111,7 +114,9 @@
         let is_newer = |catalog: &&Arc<Catalog>| request.catalog.is_none_or(|held| held < catalog.version);
         let catalog = self.state.catalog().filter(is_newer);
         // Until all entries have had the time to ask a new leader, its view lacks some of them.
-        let is_complete = self.elected.is_some_and(|at| now.since(at) >= self.options.leader_grace);
+        let is_complete = self
+            .elected
+            .is_some_and(|at| now.since(at) >= self.options.leader_grace);
         let revision = self.revision();
         let is_due = is_complete && revision != request.view;
         SyncReply::Current {
@@ -125,7 +130,11 @@
     /// # Errors
     ///
     /// Returns the leader, if it is known, where this instance does not lead.
-    pub fn report(&mut self, now: Instant, report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>> {
+    pub fn report(
+        &mut self,
+        now: Instant,
+        report: TargetReport,
+    ) -> Result<ReportReceipt, Option<InstanceId>> {
         if !self.is_current(now) {
             return Err(self.leader());
         }
@@ -176,13 +185,7 @@
         self.propose(now, Purpose::Replace(call), &Command::Replace(catalog), outputs);
     }
 
-    fn propose(
-        &mut self,
-        now: Instant,
-        purpose: Purpose,
-        command: &Command,
-        outputs: &mut Vec<FleetOutput>,
-    ) {
+    fn propose(&mut self, now: Instant, purpose: Purpose, command: &Command, outputs: &mut Vec<FleetOutput>) {
         match serde_json::to_vec(command) {
             Ok(command) => {
                 let request = self.calls.open(purpose);
@@ -205,13 +208,21 @@
             return;
         }
         let owned = self.state.targets();
-        self.directory
-            .expire(now, self.options.entry_timeout, self.options.target_timeout, owned);
-        self.note_silence(now);
+        self.directory.expire(
+            now,
+            self.options.entry_timeout,
+            self.options.target_timeout,
+            owned,
+        );
+        self.presence.update(now, &self.directory, &self.state);
         self.forget_targets(now, outputs);
-        let mut planner = Planner::new(&self.directory, &self.state, &self.options);
-        let handovers = planner.handovers(now, &self.silent_since);
-        let moves = if handovers.is_empty() { planner.moves() } else { Vec::new() };
+        let mut planner = Planner::new(&self.directory, &self.state, &self.presence, &self.options);
+        let handovers = planner.handovers(now);
+        let moves = if handovers.is_empty() {
+            planner.moves()
+        } else {
+            Vec::new()
+        };
         if self.directory.moving.is_empty() && !moves.is_empty() {
             self.directory.changes += 1;
             self.directory.moving.extend(moves);
@@ -228,18 +239,6 @@
         self.propose(now, Purpose::Plan, &Command::HandOver(handovers), outputs);
     }
 
-    fn note_silence(&mut self, now: Instant) {
-        let mut silent = BTreeMap::new();
-        for target in self.state.targets().values() {
-            let data_centre = &target.record.data_centre;
-            if self.directory.takers(data_centre).next().is_none() {
-                let since = self.silent_since.get(data_centre).copied().unwrap_or(now);
-                silent.insert(data_centre.clone(), since);
-            }
-        }
-        self.silent_since = silent;
-    }
-
     fn forget_targets(&mut self, now: Instant, outputs: &mut Vec<FleetOutput>) {
         let owned = self.state.targets();
         self.directory.gone.retain(|target| owned.contains_key(target));
@@ -259,7 +258,9 @@
         let configuration: Configuration = self.agreement.configuration().clone();
         let (own, wanted) = (self.agreement.own().clone(), self.options.voters);
         let timeout = self.options.voter_timeout;
-        let change = self.voters.next_change(now, &own, &configuration, wanted, timeout);
+        let change = self
+            .voters
+            .next_change(now, &own, &configuration, wanted, timeout);
         let Some(change) = change else { return };
         let detail = format!("changing the members of the log: {change:?}");
         outputs.push(FleetOutput::Note { detail });
@@ -301,7 +302,7 @@
                 if view.role == Role::Leader {
                     self.elected = Some(now);
                     self.directory = Directory::default();
-                    self.silent_since.clear();
+                    self.presence = Presence::default();
                     self.voters.reset(now, self.agreement.configuration());
                 } else {
                     self.elected = None;
--- a/kqr-fleet/src/node/mod.rs
+++ b/kqr-fleet/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod options;
 mod output;
 mod planning;
+mod presence;
 mod voters;
 
 pub use call_id::CallId;
--- a/kqr-fleet/src/node/planning.rs
+++ b/kqr-fleet/src/node/planning.rs
@@ -2,7 +2,7 @@
 
 use kqr_types::{DataCentre, InstanceId, Instant, TargetId};
 
-use super::{FleetOptions, directory::Directory};
+use super::{FleetOptions, directory::Directory, presence::Presence};
 use crate::{EntryInfo, FleetState, Handover, Owner, TargetRecord};
 
 /// Most handovers in one command.
@@ -16,13 +16,19 @@
 pub(super) struct Planner<'a> {
     directory: &'a Directory,
     state: &'a FleetState,
+    presence: &'a Presence,
     options: &'a FleetOptions,
     /// Number of targets of each live entry.
     loads: BTreeMap<InstanceId, usize>,
 }
 
 impl<'a> Planner<'a> {
-    pub(super) fn new(directory: &'a Directory, state: &'a FleetState, options: &'a FleetOptions) -> Self {
+    pub(super) fn new(
+        directory: &'a Directory,
+        state: &'a FleetState,
+        presence: &'a Presence,
+        options: &'a FleetOptions,
+    ) -> Self {
         let mut loads = BTreeMap::new();
         for target in state.targets().values() {
             if directory.is_alive(&target.owner) {
@@ -32,19 +38,20 @@
         Self {
             directory,
             state,
+            presence,
             options,
             loads,
         }
     }
 
     /// Returns the targets that need an owner, with the owner that each gets.
-    pub(super) fn handovers(&mut self, now: Instant, silent_since: &BTreeMap<DataCentre, Instant>) -> Vec<Handover> {
+    pub(super) fn handovers(&mut self, now: Instant) -> Vec<Handover> {
         let mut handovers = Vec::new();
-        for record in self.unowned() {
+        for record in self.unowned(now) {
             if handovers.len() == MAX_HANDOVERS {
                 break;
             }
-            let owner = self.kept_owner(&record).or_else(|| self.pick(&record, now, silent_since));
+            let owner = self.kept_owner(&record).or_else(|| self.pick(&record, now));
             if let Some(owner) = owner {
                 handovers.push(Handover { record, owner });
             }
@@ -57,7 +64,10 @@
         let mut centres: BTreeMap<&DataCentre, Vec<&EntryInfo>> = BTreeMap::new();
         for entry in self.directory.entries.values() {
             if !entry.info.is_leaving {
-                centres.entry(&entry.info.data_centre).or_default().push(&entry.info);
+                centres
+                    .entry(&entry.info.data_centre)
+                    .or_default()
+                    .push(&entry.info);
             }
         }
         let mut moves = Vec::new();
@@ -91,7 +101,7 @@
         foreign
     }
 
-    fn unowned(&self) -> Vec<TargetRecord> {
+    fn unowned(&self, now: Instant) -> Vec<TargetRecord> {
         let mut records = Vec::new();
         for (id, owned) in self.state.targets() {
             if self.directory.gone.contains(id) {
@@ -99,8 +109,14 @@
             }
             let is_released = self.directory.released.get(id) == Some(&owned.token);
             let reported = self.directory.targets.get(id).map(|known| &known.record);
-            let is_changed = reported.is_some_and(|record| *record != owned.record && record.life >= owned.record.life);
-            if is_released || is_changed || !self.directory.is_alive(&owned.owner) {
+            let is_changed =
+                reported.is_some_and(|record| *record != owned.record && record.life >= owned.record.life);
+            let data_centre = &owned.record.data_centre;
+            let is_returning = self
+                .presence
+                .is_returning(now, data_centre, self.options.leader_grace);
+            let is_lost = !is_returning && !self.directory.is_alive(&owned.owner);
+            if is_released || is_changed || is_lost {
                 records.push(reported.filter(|_| is_changed).unwrap_or(&owned.record).clone());
             }
         }
@@ -122,15 +138,10 @@
         is_kept.then(|| owned.owner.clone())
     }
 
-    fn pick(
-        &mut self,
-        record: &TargetRecord,
-        now: Instant,
-        silent_since: &BTreeMap<DataCentre, Instant>,
-    ) -> Option<Owner> {
+    fn pick(&mut self, record: &TargetRecord, now: Instant) -> Option<Owner> {
         let near = self.directory.takers(&record.data_centre);
         let mut picked = near.min_by_key(|entry| self.share(entry, 1));
-        if picked.is_none() && self.is_reachable(record, now, silent_since) {
+        if picked.is_none() && self.is_reachable(record, now) {
             let all = self.directory.entries.values().map(|entry| &entry.info);
             let all = all.filter(|entry| !entry.is_leaving);
             picked = all.min_by_key(|entry| self.share(entry, 1));
@@ -146,18 +157,13 @@
 
     /// Returns whether a target without a live entry in its data centre can be reached from outside: its owner gave it
     /// back, or it reported to control after the last entry fell silent. A data centre that is cut off keeps its targets.
-    fn is_reachable(
-        &self,
-        record: &TargetRecord,
-        now: Instant,
-        silent_since: &BTreeMap<DataCentre, Instant>,
-    ) -> bool {
+    fn is_reachable(&self, record: &TargetRecord, now: Instant) -> bool {
         let owned = self.state.targets().get(&record.id);
         let is_released =
             owned.is_some_and(|owned| self.directory.released.get(&record.id) == Some(&owned.token));
         let known = self.directory.targets.get(&record.id);
-        let has_reported = known.is_some_and(|known| match silent_since.get(&record.data_centre) {
-            Some(since) => known.heard > *since,
+        let has_reported = known.is_some_and(|known| match self.presence.silent_since(&record.data_centre) {
+            Some(since) => known.heard > since,
             None => now.since(known.heard) < self.options.entry_timeout,
         });
         is_released || has_reported
--- a/kqr-fleet/src/node/voters.rs
+++ b/kqr-fleet/src/node/voters.rs
@@ -45,7 +45,8 @@
         wanted: usize,
         timeout: Duration,
     ) -> Option<VoterChange> {
-        self.joining.retain(|_, (_, asked)| now.since(*asked) < JOIN_LIFETIME);
+        self.joining
+            .retain(|_, (_, asked)| now.since(*asked) < JOIN_LIFETIME);
         for (voter, _) in self.joining.values() {
             let former = configuration
                 .members()
--- a/kqr-fleet/src/state.rs
+++ b/kqr-fleet/src/state.rs
@@ -41,7 +41,9 @@
 
     /// Returns the version in force, or 0 without a catalog.
     pub fn catalog_version(&self) -> CatalogVersion {
-        self.catalog.as_ref().map_or_else(CatalogVersion::default, |catalog| catalog.version)
+        self.catalog
+            .as_ref()
+            .map_or_else(CatalogVersion::default, |catalog| catalog.version)
     }
 
     /// Returns the targets with their owners.
@@ -85,7 +87,10 @@
     }
 
     fn replace(&mut self, catalog: Catalog) {
-        let is_newer = self.catalog.as_ref().is_none_or(|held| held.version < catalog.version);
+        let is_newer = self
+            .catalog
+            .as_ref()
+            .is_none_or(|held| held.version < catalog.version);
         if is_newer {
             self.catalog = Some(Arc::new(catalog));
         }
--- a/kqr-runtime/src/calls.rs
+++ b/kqr-runtime/src/calls.rs
@@ -23,5 +23,11 @@
 pub(crate) trait SiblingCalls {
     /// Hands over messages, numbered from `first` on within an epoch of the link. Messages that were handed over before
     /// are dropped.
-    async fn deliver(from: InstanceId, incarnation: Incarnation, epoch: u64, first: u64, messages: Vec<SiblingMessage>);
+    async fn deliver(
+        from: InstanceId,
+        incarnation: Incarnation,
+        epoch: u64,
+        first: u64,
+        messages: Vec<SiblingMessage>,
+    );
 }
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -66,7 +66,10 @@
             voters: settings.voters(),
             ..FleetOptions::default()
         };
-        let node = FleetNode::new(options, Machine::new(voter.clone(), agreement, folder.opened.durable));
+        let node = FleetNode::new(
+            options,
+            Machine::new(voter.clone(), agreement, folder.opened.durable),
+        );
         let links = AgreementLinks::new(Handle::current(), voter.clone());
         let driver = Driver::new(own.clone(), node, folder.store, links);
         let (tx, rx) = mpsc::channel();
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -38,7 +38,12 @@
 }
 
 impl Driver {
-    pub(super) fn new(own: InstanceId, node: FleetNode, store: Store<FolderDisk>, links: AgreementLinks) -> Self {
+    pub(super) fn new(
+        own: InstanceId,
+        node: FleetNode,
+        store: Store<FolderDisk>,
+        links: AgreementLinks,
+    ) -> Self {
         Self {
             own,
             node,
--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -99,7 +99,8 @@
         report: TargetReport,
     ) -> Option<Result<ReportReceipt, Option<InstanceId>>> {
         let (reply, rx) = oneshot::channel();
-        self.ask(Request::Report { report, reply }, rx, FORWARD_TIMEOUT).await
+        self.ask(Request::Report { report, reply }, rx, FORWARD_TIMEOUT)
+            .await
     }
 
     pub(super) async fn sync(&self, request: SyncRequest) -> SyncReply {
@@ -112,7 +113,8 @@
 
     pub(super) async fn join(&self, voter: VoterId) -> Option<InstanceId> {
         let (reply, rx) = oneshot::channel();
-        self.ask(Request::Join { voter, reply }, rx, FORWARD_TIMEOUT).await?
+        self.ask(Request::Join { voter, reply }, rx, FORWARD_TIMEOUT)
+            .await?
     }
 
     pub(super) fn deliver(&self, from: VoterId, message: Message) {
--- a/kqr-runtime/src/control/settings.rs
+++ b/kqr-runtime/src/control/settings.rs
@@ -35,8 +35,14 @@
     ///
     /// Fails with the first contradiction.
     pub fn check(&self) -> eyre::Result<()> {
-        ensure!(!self.seeds.is_empty(), "seeds: at least one control instance must be named");
-        ensure!(self.first_port < u16::MAX, "first_port: one more port must follow");
+        ensure!(
+            !self.seeds.is_empty(),
+            "seeds: at least one control instance must be named"
+        );
+        ensure!(
+            self.first_port < u16::MAX,
+            "first_port: one more port must follow"
+        );
         Ok(())
     }
 
--- a/kqr-runtime/src/entry/mailbox.rs
+++ b/kqr-runtime/src/entry/mailbox.rs
@@ -55,7 +55,7 @@
             sibling: sibling.id.clone(),
             address: sibling.siblings,
             queue: Arc::clone(&queue),
-            epoch: 0,
+            epoch: shell.clock().now().0,
             first: 0,
         };
         Self {
@@ -102,7 +102,7 @@
     sibling: InstanceId,
     address: SocketAddr,
     queue: Arc<Queue>,
-    /// Rises each time that messages were given up.
+    /// When the present sequence of messages began, by the own clock: it also rises when a mailbox is opened again.
     epoch: u64,
     /// Number of the next message within the epoch.
     first: u64,
@@ -171,19 +171,30 @@
             }
         };
         let (own, messages) = (self.own.clone(), batch.to_vec());
-        let call = open.deliver(context::current(), own, self.incarnation, self.epoch, self.first, messages);
+        let call = open.deliver(
+            context::current(),
+            own,
+            self.incarnation,
+            self.epoch,
+            self.first,
+            messages,
+        );
         tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
         Ok(())
     }
 
     /// Gives up all that waits. Returns whether the entry is still there.
     fn give_up(&mut self) -> bool {
-        self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner).clear();
-        self.epoch += 1;
-        self.first = 0;
+        self.queue
+            .messages
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
         let Some(shell) = self.shell.upgrade() else {
             return false;
         };
+        self.epoch = shell.clock().now().0;
+        self.first = 0;
         let sibling = self.sibling.clone();
         shell.handle(Input::LinkLost { sibling });
         true
--- a/kqr-runtime/src/entry/notes.rs
+++ b/kqr-runtime/src/entry/notes.rs
@@ -38,7 +38,11 @@
             "job-abandoned",
             &[("job", job.to_string()), ("after_ms", after_ms.to_string())],
         ),
-        Note::TaskOrdered { run, owner, preferred } => decision(
+        Note::TaskOrdered {
+            run,
+            owner,
+            preferred,
+        } => decision(
             "task-ordered",
             &[
                 ("run", run.to_string()),
@@ -110,7 +114,11 @@
             "order-refused",
             &[("run", run.to_string()), ("cause", format!("{cause:?}"))],
         ),
-        Note::TargetChanged { target, belief, input } => decision(
+        Note::TargetChanged {
+            target,
+            belief,
+            input,
+        } => decision(
             "target-changed",
             &[
                 ("target", target.to_string()),
@@ -120,10 +128,7 @@
         ),
         Note::SiblingChanged { sibling, belief } => decision(
             "sibling-changed",
-            &[
-                ("sibling", sibling.to_string()),
-                ("belief", (*belief).to_owned()),
-            ],
+            &[("sibling", sibling.to_string()), ("belief", (*belief).to_owned())],
         ),
     }
 }
--- a/kqr-runtime/src/entry/settings.rs
+++ b/kqr-runtime/src/entry/settings.rs
@@ -41,9 +41,18 @@
     ///
     /// Fails with the first contradiction.
     pub fn check(&self) -> eyre::Result<()> {
-        ensure!(!self.seeds.is_empty(), "seeds: at least one control instance must be named");
-        ensure!(self.first_port < u16::MAX - 2, "first_port: two more ports must follow");
-        ensure!(self.max_lease_ms >= 100, "max_lease_ms: at least 100 is needed for several polls");
+        ensure!(
+            !self.seeds.is_empty(),
+            "seeds: at least one control instance must be named"
+        );
+        ensure!(
+            self.first_port < u16::MAX - 2,
+            "first_port: two more ports must follow"
+        );
+        ensure!(
+            self.max_lease_ms >= 100,
+            "max_lease_ms: at least 100 is needed for several polls"
+        );
         ensure!(self.grace_s > 0.0, "grace_s: a graceful end needs time");
         ensure!(self.cpu_share > 0.0, "cpu_share: must be more than 0");
         Ok(())
--- a/kqr-runtime/src/entry/shell.rs
+++ b/kqr-runtime/src/entry/shell.rs
@@ -79,7 +79,10 @@
         let job = request.key.clone();
         let (tx, rx) = oneshot::channel();
         let waiter = self.next_waiter.fetch_add(1, Ordering::Relaxed);
-        lock(&self.waiters).entry(job.clone()).or_default().insert(waiter, tx);
+        lock(&self.waiters)
+            .entry(job.clone())
+            .or_default()
+            .insert(waiter, tx);
         let guard = JobGuard {
             shell: Arc::clone(self),
             job,
--- a/kqr-runtime/src/entry/sibling_service.rs
+++ b/kqr-runtime/src/entry/sibling_service.rs
@@ -136,9 +136,7 @@
         }
         let channel = BaseChannel::with_defaults(messages_of(stream));
         // Messages must be taken in their order, so a connection's calls are answered one after the other.
-        let calls = channel
-            .execute(service.clone().serve())
-            .for_each(|call| call);
+        let calls = channel.execute(service.clone().serve()).for_each(|call| call);
         tokio::spawn(calls);
     }
 }
--- a/kqr-runtime/src/frames.rs
+++ b/kqr-runtime/src/frames.rs
@@ -39,7 +39,12 @@
     let connecting = TcpStream::connect(address);
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(stream) => stream?,
-        Err(_) => return Err(io::Error::new(io::ErrorKind::TimedOut, "connecting took too long")),
+        Err(_) => {
+            return Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "connecting took too long",
+            ));
+        }
     };
     stream.set_nodelay(true)?;
     Ok(stream)
--- a/kqr-telemetry/src/bounded_output.rs
+++ b/kqr-telemetry/src/bounded_output.rs
@@ -89,7 +89,10 @@
             }
             let dropped = self.dropped();
             if dropped > told {
-                text.push_str(&format!("{{\"event\":\"log-lines-dropped\",\"count\":{}}}\n", dropped - told));
+                text.push_str(&format!(
+                    "{{\"event\":\"log-lines-dropped\",\"count\":{}}}\n",
+                    dropped - told
+                ));
                 told = dropped;
             }
             // An output that is gone leaves nobody to tell.
--- a/kqr-telemetry/src/lib.rs
+++ b/kqr-telemetry/src/lib.rs
@@ -15,6 +15,8 @@
 mod metrics;
 mod rotating_file;
 
+pub use bounded_output::{BoundedOutput, dropped_lines};
+pub use decision::decision;
 pub use event::{Event, EventKind};
 pub use event_log::EventLog;
 pub use hybrid_clock::HybridClock;
@@ -22,7 +24,5 @@
 pub use labels::{AnswerClass, TaskLength, WastedMessage, WorkKind};
 pub use level::Level;
 pub use logging::{init_bounded_logging, init_logging};
-pub use bounded_output::{BoundedOutput, dropped_lines};
-pub use decision::decision;
 pub use metrics::Metrics;
 pub use rotating_file::RotationOptions;
--- a/kqr-telemetry/src/logging.rs
+++ b/kqr-telemetry/src/logging.rs
@@ -4,11 +4,7 @@
 use kqr_types::InstanceId;
 use serde::Serialize;
 
-use crate::{
-    BoundedOutput,
-    bounded_output::set_output,
-    decision::set_instance,
-};
+use crate::{BoundedOutput, bounded_output::set_output, decision::set_instance};
 
 #[derive(Serialize)]
 struct Line<'a> {
@@ -39,7 +35,10 @@
 pub fn init_bounded_logging(instance: &InstanceId, level: log::LevelFilter) -> eyre::Result<()> {
     let output = BoundedOutput::start(std::io::stdout())?;
     let sink = fern::Output::call(move |record| output.push(record.args().to_string()));
-    lines(instance, level).chain(sink).apply().wrap_err("setting the logger")?;
+    lines(instance, level)
+        .chain(sink)
+        .apply()
+        .wrap_err("setting the logger")?;
     set_output(output);
     set_instance(instance);
     Ok(())
