feat: slow targets take what is on time there; a new leader waits for known owners only

Long tasks found the fast targets filled with short ones that are on time anywhere, and a restart of all control instances cost the whole grace although every owner had asked.

--- a/kqr-dispatch/src/desk/health.rs
+++ b/kqr-dispatch/src/desk/health.rs
@@ -6,6 +6,10 @@
 
 /// Weight of a new sample of the run times once many were seen.
 const SAMPLE_WEIGHT: f32 = 0.08;
+/// Time for the way of a start and of the answer that lists its end.
+const CALL_TIME: Duration = Duration::from_millis(4);
+/// Shortest run time of a sample.
+const MIN_RUN: Duration = Duration::from_millis(1);
 /// Failures of tasks of different jobs, without a done one between them, after which a target pauses.
 const STRIKES: u32 = 2;
 
@@ -55,7 +59,8 @@
         if estimate.is_zero() || took.is_zero() {
             return;
         }
-        let sample = (took.as_secs_f32() / estimate.as_secs_f32()).ln();
+        let ran = took.saturating_sub(CALL_TIME).max(MIN_RUN);
+        let sample = (ran.as_secs_f32() / estimate.as_secs_f32()).ln();
         self.samples = self.samples.saturating_add(1);
         let weight = SAMPLE_WEIGHT.max(1.0 / f32::from(self.samples.saturating_add(2)));
         self.log_slowness += (sample - self.log_slowness) * weight;
--- a/kqr-dispatch/src/desk/orders.rs
+++ b/kqr-dispatch/src/desk/orders.rs
@@ -9,12 +9,13 @@
     target::{Target, longest},
     waiting::Waiting,
 };
-use crate::{NotRun, Note, Output, RunEnd, RunId, RunOrder, StartCall, StopCall, TargetCall, Ticket};
+use crate::{
+    NotRun, Note, Output, RunEnd, RunId, RunOrder, StartCall, StopCall, TargetCall, Ticket,
+    suitability::Suitability,
+};
 
 /// Waiting orders that may be passed over in one round for want of room; the rest would hardly fit either.
 const MAX_PASSED_OVER: usize = 24;
-/// Factor of the run time on a rack without the data, for the choice of a target.
-const FAR_FACTOR: f32 = 1.5;
 
 impl Desk {
     /// Takes an order; it starts when a target has room.
@@ -217,7 +218,7 @@
 
     /// Returns the target on which the order finishes first, among those with room.
     fn pick(&self, now: Instant, order: &RunOrder) -> Option<TargetId> {
-        let mut best: Option<(f32, &TargetId)> = None;
+        let mut best: Option<(Suitability, &TargetId)> = None;
         for (id, target) in &self.targets {
             let has_room = self.is_open(now, target)
                 && may_run(target, order)
@@ -233,10 +234,9 @@
                 .near
                 .as_ref()
                 .is_some_and(|rack| !target.record.has_label(rack));
-            let factor = if is_far { FAR_FACTOR } else { 1.0 };
-            let cost = target.health.slowness() * factor;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
+            let suitability = Suitability::of(order, target.health.slowness(), is_far, true);
+            if best.is_none_or(|(least, _)| suitability.is_better(&least)) {
+                best = Some((suitability, id));
             }
         }
         best.map(|(_, id)| id.clone())
--- a/kqr-dispatch/src/jobs/candidates.rs
+++ b/kqr-dispatch/src/jobs/candidates.rs
@@ -2,12 +2,9 @@
 
 use kqr_types::{InstanceId, TargetId};
 
-use crate::{JobRequest, LoadReport, RunOrder, StepSpec, TargetLoad, load_report::RANKS};
-
-/// Factor of the run time on a rack without the data, for the choice of a target.
-const FAR_FACTOR: f32 = 1.5;
-/// Cost of an owner in another data centre, as a part of the run time: a start and its end cross the link.
-const REMOTE_COST: f32 = 0.05;
+use crate::{
+    JobRequest, LoadReport, RunOrder, StepSpec, TargetLoad, load_report::RANKS, suitability::Suitability,
+};
 
 /// An owner with its load.
 #[derive(Clone, Debug, PartialEq)]
@@ -67,15 +64,19 @@
     /// Picks the owner for an order: one with room on the target where the task ends first, or else the one with the
     /// least work ahead of the order.
     pub(crate) fn pick(&mut self, order: &RunOrder) -> Option<(InstanceId, Option<TargetId>)> {
-        let mut best: Option<(f32, usize, usize)> = None;
+        let mut best: Option<(Suitability, usize, usize)> = None;
         for (number, owner) in self.owners.iter().enumerate() {
             for (index, target) in owner.load.targets.iter().enumerate() {
                 if !target.is_open || !target.free.holds(&order.needs) || !may_run(target, order) {
                     continue;
                 }
-                let cost = cost(target, order, owner.is_near);
-                if best.is_none_or(|(least, ..)| cost < least) {
-                    best = Some((cost, number, index));
+                let is_far = order
+                    .near
+                    .as_ref()
+                    .is_some_and(|rack| !target.labels.contains(rack));
+                let suitability = Suitability::of(order, target.slowness, is_far, owner.is_near);
+                if best.is_none_or(|(least, ..)| suitability.is_better(&least)) {
+                    best = Some((suitability, number, index));
                 }
             }
         }
@@ -137,14 +138,3 @@
         && target.capacity.holds(&order.needs)
         && !order.avoid.contains(&target.id)
 }
-
-/// Returns the expected run time in relation to the estimate.
-fn cost(target: &TargetLoad, order: &RunOrder, is_near: bool) -> f32 {
-    let is_far = order
-        .near
-        .as_ref()
-        .is_some_and(|rack| !target.labels.contains(rack));
-    let rack = if is_far { FAR_FACTOR } else { 1.0 };
-    let link = if is_near { 0.0 } else { REMOTE_COST };
-    target.slowness * rack + link
-}
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use kqr_types::Instant;
 
 use super::task::{Task, TaskState};
@@ -66,6 +68,12 @@
         self.steps.get_mut(step as usize)?.get_mut(index as usize)
     }
 
+    /// Returns the time that is left for a task to end on time, if it takes `estimate` on a sound target.
+    pub(super) fn on_time_left(&self, now: Instant, estimate: Duration) -> Duration {
+        let slack = estimate.mul_f64(self.request.slack_factor.max(0.0));
+        (self.arrived + slack + self.request.objective).since(now)
+    }
+
     fn is_step_complete(&self, step: usize) -> bool {
         let tasks = self.steps.get(step);
         tasks.is_some_and(|tasks| tasks.iter().all(|task| task.state == TaskState::Done))
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -193,6 +193,7 @@
         max_per_target: spec.max_per_target,
         priority: job.request.priority,
         time_left: job.deadline.since(now),
+        on_time_left: job.on_time_left(now, spec.estimate),
         preferred: None,
         avoid: task.avoid.clone(),
         failures: task.failures,
--- a/kqr-dispatch/src/lib.rs
+++ b/kqr-dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 mod sibling_message;
 mod siblings;
 mod step_spec;
+mod suitability;
 mod target_answer;
 mod target_call;
 mod target_time;
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -31,6 +31,8 @@
     pub priority: u32,
     /// Time that is left for a start to make sense.
     pub time_left: Duration,
+    /// Time that is left for the run to end on time, if it takes as long as estimated.
+    pub on_time_left: Duration,
     /// Target that the coordinator expects to have room.
     pub preferred: Option<TargetId>,
     /// Targets on which an earlier run of the task ended badly.
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -113,12 +113,8 @@
         self.directory.take_sync(now, request);
         let is_newer = |catalog: &&Arc<Catalog>| request.catalog.is_none_or(|held| held < catalog.version);
         let catalog = self.state.catalog().filter(is_newer);
-        // Until all entries have had the time to ask a new leader, its view lacks some of them.
-        let is_complete = self
-            .elected
-            .is_some_and(|at| now.since(at) >= self.options.leader_grace);
         let revision = self.revision();
-        let is_due = is_complete && revision != request.view;
+        let is_due = self.knows_entries(now) && revision != request.view;
         SyncReply::Current {
             catalog: catalog.map(|catalog| Box::new(Catalog::clone(catalog))),
             view: is_due.then(|| self.view(&request.entry, revision)),
@@ -145,6 +141,17 @@
         Ok(ReportReceipt { report_to })
     }
 
+    /// Returns whether the entries have asked this leader: all owners of targets did, or had the time to.
+    fn knows_entries(&self, now: Instant) -> bool {
+        let Some(elected) = self.elected else {
+            return false;
+        };
+        let mut owners = self.state.targets().values().map(|target| &target.owner.entry);
+        let have_asked = owners.all(|owner| self.directory.entries.contains_key(owner));
+        let is_settled = !self.state.targets().is_empty() && have_asked;
+        is_settled || now.since(elected) >= self.options.leader_grace
+    }
+
     /// Returns a number that differs whenever entries have to hear of a change.
     fn revision(&self) -> u64 {
         let term = self.agreement.role().term.0;
@@ -202,9 +209,8 @@
         if !self.is_current(now) {
             return;
         }
-        let Some(elected) = self.elected else { return };
         self.change_voters(now, outputs);
-        if self.calls.is_open(Purpose::Plan) || now.since(elected) < self.options.leader_grace {
+        if self.calls.is_open(Purpose::Plan) || !self.knows_entries(now) {
             return;
         }
         let owned = self.state.targets();
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -14,9 +14,9 @@
 use crate::{BootClock, calls::ControlCallsClient, frames};
 
 /// Time between heartbeats of the leader.
-const HEARTBEAT: Duration = Duration::from_millis(120);
+const HEARTBEAT: Duration = Duration::from_millis(100);
 /// Shortest time without a leader after which a voter campaigns: several lost heartbeats and a slow sync.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time between two requests to be taken into the log.
 const JOIN_PERIOD: Duration = Duration::from_millis(700);
 /// Longest time for such a request.
