feat: one owner has as many targets as it has the processing power for

Seven small pools had tasks waiting at one owner while another had room. Owners fill up one after the other.

--- a/kqr-fleet/src/node/options.rs
+++ b/kqr-fleet/src/node/options.rs
@@ -11,6 +11,9 @@
     pub target_timeout: Duration,
     /// Time without a message after which a voter may be replaced by a learner.
     pub voter_timeout: Duration,
+    /// Targets that an entry owns at most, for each core that it has, while others have power left: polls and runs of a
+    /// target take about 2 thousandths of a core, and an entry needs as much again for its callers.
+    pub targets_per_core: u64,
     /// Number of voters that is aimed at.
     pub voters: usize,
     /// Applied commands after which the log is compacted.
@@ -24,6 +27,7 @@
             leader_grace: Duration::from_millis(1500),
             target_timeout: Duration::from_secs(6),
             voter_timeout: Duration::from_secs(9),
+            targets_per_core: 80,
             voters: 3,
             compact_after: 400,
         }
--- a/kqr-fleet/src/node/planning.rs
+++ b/kqr-fleet/src/node/planning.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use kqr_types::{DataCentre, InstanceId, Instant, TargetId};
 
@@ -77,7 +77,7 @@
             let (Some(most), Some(least)) = (most, least) else {
                 continue;
             };
-            if self.share(most, 0) < self.share(least, IMBALANCE) {
+            if !self.is_full(most) || self.share(most, 0) < self.share(least, IMBALANCE) {
                 continue;
             }
             let owned = self.state.targets().values();
@@ -140,7 +140,15 @@
 
     fn pick(&mut self, record: &TargetRecord, now: Instant) -> Option<Owner> {
         let near = self.directory.takers(&record.data_centre);
-        let mut picked = near.min_by_key(|entry| self.share(entry, 1));
+        // A common pool of targets has room more often than several small ones.
+        let mut picked = near.min_by_key(|entry| {
+            let is_full = self.is_full(entry);
+            (
+                is_full,
+                Reverse(if is_full { 0 } else { self.load(entry) }),
+                self.share(entry, 1),
+            )
+        });
         if picked.is_none() && self.is_reachable(record, now) {
             let all = self.directory.entries.values().map(|entry| &entry.info);
             let all = all.filter(|entry| !entry.is_leaving);
@@ -169,6 +177,17 @@
         is_released || has_reported
     }
 
+    /// Returns the number of targets that an entry owns.
+    fn load(&self, entry: &EntryInfo) -> usize {
+        self.loads.get(&entry.id).copied().unwrap_or_default()
+    }
+
+    /// Returns whether an entry owns as many targets as it has the processing power for.
+    fn is_full(&self, entry: &EntryInfo) -> bool {
+        let most = u64::from(entry.weight) * self.options.targets_per_core / 1000;
+        self.load(entry) as u64 >= most.max(1)
+    }
+
     /// Returns how much of its share an entry has with `more` targets, in millionths of a target for each unit of weight.
     fn share(&self, entry: &EntryInfo, more: usize) -> u64 {
         let load = self.loads.get(&entry.id).copied().unwrap_or_default() + more;
