--- a/kqr-dispatch/src/desk/mod.rs
+++ b/kqr-dispatch/src/desk/mod.rs
@@ -44,6 +44,8 @@
     next_call: u64,
     is_leaving: bool,
     ended: Vec<Ended>,
+    /// Orders that were sent to a target, by coordinator.
+    begun: BTreeMap<InstanceId, Vec<Ticket>>,
     reports: Vec<TargetReport>,
 }
 
@@ -59,6 +61,7 @@
             next_call: 0,
             is_leaving: false,
             ended: Vec::new(),
+            begun: BTreeMap::new(),
             reports: Vec::new(),
         }
     }
@@ -68,6 +71,11 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// Takes the orders that were sent to a target since the last call, by coordinator.
+    pub(crate) fn take_begun(&mut self) -> BTreeMap<InstanceId, Vec<Ticket>> {
+        std::mem::take(&mut self.begun)
+    }
+
     /// Takes the reports of targets that control has to hear of.
     pub(crate) fn take_reports(&mut self) -> Vec<TargetReport> {
         std::mem::take(&mut self.reports)
--- a/kqr-dispatch/src/desk/orders.rs
+++ b/kqr-dispatch/src/desk/orders.rs
@@ -271,6 +271,10 @@
             token: target.token,
             run: order.run.clone(),
         };
+        self.begun
+            .entry(waiting.coordinator.clone())
+            .or_default()
+            .push(order.ticket);
         let call = StartCall {
             run: order.run.clone(),
             spec: order.spec.clone(),
--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -168,6 +168,7 @@
                     self.desk.cancel(now, from, ticket, outputs);
                 }
             }
+            SiblingMessage::Begun(tickets) => self.jobs.begun(&tickets),
             SiblingMessage::Ended { ticket, end, target } => {
                 self.jobs.ended(now, ticket, end, target, outputs);
             }
@@ -223,7 +224,19 @@
         }
     }
 
+    /// Tells coordinators what began and what ended.
     fn pass_ends(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        for (coordinator, tickets) in self.desk.take_begun() {
+            if coordinator == self.own.id {
+                self.jobs.begun(&tickets);
+                continue;
+            }
+            let message = SiblingMessage::Begun(tickets);
+            outputs.push(Output::Send {
+                to: coordinator,
+                message,
+            });
+        }
         for ended in self.desk.take_ended() {
             let (ticket, end, target) = (ended.ticket, ended.end, ended.target);
             if ended.coordinator == self.own.id {
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -5,12 +5,22 @@
 use super::task::{Task, TaskState};
 use crate::{JobRequest, Options, Ticket};
 
+/// Multiple of the time for an answer on time after which an answer is of no use.
+const LATE_FACTOR: u32 = 3;
+/// Factor by which a run may take longer than the estimate of its caller.
+const ESTIMATE_ERROR: f64 = 1.5;
+
 /// A job that this entry coordinates.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Job {
     pub(super) request: JobRequest,
     pub(super) arrived: Instant,
+    /// When the job is refused if nothing of it has begun.
     pub(super) deadline: Instant,
+    /// When the job is given up in any case.
+    pub(super) give_up_at: Instant,
+    /// Whether the job only waits for the ends of its orders.
+    pub(super) is_ending: bool,
     /// The tasks of each step.
     pub(super) steps: Vec<Vec<Task>>,
     /// Orders that were made.
@@ -31,6 +41,8 @@
         Self {
             arrived: now,
             deadline: now + request.time_left,
+            give_up_at: now + request.time_left.max(latest(&request)),
+            is_ending: false,
             steps,
             orders: 0,
             has_begun: false,
@@ -79,3 +91,10 @@
         tasks.is_some_and(|tasks| tasks.iter().all(|task| task.state == TaskState::Done))
     }
 }
+
+/// Returns after which time nobody is served by the end of a job any more, counting that estimates are off.
+fn latest(request: &JobRequest) -> Duration {
+    let longest = request.steps.iter().map(|step| step.estimate).sum::<Duration>();
+    let on_time = longest.mul_f64(request.slack_factor.max(0.0) * ESTIMATE_ERROR) + request.objective;
+    on_time * LATE_FACTOR
+}
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -5,7 +5,7 @@
 mod orders;
 mod task;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use kqr_types::{InstanceId, Instant, JobKey};
 
@@ -79,9 +79,7 @@
         if let Some(cause) = self.refusal(&request, wait_ms, candidates) {
             let end = JobEnd::Refused {
                 cause,
-                retry_after: std::time::Duration::from_millis(
-                    RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5)),
-                ),
+                retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
             };
             note_end(outputs, &job, &end, 0, 0);
             outputs.push(Output::JobEnded { job, end });
@@ -115,24 +113,43 @@
 
     /// Ends the jobs whose time is over.
     pub(crate) fn expire(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let mut expired = Vec::new();
+        let mut late = Vec::new();
         for (key, job) in &self.jobs {
-            if job.deadline <= now {
-                expired.push(key.clone());
+            if job.give_up_at <= now || (job.deadline <= now && !job.has_begun && !job.is_ending) {
+                late.push(key.clone());
             }
         }
-        for key in expired {
+        for key in late {
             self.give_up(now, &key, outputs);
         }
     }
 
-    /// Ends a job whose time is over: as refused if it is certain that nothing was started.
+    /// Ends a job whose time is over. If nothing of it is known to have begun, its orders are taken back first, so that
+    /// it can be refused as not run.
     fn give_up(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
-        let is_untouched = self.jobs.get(key).is_some_and(Job::is_untouched);
-        let end = if is_untouched {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let is_unclear = !job.has_begun && !job.is_untouched();
+        if is_unclear && !job.is_ending {
+            job.is_ending = true;
+            for ticket in job.open_tickets() {
+                if let Some(order) = self.orders.get(&ticket) {
+                    self.cancelled
+                        .entry(order.owner.clone())
+                        .or_default()
+                        .push(ticket);
+                }
+            }
+            return;
+        }
+        if is_unclear && now < job.give_up_at {
+            return;
+        }
+        let end = if job.is_untouched() {
             JobEnd::Refused {
                 cause: RefusalCause::Expired,
-                retry_after: std::time::Duration::from_millis(RETRY_AFTER_MS),
+                retry_after: Duration::from_millis(RETRY_AFTER_MS),
             }
         } else {
             JobEnd::GivenUp(GiveUp::Deadline)
@@ -169,13 +186,7 @@
         if self.tasks + request.tasks() > self.options.max_tasks {
             return Some(RefusalCause::TooManyTasks);
         }
-        let longest = request
-            .steps
-            .iter()
-            .map(|step| step.estimate)
-            .max()
-            .unwrap_or_default();
-        let most = request.time_left.saturating_sub(longest).as_millis() as u64;
+        let most = request.time_left.as_millis() as u64;
         (wait_ms > most).then_some(RefusalCause::Overload)
     }
 }
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -35,6 +35,9 @@
     pub(crate) fn ready(&self, now: Instant) -> Vec<JobKey> {
         let mut ready = Vec::new();
         for (key, job) in &self.jobs {
+            if job.is_ending {
+                continue;
+            }
             let tasks = job.steps.iter().flatten();
             let has_ready = tasks.into_iter().any(|task| is_ready(now, task.state));
             if has_ready {
@@ -90,6 +93,16 @@
         placed
     }
 
+    /// Notes orders that were sent to a target.
+    pub(crate) fn begun(&mut self, tickets: &[Ticket]) {
+        for ticket in tickets {
+            let order = self.orders.get(ticket);
+            if let Some(job) = order.and_then(|order| self.jobs.get_mut(&order.job)) {
+                job.has_begun = true;
+            }
+        }
+    }
+
     /// Takes the end of an order.
     pub(crate) fn ended(
         &mut self,
@@ -107,7 +120,7 @@
             return;
         };
         job.has_begun |= !matches!(end, RunEnd::NotRun(_));
-        let max_attempts = job.request.max_attempts;
+        let (max_attempts, is_ending) = (job.request.max_attempts, job.is_ending);
         let Some(task) = job.task_mut(order.step, order.index) else {
             return;
         };
@@ -117,6 +130,10 @@
             outputs.push(Output::Note(Note::OrderEnded { run, end, target }));
         }
         task.state = TaskState::Ready(now);
+        if is_ending {
+            self.give_up(now, &key, outputs);
+            return;
+        }
         match end {
             RunEnd::Done => task.state = TaskState::Done,
             RunEnd::Failed => {
@@ -192,7 +209,7 @@
         near: spec.near.clone(),
         max_per_target: spec.max_per_target,
         priority: job.request.priority,
-        time_left: job.deadline.since(now),
+        time_left: job.give_up_at.since(now),
         on_time_left: job.on_time_left(now, spec.estimate),
         preferred: None,
         avoid: task.avoid.clone(),
--- a/kqr-dispatch/src/sibling_message.rs
+++ b/kqr-dispatch/src/sibling_message.rs
@@ -12,6 +12,8 @@
     Run(Vec<RunOrder>),
     /// Orders that the sender takes back, as coordinator.
     Cancel(Vec<Ticket>),
+    /// Orders that were sent to a target, told by the owner.
+    Begun(Vec<Ticket>),
     /// The end of an order, told by the owner.
     Ended {
         /// The order.
--- a/kqr-dispatch/src/suitability.rs
+++ b/kqr-dispatch/src/suitability.rs
@@ -4,8 +4,6 @@
 
 /// Factor of the run time on a rack without the data.
 const FAR_FACTOR: f32 = 1.5;
-/// Factor by which a run may take longer than the estimate of its caller: estimates are off by some 40%.
-const ESTIMATE_ERROR: f32 = 1.5;
 /// Time for the way of a start and of its end, and for what the entries compute.
 const OVERHEAD: Duration = Duration::from_millis(15);
 
@@ -14,7 +12,7 @@
 /// Slow targets take what is still on time there, so that the fast ones have room for what would be late elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(crate) struct Suitability {
-    /// 0 if the run is on time, 1 if it may miss the deadline, 2 if it will be late.
+    /// 0 if the run is on time, 1 if it will be late.
     class: u8,
     /// Order within the class.
     cost: f32,
@@ -25,15 +23,8 @@
     pub(crate) fn of(order: &RunOrder, slowness: f32, is_far: bool, is_near_owner: bool) -> Self {
         let factor = if is_far { FAR_FACTOR } else { 1.0 };
         let expected = order.estimate.as_secs_f32() * slowness * factor;
-        let may_take = order.time_left.saturating_sub(OVERHEAD).as_secs_f32();
         let on_time = order.on_time_left.saturating_sub(OVERHEAD).as_secs_f32();
         if expected > on_time {
-            return Self {
-                class: 2,
-                cost: expected,
-            };
-        }
-        if expected * ESTIMATE_ERROR > may_take {
             return Self {
                 class: 1,
                 cost: expected,
