--- a/kqr-runtime/src/calls.rs
+++ b/kqr-runtime/src/calls.rs
@@ -21,13 +21,10 @@
 /// Calls that an entry answers to its siblings.
 #[tarpc::service]
 pub(crate) trait SiblingCalls {
-    /// Hands over messages, numbered from `first` on within an epoch of the link. Messages that were handed over before
-    /// are dropped.
-    async fn deliver(
-        from: InstanceId,
-        incarnation: Incarnation,
-        epoch: u64,
-        first: u64,
-        messages: Vec<SiblingMessage>,
-    );
+    /// Opens a session of the caller, which ends its former one. Returns the number of the session.
+    async fn open(from: InstanceId, incarnation: Incarnation) -> u64;
+    /// Hands over messages, numbered from `first` on within a session. Returns whether the session is still open: it ends
+    /// when nothing was heard of the caller for the time of silence, so that a message that was held up on its way is not
+    /// taken after the caller has counted it as lost.
+    async fn deliver(from: InstanceId, session: u64, first: u64, messages: Vec<SiblingMessage>) -> bool;
 }
--- a/kqr-runtime/src/entry/mailbox.rs
+++ b/kqr-runtime/src/entry/mailbox.rs
@@ -55,7 +55,7 @@
             sibling: sibling.id.clone(),
             address: sibling.siblings,
             queue: Arc::clone(&queue),
-            epoch: shell.clock().now().0,
+            session: None,
             first: 0,
         };
         Self {
@@ -102,9 +102,9 @@
     sibling: InstanceId,
     address: SocketAddr,
     queue: Arc<Queue>,
-    /// When the present sequence of messages began, by the own clock: it also rises when a mailbox is opened again.
-    epoch: u64,
-    /// Number of the next message within the epoch.
+    /// The open session.
+    session: Option<u64>,
+    /// Number of the next message within the session.
     first: u64,
 }
 
@@ -117,10 +117,10 @@
         loop {
             let batch = self.next_batch().await;
             let begun = Instant::now();
-            let mut is_delivered = false;
-            while !is_delivered && begun.elapsed() < GIVE_UP_AFTER && !self.is_overfull() {
+            let mut outcome = None;
+            while outcome.is_none() && begun.elapsed() < GIVE_UP_AFTER && !self.is_overfull() {
                 match self.deliver(&mut client, &batch).await {
-                    Ok(()) => is_delivered = true,
+                    Ok(is_taken) => outcome = Some(is_taken),
                     Err(error) => {
                         log::debug!("delivering to sibling {}: {error}", self.sibling);
                         client = None;
@@ -128,7 +128,7 @@
                     }
                 }
             }
-            if is_delivered {
+            if outcome == Some(true) {
                 self.first += batch.len() as u64;
                 continue;
             }
@@ -157,11 +157,12 @@
         messages.len() > QUEUED_MESSAGES
     }
 
+    /// Hands a batch over, in a new session if none is open. Returns whether it was taken.
     async fn deliver(
-        &self,
+        &mut self,
         client: &mut Option<SiblingCallsClient>,
         batch: &[SiblingMessage],
-    ) -> eyre::Result<()> {
+    ) -> eyre::Result<bool> {
         let open = match client {
             Some(open) => open,
             None => {
@@ -170,17 +171,18 @@
                 client.insert(SiblingCallsClient::new(client::Config::default(), transport).spawn())
             }
         };
+        let session = match self.session {
+            Some(session) => session,
+            None => {
+                let call = open.open(context::current(), self.own.clone(), self.incarnation);
+                let session = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+                self.first = 0;
+                *self.session.insert(session)
+            }
+        };
         let (own, messages) = (self.own.clone(), batch.to_vec());
-        let call = open.deliver(
-            context::current(),
-            own,
-            self.incarnation,
-            self.epoch,
-            self.first,
-            messages,
-        );
-        tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
-        Ok(())
+        let call = open.deliver(context::current(), own, session, self.first, messages);
+        Ok(tokio::time::timeout(DELIVERY_TIMEOUT, call).await??)
     }
 
     /// Gives up all that waits. Returns whether the entry is still there.
@@ -193,8 +195,7 @@
         let Some(shell) = self.shell.upgrade() else {
             return false;
         };
-        self.epoch = shell.clock().now().0;
-        self.first = 0;
+        self.session = None;
         let sibling = self.sibling.clone();
         shell.handle(Input::LinkLost { sibling });
         true
--- a/kqr-runtime/src/entry/shell.rs
+++ b/kqr-runtime/src/entry/shell.rs
@@ -4,6 +4,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -27,6 +28,7 @@
     pub(super) own: EntryInfo,
     port: Port,
     clock: BootClock,
+    sibling_silence: Duration,
     machine: Mutex<Dispatcher>,
     catalog: ArcSwapOption<Catalog>,
     waiters: Mutex<Waiters>,
@@ -42,6 +44,7 @@
     /// Creates the shell of the entry `own`.
     pub(super) fn new(own: EntryInfo, options: Options, port: Port) -> Self {
         Self {
+            sibling_silence: options.sibling_silence,
             machine: Mutex::new(Dispatcher::new(own.clone(), options)),
             own,
             port,
@@ -155,6 +158,11 @@
         lock(&self.machine)
     }
 
+    /// Returns the time without a message after which a sibling counts as lost.
+    pub(super) const fn sibling_silence(&self) -> Duration {
+        self.sibling_silence
+    }
+
     pub(super) const fn clock(&self) -> BootClock {
         self.clock
     }
--- a/kqr-runtime/src/entry/sibling_service.rs
+++ b/kqr-runtime/src/entry/sibling_service.rs
@@ -1,11 +1,11 @@
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, PoisonError},
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use futures::StreamExt;
 use kqr_dispatch::{Input, SiblingMessage};
-use kqr_types::{Incarnation, InstanceId};
+use kqr_types::{Incarnation, InstanceId, Instant};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
@@ -15,14 +15,14 @@
 use super::{Shell, TargetPort};
 use crate::{calls::SiblingCalls, frames::messages_of};
 
-/// How far the messages of a sibling were taken.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Taken {
-    incarnation: Incarnation,
-    epoch: u64,
+/// A session of a sibling.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Session {
+    id: u64,
+    /// Number of the next message.
     next: u64,
-    /// Earlier lives. Their order can't be told from their numbers: the time of day may have been set back.
-    former: BTreeSet<Incarnation>,
+    /// When the sibling was last heard.
+    heard: Instant,
 }
 
 /// The calls that an entry answers to its siblings.
@@ -32,7 +32,7 @@
     Port: TargetPort,
 {
     shell: Arc<Shell<Port>>,
-    taken: Arc<Mutex<BTreeMap<InstanceId, Taken>>>,
+    sessions: Arc<Mutex<BTreeMap<InstanceId, Session>>>,
 }
 
 impl<Port> Clone for SiblingService<Port>
@@ -42,7 +42,7 @@
     fn clone(&self) -> Self {
         Self {
             shell: Arc::clone(&self.shell),
-            taken: Arc::clone(&self.taken),
+            sessions: Arc::clone(&self.sessions),
         }
     }
 }
@@ -51,22 +51,42 @@
 where
     Port: TargetPort,
 {
+    async fn open(self, _: Context, from: InstanceId, incarnation: Incarnation) -> u64 {
+        let now = self.shell.clock().now();
+        let session = Session {
+            id: now.0,
+            next: 0,
+            heard: now,
+        };
+        let former = self.lock().insert(from.clone(), session);
+        let fields = [
+            ("sibling", from.to_string()),
+            ("incarnation", incarnation.to_string()),
+            ("session", session.id.to_string()),
+        ];
+        kqr_telemetry::decision("session-opened", &fields);
+        if former.is_some() {
+            self.shell.handle(Input::LinkLost { sibling: from });
+        }
+        session.id
+    }
+
     async fn deliver(
         self,
         _: Context,
         from: InstanceId,
-        incarnation: Incarnation,
-        epoch: u64,
+        session: u64,
         first: u64,
         messages: Vec<SiblingMessage>,
-    ) {
-        let Some(skipped) = self.take(&from, incarnation, epoch, first, messages.len()) else {
-            return;
+    ) -> bool {
+        let Some(skipped) = self.take(&from, session, first, messages.len()) else {
+            return false;
         };
         for message in messages.into_iter().skip(skipped) {
             let from = from.clone();
             self.shell.handle(Input::Message { from, message });
         }
+        true
     }
 }
 
@@ -74,43 +94,23 @@
 where
     Port: TargetPort,
 {
-    /// Returns how many of `count` messages were taken before, or `None` if they are of an earlier life or epoch.
-    fn take(
-        &self,
-        from: &InstanceId,
-        incarnation: Incarnation,
-        epoch: u64,
-        first: u64,
-        count: usize,
-    ) -> Option<usize> {
-        let mut taken = self.taken.lock().unwrap_or_else(PoisonError::into_inner);
-        let fresh = || Taken {
-            incarnation,
-            epoch,
-            next: 0,
-            former: BTreeSet::new(),
-        };
-        let is_first = !taken.contains_key(from);
-        let known = taken.entry(from.clone()).or_insert_with(fresh);
-        if known.former.contains(&incarnation) || (known.incarnation == incarnation && epoch < known.epoch) {
+    /// Returns how many of `count` messages were taken before, or `None` if the session has ended.
+    fn take(&self, from: &InstanceId, session: u64, first: u64, count: usize) -> Option<usize> {
+        let now = self.shell.clock().now();
+        let silence = self.shell.sibling_silence();
+        let mut sessions = self.lock();
+        let known = sessions.get_mut(from)?;
+        if known.id != session || now.since(known.heard) >= silence {
             return None;
         }
-        let is_new = known.incarnation != incarnation || known.epoch != epoch;
-        if is_new {
-            let mut former = std::mem::take(&mut known.former);
-            if known.incarnation != incarnation {
-                former.insert(known.incarnation);
-            }
-            *known = Taken { former, ..fresh() };
-        }
-        let next = known.next;
-        known.next = next.max(first + count as u64);
-        drop(taken);
-        if is_new && !is_first {
-            let sibling = from.clone();
-            self.shell.handle(Input::LinkLost { sibling });
-        }
-        Some(next.saturating_sub(first) as usize)
+        let skipped = known.next.saturating_sub(first) as usize;
+        known.heard = now;
+        known.next = known.next.max(first + count as u64);
+        Some(skipped)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Session>> {
+        self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -121,7 +121,7 @@
 {
     let service = SiblingService {
         shell,
-        taken: Arc::default(),
+        sessions: Arc::default(),
     };
     loop {
         let stream = match listener.accept().await {
