--- a/kqr-dispatch/src/desk/answers.rs
+++ b/kqr-dispatch/src/desk/answers.rs
@@ -205,12 +205,9 @@
             let input = format!("life {} after {}", life, target.record.life);
             note(outputs, target, "restarted", input);
             target.record.life = life;
+            // A start that was on its way may belong to the new life: what the lists show decides about each run.
             target.begin_life();
-            self.clear_runs(id, "the target restarted", outputs);
         }
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
         if target.missed > 0 {
             note(
                 outputs,
--- /dev/null
+++ b/kqr-dispatch/src/sessions.rs
@@ -0,0 +1,57 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use kqr_types::{InstanceId, Instant};
+
+/// A session of a sibling.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Session {
+    id: u64,
+    /// Number of the next message.
+    next: u64,
+    /// When the sibling was last heard.
+    heard: Instant,
+}
+
+/// The sessions in which siblings hand over messages.
+///
+/// A session is opened by its receiver and ends when nothing was heard for the time of silence. A message that was held
+/// up on its way for longer is refused: its sender has counted it as lost by then, and may have ordered the task anew.
+#[derive(Clone, Debug, Default)]
+pub struct Sessions {
+    open: BTreeMap<InstanceId, Session>,
+}
+
+impl Sessions {
+    /// Opens a session of `sibling`. Returns its number, and whether it ends a former one.
+    pub fn open(&mut self, now: Instant, sibling: &InstanceId) -> (u64, bool) {
+        let former = self.open.get(sibling).map_or(0, |session| session.id);
+        let session = Session {
+            id: now.0.max(former + 1),
+            next: 0,
+            heard: now,
+        };
+        self.open.insert(sibling.clone(), session);
+        (session.id, former > 0)
+    }
+
+    /// Takes `count` messages, numbered from `first` on. Returns how many of them were taken before, or `None` if the
+    /// session has ended.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        sibling: &InstanceId,
+        session: u64,
+        first: u64,
+        count: u64,
+        silence: Duration,
+    ) -> Option<u64> {
+        let open = self.open.get_mut(sibling)?;
+        if open.id != session || now.since(open.heard) >= silence {
+            return None;
+        }
+        let skipped = open.next.saturating_sub(first);
+        open.heard = now;
+        open.next = open.next.max(first + count);
+        Some(skipped)
+    }
+}
--- /dev/null
+++ b/kqr-dispatch/tests/world/mod.rs
@@ -0,0 +1,539 @@
+//! Entries and targets in virtual time, with links that can be cut, delayed and frozen.
+#![allow(dead_code)]
+
+pub mod target;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use kqr_dispatch::{
+    CallFailure, Dispatcher, Input, JobEnd, JobRequest, Options, Output, PollAnswer, Sessions,
+    SiblingMessage, StepSpec, TargetCall, TargetPlace,
+};
+use kqr_fleet::{EntryInfo, FencingToken, Resources, TargetGrant, TargetRecord};
+use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
+pub use target::{Manner, Target};
+
+/// One way between two processes, in milliseconds.
+const WAY_MS: u64 = 1;
+/// Time after which an unanswered call counts as lost.
+const CALL_TIMEOUT_MS: u64 = 280;
+/// Time after which undelivered messages to a sibling are given up.
+const GIVE_UP_MS: u64 = 600;
+
+/// Something that happens at a time.
+#[derive(Clone, Debug)]
+enum Event {
+    Input(usize, Box<Input>),
+    Call {
+        entry: usize,
+        id: kqr_dispatch::CallId,
+        place: TargetPlace,
+        call: TargetCall,
+    },
+    Message {
+        from: usize,
+        to: usize,
+        session: u64,
+        message: Box<SiblingMessage>,
+    },
+}
+
+/// One entry.
+struct Entry {
+    info: EntryInfo,
+    machine: Dispatcher,
+    sessions: Sessions,
+    /// Sessions to siblings, opened by them.
+    sends: BTreeMap<usize, u64>,
+    is_up: bool,
+    is_frozen: bool,
+    /// What arrives while the entry is frozen.
+    held: Vec<Event>,
+}
+
+/// What a fault does to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFate {
+    Normal,
+    /// The call is carried out, its answer is lost.
+    AnswerLost,
+    /// The call gets no answer and is carried out after some milliseconds.
+    Late(u64),
+}
+
+/// The world.
+pub struct World {
+    pub now: u64,
+    entries: Vec<Entry>,
+    pub targets: BTreeMap<TargetId, Target>,
+    grants: BTreeMap<TargetId, (usize, FencingToken)>,
+    last_token: u64,
+    queue: BTreeMap<(u64, u64), Event>,
+    count: u64,
+    pub ends: BTreeMap<String, Vec<(usize, JobEnd)>>,
+    /// Cut pairs of entries.
+    pub cuts: Vec<(usize, usize)>,
+    /// Cut pairs of entry and target.
+    pub target_cuts: Vec<(usize, TargetId)>,
+    /// Decides what happens to each call.
+    pub fate: Box<dyn FnMut(&TargetCall) -> CallFate>,
+    /// Tasks that were at work twice at the same time.
+    pub doubles: BTreeSet<String>,
+    /// Decisions of all entries.
+    pub notes: Vec<String>,
+    options: Options,
+}
+
+pub fn id(number: usize) -> InstanceId {
+    format!("entry-{number}").parse().unwrap()
+}
+
+pub fn target_id(number: usize) -> TargetId {
+    format!("target-{number}").parse().unwrap()
+}
+
+pub fn record(number: usize) -> TargetRecord {
+    TargetRecord {
+        id: target_id(number),
+        life: Incarnation(1),
+        service: "press".parse().unwrap(),
+        address: format!("127.0.0.1:{}", 9000 + number).parse().unwrap(),
+        data_centre: "uppsala".parse().unwrap(),
+        capacity: Resources {
+            cpu_milli: 16_000,
+            memory_mib: 65_536,
+            accelerators: 0,
+        },
+        labels: vec!["a".to_owned(), format!("rack-{}", number / 8)],
+    }
+}
+
+pub fn job(key: &str, count: u32, estimate_ms: u64) -> JobRequest {
+    JobRequest {
+        key: key.parse().unwrap(),
+        service: "press".parse().unwrap(),
+        priority: 0,
+        max_attempts: 2,
+        slack_factor: 1.6,
+        objective: Duration::from_millis(60),
+        time_left: Duration::from_millis(1500),
+        spec: Arc::from("proof"),
+        steps: vec![StepSpec {
+            count,
+            needs: Resources {
+                cpu_milli: 6_800,
+                memory_mib: 64,
+                accelerators: 0,
+            },
+            estimate: Duration::from_millis(estimate_ms),
+            after: Vec::new(),
+            label: None,
+            near: None,
+            max_per_target: None,
+        }],
+    }
+}
+
+impl World {
+    /// Creates `entries` entries; target number N goes to entry N modulo their number.
+    pub fn new(entries: usize, targets: usize, manner: Manner) -> Self {
+        let options = Options::default();
+        let mut all = Vec::new();
+        for number in 0..entries {
+            all.push(new_entry(number, 1, &options));
+        }
+        let mut world = Self {
+            now: 1_000,
+            entries: all,
+            targets: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            last_token: 0,
+            queue: BTreeMap::new(),
+            count: 0,
+            ends: BTreeMap::new(),
+            cuts: Vec::new(),
+            target_cuts: Vec::new(),
+            fate: Box::new(|_| CallFate::Normal),
+            doubles: BTreeSet::new(),
+            notes: Vec::new(),
+            options,
+        };
+        for number in 0..targets {
+            let record = record(number);
+            world
+                .targets
+                .insert(record.id.clone(), Target::new(record, manner));
+            world.give(number, number % entries);
+        }
+        world.tell_views();
+        world.run(500);
+        world
+    }
+
+    /// Gives a target to an entry under a new token; the entries hear of it with [`Self::tell_views`].
+    pub fn give(&mut self, target: usize, entry: usize) {
+        self.last_token += 1;
+        self.grants
+            .insert(target_id(target), (entry, FencingToken(self.last_token)));
+    }
+
+    /// Tells all entries that are up of each other and of their targets.
+    pub fn tell_views(&mut self) {
+        for number in 0..self.entries.len() {
+            self.tell_view(number);
+        }
+    }
+
+    pub fn tell_view(&mut self, number: usize) {
+        let live = self.entries.iter().filter(|entry| entry.is_up);
+        let entries = live.map(|entry| entry.info.clone()).collect();
+        let mut owned = Vec::new();
+        for (target, (owner, token)) in &self.grants {
+            if *owner == number {
+                owned.push(TargetGrant {
+                    record: self.targets[target].record.clone(),
+                    token: *token,
+                    is_leaving: false,
+                    must_release: false,
+                });
+            }
+        }
+        self.input(number, Input::View { entries, owned });
+    }
+
+    pub fn submit(&mut self, entry: usize, job: JobRequest) {
+        self.input(entry, Input::Submit(job));
+    }
+
+    pub fn abandon(&mut self, entry: usize, key: &str) {
+        self.input(entry, Input::Abandon(key.parse().unwrap()));
+    }
+
+    pub fn leave(&mut self, entry: usize) {
+        self.input(entry, Input::Leave);
+    }
+
+    pub fn machine(&self, entry: usize) -> &Dispatcher {
+        &self.entries[entry].machine
+    }
+
+    /// Ends an entry at once.
+    pub fn kill(&mut self, entry: usize) {
+        self.entries[entry].is_up = false;
+    }
+
+    /// Starts an entry that was killed, without any memory.
+    pub fn restart(&mut self, entry: usize) {
+        let life = self.entries[entry].info.incarnation.0 + 1;
+        self.entries[entry] = new_entry(entry, life, &self.options);
+    }
+
+    pub fn freeze(&mut self, entry: usize) {
+        self.entries[entry].is_frozen = true;
+    }
+
+    /// Wakes an entry: what arrived meanwhile is handled now.
+    pub fn thaw(&mut self, entry: usize) {
+        self.entries[entry].is_frozen = false;
+        for event in std::mem::take(&mut self.entries[entry].held) {
+            self.perform(event);
+        }
+    }
+
+    pub fn end_of(&self, key: &str) -> Option<&JobEnd> {
+        self.ends
+            .get(key)
+            .and_then(|ends| ends.first())
+            .map(|(_, end)| end)
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 1;
+            for target in self.targets.values_mut() {
+                if target.is_up {
+                    target.advance(self.now);
+                }
+            }
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let event = entry.remove();
+                self.perform(event);
+            }
+            if self.now.is_multiple_of(10) {
+                for number in 0..self.entries.len() {
+                    self.input(number, Input::Tick);
+                }
+            }
+            self.check_doubles();
+        }
+    }
+
+    fn check_doubles(&mut self) {
+        let mut seen = BTreeMap::new();
+        for target in self.targets.values().filter(|target| target.is_up) {
+            for run in target.running.keys() {
+                *seen.entry(run.task.to_string()).or_insert(0) += 1;
+            }
+        }
+        let doubles = seen.into_iter().filter(|(_, count)| *count > 1);
+        self.doubles.extend(doubles.map(|(task, _)| task));
+    }
+
+    fn input(&mut self, number: usize, input: Input) {
+        let entry = &mut self.entries[number];
+        if !entry.is_up || entry.is_frozen {
+            if entry.is_frozen && input != Input::Tick {
+                entry.held.push(Event::Input(number, Box::new(input)));
+            }
+            return;
+        }
+        let mut outputs = Vec::new();
+        entry
+            .machine
+            .handle(Instant(self.now * 1000), input, &mut outputs);
+        for output in outputs {
+            self.output(number, output);
+        }
+    }
+
+    fn output(&mut self, number: usize, output: Output) {
+        match output {
+            Output::Call { id, place, call } => {
+                let entry = number;
+                self.later(
+                    WAY_MS,
+                    Event::Call {
+                        entry,
+                        id,
+                        place,
+                        call,
+                    },
+                );
+            }
+            Output::Send { to, message } => self.send(number, &to, message),
+            Output::JobEnded { job, end } => {
+                self.ends.entry(job.to_string()).or_default().push((number, end));
+            }
+            Output::Note(note) => self
+                .notes
+                .push(format!("{} ms, entry {number}: {note:?}", self.now)),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &InstanceId, message: SiblingMessage) {
+        let Some(to) = self.entries.iter().position(|entry| entry.info.id == *to) else {
+            return;
+        };
+        if self.is_cut(from, to) || !self.entries[to].is_up || self.entries[to].is_frozen {
+            self.entries[from].sends.remove(&to);
+            let sibling = self.entries[to].info.id.clone();
+            self.later(
+                GIVE_UP_MS,
+                Event::Input(from, Box::new(Input::LinkLost { sibling })),
+            );
+            return;
+        }
+        let session = match self.entries[from].sends.get(&to) {
+            Some(session) => *session,
+            None => self.open_session(from, to),
+        };
+        let message = Box::new(message);
+        self.later(
+            WAY_MS,
+            Event::Message {
+                from,
+                to,
+                session,
+                message,
+            },
+        );
+    }
+
+    fn open_session(&mut self, from: usize, to: usize) -> u64 {
+        let sibling = self.entries[from].info.id.clone();
+        let now = Instant(self.now * 1000);
+        let (session, is_next) = self.entries[to].sessions.open(now, &sibling);
+        self.entries[from].sends.insert(to, session);
+        if is_next {
+            self.later(0, Event::Input(to, Box::new(Input::LinkLost { sibling })));
+        }
+        session
+    }
+
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        self.cuts.contains(&(one, other)) || self.cuts.contains(&(other, one))
+    }
+
+    fn later(&mut self, millis: u64, event: Event) {
+        self.count += 1;
+        self.queue.insert((self.now + millis, self.count), event);
+    }
+
+    fn perform(&mut self, event: Event) {
+        match event {
+            Event::Input(entry, input) => self.input(entry, *input),
+            Event::Call {
+                entry,
+                id,
+                place,
+                call,
+            } => self.call(entry, id, &place, call),
+            Event::Message {
+                from,
+                to,
+                session,
+                message,
+            } => self.message(from, to, session, message),
+        }
+    }
+
+    fn message(&mut self, from: usize, to: usize, session: u64, message: Box<SiblingMessage>) {
+        if self.entries[to].is_frozen {
+            let event = Event::Message {
+                from,
+                to,
+                session,
+                message,
+            };
+            self.entries[to].held.push(event);
+            return;
+        }
+        let sibling = self.entries[from].info.id.clone();
+        let now = Instant(self.now * 1000);
+        let silence = self.options.sibling_silence;
+        let taken = self.entries[to]
+            .sessions
+            .take(now, &sibling, session, 0, 0, silence);
+        if taken.is_some() {
+            let message = *message;
+            self.input(
+                to,
+                Input::Message {
+                    from: sibling,
+                    message,
+                },
+            );
+            return;
+        }
+        if self.entries[from].sends.get(&to) == Some(&session) {
+            self.entries[from].sends.remove(&to);
+            let sibling = self.entries[to].info.id.clone();
+            self.later(WAY_MS, Event::Input(from, Box::new(Input::LinkLost { sibling })));
+        }
+    }
+
+    fn call(&mut self, entry: usize, id: kqr_dispatch::CallId, place: &TargetPlace, call: TargetCall) {
+        let is_cut = self.target_cuts.contains(&(entry, place.target.clone()));
+        let fate = (self.fate)(&call);
+        let now = self.now;
+        let Some(target) = self.targets.get_mut(&place.target) else {
+            return;
+        };
+        if is_cut || !target.is_up {
+            self.answer_later(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
+            return;
+        }
+        if let TargetCall::Poll(poll) = &call
+            && !poll.wait.is_zero()
+            && !target.has_ends(poll.cursor)
+            && fate == CallFate::Normal
+        {
+            // A poll without anything to tell renews the lease at once and waits.
+            drop(target.call(now, place.token, &call));
+            let mut rest = *poll;
+            rest.wait = poll.wait.saturating_sub(Duration::from_millis(5));
+            let call = TargetCall::Poll(rest);
+            let place = place.clone();
+            self.later(
+                5,
+                Event::Call {
+                    entry,
+                    id,
+                    place,
+                    call,
+                },
+            );
+            return;
+        }
+        match fate {
+            CallFate::Normal => {
+                let answer = target.call(now, place.token, &call);
+                self.answer_later(WAY_MS, entry, id, &call, answer);
+            }
+            CallFate::AnswerLost => {
+                drop(target.call(now, place.token, &call));
+                self.answer_later(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
+            }
+            CallFate::Late(millis) => {
+                let place = place.clone();
+                let late = kqr_dispatch::CallId(u64::MAX);
+                self.answer_later(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
+                self.later(
+                    millis,
+                    Event::Call {
+                        entry,
+                        id: late,
+                        place,
+                        call,
+                    },
+                );
+            }
+        }
+    }
+
+    fn answer_later(
+        &mut self,
+        millis: u64,
+        entry: usize,
+        call: kqr_dispatch::CallId,
+        kind: &TargetCall,
+        answer: Result<PollAnswer, CallFailure>,
+    ) {
+        let input = match kind {
+            TargetCall::Start(_) => Input::Started {
+                call,
+                answer: answer.map(|answer| answer.clock),
+            },
+            TargetCall::Stop(_) => Input::Stopped {
+                call,
+                answer: answer.map(|answer| answer.clock),
+            },
+            TargetCall::Poll(_) => Input::Polled { call, answer },
+        };
+        self.later(millis, Event::Input(entry, Box::new(input)));
+    }
+}
+
+fn no_answer() -> Result<PollAnswer, CallFailure> {
+    Err(CallFailure::NoAnswer("no answer in time".to_owned()))
+}
+
+fn new_entry(number: usize, life: u64, options: &Options) -> Entry {
+    let info = EntryInfo {
+        id: id(number),
+        incarnation: Incarnation(life),
+        data_centre: "uppsala".parse().unwrap(),
+        siblings: format!("127.0.0.1:{}", 7000 + number).parse().unwrap(),
+        reports: format!("127.0.0.1:{}", 7100 + number).parse().unwrap(),
+        weight: 250,
+        is_leaving: false,
+    };
+    Entry {
+        machine: Dispatcher::new(info.clone(), options.clone()),
+        info,
+        sessions: Sessions::default(),
+        sends: BTreeMap::new(),
+        is_up: true,
+        is_frozen: false,
+        held: Vec::new(),
+    }
+}
--- /dev/null
+++ b/kqr-dispatch/tests/world/target.rs
@@ -0,0 +1,176 @@
+//! A target in virtual time: runs tasks under leases, and remembers ends until they are acknowledged.
+
+use std::collections::BTreeMap;
+
+use kqr_dispatch::{
+    CallFailure, EndKind, EndedRun, PollAnswer, Refusal, RunId, RunningRun, TargetCall, TargetTime,
+};
+use kqr_fleet::{FencingToken, TargetRecord};
+
+/// A run at work.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// When it began and when it ends by itself, in milliseconds.
+    pub began: u64,
+    pub ends: u64,
+    /// How it ends by itself.
+    pub end: EndKind,
+    /// Whether it never makes progress.
+    pub hangs: bool,
+}
+
+/// How the tasks that a target starts behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Manner {
+    pub run_ms: u64,
+    pub end: EndKind,
+    pub hangs: bool,
+}
+
+/// A target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub record: TargetRecord,
+    pub manner: Manner,
+    pub is_up: bool,
+    pub running: BTreeMap<RunId, Work>,
+    pub starts: Vec<RunId>,
+    token: FencingToken,
+    highest: BTreeMap<String, u32>,
+    ended: Vec<EndedRun>,
+    count: u64,
+    lease_until: u64,
+}
+
+impl Target {
+    pub fn new(record: TargetRecord, manner: Manner) -> Self {
+        Self {
+            record,
+            manner,
+            is_up: true,
+            running: BTreeMap::new(),
+            starts: Vec::new(),
+            token: FencingToken(0),
+            highest: BTreeMap::new(),
+            ended: Vec::new(),
+            count: 0,
+            lease_until: 0,
+        }
+    }
+
+    /// Ends what is due. The target's clock is the world's.
+    pub fn advance(&mut self, now: u64) {
+        let due: Vec<RunId> = self.running.keys().cloned().collect();
+        for run in due {
+            let work = &self.running[&run];
+            if self.lease_until <= now {
+                self.end(&run, EndKind::Stopped);
+            } else if work.ends <= now && !work.hangs {
+                let end = work.end;
+                self.end(&run, end);
+            }
+        }
+    }
+
+    /// Begins another life.
+    pub fn restart(&mut self) {
+        let record = TargetRecord {
+            life: self.record.life.next(),
+            ..self.record.clone()
+        };
+        *self = Self::new(record, self.manner);
+    }
+
+    pub fn has_ends(&self, cursor: u64) -> bool {
+        self.ended.iter().any(|ended| ended.number > cursor)
+    }
+
+    /// Carries out a call. A start or stop is answered with the clock, a poll with the lists.
+    pub fn call(
+        &mut self,
+        now: u64,
+        token: FencingToken,
+        call: &TargetCall,
+    ) -> Result<PollAnswer, CallFailure> {
+        self.advance(now);
+        if token < self.token {
+            return Err(CallFailure::Refused(Refusal::Fenced));
+        }
+        self.token = token;
+        match call {
+            TargetCall::Start(start) => {
+                let name = start.run.task.to_string();
+                let known = self.highest.get(&name).copied().unwrap_or(0);
+                if self.running.contains_key(&start.run) {
+                } else if start.run.attempt <= known {
+                    return Err(CallFailure::Refused(Refusal::Superseded));
+                } else if start.lease_until.0 <= now {
+                    return Err(CallFailure::Refused(Refusal::Late));
+                } else {
+                    let Manner { run_ms, end, hangs } = self.manner;
+                    let (began, ends) = (now, now + run_ms);
+                    self.running.insert(
+                        start.run.clone(),
+                        Work {
+                            began,
+                            ends,
+                            end,
+                            hangs,
+                        },
+                    );
+                    self.starts.push(start.run.clone());
+                }
+                self.lease_until = self.lease_until.max(start.lease_until.0.min(now + 1000));
+            }
+            TargetCall::Stop(stop) => {
+                let name = stop.run.task.to_string();
+                let known = self.highest.entry(name).or_default();
+                *known = (*known).max(stop.run.attempt);
+                if self.running.contains_key(&stop.run) {
+                    self.end(&stop.run, EndKind::Stopped);
+                }
+            }
+            TargetCall::Poll(poll) => {
+                self.ended.retain(|ended| ended.number > poll.cursor);
+                if let Some(until) = poll.lease_until {
+                    self.lease_until = self.lease_until.max(until.0.min(now + 1000));
+                }
+            }
+        }
+        Ok(self.answer(now))
+    }
+
+    fn answer(&self, now: u64) -> PollAnswer {
+        let mut running = Vec::new();
+        for (run, work) in &self.running {
+            let done = if work.hangs {
+                0
+            } else {
+                (now - work.began) * 100 / (work.ends - work.began).max(1)
+            };
+            running.push(RunningRun {
+                run: run.clone(),
+                percent: done.min(100) as u8,
+            });
+        }
+        PollAnswer {
+            life: Some(self.record.life),
+            clock: TargetTime(now),
+            running,
+            ended: self.ended.clone(),
+        }
+    }
+
+    fn end(&mut self, run: &RunId, how: EndKind) {
+        self.running.remove(run);
+        self.count += 1;
+        let name = run.task.to_string();
+        let known = self.highest.entry(name).or_default();
+        *known = (*known).max(run.attempt);
+        self.ended.push(EndedRun {
+            number: self.count,
+            run: run.clone(),
+            how,
+        });
+    }
+}
--- a/kqr-runtime/src/entry/sibling_service.rs
+++ b/kqr-runtime/src/entry/sibling_service.rs
@@ -1,11 +1,8 @@
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures::StreamExt;
-use kqr_dispatch::{Input, SiblingMessage};
-use kqr_types::{Incarnation, InstanceId, Instant};
+use kqr_dispatch::{Input, Sessions, SiblingMessage};
+use kqr_types::{Incarnation, InstanceId};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
@@ -15,16 +12,6 @@
 use super::{Shell, TargetPort};
 use crate::{calls::SiblingCalls, frames::messages_of};
 
-/// A session of a sibling.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Session {
-    id: u64,
-    /// Number of the next message.
-    next: u64,
-    /// When the sibling was last heard.
-    heard: Instant,
-}
-
 /// The calls that an entry answers to its siblings.
 #[derive(Debug)]
 pub(super) struct SiblingService<Port>
@@ -32,7 +19,7 @@
     Port: TargetPort,
 {
     shell: Arc<Shell<Port>>,
-    sessions: Arc<Mutex<BTreeMap<InstanceId, Session>>>,
+    sessions: Arc<Mutex<Sessions>>,
 }
 
 impl<Port> Clone for SiblingService<Port>
@@ -52,23 +39,17 @@
     Port: TargetPort,
 {
     async fn open(self, _: Context, from: InstanceId, incarnation: Incarnation) -> u64 {
-        let now = self.shell.clock().now();
-        let session = Session {
-            id: now.0,
-            next: 0,
-            heard: now,
-        };
-        let former = self.lock().insert(from.clone(), session);
+        let (session, is_next) = self.lock().open(self.shell.clock().now(), &from);
         let fields = [
             ("sibling", from.to_string()),
             ("incarnation", incarnation.to_string()),
-            ("session", session.id.to_string()),
+            ("session", session.to_string()),
         ];
         kqr_telemetry::decision("session-opened", &fields);
-        if former.is_some() {
+        if is_next {
             self.shell.handle(Input::LinkLost { sibling: from });
         }
-        session.id
+        session
     }
 
     async fn deliver(
@@ -79,10 +60,13 @@
         first: u64,
         messages: Vec<SiblingMessage>,
     ) -> bool {
-        let Some(skipped) = self.take(&from, session, first, messages.len()) else {
+        let (now, silence) = (self.shell.clock().now(), self.shell.sibling_silence());
+        let count = messages.len() as u64;
+        let taken = self.lock().take(now, &from, session, first, count, silence);
+        let Some(skipped) = taken else {
             return false;
         };
-        for message in messages.into_iter().skip(skipped) {
+        for message in messages.into_iter().skip(skipped as usize) {
             let from = from.clone();
             self.shell.handle(Input::Message { from, message });
         }
@@ -94,22 +78,7 @@
 where
     Port: TargetPort,
 {
-    /// Returns how many of `count` messages were taken before, or `None` if the session has ended.
-    fn take(&self, from: &InstanceId, session: u64, first: u64, count: usize) -> Option<usize> {
-        let now = self.shell.clock().now();
-        let silence = self.shell.sibling_silence();
-        let mut sessions = self.lock();
-        let known = sessions.get_mut(from)?;
-        if known.id != session || now.since(known.heard) >= silence {
-            return None;
-        }
-        let skipped = known.next.saturating_sub(first) as usize;
-        known.heard = now;
-        known.next = known.next.max(first + count as u64);
-        Some(skipped)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Session>> {
+    fn lock(&self) -> MutexGuard<'_, Sessions> {
         self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
