--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -23,6 +23,8 @@
     siblings: Siblings,
     reported: LoadReport,
     reported_at: Instant,
+    /// When the last input was taken.
+    handled_at: Instant,
 }
 
 impl Dispatcher {
@@ -36,11 +38,13 @@
             options,
             reported: LoadReport::default(),
             reported_at: Instant(0),
+            handled_at: Instant(0),
         }
     }
 
     /// Takes one input and adds what has to be done to `outputs`.
     pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
+        self.wake(now, outputs);
         match input {
             Input::Tick => self.tick(now, outputs),
             Input::Submit(request) => {
@@ -128,6 +132,21 @@
         self.desk.targets()
     }
 
+    /// Gives up what became uncertain while the process stood still: siblings have counted this entry as lost, and callers
+    /// may have turned to another one.
+    fn wake(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let handled_at = std::mem::replace(&mut self.handled_at, now);
+        let silence = self.options.sibling_silence;
+        if handled_at == Instant(0) || now.since(handled_at) < silence {
+            return;
+        }
+        for silent in self.siblings.expire(now, &self.options) {
+            self.lose(now, &silent, outputs);
+        }
+        self.desk.drop_coordinator(now, &self.own.id, outputs);
+        self.jobs.give_up_all(now, outputs);
+    }
+
     fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         for silent in self.siblings.expire(now, &self.options) {
             self.lose(now, &silent, outputs);
--- a/kqr-dispatch/src/job_end.rs
+++ b/kqr-dispatch/src/job_end.rs
@@ -58,6 +58,8 @@
     Deadline,
     /// Its caller cancelled it.
     Cancelled,
+    /// The entry stood still; the caller may have turned to another one.
+    Standstill,
 }
 
 impl GiveUp {
@@ -66,6 +68,7 @@
         match self {
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
+            Self::Standstill => "standstill",
         }
     }
 }
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -111,6 +111,14 @@
         self.finish(now, key, JobEnd::GivenUp(GiveUp::Cancelled), outputs);
     }
 
+    /// Gives up all jobs.
+    pub(crate) fn give_up_all(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let jobs: Vec<JobKey> = self.jobs.keys().cloned().collect();
+        for job in jobs {
+            self.finish(now, &job, JobEnd::GivenUp(GiveUp::Standstill), outputs);
+        }
+    }
+
     /// Ends the jobs whose time is over.
     pub(crate) fn expire(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut late = Vec::new();
--- a/kqr-dispatch/tests/random.rs
+++ b/kqr-dispatch/tests/random.rs
@@ -9,6 +9,8 @@
 
 const ENTRIES: usize = 3;
 const TARGETS: usize = 6;
+/// Histories that are played.
+const SEEDS: u64 = 200;
 
 /// One step of a history.
 #[derive(Clone, Copy, Debug)]
@@ -155,10 +157,13 @@
 
 #[test]
 fn no_task_is_at_work_twice() {
-    for seed in 0..40 {
+    for seed in 0..SEEDS {
         let world = play_seed(seed);
         for task in &world.doubles {
-            let notes = world.notes.iter().filter(|note| note.contains(job_of(task)));
+            let notes = world
+                .notes
+                .iter()
+                .filter(|note| note.contains(job_of(task)) || note.contains("SiblingChanged"));
             let notes: Vec<&str> = notes.map(String::as_str).collect();
             panic!("seed {seed}: {task} was at work twice:\n{}", notes.join("\n"));
         }
--- a/kqr-dispatch/tests/world/mod.rs
+++ b/kqr-dispatch/tests/world/mod.rs
@@ -49,6 +49,8 @@
     sessions: Sessions,
     /// Sessions to siblings, opened by them.
     sends: BTreeMap<usize, u64>,
+    /// Until when messages to a sibling wait behind one that can't be delivered.
+    blocked: BTreeMap<usize, u64>,
     is_up: bool,
     is_frozen: bool,
     /// What arrives while the entry is frozen.
@@ -333,8 +335,16 @@
         let Some(to) = self.entries.iter().position(|entry| entry.info.id == *to) else {
             return;
         };
+        if self.entries[from]
+            .blocked
+            .get(&to)
+            .is_some_and(|until| *until > self.now)
+        {
+            return;
+        }
         if self.is_cut(from, to) || !self.entries[to].is_up || self.entries[to].is_frozen {
             self.entries[from].sends.remove(&to);
+            self.entries[from].blocked.insert(to, self.now + GIVE_UP_MS);
             let sibling = self.entries[to].info.id.clone();
             self.later(
                 GIVE_UP_MS,
@@ -426,6 +436,7 @@
         }
         if self.entries[from].sends.get(&to) == Some(&session) {
             self.entries[from].sends.remove(&to);
+            self.entries[from].blocked.insert(to, self.now + 2 * WAY_MS);
             let sibling = self.entries[to].info.id.clone();
             self.later(WAY_MS, Event::Input(from, Box::new(Input::LinkLost { sibling })));
         }
@@ -532,6 +543,7 @@
         info,
         sessions: Sessions::default(),
         sends: BTreeMap::new(),
+        blocked: BTreeMap::new(),
         is_up: true,
         is_frozen: false,
         held: Vec::new(),
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -21,6 +21,8 @@
 const JOIN_PERIOD: Duration = Duration::from_millis(700);
 /// Longest time for such a request.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before the state is read again after a failed write.
+const REOPEN_PAUSE: Duration = Duration::from_millis(700);
 /// Time for the hand-over of the lead before the process ends.
 const HAND_OVER_TIME: Duration = Duration::from_millis(300);
 
@@ -55,28 +57,13 @@
             ],
         );
         let is_founder = folder.founding.is_voter(&voter);
-        let agreement = AgreementOptions {
-            founding: folder.founding,
-            election_timeout: ELECTION_TIMEOUT,
-            heartbeat: HEARTBEAT,
-            seed: BootClock.now().0 ^ seed_of(&own),
-            ..AgreementOptions::default()
-        };
-        let options = FleetOptions {
-            voters: settings.voters(),
-            ..FleetOptions::default()
-        };
-        let node = FleetNode::new(
-            options,
-            Machine::new(voter.clone(), agreement, folder.opened.durable),
-        );
-        let links = AgreementLinks::new(Handle::current(), voter.clone());
-        let driver = Driver::new(own.clone(), node, folder.store, links);
+        let runtime = Handle::current();
         let (tx, rx) = mpsc::channel();
         let (ended_tx, ended) = oneshot::channel();
+        let log_settings = settings.clone();
         let driver = std::thread::Builder::new()
             .name("replicated-log".to_owned())
-            .spawn(move || drop(ended_tx.send(driver.run(&rx))))?;
+            .spawn(move || drop(ended_tx.send(run_log(&log_settings, folder, &runtime, &rx))))?;
         let handle = ControlHandle::new(own, tx);
         tokio::spawn(service::serve(listener, handle.clone()));
         if !is_founder {
@@ -121,6 +108,55 @@
     }
 }
 
+/// Drives the replicated log. After a failed write the state is read again from the disk, which tells what of it is
+/// durable; a disk that stays full or refuses writes leaves the instance out of the quorum meanwhile.
+fn run_log(
+    settings: &ControlSettings,
+    folder: DataFolder,
+    runtime: &Handle,
+    rx: &mpsc::Receiver<Request>,
+) -> eyre::Result<()> {
+    let mut next = Some(folder);
+    loop {
+        let folder = match next.take() {
+            Some(folder) => folder,
+            None => DataFolder::open(settings)?,
+        };
+        match driver_of(settings, folder, runtime)?.run(rx) {
+            Ok(()) => return Ok(()),
+            Err(error) => {
+                let fields = [("cause", format!("{error:#}"))];
+                kqr_telemetry::decision("log-reopened", &fields);
+                std::thread::sleep(REOPEN_PAUSE);
+            }
+        }
+    }
+}
+
+fn driver_of(settings: &ControlSettings, folder: DataFolder, runtime: &Handle) -> eyre::Result<Driver> {
+    let own = settings.identity()?;
+    let voter = folder.voter;
+    let agreement = AgreementOptions {
+        founding: folder.founding,
+        election_timeout: ELECTION_TIMEOUT,
+        heartbeat: HEARTBEAT,
+        seed: BootClock.now().0 ^ seed_of(&own),
+        ..AgreementOptions::default()
+    };
+    let options = FleetOptions {
+        voters: settings.voters(),
+        ..FleetOptions::default()
+    };
+    let machine = Machine::new(voter.clone(), agreement, folder.opened.durable);
+    let links = AgreementLinks::new(runtime.clone(), voter);
+    Ok(Driver::new(
+        own,
+        FleetNode::new(options, machine),
+        folder.store,
+        links,
+    ))
+}
+
 /// Asks to be taken into the log again and again. The leader ignores a request of a voter; it hears by it that a
 /// learner is still there.
 async fn keep_joining(voter: VoterId, mut known: Vec<InstanceId>) {
