--- /dev/null
+++ b/kqr-fleet/tests/owners.rs
@@ -0,0 +1,293 @@
+//! Owners of targets, as a leading control instance hands them out.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kqr_agreement::{Configuration, Machine, Options, VoterId};
+use kqr_fleet::{
+    CallId, Catalog, CatalogVersion, EntryInfo, FleetInput, FleetNode, FleetOptions, FleetOutput, Limits,
+    Resources, ServicePool, SyncReply, SyncRequest, SyncView, TargetRecord, TargetReport,
+};
+use kqr_types::{DataCentre, Incarnation, Instant, TargetId};
+
+/// A control instance that is its own quorum, with the time of the test.
+struct Control {
+    node: FleetNode,
+    now: Instant,
+    sequence: u64,
+}
+
+impl Control {
+    /// Creates an instance that leads and has a catalog.
+    fn leading() -> Self {
+        let own = VoterId::new("control-1".parse().unwrap(), Incarnation(1));
+        let agreement = Options {
+            founding: Configuration::of_voters([own.clone()]),
+            ..Options::default()
+        };
+        let machine = Machine::new(own, agreement, kqr_agreement::Durable::default());
+        let mut control = Self {
+            node: FleetNode::new(FleetOptions::default(), machine),
+            now: Instant(1_000_000),
+            sequence: 0,
+        };
+        control.run(2_000);
+        let pool = ServicePool {
+            max_connections: 64,
+            enforces_capacity: true,
+            is_standby: false,
+        };
+        let catalog = Catalog {
+            version: CatalogVersion(1),
+            queues: Vec::new(),
+            services: BTreeMap::from([("press".parse().unwrap(), pool)]),
+            limits: Limits::default(),
+            source: String::new(),
+        };
+        let call = CallId(1);
+        let catalog = Box::new(catalog);
+        control.input(FleetInput::Replace { call, catalog });
+        control
+    }
+
+    fn input(&mut self, input: FleetInput) -> Vec<FleetOutput> {
+        let mut outputs = Vec::new();
+        self.node.handle(self.now, input, &mut outputs);
+        outputs
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / 20 {
+            self.now = self.now + Duration::from_millis(20);
+            self.input(FleetInput::Tick);
+        }
+    }
+
+    /// Lets time pass in which `entries` ask every 200 ms. Returns what each was told last.
+    fn run_with(&mut self, millis: u64, entries: &[EntryInfo]) -> BTreeMap<String, SyncView> {
+        let mut views = BTreeMap::new();
+        for _ in 0..millis / 200 {
+            for entry in entries {
+                if let Some(view) = self.ask(entry) {
+                    views.insert(entry.id.to_string(), view);
+                }
+            }
+            self.run(200);
+        }
+        views
+    }
+
+    fn ask(&mut self, entry: &EntryInfo) -> Option<SyncView> {
+        match self.node.sync(self.now, &request(entry)) {
+            SyncReply::Current { view, .. } => view,
+            SyncReply::NotLeader { .. } => None,
+        }
+    }
+
+    fn report(&mut self, record: TargetRecord, is_leaving: bool) {
+        self.sequence += 1;
+        let report = TargetReport::Present {
+            record,
+            sequence: self.sequence,
+            is_leaving,
+        };
+        self.node.report(self.now, report).unwrap();
+    }
+
+    fn owners(&self) -> BTreeMap<TargetId, String> {
+        let targets = self.node.state().targets().iter();
+        targets.map(|(id, owned)| (id.clone(), owned.owner.entry.to_string())).collect()
+    }
+
+    fn owned_by(&self, entry: &EntryInfo) -> usize {
+        let owners = self.owners();
+        owners.values().filter(|owner| **owner == entry.id.as_str()).count()
+    }
+}
+
+fn request(entry: &EntryInfo) -> SyncRequest {
+    SyncRequest {
+        entry: entry.clone(),
+        catalog: None,
+        view: 0,
+        released: Vec::new(),
+        heard: Vec::new(),
+        reports: Vec::new(),
+        unreachable: Vec::new(),
+    }
+}
+
+fn entry(name: &str, data_centre: &str, weight: u32) -> EntryInfo {
+    EntryInfo {
+        id: name.parse().unwrap(),
+        incarnation: Incarnation(1),
+        data_centre: data_centre.parse().unwrap(),
+        siblings: "127.0.0.1:7000".parse().unwrap(),
+        reports: "127.0.0.1:7001".parse().unwrap(),
+        weight,
+        is_leaving: false,
+    }
+}
+
+fn target(number: usize, data_centre: &str) -> TargetRecord {
+    let data_centre: DataCentre = data_centre.parse().unwrap();
+    TargetRecord {
+        id: format!("target-{data_centre}-{number}").parse().unwrap(),
+        life: Incarnation(1),
+        service: "press".parse().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        data_centre,
+        capacity: Resources::default(),
+        labels: Vec::new(),
+    }
+}
+
+#[test]
+fn one_owner_takes_what_it_has_the_power_for() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250), entry("b", "north", 250)];
+    for number in 0..24 {
+        control.report(target(number, "north"), false);
+    }
+    control.run_with(3_000, &entries);
+    let owned: Vec<usize> = entries.iter().map(|entry| control.owned_by(entry)).collect();
+    assert_eq!(owned.iter().sum::<usize>(), 24);
+    assert_eq!(owned.iter().max(), Some(&20), "80 targets a core");
+}
+
+#[test]
+fn targets_go_to_entries_of_their_data_centre() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250), entry("b", "south", 250)];
+    control.report(target(1, "north"), false);
+    control.report(target(1, "south"), false);
+    control.run_with(3_000, &entries);
+    assert_eq!(control.owned_by(&entries[0]), 1);
+    assert_eq!(control.owned_by(&entries[1]), 1);
+}
+
+#[test]
+fn the_targets_of_a_lost_entry_get_another_owner_and_a_higher_token() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250), entry("b", "north", 250)];
+    control.report(target(1, "north"), false);
+    control.run_with(3_000, &entries);
+    let (id, owned) = control.node.state().targets().first_key_value().unwrap();
+    let (id, token, owner) = (id.clone(), owned.token, owned.owner.entry.clone());
+    let other: Vec<EntryInfo> = entries.into_iter().filter(|entry| entry.id != owner).collect();
+    control.run_with(2_000, &other);
+    let owned = &control.node.state().targets()[&id];
+    assert_ne!(owned.owner.entry, owner);
+    assert!(owned.token > token);
+}
+
+#[test]
+fn an_entry_that_another_one_hears_keeps_its_targets() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250), entry("b", "north", 250)];
+    control.report(target(1, "north"), false);
+    control.run_with(3_000, &entries);
+    let owner = control.owners().into_values().next().unwrap();
+    let other = entries.iter().find(|entry| entry.id.as_str() != owner).unwrap();
+    for _ in 0..20 {
+        let mut request = request(other);
+        request.heard.push((owner.parse().unwrap(), Incarnation(1)));
+        control.node.sync(control.now, &request);
+        control.run(200);
+    }
+    assert_eq!(control.owners().into_values().next(), Some(owner));
+}
+
+#[test]
+fn a_data_centre_that_is_cut_off_keeps_its_targets() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250), entry("b", "south", 250)];
+    control.report(target(1, "north"), false);
+    control.run_with(3_000, &entries);
+    control.run_with(6_000, &entries[1..]);
+    assert_eq!(control.owned_by(&entries[0]), 1);
+}
+
+#[test]
+fn a_target_that_reports_though_its_data_centre_has_no_entry_goes_elsewhere() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250), entry("b", "south", 250)];
+    control.report(target(1, "north"), false);
+    control.run_with(3_000, &entries);
+    control.run_with(2_000, &entries[1..]);
+    control.report(target(1, "north"), false);
+    control.run_with(1_000, &entries[1..]);
+    assert_eq!(control.owned_by(&entries[1]), 1);
+    // It goes back as soon as nothing runs there.
+    let views = control.run_with(2_000, &entries);
+    assert!(views["b"].owned[0].must_release);
+}
+
+/// Returned entries are heard one after the other; those that are not heard yet must not lose their targets.
+#[test]
+fn the_entries_of_a_returning_data_centre_keep_their_targets() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 10), entry("b", "north", 10), entry("c", "south", 250)];
+    for number in 0..2 {
+        control.report(target(number, "north"), false);
+    }
+    control.run_with(3_000, &entries);
+    let before = control.owners();
+    control.run_with(5_000, &entries[2..]);
+    control.run_with(600, &entries[1..]);
+    control.run_with(2_000, &entries);
+    assert_eq!(control.owners(), before);
+}
+
+/// A new leader that told an entry of itself only made it drop its siblings.
+#[test]
+fn the_first_view_of_a_new_leader_has_all_entries() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250), entry("b", "north", 250)];
+    assert_eq!(control.ask(&entries[0]), None);
+    let views = control.run_with(3_000, &entries);
+    assert!(views.values().all(|view| view.entries.len() == 2));
+}
+
+#[test]
+fn late_reports_and_reports_of_earlier_lives_change_nothing() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250)];
+    control.report(target(1, "north"), false);
+    control.run_with(3_000, &entries);
+    let reborn = TargetRecord {
+        life: Incarnation(2),
+        address: "127.0.0.1:9001".parse().unwrap(),
+        ..target(1, "north")
+    };
+    control.report(reborn.clone(), false);
+    control.report(target(1, "north"), true);
+    let views = control.run_with(2_000, &entries);
+    let owned = &views["a"].owned[0];
+    assert_eq!(owned.record, reborn);
+    assert!(!owned.is_leaving);
+}
+
+#[test]
+fn a_target_that_has_ended_is_forgotten() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250)];
+    control.report(target(1, "north"), false);
+    control.run_with(3_000, &entries);
+    let id = target(1, "north").id;
+    control.node.report(control.now, TargetReport::Gone { id, life: None }).unwrap();
+    control.run_with(1_000, &entries);
+    assert_eq!(control.owners(), BTreeMap::new());
+}
+
+#[test]
+fn a_target_of_a_service_without_a_pool_gets_no_owner() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250)];
+    let stranger = TargetRecord {
+        service: "unknown".parse().unwrap(),
+        ..target(1, "north")
+    };
+    control.report(stranger, false);
+    control.run_with(3_000, &entries);
+    assert_eq!(control.owners(), BTreeMap::new());
+}
