--- a/kqr-fleet/tests/catalog.rs
+++ b/kqr-fleet/tests/catalog.rs
@@ -44,18 +44,29 @@
         ..queue("a", "h", "/a/")
     };
     let error = |queues| catalog(1, queues).validate().unwrap_err();
-    assert!(matches!(error(vec![unknown]), CatalogError::UnknownService { .. }));
+    assert!(matches!(
+        error(vec![unknown]),
+        CatalogError::UnknownService { .. }
+    ));
     assert!(matches!(error(vec![no_timeout]), CatalogError::NoTimeout { .. }));
     let twice = vec![queue("a", "h", "/a/"), queue("b", "h", "/a/")];
     assert!(matches!(error(twice), CatalogError::SamePlace { .. }));
-    let fine = vec![queue("a", "h", "/a/"), queue("b", "h", "/b/"), queue("c", "i", "/a/")];
+    let fine = vec![
+        queue("a", "h", "/a/"),
+        queue("b", "h", "/b/"),
+        queue("c", "i", "/a/"),
+    ];
     assert_eq!(catalog(1, fine).validate(), Ok(()));
 }
 
 #[test]
 fn the_longest_prefix_serves_a_path() {
     let catalog = catalog(1, vec![queue("short", "h", "/a/"), queue("long", "h", "/a/b/")]);
-    let served = |host, path| catalog.route(host, path).map(|(queue, rest)| (queue.name.as_str(), rest));
+    let served = |host, path| {
+        catalog
+            .route(host, path)
+            .map(|(queue, rest)| (queue.name.as_str(), rest))
+    };
     assert_eq!(served("h", "/a/b/1"), Some(("long", "1")));
     assert_eq!(served("H", "/a/1"), Some(("short", "1")));
     assert_eq!(served("h", "/c/1"), None);
--- a/kqr-fleet/tests/owners.rs
+++ b/kqr-fleet/tests/owners.rs
@@ -95,12 +95,17 @@
 
     fn owners(&self) -> BTreeMap<TargetId, String> {
         let targets = self.node.state().targets().iter();
-        targets.map(|(id, owned)| (id.clone(), owned.owner.entry.to_string())).collect()
+        targets
+            .map(|(id, owned)| (id.clone(), owned.owner.entry.to_string()))
+            .collect()
     }
 
     fn owned_by(&self, entry: &EntryInfo) -> usize {
         let owners = self.owners();
-        owners.values().filter(|owner| **owner == entry.id.as_str()).count()
+        owners
+            .values()
+            .filter(|owner| **owner == entry.id.as_str())
+            .count()
     }
 }
 
@@ -226,7 +231,11 @@
 #[test]
 fn the_entries_of_a_returning_data_centre_keep_their_targets() {
     let mut control = Control::leading();
-    let entries = [entry("a", "north", 10), entry("b", "north", 10), entry("c", "south", 250)];
+    let entries = [
+        entry("a", "north", 10),
+        entry("b", "north", 10),
+        entry("c", "south", 250),
+    ];
     for number in 0..2 {
         control.report(target(number, "north"), false);
     }
@@ -274,7 +283,10 @@
     control.report(target(1, "north"), false);
     control.run_with(3_000, &entries);
     let id = target(1, "north").id;
-    control.node.report(control.now, TargetReport::Gone { id, life: None }).unwrap();
+    control
+        .node
+        .report(control.now, TargetReport::Gone { id, life: None })
+        .unwrap();
     control.run_with(1_000, &entries);
     assert_eq!(control.owners(), BTreeMap::new());
 }
