--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -1,8 +1,13 @@
-use std::{sync::mpsc, thread::JoinHandle, time::Duration};
+use std::{
+    sync::{Arc, mpsc},
+    thread::JoinHandle,
+    time::Duration,
+};
 
 use eyre::{WrapErr, eyre};
 use kqr_agreement::{Machine, Options as AgreementOptions, VoterId};
 use kqr_fleet::{FleetNode, FleetOptions};
+use kqr_telemetry::Metrics;
 use kqr_types::InstanceId;
 use tarpc::{client, context};
 use tokio::{net::TcpListener, runtime::Handle, sync::oneshot};
@@ -32,6 +37,7 @@
     handle: ControlHandle,
     driver: JoinHandle<()>,
     ended: oneshot::Receiver<eyre::Result<()>>,
+    metrics: Arc<Metrics>,
 }
 
 impl Control {
@@ -61,9 +67,13 @@
         let (tx, rx) = mpsc::channel();
         let (ended_tx, ended) = oneshot::channel();
         let log_settings = settings.clone();
+        let metrics = Arc::new(Metrics::new()?);
+        let log_metrics = Arc::clone(&metrics);
         let driver = std::thread::Builder::new()
             .name("replicated-log".to_owned())
-            .spawn(move || drop(ended_tx.send(run_log(&log_settings, folder, &runtime, &rx))))?;
+            .spawn(move || {
+                drop(ended_tx.send(run_log(&log_settings, folder, &runtime, &log_metrics, &rx)))
+            })?;
         let handle = ControlHandle::new(own, tx);
         tokio::spawn(service::serve(listener, handle.clone()));
         if !is_founder {
@@ -73,6 +83,7 @@
             handle,
             driver,
             ended,
+            metrics,
         })
     }
 
@@ -81,6 +92,11 @@
         self.handle.clone()
     }
 
+    /// Returns the metrics.
+    pub fn metrics(&self) -> Arc<Metrics> {
+        Arc::clone(&self.metrics)
+    }
+
     /// Waits until the instance can't continue.
     ///
     /// # Errors
@@ -114,6 +130,7 @@
     settings: &ControlSettings,
     folder: DataFolder,
     runtime: &Handle,
+    metrics: &Arc<Metrics>,
     rx: &mpsc::Receiver<Request>,
 ) -> eyre::Result<()> {
     let mut next = Some(folder);
@@ -122,7 +139,7 @@
             Some(folder) => folder,
             None => DataFolder::open(settings)?,
         };
-        match driver_of(settings, folder, runtime)?.run(rx) {
+        match driver_of(settings, folder, runtime, metrics)?.run(rx) {
             Ok(()) => return Ok(()),
             Err(error) => {
                 let fields = [("cause", format!("{error:#}"))];
@@ -133,7 +150,12 @@
     }
 }
 
-fn driver_of(settings: &ControlSettings, folder: DataFolder, runtime: &Handle) -> eyre::Result<Driver> {
+fn driver_of(
+    settings: &ControlSettings,
+    folder: DataFolder,
+    runtime: &Handle,
+    metrics: &Arc<Metrics>,
+) -> eyre::Result<Driver> {
     let own = settings.identity()?;
     let voter = folder.voter;
     let agreement = AgreementOptions {
@@ -149,12 +171,8 @@
     };
     let machine = Machine::new(voter.clone(), agreement, folder.opened.durable);
     let links = AgreementLinks::new(runtime.clone(), voter);
-    Ok(Driver::new(
-        own,
-        FleetNode::new(options, machine),
-        folder.store,
-        links,
-    ))
+    let node = FleetNode::new(options, machine);
+    Ok(Driver::new(own, node, folder.store, links, Arc::clone(metrics)))
 }
 
 /// Asks to be taken into the log again and again. The leader ignores a request of a voter; it hears by it that a
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -7,6 +7,7 @@
 use kqr_agreement::Record;
 use kqr_fleet::{CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOutput};
 use kqr_store::{FolderDisk, Store};
+use kqr_telemetry::{Level, Metrics};
 use kqr_types::InstanceId;
 use tokio::sync::oneshot;
 
@@ -35,6 +36,7 @@
     clock: BootClock,
     next_call: u64,
     waiters: BTreeMap<CallId, Waiter>,
+    metrics: Arc<Metrics>,
 }
 
 impl Driver {
@@ -43,6 +45,7 @@
         node: FleetNode,
         store: Store<FolderDisk>,
         links: AgreementLinks,
+        metrics: Arc<Metrics>,
     ) -> Self {
         Self {
             own,
@@ -52,6 +55,7 @@
             clock: BootClock,
             next_call: 0,
             waiters: BTreeMap::new(),
+            metrics,
         }
     }
 
@@ -148,7 +152,9 @@
 
     fn persist(&mut self, records: Vec<Record>) -> eyre::Result<()> {
         if !records.is_empty() {
+            let begun = std::time::Instant::now();
             self.store.append(records)?;
+            self.metrics.synced(begun.elapsed());
         }
         Ok(())
     }
@@ -176,6 +182,7 @@
                 self.end(call, NotHere { leader, is_unknown });
             }
             FleetOutput::CatalogApplied { version } => {
+                self.metrics.set(Level::SettingsVersion, version.0);
                 kqr_telemetry::decision("catalog-applied", &[("version", version.to_string())]);
             }
             FleetOutput::RoleChanged(view) => {
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -6,6 +6,7 @@
 use eyre::WrapErr;
 use kqr_dispatch::{Input, Options};
 use kqr_fleet::EntryInfo;
+use kqr_telemetry::Metrics;
 use kqr_types::{Incarnation, InstanceId};
 use tokio::net::TcpListener;
 
@@ -55,7 +56,7 @@
         };
         let fields = [("incarnation", own.incarnation.to_string())];
         kqr_telemetry::decision("entry-started", &fields);
-        let shell = Arc::new(Shell::new(own, options, port));
+        let shell = Arc::new(Shell::new(own, options, port, Metrics::new()?));
         let seeds = Arc::new(Mutex::new(settings.seed_identities()?));
         tokio::spawn(sibling_service::serve(listener, Arc::clone(&shell)));
         tokio::spawn(tick(Arc::clone(&shell)));
--- a/kqr-runtime/src/entry/mod.rs
+++ b/kqr-runtime/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod job_guard;
 mod mailbox;
 mod notes;
+mod observing;
 mod port;
 mod settings;
 mod shell;
--- a/kqr-runtime/src/entry/shell.rs
+++ b/kqr-runtime/src/entry/shell.rs
@@ -10,10 +10,11 @@
 use arc_swap::ArcSwapOption;
 use kqr_dispatch::{CallId, Dispatcher, Input, JobEnd, JobRequest, Options, Output, TargetCall, TargetPlace};
 use kqr_fleet::{Catalog, EntryInfo, TargetReport};
+use kqr_telemetry::Metrics;
 use kqr_types::{InstanceId, JobKey};
 use tokio::sync::oneshot;
 
-use super::{TargetPort, job_guard::JobGuard, mailbox::Mailbox, notes};
+use super::{TargetPort, job_guard::JobGuard, mailbox::Mailbox, notes, observing};
 use crate::BootClock;
 
 /// What a job's callers wait for.
@@ -35,6 +36,7 @@
     next_waiter: AtomicU64,
     mailboxes: Mutex<BTreeMap<InstanceId, Mailbox>>,
     is_leaving: AtomicBool,
+    metrics: Metrics,
 }
 
 impl<Port> Shell<Port>
@@ -42,7 +44,7 @@
     Port: TargetPort,
 {
     /// Creates the shell of the entry `own`.
-    pub(super) fn new(own: EntryInfo, options: Options, port: Port) -> Self {
+    pub(super) fn new(own: EntryInfo, options: Options, port: Port, metrics: Metrics) -> Self {
         Self {
             sibling_silence: options.sibling_silence,
             machine: Mutex::new(Dispatcher::new(own.clone(), options)),
@@ -54,6 +56,7 @@
             next_waiter: AtomicU64::new(0),
             mailboxes: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            metrics,
         }
     }
 
@@ -106,6 +109,20 @@
         is_known
     }
 
+    /// Returns the metrics in their text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn metrics(&self) -> eyre::Result<String> {
+        let version = self.catalog().map_or(0, |catalog| catalog.version.0);
+        let machine = self.machine();
+        let (jobs, waiting, targets) = (machine.jobs(), machine.waiting_orders(), machine.owned_targets());
+        drop(machine);
+        observing::set_levels(&self.metrics, jobs, waiting, targets, version);
+        self.metrics.text()
+    }
+
     /// Takes what a target says of itself.
     pub fn report(self: &Arc<Self>, report: TargetReport) {
         self.handle(Input::Report(report));
@@ -199,7 +216,10 @@
                     drop(waiter.send(end.clone()));
                 }
             }
-            Output::Note(note) => notes::log(&note),
+            Output::Note(note) => {
+                observing::observe(&self.metrics, &note);
+                notes::log(&note);
+            }
         }
     }
 
