--- a/kqr-dispatch/src/desk/health.rs
+++ b/kqr-dispatch/src/desk/health.rs
@@ -8,6 +8,8 @@
 const SAMPLE_WEIGHT: f32 = 0.08;
 /// Time for the way of a start and of the answer that lists its end.
 const CALL_TIME: Duration = Duration::from_millis(4);
+/// Estimate from which on a sample counts in full.
+const FULL_SAMPLE: Duration = Duration::from_millis(200);
 /// Shortest run time of a sample.
 const MIN_RUN: Duration = Duration::from_millis(1);
 /// Failures of tasks of different jobs, without a done one between them, after which a target pauses.
@@ -63,7 +65,9 @@
         let sample = (ran.as_secs_f32() / estimate.as_secs_f32()).ln();
         self.samples = self.samples.saturating_add(1);
         let weight = SAMPLE_WEIGHT.max(1.0 / f32::from(self.samples.saturating_add(2)));
-        self.log_slowness += (sample - self.log_slowness) * weight;
+        // In a short run the time for the calls and for other runs beside it weighs more than the target's speed.
+        let share = (estimate.as_secs_f32() / FULL_SAMPLE.as_secs_f32()).min(1.0);
+        self.log_slowness += (sample - self.log_slowness) * weight * share;
     }
 
     /// Notes a failed run of a task that had not failed elsewhere. Returns whether the target pauses from now on.
--- a/kqr-dispatch/src/suitability.rs
+++ b/kqr-dispatch/src/suitability.rs
@@ -4,6 +4,8 @@
 
 /// Factor of the run time on a rack without the data.
 const FAR_FACTOR: f32 = 1.5;
+/// Part of the time for an answer on time that a run may be expected to take: runs beside it slow it down.
+const MARGIN: f32 = 0.88;
 /// Time for the way of a start and of its end, and for what the entries compute.
 const OVERHEAD: Duration = Duration::from_millis(15);
 
@@ -24,7 +26,7 @@
         let factor = if is_far { FAR_FACTOR } else { 1.0 };
         let expected = order.estimate.as_secs_f32() * slowness * factor;
         let on_time = order.on_time_left.saturating_sub(OVERHEAD).as_secs_f32();
-        if expected > on_time {
+        if expected > on_time * MARGIN {
             return Self {
                 class: 1,
                 cost: expected,
