--- a/kqr-dispatch/src/desk/answers.rs
+++ b/kqr-dispatch/src/desk/answers.rs
@@ -6,8 +6,11 @@
 use kqr_types::{Instant, TargetId};
 
 use super::{
-    Desk, note,
+    Desk,
+    next_poll::NextPoll,
+    note,
     open_call::OpenCall,
+    phase::Phase,
     run::{Run, RunState},
 };
 use crate::{
@@ -97,7 +100,7 @@
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
-        target.is_polling = false;
+        target.next_poll = NextPoll::At(now);
         match answer {
             Ok(answer) => {
                 self.take_poll(now, &id, sent, answer, outputs);
@@ -164,9 +167,9 @@
     /// Another owner has the target: it stops what runs there; until the lease ends the runs count as alive.
     fn fenced(&mut self, id: &TargetId, outputs: &mut Vec<Output>) {
         if let Some(target) = self.targets.get_mut(id)
-            && !target.is_fenced
+            && target.phase != Phase::Fenced
         {
-            target.is_fenced = true;
+            target.phase = Phase::Fenced;
             note(outputs, target, "fenced", format!("token {}", target.token));
         }
     }
@@ -297,7 +300,6 @@
                 continue;
             }
             match run.state {
-                RunState::Starting => {}
                 RunState::Running if run.since < sent => cleared.push((id.clone(), "no longer listed")),
                 RunState::Stopping if run.stop_confirmed.is_some_and(|at| at < sent) => {
                     cleared.push((id.clone(), "not listed after a stop"));
@@ -306,16 +308,16 @@
                     cleared.push((id.clone(), "not listed after its start was due"));
                 }
                 RunState::Doubtful if run.since < sent => doubtful.push(id.clone()),
-                RunState::Running | RunState::Doubtful | RunState::Stopping => {}
+                RunState::Starting | RunState::Running | RunState::Doubtful | RunState::Stopping => {}
             }
         }
-        let was_attached = target.is_attached;
+        let is_unseen = target.phase == Phase::Unseen;
         let capacity = target.record.capacity;
         for run in &unknown {
             target.runs.insert(run.clone(), orphan(now, capacity));
         }
-        if !was_attached && target.runs.is_empty() {
-            target.is_attached = true;
+        if is_unseen && target.runs.is_empty() {
+            target.phase = Phase::Attached;
             note(outputs, target, "attached", "its list of runs".to_owned());
         }
         for (run, proof) in cleared {
--- a/kqr-dispatch/src/desk/mod.rs
+++ b/kqr-dispatch/src/desk/mod.rs
@@ -2,8 +2,10 @@
 
 mod answers;
 mod health;
+mod next_poll;
 mod open_call;
 mod orders;
+mod phase;
 mod polling;
 mod run;
 mod target;
@@ -19,6 +21,7 @@
     load_report::RANKS,
 };
 use open_call::OpenCall;
+use phase::Phase;
 use target::Target;
 use waiting::Waiting;
 
@@ -164,7 +167,7 @@
     pub(crate) fn released(&self) -> Vec<(TargetId, FencingToken)> {
         let mut released = Vec::new();
         for target in self.targets.values() {
-            let is_due = self.is_leaving || target.must_release || target.is_fenced;
+            let is_due = self.is_leaving || target.must_release || target.phase == Phase::Fenced;
             if is_due && target.runs.is_empty() {
                 released.push((target.record.id.clone(), target.token));
             }
--- a/kqr-dispatch/src/desk/orders.rs
+++ b/kqr-dispatch/src/desk/orders.rs
@@ -5,6 +5,7 @@
 use super::{
     Desk,
     open_call::OpenCall,
+    phase::Phase,
     run::{Run, RunState},
     target::{Target, longest},
     waiting::Waiting,
@@ -170,7 +171,7 @@
                 let is_due = state.state == RunState::Stopping
                     && state.stop_confirmed.is_none()
                     && now.since(state.since) >= self.options.stop_retry;
-                if is_due && !target.is_fenced {
+                if is_due && target.phase != Phase::Fenced {
                     due.push((id.clone(), run.clone()));
                 }
             }
@@ -235,7 +236,7 @@
                 .as_ref()
                 .is_some_and(|rack| !target.record.has_label(rack));
             let suitability = Suitability::of(order, target.health.slowness(), is_far, true);
-            if best.is_none_or(|(least, _)| suitability.is_better(&least)) {
+            if best.is_none_or(|(least, _)| suitability.is_better(least)) {
                 best = Some((suitability, id));
             }
         }
@@ -293,7 +294,7 @@
 
 /// Returns whether the target could run the order, with or without room.
 fn may_run(target: &Target, order: &RunOrder) -> bool {
-    let is_usable = !target.is_leaving && !target.must_release && !target.is_fenced;
+    let is_usable = !target.is_leaving && !target.must_release && target.phase != Phase::Fenced;
     let has_label = order
         .label
         .as_ref()
--- a/kqr-dispatch/src/desk/polling.rs
+++ b/kqr-dispatch/src/desk/polling.rs
@@ -4,7 +4,7 @@
 
 use kqr_types::{Instant, TargetId};
 
-use super::{Desk, note, open_call::OpenCall, target::Target};
+use super::{Desk, next_poll::NextPoll, note, open_call::OpenCall, phase::Phase, target::Target};
 use crate::{Output, PollCall, TargetCall};
 
 impl Desk {
@@ -12,7 +12,8 @@
     pub(super) fn poll_due(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut due = Vec::new();
         for (id, target) in &self.targets {
-            if !target.is_polling && !target.is_fenced && target.next_poll <= now {
+            let is_due = matches!(target.next_poll, NextPoll::At(at) if at <= now);
+            if is_due && target.phase != Phase::Fenced {
                 due.push(id.clone());
             }
         }
@@ -25,8 +26,9 @@
     pub(super) fn expire_leases(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut expired = Vec::new();
         for (id, target) in &self.targets {
-            let is_watched = target.is_attached || !target.runs.is_empty();
-            if is_watched && target.lease_ends <= now && (target.missed > 0 || target.is_fenced) {
+            let is_watched = target.phase == Phase::Attached || !target.runs.is_empty();
+            if is_watched && target.lease_ends <= now && (target.missed > 0 || target.phase == Phase::Fenced)
+            {
                 expired.push(id.clone());
             }
         }
@@ -58,19 +60,19 @@
             return;
         };
         // A target that did not answer, or whose runs are not known yet, gets no longer lease: what runs there must end.
-        let may_extend = target.is_attached && target.missed == 0 && target.has_work();
+        let may_extend = target.phase == Phase::Attached && target.missed == 0 && target.has_work();
         let lease_until = if may_extend {
             target.extend(now, &options)
         } else {
             None
         };
-        let is_first = !target.is_attached || target.missed > 0;
+        let is_first = target.phase == Phase::Unseen || target.missed > 0;
         let wait = if is_first {
             Duration::ZERO
         } else {
             options.poll_wait
         };
-        target.is_polling = true;
+        target.next_poll = NextPoll::AfterAnswer;
         let call = PollCall {
             lease_until,
             cursor: target.cursor,
@@ -100,6 +102,6 @@
             note(outputs, target, "silent", cause);
         }
         target.missed += 1;
-        target.next_poll = now + retry;
+        target.next_poll = NextPoll::At(now + retry);
     }
 }
--- a/kqr-dispatch/src/desk/target.rs
+++ b/kqr-dispatch/src/desk/target.rs
@@ -5,6 +5,8 @@
 
 use super::{
     health::Health,
+    next_poll::NextPoll,
+    phase::Phase,
     run::{Run, RunState},
 };
 use crate::{Options, RunId, TargetPlace, TargetTime};
@@ -16,17 +18,13 @@
     pub(super) token: FencingToken,
     pub(super) is_leaving: bool,
     pub(super) must_release: bool,
-    /// Whether the target refuses this token.
-    pub(super) is_fenced: bool,
+    pub(super) phase: Phase,
     /// Whether the target has reported here since it is owned.
     pub(super) is_reported: bool,
-    /// Whether a look has shown what runs here; before it nothing is started.
-    pub(super) is_attached: bool,
     pub(super) runs: BTreeMap<RunId, Run>,
     /// Number of the last end that was taken in.
     pub(super) cursor: u64,
-    pub(super) is_polling: bool,
-    pub(super) next_poll: Instant,
+    pub(super) next_poll: NextPoll,
     /// Failed polls since the last answer.
     pub(super) missed: u32,
     /// When the target last answered a poll, or was attached.
@@ -44,13 +42,11 @@
             token: grant.token,
             is_leaving: grant.is_leaving,
             must_release: grant.must_release,
-            is_fenced: false,
+            phase: Phase::Unseen,
             is_reported: false,
-            is_attached: false,
             runs: BTreeMap::new(),
             cursor: 0,
-            is_polling: false,
-            next_poll: now,
+            next_poll: NextPoll::At(now),
             missed: 0,
             heard: now,
             clock: None,
@@ -86,10 +82,9 @@
 
     /// Returns whether the target takes new work now.
     pub(super) fn is_open(&self, now: Instant, options: &Options) -> bool {
-        let is_usable = self.is_attached
+        let is_usable = self.phase == Phase::Attached
             && !self.is_leaving
             && !self.must_release
-            && !self.is_fenced
             && self.missed == 0
             && now.since(self.heard) < options.silence;
         let most = self.health.most_runs(now);
--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -10,9 +10,6 @@
     siblings::Siblings,
 };
 
-/// Factor of the time between two reports after which an unchanged load is reported all the same, as a sign of life.
-const UNCHANGED_FACTOR: u32 = 2;
-
 /// The decisions of an entry, without input or output.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -297,18 +294,24 @@
         candidates
     }
 
+    /// Tells siblings of the load. Two entries without targets have nothing to tell each other.
     fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let passed = now.since(self.reported_at);
-        if passed < self.options.report_every {
-            return;
-        }
-        let load = self.desk.load(now);
-        if load == self.reported && passed < self.options.report_every * UNCHANGED_FACTOR {
+        if now.since(self.reported_at) < self.options.report_every {
             return;
         }
         self.reported_at = now;
+        let load = self.desk.load(now);
+        let is_changed = load != self.reported;
         self.reported = load;
-        for sibling in self.siblings.iter() {
+        for sibling in self.siblings.iter_mut() {
+            sibling.is_outdated |= is_changed;
+            let is_concerned = !self.reported.targets.is_empty() || !sibling.load.targets.is_empty();
+            let is_near = sibling.info.data_centre == self.own.data_centre;
+            if !is_concerned || !sibling.is_report_due(now, is_near, &self.options) {
+                continue;
+            }
+            sibling.is_outdated = false;
+            sibling.reported_at = now;
             outputs.push(Output::Send {
                 to: sibling.info.id.clone(),
                 message: SiblingMessage::Load(self.reported.clone()),
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Jobs {
     options: Options,
-    jobs: BTreeMap<JobKey, Job>,
+    live: BTreeMap<JobKey, Job>,
     orders: BTreeMap<Ticket, OpenOrder>,
     next_ticket: u64,
     tasks: u64,
@@ -34,7 +34,7 @@
     pub(crate) fn new(options: Options) -> Self {
         Self {
             options,
-            jobs: BTreeMap::new(),
+            live: BTreeMap::new(),
             orders: BTreeMap::new(),
             next_ticket: 0,
             tasks: 0,
@@ -44,12 +44,12 @@
 
     /// Returns the number of jobs.
     pub(crate) fn len(&self) -> usize {
-        self.jobs.len()
+        self.live.len()
     }
 
     /// Returns the number of jobs of which nothing was started, as far as is known.
     pub(crate) fn unstarted(&self) -> usize {
-        self.jobs.values().filter(|job| job.orders == 0).count()
+        self.live.values().filter(|job| job.orders == 0).count()
     }
 
     /// Takes the orders that are to be taken back.
@@ -65,7 +65,7 @@
         candidates: &Candidates,
         outputs: &mut Vec<Output>,
     ) -> bool {
-        if self.jobs.contains_key(&request.key) {
+        if self.live.contains_key(&request.key) {
             return false;
         }
         let (job, tasks) = (request.key.clone(), request.tasks());
@@ -92,7 +92,7 @@
             time_left_ms: request.time_left.as_millis() as u64,
         }));
         self.tasks += tasks;
-        self.jobs.insert(job, Job::new(now, request, &self.options));
+        self.live.insert(job, Job::new(now, request, &self.options));
         true
     }
 
@@ -113,7 +113,7 @@
 
     /// Gives up all jobs.
     pub(crate) fn give_up_all(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let jobs: Vec<JobKey> = self.jobs.keys().cloned().collect();
+        let jobs: Vec<JobKey> = self.live.keys().cloned().collect();
         for job in jobs {
             self.finish(now, &job, JobEnd::GivenUp(GiveUp::Standstill), outputs);
         }
@@ -122,7 +122,7 @@
     /// Ends the jobs whose time is over.
     pub(crate) fn expire(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut late = Vec::new();
-        for (key, job) in &self.jobs {
+        for (key, job) in &self.live {
             if job.give_up_at <= now || (job.deadline <= now && !job.has_begun && !job.is_ending) {
                 late.push(key.clone());
             }
@@ -135,7 +135,7 @@
     /// Ends a job whose time is over. If nothing of it is known to have begun, its orders are taken back first, so that
     /// it can be refused as not run.
     fn give_up(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
-        let Some(job) = self.jobs.get_mut(key) else {
+        let Some(job) = self.live.get_mut(key) else {
             return;
         };
         let is_unclear = !job.has_begun && !job.is_untouched();
@@ -177,7 +177,7 @@
 
     /// Removes a job and takes its open orders back.
     fn remove(&mut self, key: &JobKey) -> Option<Job> {
-        let job = self.jobs.remove(key)?;
+        let job = self.live.remove(key)?;
         self.tasks -= job.request.tasks();
         for ticket in job.open_tickets() {
             if let Some(order) = self.orders.remove(&ticket) {
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -34,7 +34,7 @@
     /// Returns the jobs with tasks that may be ordered now, the oldest ones of the first ranks first.
     pub(crate) fn ready(&self, now: Instant) -> Vec<JobKey> {
         let mut ready = Vec::new();
-        for (key, job) in &self.jobs {
+        for (key, job) in &self.live {
             if job.is_ending {
                 continue;
             }
@@ -57,7 +57,7 @@
         outputs: &mut Vec<Output>,
     ) -> Vec<Placed> {
         let mut placed = Vec::new();
-        let Some(job) = self.jobs.get_mut(key) else {
+        let Some(job) = self.live.get_mut(key) else {
             return placed;
         };
         for step in 0..job.steps.len() {
@@ -97,7 +97,7 @@
     pub(crate) fn begun(&mut self, tickets: &[Ticket]) {
         for ticket in tickets {
             let order = self.orders.get(ticket);
-            if let Some(job) = order.and_then(|order| self.jobs.get_mut(&order.job)) {
+            if let Some(job) = order.and_then(|order| self.live.get_mut(&order.job)) {
                 job.has_begun = true;
             }
         }
@@ -116,7 +116,7 @@
             return;
         };
         let key = order.job;
-        let Some(job) = self.jobs.get_mut(&key) else {
+        let Some(job) = self.live.get_mut(&key) else {
             return;
         };
         job.has_begun |= !matches!(end, RunEnd::NotRun(_));
@@ -151,7 +151,7 @@
             }
             RunEnd::NotRun(_) => task.state = TaskState::Ready(now + REORDER_PAUSE),
         }
-        if self.jobs.get(&key).is_some_and(Job::is_complete) {
+        if self.live.get(&key).is_some_and(Job::is_complete) {
             self.finish(now, &key, JobEnd::Completed, outputs);
         }
     }
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -27,6 +27,8 @@
     pub max_quarantine: Duration,
     /// Time between two reports of the load to siblings.
     pub report_every: Duration,
+    /// Longest time between two reports: a sibling that misses one hears the next before it is silent.
+    pub sign_of_life: Duration,
     /// Time without a report after which a sibling counts as lost.
     pub sibling_silence: Duration,
     /// Time for which an order may not yet be part of a sibling's report.
@@ -52,6 +54,7 @@
             quarantine: Duration::from_millis(1500),
             max_quarantine: Duration::from_secs(6),
             report_every: Duration::from_millis(50),
+            sign_of_life: Duration::from_millis(130),
             sibling_silence: Duration::from_millis(400),
             report_lag: Duration::from_millis(10),
             max_tasks: 20_000,
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -14,6 +14,10 @@
     pub(crate) load: LoadReport,
     /// When the last message arrived.
     pub(crate) heard: Option<Instant>,
+    /// When the own load was last reported to it.
+    pub(crate) reported_at: Instant,
+    /// Whether the own load has changed since.
+    pub(crate) is_outdated: bool,
     /// Orders that the last report may not show yet.
     recent: Vec<(Instant, TargetId, Resources)>,
 }
@@ -24,6 +28,8 @@
             info,
             load: LoadReport::default(),
             heard: None,
+            reported_at: Instant(0),
+            is_outdated: true,
             recent: Vec::new(),
         }
     }
@@ -43,6 +49,16 @@
         self.recent.push((now, target.clone(), needs));
     }
 
+    /// Returns whether the own load is to be reported: at once if it has changed, and as a sign of life. Another data centre
+    /// hears of it less often, as links to it are dear.
+    pub(crate) fn is_report_due(&self, now: Instant, is_near: bool, options: &Options) -> bool {
+        let passed = now.since(self.reported_at);
+        if is_near && self.is_outdated {
+            return passed >= options.report_every;
+        }
+        passed >= options.sign_of_life
+    }
+
     pub(crate) fn is_heard(&self, now: Instant, silence: Duration) -> bool {
         self.heard.is_some_and(|heard| now.since(heard) < silence)
     }
@@ -98,6 +114,10 @@
         self.known.get_mut(id)
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Sibling> {
+        self.known.values_mut()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Sibling> {
         self.known.values()
     }
--- a/kqr-dispatch/src/suitability.rs
+++ b/kqr-dispatch/src/suitability.rs
@@ -41,7 +41,7 @@
     }
 
     /// Returns whether `self` is better than `other`.
-    pub(crate) fn is_better(&self, other: &Self) -> bool {
+    pub(crate) fn is_better(self, other: Self) -> bool {
         self < other
     }
 }
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -134,9 +134,9 @@
         if !self.is_current(now) {
             return Err(self.leader());
         }
-        let owned = self.state.targets().get(report.target());
-        let owner = owned.and_then(|owned| self.directory.entries.get(&owned.owner.entry));
-        let report_to = owner.map(|entry| entry.info.reports);
+        let target = self.state.targets().get(report.target());
+        let entry = target.and_then(|target| self.directory.entries.get(&target.owner.entry));
+        let report_to = entry.map(|entry| entry.info.reports);
         self.directory.take_report(now, report);
         Ok(ReportReceipt { report_to })
     }
@@ -238,8 +238,8 @@
         }
         for handover in &handovers {
             self.directory.moving.remove(&handover.record.id);
-            let (target, owner) = (&handover.record.id, &handover.owner.entry);
-            let detail = format!("target {target} goes to {owner}");
+            let (target, entry) = (&handover.record.id, &handover.owner.entry);
+            let detail = format!("target {target} goes to {entry}");
             outputs.push(FleetOutput::Note { detail });
         }
         self.propose(now, Purpose::Plan, &Command::HandOver(handovers), outputs);
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -72,7 +72,7 @@
         let driver = std::thread::Builder::new()
             .name("replicated-log".to_owned())
             .spawn(move || {
-                drop(ended_tx.send(run_log(&log_settings, folder, &runtime, &log_metrics, &rx)))
+                drop(ended_tx.send(run_log(&log_settings, folder, &runtime, &log_metrics, &rx)));
             })?;
         let handle = ControlHandle::new(own, tx);
         tokio::spawn(service::serve(listener, handle.clone()));
--- a/kqr-runtime/src/entry/mailbox.rs
+++ b/kqr-runtime/src/entry/mailbox.rs
@@ -163,22 +163,20 @@
         client: &mut Option<SiblingCallsClient>,
         batch: &[SiblingMessage],
     ) -> eyre::Result<bool> {
-        let open = match client {
-            Some(open) => open,
-            None => {
-                let stream = frames::connect(self.address).await?;
-                let transport = frames::messages_of(stream);
-                client.insert(SiblingCallsClient::new(client::Config::default(), transport).spawn())
-            }
+        let open = if let Some(open) = client {
+            open
+        } else {
+            let stream = frames::connect(self.address).await?;
+            let transport = frames::messages_of(stream);
+            client.insert(SiblingCallsClient::new(client::Config::default(), transport).spawn())
         };
-        let session = match self.session {
-            Some(session) => session,
-            None => {
-                let call = open.open(context::current(), self.own.clone(), self.incarnation);
-                let session = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
-                self.first = 0;
-                *self.session.insert(session)
-            }
+        let session = if let Some(session) = self.session {
+            session
+        } else {
+            let call = open.open(context::current(), self.own.clone(), self.incarnation);
+            let session = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+            self.first = 0;
+            *self.session.insert(session)
         };
         let (own, messages) = (self.own.clone(), batch.to_vec());
         let call = open.deliver(context::current(), own, session, self.first, messages);
--- a/kqr-runtime/src/entry/notes.rs
+++ b/kqr-runtime/src/entry/notes.rs
@@ -38,6 +38,13 @@
             "job-abandoned",
             &[("job", job.to_string()), ("after_ms", after_ms.to_string())],
         ),
+        _ => log_run(note),
+    }
+}
+
+/// Writes what became of an order or a run to the log.
+fn log_run(note: &Note) {
+    match note {
         Note::TaskOrdered {
             run,
             owner,
@@ -114,6 +121,13 @@
             "order-refused",
             &[("run", run.to_string()), ("cause", format!("{cause:?}"))],
         ),
+        _ => log_belief(note),
+    }
+}
+
+/// Writes a change of a belief to the log.
+fn log_belief(note: &Note) {
+    match note {
         Note::TargetChanged {
             target,
             belief,
@@ -130,6 +144,7 @@
             "sibling-changed",
             &[("sibling", sibling.to_string()), ("belief", (*belief).to_owned())],
         ),
+        other => log::error!("a decision without a log line: {other:?}"),
     }
 }
 
--- a/kqr-telemetry/src/bounded_output.rs
+++ b/kqr-telemetry/src/bounded_output.rs
@@ -89,10 +89,10 @@
             }
             let dropped = self.dropped();
             if dropped > told {
-                text.push_str(&format!(
-                    "{{\"event\":\"log-lines-dropped\",\"count\":{}}}\n",
-                    dropped - told
-                ));
+                let count = dropped - told;
+                text.push_str(r#"{"event":"log-lines-dropped","count":"#);
+                text.push_str(&count.to_string());
+                text.push_str("}\n");
                 told = dropped;
             }
             // An output that is gone leaves nobody to tell.
