fix: an order that its owner took after it had given the link up stays valid

The session now tells the last dropped order. Ruled out: a handover of the target (its token was the same), a late order (both runs began on time).

--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -4,12 +4,19 @@
 use kqr_types::{Incarnation, InstanceId, Instant, JobKey, TargetId};
 
 use crate::{
-    Input, LoadReport, Note, Options, Output, RunOrder, SiblingMessage,
+    Input, LoadReport, Note, Options, Output, RunOrder, SiblingMessage, Ticket,
     desk::Desk,
     jobs::{Candidates, Jobs, Placed},
     siblings::Siblings,
 };
 
+/// How far the orders of a coordinator were taken and dropped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct TakenOrders {
+    highest: Ticket,
+    dropped: Ticket,
+}
+
 /// The decisions of an entry, without input or output.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -22,6 +29,8 @@
     reported_at: Instant,
     /// When the last input was taken.
     handled_at: Instant,
+    /// Orders of each coordinator that were taken, and that were dropped.
+    orders_of: BTreeMap<InstanceId, TakenOrders>,
 }
 
 impl Dispatcher {
@@ -36,6 +45,7 @@
             reported: LoadReport::default(),
             reported_at: Instant(0),
             handled_at: Instant(0),
+            orders_of: BTreeMap::new(),
         }
     }
 
@@ -63,6 +73,10 @@
             Input::Report(report) => self.desk.report(report, outputs),
             Input::Message { from, message } => self.message(now, &from, message, outputs),
             Input::LinkLost { sibling } => self.lose(now, &sibling, outputs),
+            Input::SessionOpened { sibling, dropped } => {
+                self.desk.drop_coordinator(now, &sibling, outputs);
+                self.jobs.owner_lost(&sibling, dropped, self.ended_by(now));
+            }
             Input::Started { call, answer } => self.desk.started(now, call, answer, outputs),
             Input::Stopped { call, answer } => self.desk.stopped(now, call, answer, outputs),
             Input::Polled { call, answer } => self.desk.polled(now, call, answer, outputs),
@@ -99,6 +113,15 @@
         self.siblings.heard(now, &self.options)
     }
 
+    /// Returns the last order of a coordinator that this entry has dropped, for the session that it opens there.
+    pub fn dropped_orders(&self, coordinator: &InstanceId) -> Ticket {
+        self.orders_of
+            .get(coordinator)
+            .copied()
+            .unwrap_or_default()
+            .dropped
+    }
+
     /// Returns the siblings that messages are exchanged with.
     pub fn siblings(&self) -> Vec<EntryInfo> {
         self.siblings.iter().map(|sibling| sibling.info.clone()).collect()
@@ -176,6 +199,7 @@
             }
             SiblingMessage::Run(orders) => {
                 for order in orders {
+                    self.note_order(from, order.ticket);
                     self.desk.order(now, from.clone(), order, outputs);
                 }
             }
@@ -199,8 +223,22 @@
             known.load = LoadReport::default();
         }
         self.desk.drop_coordinator(now, sibling, outputs);
-        let ended_by = now + self.options.sibling_silence + self.lease_bound();
-        self.jobs.owner_lost(sibling, ended_by);
+        if let Some(tickets) = self.orders_of.get_mut(sibling) {
+            tickets.dropped = tickets.highest;
+        }
+        self.jobs
+            .owner_lost(sibling, Ticket(u64::MAX), self.ended_by(now));
+    }
+
+    /// Returns by when the runs of an owner have ended that is not heard, or has not heard this entry, from now on.
+    fn ended_by(&self, now: Instant) -> Instant {
+        now + self.options.sibling_silence + self.lease_bound()
+    }
+
+    /// Notes the highest order of a coordinator.
+    fn note_order(&mut self, coordinator: &InstanceId, ticket: Ticket) {
+        let tickets = self.orders_of.entry(coordinator.clone()).or_default();
+        tickets.highest = tickets.highest.max(ticket);
     }
 
     /// Returns how long runs outlive an owner that does not extend their leases.
--- a/kqr-dispatch/src/input.rs
+++ b/kqr-dispatch/src/input.rs
@@ -1,7 +1,7 @@
 use kqr_fleet::{EntryInfo, TargetGrant, TargetReport};
 use kqr_types::{InstanceId, JobKey};
 
-use crate::{CallFailure, CallId, JobRequest, PollAnswer, SiblingMessage, TargetTime};
+use crate::{CallFailure, CallId, JobRequest, PollAnswer, SiblingMessage, TargetTime, Ticket};
 
 /// Input of the [`Dispatcher`](crate::Dispatcher).
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +35,13 @@
         /// Sibling.
         sibling: InstanceId,
     },
+    /// A sibling opened a session: what it handed over before is void.
+    SessionOpened {
+        /// Sibling.
+        sibling: InstanceId,
+        /// The last order of this entry that the sibling has dropped; later ones stay valid.
+        dropped: Ticket,
+    },
     /// A start was answered with the target's clock, or failed.
     Started {
         /// The call.
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -156,9 +156,9 @@
         }
     }
 
-    /// Notes that an owner is lost: what it runs has ended at `ended_by` at the latest.
-    pub(crate) fn owner_lost(&mut self, owner: &InstanceId, ended_by: Instant) {
-        for order in self.orders.values_mut() {
+    /// Notes that an owner is lost, with all orders up to `last`: what it runs has ended at `ended_by` at the latest.
+    pub(crate) fn owner_lost(&mut self, owner: &InstanceId, last: Ticket, ended_by: Instant) {
+        for (_, order) in self.orders.range_mut(..=last) {
             if order.owner == *owner && order.lost_by.is_none() {
                 order.lost_by = Some(ended_by);
             }
--- a/kqr-dispatch/tests/named_failures.rs
+++ b/kqr-dispatch/tests/named_failures.rs
@@ -4,8 +4,8 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use kqr_dispatch::{EndKind, GiveUp, JobEnd, RefusalCause, TargetCall};
-use world::{CallFate, Manner, World, job, target_id};
+use kqr_dispatch::{EndKind, GiveUp, Input, JobEnd, RefusalCause, TargetCall};
+use world::{CallFate, Manner, World, id, job, target_id};
 
 const QUICK: Manner = Manner {
     run_ms: 50,
@@ -300,6 +300,38 @@
     assert_eq!(world.end_of("early"), Some(&JobEnd::Completed));
 }
 
+/// An owner gave its link up, took an order after that, and opened a session: the coordinator counted the order as lost
+/// although it ran on.
+#[test]
+fn an_order_that_came_after_its_owner_had_given_the_link_up_stays_valid() {
+    let mut world = World::new(
+        2,
+        2,
+        Manner {
+            run_ms: 1_600,
+            ..QUICK
+        },
+    );
+    world.submit(0, job("before", 2, 1_500));
+    world.run(10);
+    world.tell(1, Input::LinkLost { sibling: id(0) });
+    world.submit(0, job("after", 2, 1_500));
+    world.run(10);
+    let dropped = world.machine(1).dropped_orders(&id(0));
+    world.tell(
+        0,
+        Input::SessionOpened {
+            sibling: id(1),
+            dropped,
+        },
+    );
+    world.run(2_000);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+    assert_eq!(world.end_of("after"), Some(&JobEnd::Completed));
+    let starts: usize = world.targets.values().map(|target| target.starts.len()).sum();
+    assert_eq!(starts, 4, "no task was ordered again");
+}
+
 #[test]
 fn an_order_that_was_held_up_in_a_cut_is_not_taken() {
     let mut world = World::new(2, 2, LONG);
--- a/kqr-dispatch/tests/world/mod.rs
+++ b/kqr-dispatch/tests/world/mod.rs
@@ -219,6 +219,11 @@
         self.input(entry, Input::Leave);
     }
 
+    /// Gives an entry an input of its links.
+    pub fn tell(&mut self, entry: usize, input: Input) {
+        self.input(entry, input);
+    }
+
     pub fn machine(&self, entry: usize) -> &Dispatcher {
         &self.entries[entry].machine
     }
@@ -374,7 +379,13 @@
         let (session, is_next) = self.entries[to].sessions.open(now, &sibling);
         self.entries[from].sends.insert(to, session);
         if is_next {
-            self.later(0, Event::Input(to, Box::new(Input::LinkLost { sibling })));
+            let dropped = self.entries[from]
+                .machine
+                .dropped_orders(&self.entries[to].info.id);
+            self.later(
+                0,
+                Event::Input(to, Box::new(Input::SessionOpened { sibling, dropped })),
+            );
         }
         session
     }
--- a/kqr-runtime/src/entry/mailbox.rs
+++ b/kqr-runtime/src/entry/mailbox.rs
@@ -173,7 +173,12 @@
         let session = if let Some(session) = self.session {
             session
         } else {
-            let call = open.open(context::current(), self.own.clone(), self.incarnation);
+            let shell = self
+                .shell
+                .upgrade()
+                .ok_or_else(|| eyre::eyre!("the entry has ended"))?;
+            let dropped = shell.machine().dropped_orders(&self.sibling);
+            let call = open.open(context::current(), self.own.clone(), self.incarnation, dropped);
             let session = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
             self.first = 0;
             *self.session.insert(session)
--- a/kqr-runtime/src/entry/sibling_service.rs
+++ b/kqr-runtime/src/entry/sibling_service.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures::StreamExt;
-use kqr_dispatch::{Input, Sessions, SiblingMessage};
+use kqr_dispatch::{Input, Sessions, SiblingMessage, Ticket};
 use kqr_types::{Incarnation, InstanceId};
 use tarpc::{
     context::Context,
@@ -38,16 +38,20 @@
 where
     Port: TargetPort,
 {
-    async fn open(self, _: Context, from: InstanceId, incarnation: Incarnation) -> u64 {
+    async fn open(self, _: Context, from: InstanceId, incarnation: Incarnation, dropped: Ticket) -> u64 {
         let (session, is_next) = self.lock().open(self.shell.clock().now(), &from);
         let fields = [
             ("sibling", from.to_string()),
             ("incarnation", incarnation.to_string()),
             ("session", session.to_string()),
+            ("dropped_orders", dropped.to_string()),
         ];
         kqr_telemetry::decision("session-opened", &fields);
         if is_next {
-            self.shell.handle(Input::LinkLost { sibling: from });
+            self.shell.handle(Input::SessionOpened {
+                sibling: from,
+                dropped,
+            });
         }
         session
     }
