fix: ends of orders outlive a lost link between entries

Ends stay true, so they are kept and handed over in the next session. Ruled out: a lost target, a handover (token unchanged).

--- /dev/null
+++ b/kqr-dispatch/tests/outbox.rs
@@ -0,0 +1,52 @@
+//! What is handed over to a sibling, and what a lost link leaves of it.
+
+use kqr_dispatch::{LoadReport, Outbox, RunEnd, SiblingMessage, Ticket};
+
+fn end(ticket: u64) -> SiblingMessage {
+    SiblingMessage::Ended {
+        ticket: Ticket(ticket),
+        end: RunEnd::Done,
+        target: None,
+    }
+}
+
+fn load(queued: u64) -> SiblingMessage {
+    SiblingMessage::Load(LoadReport {
+        queued: [queued; 4],
+        ..LoadReport::default()
+    })
+}
+
+#[test]
+fn ends_of_orders_outlive_a_lost_link_and_all_else_is_void() {
+    let mut outbox = Outbox::default();
+    outbox.push(end(1));
+    outbox.push(SiblingMessage::Cancel(vec![Ticket(7)]));
+    outbox.push(load(1));
+    outbox.push(end(2));
+    assert_eq!(outbox.next_batch(2).len(), 2);
+    outbox.link_lost();
+    assert_eq!(outbox.next_batch(9), [end(1), end(2)]);
+}
+
+#[test]
+fn a_taken_batch_is_handed_over_once() {
+    let mut outbox = Outbox::default();
+    for ticket in 1..=3 {
+        outbox.push(end(ticket));
+    }
+    assert_eq!(outbox.next_batch(2), [end(1), end(2)]);
+    outbox.taken();
+    assert_eq!(outbox.next_batch(2), [end(3)]);
+}
+
+#[test]
+fn only_the_last_of_several_loads_waits_but_one_on_its_way_is_not_replaced() {
+    let mut outbox = Outbox::default();
+    outbox.push(load(1));
+    outbox.push(load(2));
+    assert_eq!(outbox.next_batch(9), [load(2)]);
+    outbox.push(load(3));
+    outbox.taken();
+    assert_eq!(outbox.next_batch(9), [load(3)]);
+}
--- a/kqr-runtime/src/entry/mailbox.rs
+++ b/kqr-runtime/src/entry/mailbox.rs
@@ -1,11 +1,10 @@
 use std::{
-    collections::VecDeque,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError, Weak},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     time::Duration,
 };
 
-use kqr_dispatch::{Input, SiblingMessage};
+use kqr_dispatch::{Input, Outbox, SiblingMessage};
 use kqr_fleet::EntryInfo;
 use kqr_types::{Incarnation, InstanceId};
 use tarpc::{client, context};
@@ -20,7 +19,7 @@
 const BATCH: usize = 256;
 /// Longest time for a delivery before the connection is replaced: some round trips and one lost packet.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time after which messages that can't be delivered are given up: by then the sibling has given this entry up.
+/// Time after which a link over which nothing can be delivered is given up: by then the sibling has given this entry up.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(600);
 /// Pause after a failed delivery.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
@@ -28,11 +27,18 @@
 /// What waits for a sibling.
 #[derive(Debug, Default)]
 struct Queue {
-    messages: Mutex<VecDeque<SiblingMessage>>,
+    outbox: Mutex<Outbox>,
     changed: Notify,
 }
 
-/// Messages to one life of a sibling. They arrive in their order and once, or the link is reported lost.
+impl Queue {
+    fn outbox(&self) -> MutexGuard<'_, Outbox> {
+        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Messages to one life of a sibling. They arrive in their order and once, or the link is reported lost; ends of orders may
+/// arrive again after that.
 #[derive(Debug)]
 pub(super) struct Mailbox {
     sibling: Incarnation,
@@ -71,15 +77,9 @@
         self.sibling == entry.incarnation && self.address == entry.siblings
     }
 
-    /// Queues a message. Of several loads that wait only the last one is kept.
+    /// Queues a message.
     pub(super) fn send(&self, message: SiblingMessage) {
-        let mut messages = self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_load = matches!(message, SiblingMessage::Load(_));
-        if is_load && let Some(last @ SiblingMessage::Load(_)) = messages.back_mut() {
-            *last = message;
-        } else {
-            messages.push_back(message);
-        }
+        self.queue.outbox().push(message);
         self.queue.changed.notify_one();
     }
 }
@@ -130,6 +130,7 @@
             }
             if outcome == Some(true) {
                 self.first += batch.len() as u64;
+                self.queue.outbox().taken();
                 continue;
             }
             if !self.give_up() {
@@ -141,20 +142,16 @@
     async fn next_batch(&self) -> Vec<SiblingMessage> {
         loop {
             let changed = self.queue.changed.notified();
-            {
-                let mut messages = self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner);
-                let count = messages.len().min(BATCH);
-                if count > 0 {
-                    return messages.drain(..count).collect();
-                }
+            let batch = self.queue.outbox().next_batch(BATCH);
+            if !batch.is_empty() {
+                return batch;
             }
             changed.await;
         }
     }
 
     fn is_overfull(&self) -> bool {
-        let messages = self.queue.messages.lock().unwrap_or_else(PoisonError::into_inner);
-        messages.len() > QUEUED_MESSAGES
+        self.queue.outbox().len() > QUEUED_MESSAGES
     }
 
     /// Hands a batch over, in a new session if none is open. Returns whether it was taken.
@@ -188,13 +185,9 @@
         Ok(tokio::time::timeout(DELIVERY_TIMEOUT, call).await??)
     }
 
-    /// Gives up all that waits. Returns whether the entry is still there.
+    /// Gives the link up. Returns whether the entry is still there.
     fn give_up(&mut self) -> bool {
-        self.queue
-            .messages
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear();
+        self.queue.outbox().link_lost();
         let Some(shell) = self.shell.upgrade() else {
             return false;
         };
