fix: the wait of an order counts when its target is picked

An order that had waited was judged by the time that it had on arrival, so it went to a slow target on which it was late.

--- a/kqr-dispatch/src/desk/orders.rs
+++ b/kqr-dispatch/src/desk/orders.rs
@@ -54,7 +54,7 @@
             let Some(waiting) = self.waiting.get(&key) else {
                 continue;
             };
-            match self.pick(now, &waiting.order) {
+            match self.pick(now, waiting) {
                 Some(target) => {
                     if let Some(waiting) = self.waiting.remove(&key) {
                         self.start(now, &target, &waiting, outputs);
@@ -218,7 +218,8 @@
     }
 
     /// Returns the target on which the order finishes first, among those with room.
-    fn pick(&self, now: Instant, order: &RunOrder) -> Option<TargetId> {
+    fn pick(&self, now: Instant, waiting: &Waiting) -> Option<TargetId> {
+        let (order, waited) = (&waiting.order, now.since(waiting.arrived));
         let mut best: Option<(Suitability, &TargetId)> = None;
         for (id, target) in &self.targets {
             let has_room = self.is_open(now, target)
@@ -235,7 +236,7 @@
                 .near
                 .as_ref()
                 .is_some_and(|rack| !target.record.has_label(rack));
-            let suitability = Suitability::of(order, target.health.slowness(), is_far, true);
+            let suitability = Suitability::of(order, waited, target.health.slowness(), is_far, true);
             if best.is_none_or(|(least, _)| suitability.is_better(least)) {
                 best = Some((suitability, id));
             }
--- a/kqr-dispatch/src/jobs/candidates.rs
+++ b/kqr-dispatch/src/jobs/candidates.rs
@@ -75,7 +75,8 @@
                     .near
                     .as_ref()
                     .is_some_and(|rack| !target.labels.contains(rack));
-                let suitability = Suitability::of(order, target.slowness, is_far, owner.is_near);
+                let suitability =
+                    Suitability::of(order, Duration::ZERO, target.slowness, is_far, owner.is_near);
                 if best.is_none_or(|(least, ..)| suitability.is_better(least)) {
                     best = Some((suitability, number, index));
                 }
--- a/kqr-dispatch/src/suitability.rs
+++ b/kqr-dispatch/src/suitability.rs
@@ -21,11 +21,18 @@
 }
 
 impl Suitability {
-    /// Returns how well a target suits `order` on which runs take `slowness` times the estimate.
-    pub(crate) fn of(order: &RunOrder, slowness: f32, is_far: bool, is_near_owner: bool) -> Self {
+    /// Returns how well a target suits `order` on which runs take `slowness` times the estimate, after the order has waited
+    /// for `waited`.
+    pub(crate) fn of(
+        order: &RunOrder,
+        waited: Duration,
+        slowness: f32,
+        is_far: bool,
+        is_near_owner: bool,
+    ) -> Self {
         let factor = if is_far { FAR_FACTOR } else { 1.0 };
         let expected = order.estimate.as_secs_f32() * slowness * factor;
-        let on_time = order.on_time_left.saturating_sub(OVERHEAD).as_secs_f32();
+        let on_time = order.on_time_left.saturating_sub(OVERHEAD + waited).as_secs_f32();
         if expected > on_time * MARGIN {
             return Self {
                 class: 1,
