--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -40,7 +40,7 @@
         }
         Self {
             arrived: now,
-            deadline: now + request.time_left,
+            deadline: now + request.time_left.min(latest(&request)),
             give_up_at: now + request.time_left.max(latest(&request)),
             is_ending: false,
             steps,
