feat: fault soak of the real programs

Instances may listen at another address than the one that others use (bind_address), which the proxies need.

--- a/kqr-runtime/src/control/settings.rs
+++ b/kqr-runtime/src/control/settings.rs
@@ -12,8 +12,10 @@
 pub struct ControlSettings {
     /// Name in logs.
     pub name: InstanceId,
-    /// Address of the instance.
+    /// Address of the instance, as others reach it.
     pub address: IpAddr,
+    /// Address that the listeners for other instances and for metrics use, if it differs: behind a translating router.
+    pub bind_address: Option<IpAddr>,
     /// First of two ports, the same ones everywhere: for other instances, and for metrics.
     pub first_port: u16,
     /// Listener for operators and targets.
@@ -47,13 +49,13 @@
     }
 
     /// Returns the listener for other instances.
-    pub const fn fleet(&self) -> SocketAddr {
-        SocketAddr::new(self.address, self.first_port)
+    pub fn fleet(&self) -> SocketAddr {
+        SocketAddr::new(self.bound(), self.first_port)
     }
 
     /// Returns the listener for metrics.
-    pub const fn metrics(&self) -> SocketAddr {
-        SocketAddr::new(self.address, self.first_port + 1)
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.bound(), self.first_port + 1)
     }
 
     /// Returns the identity of this instance: the address of its listener for other instances.
@@ -75,6 +77,10 @@
         seeds.map(|seed| identity(seed.ip(), self.first_port)).collect()
     }
 
+    fn bound(&self) -> IpAddr {
+        self.bind_address.unwrap_or(self.address)
+    }
+
     /// Returns the number of voters that is aimed at: enough to lose disks and keep a majority.
     pub const fn voters(&self) -> usize {
         2 * self.lost_disks + 1
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -39,8 +39,9 @@
     pub async fn start(settings: &EntrySettings, port: Port) -> eyre::Result<Self> {
         settings.check()?;
         let siblings = settings.siblings();
-        let listener = TcpListener::bind(siblings).await;
-        let listener = listener.wrap_err_with(|| format!("opening the listener {siblings}"))?;
+        let bound = settings.bound_to(siblings);
+        let listener = TcpListener::bind(bound).await;
+        let listener = listener.wrap_err_with(|| format!("opening the listener {bound}"))?;
         let own = EntryInfo {
             id: settings.name.clone(),
             incarnation: new_incarnation(),
--- a/kqr-runtime/src/entry/settings.rs
+++ b/kqr-runtime/src/entry/settings.rs
@@ -16,8 +16,10 @@
     pub name: InstanceId,
     /// Data centre.
     pub data_centre: DataCentre,
-    /// Address of the entry.
+    /// Address of the entry, as others reach it.
     pub address: IpAddr,
+    /// Address that the listeners on the three ports use, if it differs: behind a translating router.
+    pub bind_address: Option<IpAddr>,
     /// Listener for callers.
     pub callers: SocketAddr,
     /// Listener for the question whether the entry takes new callers.
@@ -58,19 +60,24 @@
         Ok(())
     }
 
-    /// Returns the listener for other instances.
+    /// Returns the address at which other instances reach this one.
     pub const fn siblings(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.first_port)
     }
 
-    /// Returns the listener for the reports of targets.
+    /// Returns the address for the reports of targets.
     pub const fn reports(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.first_port + 1)
     }
 
     /// Returns the listener for metrics.
-    pub const fn metrics(&self) -> SocketAddr {
-        SocketAddr::new(self.address, self.first_port + 2)
+    pub fn metrics(&self) -> SocketAddr {
+        self.bound_to(SocketAddr::new(self.address, self.first_port + 2))
+    }
+
+    /// Returns the listener behind an address that others use.
+    pub fn bound_to(&self, address: SocketAddr) -> SocketAddr {
+        SocketAddr::new(self.bind_address.unwrap_or(address.ip()), address.port())
     }
 
     /// Returns the time from SIGTERM to the end of the process.
--- /dev/null
+++ b/kqr-soak/src/cast.rs
@@ -0,0 +1,10 @@
+/// How many processes and targets take part in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cast {
+    /// Control instances.
+    pub controls: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Targets.
+    pub targets: usize,
+}
--- /dev/null
+++ b/kqr-soak/src/plan.rs
@@ -0,0 +1,125 @@
+use std::time::Duration;
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{Cast, Fault, LinkFault, TargetFault};
+
+/// Shortest and longest pause between two faults, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 150..900;
+/// Shortest and longest duration of a fault, in milliseconds.
+const DURATION_MS: std::ops::Range<u64> = 200..3500;
+/// Time for which a control instance that lost its disk counts as lost after its start.
+const CATCH_UP: Duration = Duration::from_secs(8);
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// When it begins, from the start of the traffic.
+    pub at: Duration,
+    /// How long it lasts, where it lasts.
+    pub lasts: Duration,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// The faults of a run, drawn from a seed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Faults in the order of their times.
+    pub faults: Vec<Planned>,
+}
+
+impl Plan {
+    /// Draws the faults of `length` for `cast`. They come in series and overlap. Disks are lost one at a time, and not
+    /// while another control instance is down: that is all that the settings of a run tolerate.
+    pub fn draw(seed: u64, cast: Cast, length: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        let mut at = Duration::ZERO;
+        let mut control_lost_until = Duration::ZERO;
+        while at < length {
+            let lasts = Duration::from_millis(rng.random_range(DURATION_MS));
+            let mut fault = draw_fault(&mut rng, cast);
+            if at < control_lost_until && loses_control(fault) {
+                fault = Fault::Change;
+            }
+            if loses_control(fault) {
+                let is_wiped = matches!(fault, Fault::WipeControl(_));
+                let back = at + lasts + if is_wiped { CATCH_UP } else { CATCH_UP / 2 };
+                control_lost_until = control_lost_until.max(back);
+            }
+            faults.push(Planned { at, lasts, fault });
+            at += Duration::from_millis(rng.random_range(PAUSE_MS));
+        }
+        Self { faults }
+    }
+}
+
+/// Returns whether the fault takes a control instance away, so that a disk must not be lost beside it.
+const fn loses_control(fault: Fault) -> bool {
+    matches!(
+        fault,
+        Fault::WipeControl(_)
+            | Fault::TearControl(_)
+            | Fault::KillControl(_)
+            | Fault::PauseControl(_)
+            | Fault::TermControl(_)
+            | Fault::ControlLink(_, _)
+    )
+}
+
+fn draw_fault<Random>(rng: &mut Random, cast: Cast) -> Fault
+where
+    Random: Rng,
+{
+    let control = rng.random_range(0..cast.controls);
+    let entry = rng.random_range(0..cast.entries);
+    let target = rng.random_range(0..cast.targets);
+    match rng.random_range(0..24) {
+        0 => Fault::KillControl(control),
+        1 => Fault::WipeControl(control),
+        2 => Fault::TearControl(control),
+        3 => Fault::PauseControl(control),
+        4 => Fault::TermControl(control),
+        5 | 6 => Fault::KillEntry(entry),
+        7 | 8 => Fault::PauseEntry(entry),
+        9 | 10 => Fault::TermEntry(entry),
+        11 => Fault::Reload,
+        12 => Fault::ControlLink(control, draw_link_fault(rng)),
+        13..=15 => Fault::EntryLink(entry, draw_link_fault(rng)),
+        16..=20 => Fault::Target(target, draw_target_fault(rng)),
+        21 => Fault::Race,
+        22 => Fault::BadChange,
+        _ if rng.random_bool(0.5) => Fault::GiveUp,
+        _ => Fault::Change,
+    }
+}
+
+fn draw_link_fault<Random>(rng: &mut Random) -> LinkFault
+where
+    Random: Rng,
+{
+    match rng.random_range(0..5) {
+        0 => LinkFault::Delay(Duration::from_millis(rng.random_range(5..700))),
+        1 => LinkFault::Reset,
+        2 => LinkFault::CutInward,
+        3 => LinkFault::CutOutward,
+        _ => LinkFault::Silence,
+    }
+}
+
+fn draw_target_fault<Random>(rng: &mut Random) -> TargetFault
+where
+    Random: Rng,
+{
+    match rng.random_range(0..7) {
+        0 => TargetFault::Restart,
+        1 => TargetFault::Dark,
+        2 => TargetFault::Hang,
+        3 => TargetFault::Fail,
+        4 => TargetFault::LateOrders,
+        5 => TargetFault::LostAnswers,
+        _ => TargetFault::Leave,
+    }
+}
--- /dev/null
+++ b/kqr-soak/tests/plan.rs
@@ -0,0 +1,40 @@
+//! A seed draws the same faults each time, within what the system tolerates.
+
+use std::time::Duration;
+
+use kqr_soak::{Cast, Fault, Plan};
+
+const CAST: Cast = Cast {
+    controls: 3,
+    entries: 3,
+    targets: 6,
+};
+const LENGTH: Duration = Duration::from_secs(12);
+
+#[test]
+fn a_seed_draws_the_same_faults() {
+    assert_eq!(Plan::draw(7, CAST, LENGTH), Plan::draw(7, CAST, LENGTH));
+    assert_ne!(Plan::draw(7, CAST, LENGTH), Plan::draw(8, CAST, LENGTH));
+}
+
+#[test]
+fn no_control_instance_is_lost_while_another_disk_is() {
+    for seed in 0..200 {
+        let plan = Plan::draw(seed, CAST, LENGTH);
+        for (number, planned) in plan.faults.iter().enumerate() {
+            if !matches!(planned.fault, Fault::WipeControl(_)) {
+                continue;
+            }
+            let back = planned.at + planned.lasts + Duration::from_secs(8);
+            let others = plan.faults.iter().skip(number + 1);
+            let mut others = others.take_while(|other| other.at < back);
+            assert!(
+                !others.any(|other| matches!(
+                    other.fault,
+                    Fault::KillControl(_) | Fault::WipeControl(_) | Fault::TermControl(_)
+                )),
+                "seed {seed}: {plan:?}"
+            );
+        }
+    }
+}
