--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -4,6 +4,7 @@
     time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use eyre::{WrapErr, eyre};
 use kqr_agreement::{Machine, Options as AgreementOptions, VoterId};
 use kqr_fleet::{FleetNode, FleetOptions};
@@ -38,6 +39,7 @@
     driver: JoinHandle<()>,
     ended: oneshot::Receiver<eyre::Result<()>>,
     metrics: Arc<Metrics>,
+    seeds: Arc<ArcSwap<Vec<InstanceId>>>,
 }
 
 impl Control {
@@ -76,17 +78,30 @@
             })?;
         let handle = ControlHandle::new(own, tx);
         tokio::spawn(service::serve(listener, handle.clone()));
+        let seeds = Arc::new(ArcSwap::from_pointee(settings.seed_identities()?));
         if !is_founder {
-            tokio::spawn(keep_joining(voter, settings.seed_identities()?));
+            tokio::spawn(keep_joining(voter, Arc::clone(&seeds)));
         }
         Ok(Self {
             handle,
             driver,
             ended,
             metrics,
+            seeds,
         })
     }
 
+    /// Takes changed settings as far as a running process can: the seeds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings contradict each other; the former ones stay in force.
+    pub fn reload(&self, settings: &ControlSettings) -> eyre::Result<()> {
+        settings.check()?;
+        self.seeds.store(Arc::new(settings.seed_identities()?));
+        Ok(())
+    }
+
     /// Returns access to the instance.
     pub fn handle(&self) -> ControlHandle {
         self.handle.clone()
@@ -176,13 +191,21 @@
 }
 
 /// Asks to be taken into the log again and again. The leader ignores a request of a voter; it hears by it that a
-/// learner is still there.
-async fn keep_joining(voter: VoterId, mut known: Vec<InstanceId>) {
+/// learner is still there. Seeds may change meanwhile.
+async fn keep_joining(voter: VoterId, seeds: Arc<ArcSwap<Vec<InstanceId>>>) {
+    let mut leaders: Vec<InstanceId> = Vec::new();
     loop {
-        for instance in known.clone() {
+        let mut known = Vec::clone(&seeds.load());
+        known.extend(
+            leaders
+                .iter()
+                .filter(|leader| !seeds.load().contains(leader))
+                .cloned(),
+        );
+        for instance in known {
             let asked = tokio::time::timeout(JOIN_TIMEOUT, ask_to_join(&instance, &voter)).await;
             match asked {
-                Ok(Ok(Some(leader))) if !known.contains(&leader) => known.push(leader),
+                Ok(Ok(Some(leader))) if !leaders.contains(&leader) => leaders.push(leader),
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => log::debug!("asking {instance} to be taken in: {error}"),
                 Err(_) => log::debug!("asking {instance} to be taken in: no answer"),
--- a/kqr-runtime/tests/settings.rs
+++ b/kqr-runtime/tests/settings.rs
@@ -60,3 +60,23 @@
     );
     assert_eq!(settings.voters(), 3);
 }
+
+#[test]
+fn an_instance_may_listen_at_another_address_than_others_use() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.yaml");
+    let bound = |text: &str| {
+        text.replace(
+            "address: 127.0.0.1\n",
+            "address: 127.0.0.1\nbind_address: 127.0.0.9\n",
+        )
+    };
+    std::fs::write(&path, bound(ENTRY)).unwrap();
+    let (_, entry) = SettingsFile::open::<EntrySettings>(&path).unwrap();
+    assert_eq!(entry.siblings().to_string(), "127.0.0.1:7320");
+    assert_eq!(entry.bound_to(entry.siblings()).to_string(), "127.0.0.9:7320");
+    std::fs::write(&path, bound(CONTROL)).unwrap();
+    let (_, control) = SettingsFile::open::<ControlSettings>(&path).unwrap();
+    assert_eq!(control.identity().unwrap().as_str(), "127.0.0.1:7320");
+    assert_eq!(control.fleet().to_string(), "127.0.0.9:7320");
+}
