--- a/kqr-dispatch/src/desk/answers.rs
+++ b/kqr-dispatch/src/desk/answers.rs
@@ -9,7 +9,7 @@
     Desk,
     next_poll::NextPoll,
     note,
-    open_call::OpenCall,
+    open_call::{OpenCall, PollKind},
     phase::Phase,
     run::{Run, RunState},
 };
@@ -55,6 +55,7 @@
                     state.enter(now, RunState::Doubtful);
                 }
                 note(outputs, target, "start-unanswered", format!("{run}: {cause}"));
+                self.look(now, &id, outputs);
             }
         }
     }
@@ -78,6 +79,7 @@
                 target.take_clock(now, clock);
                 if let Some(state) = target.runs.get_mut(&run) {
                     state.stop_confirmed = Some(now);
+                    self.look(now, &id, outputs);
                 }
             }
             Err(CallFailure::Refused(Refusal::Fenced)) => self.fenced(&id, outputs),
@@ -94,23 +96,35 @@
         answer: Result<PollAnswer, CallFailure>,
         outputs: &mut Vec<Output>,
     ) {
-        let Some(OpenCall::Poll { target: id, sent, .. }) = self.close(call) else {
+        let Some(OpenCall::Poll {
+            target: id,
+            sent,
+            kind,
+            ..
+        }) = self.close(call)
+        else {
             return;
         };
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
-        target.next_poll = NextPoll::At(now);
+        if kind == PollKind::Chain {
+            target.next_poll = NextPoll::At(now);
+        } else {
+            self.looked(now, &id, outputs);
+        }
         match answer {
             Ok(answer) => {
                 self.take_poll(now, &id, sent, answer, outputs);
                 self.watch_progress(now, &id, outputs);
-                if self.targets.contains_key(&id) {
+                if kind == PollKind::Chain && self.targets.contains_key(&id) {
                     self.poll(now, &id, outputs);
                 }
             }
             Err(CallFailure::Refused(Refusal::Fenced)) => self.fenced(&id, outputs),
             Err(CallFailure::Refused(Refusal::OtherTarget)) => self.replaced(&id, outputs),
+            // The chain of polls tells whether the target is silent.
+            Err(_) if kind == PollKind::Look => {}
             Err(failure) => self.poll_missed(now, &id, failure.to_string(), outputs),
         }
     }
@@ -222,10 +236,13 @@
         target.missed = 0;
         target.heard = now;
         target.take_clock(now, answer.clock);
+        let is_newest = target.take_list(answer.clock);
         for ended in answer.ended {
             self.take_end(now, id, &ended, outputs);
         }
-        self.take_running(now, id, sent, &answer.running, outputs);
+        if is_newest {
+            self.take_running(now, id, sent, &answer.running, outputs);
+        }
     }
 
     fn take_end(&mut self, now: Instant, id: &TargetId, ended: &EndedRun, outputs: &mut Vec<Output>) {
@@ -301,13 +318,13 @@
             }
             match run.state {
                 RunState::Running if run.since < sent => cleared.push((id.clone(), "no longer listed")),
-                RunState::Stopping if run.stop_confirmed.is_some_and(|at| at < sent) => {
+                RunState::Stopping if run.stop_confirmed.is_some_and(|at| at <= sent) => {
                     cleared.push((id.clone(), "not listed after a stop"));
                 }
                 RunState::Doubtful | RunState::Stopping if run.start_by < sent => {
                     cleared.push((id.clone(), "not listed after its start was due"));
                 }
-                RunState::Doubtful if run.since < sent => doubtful.push(id.clone()),
+                RunState::Doubtful if run.since <= sent => doubtful.push(id.clone()),
                 RunState::Starting | RunState::Running | RunState::Doubtful | RunState::Stopping => {}
             }
         }
--- a/kqr-dispatch/src/desk/mod.rs
+++ b/kqr-dispatch/src/desk/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod health;
+mod look;
 mod next_poll;
 mod open_call;
 mod orders;
--- a/kqr-dispatch/src/desk/open_call.rs
+++ b/kqr-dispatch/src/desk/open_call.rs
@@ -20,9 +20,19 @@
         target: TargetId,
         token: FencingToken,
         sent: Instant,
+        kind: PollKind,
     },
 }
 
+/// What a poll is sent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PollKind {
+    /// One follows the other: it renews the lease and waits for ends.
+    Chain,
+    /// It shows at once whether a run is there.
+    Look,
+}
+
 impl OpenCall {
     pub(super) const fn target(&self) -> &TargetId {
         match self {
--- a/kqr-dispatch/src/desk/polling.rs
+++ b/kqr-dispatch/src/desk/polling.rs
@@ -4,7 +4,15 @@
 
 use kqr_types::{Instant, TargetId};
 
-use super::{Desk, next_poll::NextPoll, note, open_call::OpenCall, phase::Phase, target::Target};
+use super::{
+    Desk,
+    look::Look,
+    next_poll::NextPoll,
+    note,
+    open_call::{OpenCall, PollKind},
+    phase::Phase,
+    target::Target,
+};
 use crate::{Output, PollCall, TargetCall};
 
 impl Desk {
@@ -82,11 +90,46 @@
             target: id.clone(),
             token: target.token,
             sent: now,
+            kind: PollKind::Chain,
         };
         self.call(open, TargetCall::Poll(call), outputs);
     }
 
-    /// Notes that a poll was not answered; the next one follows after a short while.
+    /// Asks at once what runs at a target: the open poll of its chain may wait for long.
+    pub(super) fn look(&mut self, now: Instant, id: &TargetId, outputs: &mut Vec<Output>) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.look != Look::None {
+            target.look = Look::Again;
+            return;
+        }
+        target.look = Look::Open;
+        let call = PollCall {
+            lease_until: None,
+            cursor: target.cursor,
+            wait: Duration::ZERO,
+        };
+        let open = OpenCall::Poll {
+            target: id.clone(),
+            token: target.token,
+            sent: now,
+            kind: PollKind::Look,
+        };
+        self.call(open, TargetCall::Poll(call), outputs);
+    }
+
+    /// Notes the end of a look.
+    pub(super) fn looked(&mut self, now: Instant, id: &TargetId, outputs: &mut Vec<Output>) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if std::mem::replace(&mut target.look, Look::None) == Look::Again {
+            self.look(now, id, outputs);
+        }
+    }
+
+    /// Notes that a poll was not answered. The next one follows at once, later ones after a short while.
     pub(super) fn poll_missed(
         &mut self,
         now: Instant,
@@ -101,7 +144,8 @@
         if target.missed == 0 {
             note(outputs, target, "silent", cause);
         }
+        let pause = if target.missed == 0 { Duration::ZERO } else { retry };
         target.missed += 1;
-        target.next_poll = NextPoll::At(now + retry);
+        target.next_poll = NextPoll::At(now + pause);
     }
 }
--- a/kqr-dispatch/src/desk/target.rs
+++ b/kqr-dispatch/src/desk/target.rs
@@ -5,6 +5,7 @@
 
 use super::{
     health::Health,
+    look::Look,
     next_poll::NextPoll,
     phase::Phase,
     run::{Run, RunState},
@@ -25,6 +26,10 @@
     /// Number of the last end that was taken in.
     pub(super) cursor: u64,
     pub(super) next_poll: NextPoll,
+    /// Whether a look is open, and whether another one has to follow it.
+    pub(super) look: Look,
+    /// The target's clock in the newest list of runs.
+    listed_at: Option<TargetTime>,
     /// Failed polls since the last answer.
     pub(super) missed: u32,
     /// When the target last answered a poll, or was attached.
@@ -47,6 +52,8 @@
             runs: BTreeMap::new(),
             cursor: 0,
             next_poll: NextPoll::At(now),
+            look: Look::None,
+            listed_at: None,
             missed: 0,
             heard: now,
             clock: None,
@@ -109,6 +116,15 @@
     pub(super) fn begin_life(&mut self) {
         self.clock = None;
         self.cursor = 0;
+        self.listed_at = None;
+    }
+
+    /// Notes that a list of runs was made at `clock`. Returns whether it is newer than all before: answers on different
+    /// connections may overtake each other.
+    pub(super) fn take_list(&mut self, clock: TargetTime) -> bool {
+        let is_newest = self.listed_at.is_none_or(|listed| listed <= clock);
+        self.listed_at = self.listed_at.max(Some(clock));
+        is_newest
     }
 
     /// Returns the end of a lease that begins now, by the target's clock, and notes how long runs may live.
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -5,9 +5,9 @@
 pub struct Options {
     /// Lease of what runs on a target. It bounds how long a task outlives a lost owner.
     pub lease: Duration,
-    /// Longest wait of a poll; several fit into a lease.
+    /// Longest wait of a poll: several fit into a lease, and ends are not seen for long when one is not answered.
     pub poll_wait: Duration,
-    /// Time between two polls of a target that does not answer.
+    /// Time between two polls of a target that does not answer; the first one is repeated at once.
     pub poll_retry: Duration,
     /// Time without an answer after which a target gets no new work.
     pub silence: Duration,
@@ -43,7 +43,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(700),
-            poll_wait: Duration::from_millis(250),
+            poll_wait: Duration::from_millis(150),
             poll_retry: Duration::from_millis(100),
             silence: Duration::from_millis(550),
             missing_after: Duration::from_secs(5),
--- a/kqr-dispatch/tests/named_failures.rs
+++ b/kqr-dispatch/tests/named_failures.rs
@@ -75,6 +75,42 @@
     assert!(world.doubles.is_empty(), "{:?}", world.doubles);
 }
 
+#[test]
+fn a_start_without_an_answer_is_made_elsewhere_as_soon_as_its_stop_is_proved() {
+    let mut world = World::new(1, 2, QUICK);
+    let is_first = Rc::new(RefCell::new(true));
+    world.fate = Box::new(move |call| match call {
+        TargetCall::Start(_) if is_first.replace(false) => CallFate::Late(3_000),
+        _ => CallFate::Normal,
+    });
+    world.submit(0, job("doubtful", 1, 50));
+    // The time for the answer, a look, a stop, another look, and the run.
+    world.run(130 + 70 + 50);
+    assert_eq!(world.end_of("doubtful"), Some(&JobEnd::Completed));
+    world.run(4_000);
+    assert!(world.doubles.is_empty(), "{:?}", world.doubles);
+}
+
+#[test]
+fn an_end_is_seen_though_a_poll_gets_no_answer() {
+    let mut world = World::new(1, 1, QUICK);
+    let polls = Rc::new(RefCell::new(0));
+    world.fate = Box::new(move |call| match call {
+        TargetCall::Poll(poll) if !poll.wait.is_zero() => {
+            *polls.borrow_mut() += 1;
+            if *polls.borrow() == 1 {
+                CallFate::AnswerLost
+            } else {
+                CallFate::Normal
+            }
+        }
+        _ => CallFate::Normal,
+    });
+    world.submit(0, job("unseen", 1, 50));
+    world.run(350);
+    assert_eq!(world.end_of("unseen"), Some(&JobEnd::Completed));
+}
+
 #[test]
 fn a_start_whose_answer_is_lost_runs_once() {
     let mut world = World::new(1, 2, LONG);
