--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use kqr_types::{Incarnation, InstanceId, Instant, JobKey, TargetId};
 
 use crate::{
-    Input, LoadReport, Note, Options, Output, RunOrder, SiblingMessage, Ticket,
+    GiveUp, Input, LoadReport, Note, Options, Output, RunOrder, SiblingMessage, Ticket,
     desk::Desk,
     jobs::{Candidates, Jobs, Placed},
     siblings::Siblings,
@@ -80,8 +80,9 @@
             Input::Started { call, answer } => self.desk.started(now, call, answer, outputs),
             Input::Stopped { call, answer } => self.desk.stopped(now, call, answer, outputs),
             Input::Polled { call, answer } => self.desk.polled(now, call, answer, outputs),
-            Input::Leave => {
+            Input::Leave { time_left } => {
                 self.own.is_leaving = true;
+                self.jobs.leave(now + time_left);
                 self.desk.leave();
             }
         }
@@ -164,7 +165,7 @@
             self.lose(now, &silent, outputs);
         }
         self.desk.drop_coordinator(now, &self.own.id, outputs);
-        self.jobs.give_up_all(now, outputs);
+        self.jobs.give_up_all(now, GiveUp::Standstill, outputs);
     }
 
     fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
--- a/kqr-dispatch/src/input.rs
+++ b/kqr-dispatch/src/input.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use kqr_fleet::{EntryInfo, TargetGrant, TargetReport};
 use kqr_types::{InstanceId, JobKey};
 
@@ -64,5 +66,8 @@
         answer: Result<PollAnswer, CallFailure>,
     },
     /// The entry is shutting down: targets are given back as they become idle.
-    Leave,
+    Leave {
+        /// Time after which jobs that are still open are given up.
+        time_left: Duration,
+    },
 }
--- a/kqr-dispatch/src/job_end.rs
+++ b/kqr-dispatch/src/job_end.rs
@@ -31,6 +31,8 @@
     Expired,
     /// The entry has more tasks than it may keep.
     TooManyTasks,
+    /// The entry ends before the job could.
+    Leaving,
 }
 
 impl RefusalCause {
@@ -41,6 +43,7 @@
             Self::NoTarget => "no-target",
             Self::Expired => "expired",
             Self::TooManyTasks => "too-many-tasks",
+            Self::Leaving => "leaving",
         }
     }
 }
@@ -60,6 +63,8 @@
     Cancelled,
     /// The entry stood still; the caller may have turned to another one.
     Standstill,
+    /// The entry ends.
+    Leaving,
 }
 
 impl GiveUp {
@@ -69,6 +74,7 @@
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
             Self::Standstill => "standstill",
+            Self::Leaving => "leaving",
         }
     }
 }
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -94,7 +94,11 @@
 
 /// Returns after which time nobody is served by the end of a job any more, counting that estimates are off.
 fn latest(request: &JobRequest) -> Duration {
-    let longest = request.steps.iter().map(|step| step.estimate).sum::<Duration>();
-    let on_time = longest.mul_f64(request.slack_factor.max(0.0) * ESTIMATE_ERROR) + request.objective;
-    on_time * LATE_FACTOR
+    let slack = request.slack_factor.max(0.0) * ESTIMATE_ERROR;
+    (longest(request).mul_f64(slack) + request.objective) * LATE_FACTOR
+}
+
+/// Returns the estimate of all steps, one after the other.
+pub(super) fn longest(request: &JobRequest) -> Duration {
+    request.steps.iter().map(|step| step.estimate).sum()
 }
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -11,13 +11,17 @@
 
 use crate::{GiveUp, JobEnd, JobRequest, Note, Options, Output, RefusalCause, Ticket};
 pub(crate) use candidates::Candidates;
-use job::Job;
+use job::{Job, longest};
 use orders::OpenOrder;
 pub(crate) use orders::Placed;
 
 /// Shortest time after which another try makes sense, and the step of longer ones.
 const RETRY_AFTER_MS: u64 = 1000;
 
+/// Factor by which a job may take longer than its estimate on a slow target, when it is decided whether it ends before
+/// the entry does.
+const LEAVING_FACTOR: u32 = 3;
+
 /// The jobs that this entry coordinates.
 #[derive(Clone, Debug)]
 pub(crate) struct Jobs {
@@ -28,6 +32,8 @@
     tasks: u64,
     /// Orders that are to be taken back, by owner.
     cancelled: BTreeMap<InstanceId, Vec<Ticket>>,
+    /// When all jobs are given up, if the entry is shutting down.
+    ends_at: Option<Instant>,
 }
 
 impl Jobs {
@@ -39,6 +45,7 @@
             next_ticket: 0,
             tasks: 0,
             cancelled: BTreeMap::new(),
+            ends_at: None,
         }
     }
 
@@ -76,7 +83,7 @@
         }
         let wait = candidates.expected_wait(&request);
         let wait_ms = wait.as_millis() as u64;
-        if let Some(cause) = self.refusal(&request, wait_ms, candidates) {
+        if let Some(cause) = self.refusal(now, &request, wait_ms, candidates) {
             let end = JobEnd::Refused {
                 cause,
                 retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
@@ -112,15 +119,23 @@
     }
 
     /// Gives up all jobs.
-    pub(crate) fn give_up_all(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+    pub(crate) fn give_up_all(&mut self, now: Instant, cause: GiveUp, outputs: &mut Vec<Output>) {
         let jobs: Vec<JobKey> = self.live.keys().cloned().collect();
         for job in jobs {
-            self.finish(now, &job, JobEnd::GivenUp(GiveUp::Standstill), outputs);
+            self.finish(now, &job, JobEnd::GivenUp(cause), outputs);
         }
     }
 
+    /// Refuses what could not end before `ends_at`, and gives up at that time what has not.
+    pub(crate) const fn leave(&mut self, ends_at: Instant) {
+        self.ends_at = Some(ends_at);
+    }
+
     /// Ends the jobs whose time is over.
     pub(crate) fn expire(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if self.ends_at.is_some_and(|ends| ends <= now) {
+            self.give_up_all(now, GiveUp::Leaving, outputs);
+        }
         let mut late = Vec::new();
         for (key, job) in &self.live {
             if job.give_up_at <= now || (job.deadline <= now && !job.has_begun && !job.is_ending) {
@@ -187,7 +202,17 @@
         Some(job)
     }
 
-    fn refusal(&self, request: &JobRequest, wait_ms: u64, candidates: &Candidates) -> Option<RefusalCause> {
+    fn refusal(
+        &self,
+        now: Instant,
+        request: &JobRequest,
+        wait_ms: u64,
+        candidates: &Candidates,
+    ) -> Option<RefusalCause> {
+        let needed = longest(request) * LEAVING_FACTOR;
+        if self.ends_at.is_some_and(|ends| now + needed > ends) {
+            return Some(RefusalCause::Leaving);
+        }
         if !request.is_ordered() || candidates.is_impossible(request) {
             return Some(RefusalCause::NoTarget);
         }
--- a/kqr-dispatch/tests/named_failures.rs
+++ b/kqr-dispatch/tests/named_failures.rs
@@ -382,6 +382,30 @@
     assert!(world.doubles.is_empty(), "{:?}", world.doubles);
 }
 
+#[test]
+fn a_leaving_entry_answers_all_its_callers_before_it_ends() {
+    let mut world = World::new(2, 2, LONG);
+    world.submit(0, job("open", 1, 900));
+    world.run(100);
+    world.leave_within(0, 500);
+    world.submit(0, job("too-long", 1, 900));
+    world.submit(0, job("short", 1, 20));
+    world.run(30);
+    let refused = world.end_of("too-long");
+    let is_refused = matches!(
+        refused,
+        Some(JobEnd::Refused {
+            cause: RefusalCause::Leaving,
+            ..
+        })
+    );
+    assert!(is_refused, "{refused:?}");
+    assert_eq!(world.end_of("short"), None, "it is at work");
+    assert_eq!(world.end_of("open"), None, "it goes on");
+    world.run(600);
+    assert_eq!(world.end_of("open"), Some(&JobEnd::GivenUp(GiveUp::Leaving)));
+}
+
 #[test]
 fn a_leaving_entry_gives_its_targets_back_and_finishes_its_jobs() {
     let mut world = World::new(2, 2, LONG);
--- a/kqr-dispatch/tests/world/mod.rs
+++ b/kqr-dispatch/tests/world/mod.rs
@@ -21,6 +21,8 @@
 const WAY_MS: u64 = 1;
 /// Time after which an unanswered call counts as lost.
 const CALL_TIMEOUT_MS: u64 = 130;
+/// Time that an entry has for its shutdown.
+const LEAVE_MS: u64 = 5_500;
 /// Time after which undelivered messages to a sibling are given up.
 const GIVE_UP_MS: u64 = 600;
 
@@ -215,8 +217,14 @@
         self.input(entry, Input::Abandon(key.parse().unwrap()));
     }
 
+    /// Shuts an entry down that ends after `millis`.
+    pub fn leave_within(&mut self, entry: usize, millis: u64) {
+        let time_left = Duration::from_millis(millis);
+        self.input(entry, Input::Leave { time_left });
+    }
+
     pub fn leave(&mut self, entry: usize) {
-        self.input(entry, Input::Leave);
+        self.leave_within(entry, LEAVE_MS);
     }
 
     /// Gives an entry an input of its links.
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -81,10 +81,11 @@
         Ok(())
     }
 
-    /// Begins to shut down: open jobs go on, targets are given back.
-    pub fn leave(&self) {
-        kqr_telemetry::decision("entry-leaving", &[]);
-        self.shell.leave();
+    /// Begins to shut down: open jobs go on for `time_left`, targets are given back.
+    pub fn leave(&self, time_left: Duration) {
+        let fields = [("time_left_ms", time_left.as_millis().to_string())];
+        kqr_telemetry::decision("entry-leaving", &fields);
+        self.shell.leave(time_left);
     }
 
     /// Returns whether nothing is left to be done: no job, no run, and all targets have been given back.
--- a/kqr-runtime/src/entry/shell.rs
+++ b/kqr-runtime/src/entry/shell.rs
@@ -153,10 +153,11 @@
         self.handle(Input::Report(report));
     }
 
-    /// Stops taking new callers, and gives targets back as they become idle.
-    pub(super) fn leave(self: &Arc<Self>) {
+    /// Stops taking new callers, and gives targets back as they become idle. Jobs that are open after `time_left` are given
+    /// up.
+    pub(super) fn leave(self: &Arc<Self>, time_left: Duration) {
         self.is_leaving.store(true, Ordering::Relaxed);
-        self.handle(Input::Leave);
+        self.handle(Input::Leave { time_left });
     }
 
     /// Drops a caller of a job; the job of the last one is abandoned.
