--- /dev/null
+++ b/kqr-dispatch/tests/world/links.rs
@@ -0,0 +1,102 @@
+//! Links between the entries of a world.
+
+use kqr_dispatch::{Input, SiblingMessage};
+use kqr_types::{InstanceId, Instant};
+
+use super::{Event, GIVE_UP_MS, WAY_MS, World};
+
+impl World {
+    pub(super) fn send(&mut self, from: usize, to: &InstanceId, message: SiblingMessage) {
+        let Some(to) = self.entries.iter().position(|entry| entry.info.id == *to) else {
+            return;
+        };
+        if self.entries[from]
+            .blocked
+            .get(&to)
+            .is_some_and(|until| *until > self.now)
+        {
+            return;
+        }
+        if self.is_cut(from, to) || !self.entries[to].is_up || self.entries[to].is_frozen {
+            self.entries[from].sends.remove(&to);
+            self.entries[from].blocked.insert(to, self.now + GIVE_UP_MS);
+            let sibling = self.entries[to].info.id.clone();
+            self.later(
+                GIVE_UP_MS,
+                Event::Input(from, Box::new(Input::LinkLost { sibling })),
+            );
+            return;
+        }
+        let session = match self.entries[from].sends.get(&to) {
+            Some(session) => *session,
+            None => self.open_session(from, to),
+        };
+        let message = Box::new(message);
+        self.later(
+            WAY_MS,
+            Event::Message {
+                from,
+                to,
+                session,
+                message,
+            },
+        );
+    }
+
+    pub(super) fn open_session(&mut self, from: usize, to: usize) -> u64 {
+        let sibling = self.entries[from].info.id.clone();
+        let now = Instant(self.now * 1000);
+        let (session, is_next) = self.entries[to].sessions.open(now, &sibling);
+        self.entries[from].sends.insert(to, session);
+        if is_next {
+            let dropped = self.entries[from]
+                .machine
+                .dropped_orders(&self.entries[to].info.id);
+            self.later(
+                0,
+                Event::Input(to, Box::new(Input::SessionOpened { sibling, dropped })),
+            );
+        }
+        session
+    }
+
+    pub(super) fn is_cut(&self, one: usize, other: usize) -> bool {
+        self.cuts.contains(&(one, other)) || self.cuts.contains(&(other, one))
+    }
+
+    pub(super) fn message(&mut self, from: usize, to: usize, session: u64, message: Box<SiblingMessage>) {
+        if self.entries[to].is_frozen {
+            let event = Event::Message {
+                from,
+                to,
+                session,
+                message,
+            };
+            self.entries[to].held.push(event);
+            return;
+        }
+        let sibling = self.entries[from].info.id.clone();
+        let now = Instant(self.now * 1000);
+        let silence = self.options.sibling_silence;
+        let taken = self.entries[to]
+            .sessions
+            .take(now, &sibling, session, 0, 0, silence);
+        if taken.is_some() {
+            let message = *message;
+            self.input(
+                to,
+                Input::Message {
+                    from: sibling,
+                    message,
+                },
+            );
+            return;
+        }
+        if self.entries[from].sends.get(&to) == Some(&session) {
+            self.entries[from].sends.remove(&to);
+            self.entries[from].blocked.insert(to, self.now + 2 * WAY_MS);
+            let sibling = self.entries[to].info.id.clone();
+            self.later(WAY_MS, Event::Input(from, Box::new(Input::LinkLost { sibling })));
+        }
+    }
+}
--- a/kqr-dispatch/tests/world/mod.rs
+++ b/kqr-dispatch/tests/world/mod.rs
@@ -1,20 +1,23 @@
 //! Entries and targets in virtual time, with links that can be cut, delayed and frozen.
 #![allow(dead_code)]
 
+mod builders;
+mod calls;
+mod links;
 pub mod target;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::Arc,
     time::Duration,
 };
 
+pub use builders::{id, job, record, target_id};
+pub use calls::CallFate;
 use kqr_dispatch::{
-    CallFailure, Dispatcher, Input, JobEnd, JobRequest, Options, Output, PollAnswer, Sessions,
-    SiblingMessage, StepSpec, TargetCall, TargetPlace,
+    Dispatcher, Input, JobEnd, JobRequest, Options, Output, Sessions, SiblingMessage, TargetCall, TargetPlace,
 };
-use kqr_fleet::{EntryInfo, FencingToken, Resources, TargetGrant, TargetRecord};
-use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
+use kqr_fleet::{EntryInfo, FencingToken, TargetGrant};
+use kqr_types::{Incarnation, Instant, TargetId};
 pub use target::{Manner, Target};
 
 /// One way between two processes, in milliseconds.
@@ -59,16 +62,6 @@
     held: Vec<Event>,
 }
 
-/// What a fault does to a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallFate {
-    Normal,
-    /// The call is carried out, its answer is lost.
-    AnswerLost,
-    /// The call gets no answer and is carried out after some milliseconds.
-    Late(u64),
-}
-
 /// The world.
 pub struct World {
     pub now: u64,
@@ -92,56 +85,6 @@
     options: Options,
 }
 
-pub fn id(number: usize) -> InstanceId {
-    format!("entry-{number}").parse().unwrap()
-}
-
-pub fn target_id(number: usize) -> TargetId {
-    format!("target-{number}").parse().unwrap()
-}
-
-pub fn record(number: usize) -> TargetRecord {
-    TargetRecord {
-        id: target_id(number),
-        life: Incarnation(1),
-        service: "press".parse().unwrap(),
-        address: format!("127.0.0.1:{}", 9000 + number).parse().unwrap(),
-        data_centre: "uppsala".parse().unwrap(),
-        capacity: Resources {
-            cpu_milli: 16_000,
-            memory_mib: 65_536,
-            accelerators: 0,
-        },
-        labels: vec!["a".to_owned(), format!("rack-{}", number / 8)],
-    }
-}
-
-pub fn job(key: &str, count: u32, estimate_ms: u64) -> JobRequest {
-    JobRequest {
-        key: key.parse().unwrap(),
-        service: "press".parse().unwrap(),
-        priority: 0,
-        max_attempts: 2,
-        slack_factor: 1.6,
-        objective: Duration::from_millis(60),
-        time_left: Duration::from_millis(1500),
-        spec: Arc::from("proof"),
-        steps: vec![StepSpec {
-            count,
-            needs: Resources {
-                cpu_milli: 6_800,
-                memory_mib: 64,
-                accelerators: 0,
-            },
-            estimate: Duration::from_millis(estimate_ms),
-            after: Vec::new(),
-            label: None,
-            near: None,
-            max_per_target: None,
-        }],
-    }
-}
-
 impl World {
     /// Creates `entries` entries; target number N goes to entry N modulo their number.
     pub fn new(entries: usize, targets: usize, manner: Manner) -> Self {
@@ -344,64 +287,6 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: &InstanceId, message: SiblingMessage) {
-        let Some(to) = self.entries.iter().position(|entry| entry.info.id == *to) else {
-            return;
-        };
-        if self.entries[from]
-            .blocked
-            .get(&to)
-            .is_some_and(|until| *until > self.now)
-        {
-            return;
-        }
-        if self.is_cut(from, to) || !self.entries[to].is_up || self.entries[to].is_frozen {
-            self.entries[from].sends.remove(&to);
-            self.entries[from].blocked.insert(to, self.now + GIVE_UP_MS);
-            let sibling = self.entries[to].info.id.clone();
-            self.later(
-                GIVE_UP_MS,
-                Event::Input(from, Box::new(Input::LinkLost { sibling })),
-            );
-            return;
-        }
-        let session = match self.entries[from].sends.get(&to) {
-            Some(session) => *session,
-            None => self.open_session(from, to),
-        };
-        let message = Box::new(message);
-        self.later(
-            WAY_MS,
-            Event::Message {
-                from,
-                to,
-                session,
-                message,
-            },
-        );
-    }
-
-    fn open_session(&mut self, from: usize, to: usize) -> u64 {
-        let sibling = self.entries[from].info.id.clone();
-        let now = Instant(self.now * 1000);
-        let (session, is_next) = self.entries[to].sessions.open(now, &sibling);
-        self.entries[from].sends.insert(to, session);
-        if is_next {
-            let dropped = self.entries[from]
-                .machine
-                .dropped_orders(&self.entries[to].info.id);
-            self.later(
-                0,
-                Event::Input(to, Box::new(Input::SessionOpened { sibling, dropped })),
-            );
-        }
-        session
-    }
-
-    fn is_cut(&self, one: usize, other: usize) -> bool {
-        self.cuts.contains(&(one, other)) || self.cuts.contains(&(other, one))
-    }
-
     fn later(&mut self, millis: u64, event: Event) {
         self.count += 1;
         self.queue.insert((self.now + millis, self.count), event);
@@ -424,127 +309,6 @@
             } => self.message(from, to, session, message),
         }
     }
-
-    fn message(&mut self, from: usize, to: usize, session: u64, message: Box<SiblingMessage>) {
-        if self.entries[to].is_frozen {
-            let event = Event::Message {
-                from,
-                to,
-                session,
-                message,
-            };
-            self.entries[to].held.push(event);
-            return;
-        }
-        let sibling = self.entries[from].info.id.clone();
-        let now = Instant(self.now * 1000);
-        let silence = self.options.sibling_silence;
-        let taken = self.entries[to]
-            .sessions
-            .take(now, &sibling, session, 0, 0, silence);
-        if taken.is_some() {
-            let message = *message;
-            self.input(
-                to,
-                Input::Message {
-                    from: sibling,
-                    message,
-                },
-            );
-            return;
-        }
-        if self.entries[from].sends.get(&to) == Some(&session) {
-            self.entries[from].sends.remove(&to);
-            self.entries[from].blocked.insert(to, self.now + 2 * WAY_MS);
-            let sibling = self.entries[to].info.id.clone();
-            self.later(WAY_MS, Event::Input(from, Box::new(Input::LinkLost { sibling })));
-        }
-    }
-
-    fn call(&mut self, entry: usize, id: kqr_dispatch::CallId, place: &TargetPlace, call: TargetCall) {
-        let is_cut = self.target_cuts.contains(&(entry, place.target.clone()));
-        let fate = (self.fate)(&call);
-        let now = self.now;
-        let Some(target) = self.targets.get_mut(&place.target) else {
-            return;
-        };
-        if is_cut || !target.is_up {
-            self.answer_later(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
-            return;
-        }
-        if let TargetCall::Poll(poll) = &call
-            && !poll.wait.is_zero()
-            && !target.has_ends(poll.cursor)
-            && fate == CallFate::Normal
-        {
-            // A poll without anything to tell renews the lease at once and waits.
-            drop(target.call(now, place.token, &call));
-            let mut rest = *poll;
-            rest.wait = poll.wait.saturating_sub(Duration::from_millis(5));
-            let call = TargetCall::Poll(rest);
-            let place = place.clone();
-            self.later(
-                5,
-                Event::Call {
-                    entry,
-                    id,
-                    place,
-                    call,
-                },
-            );
-            return;
-        }
-        match fate {
-            CallFate::Normal => {
-                let answer = target.call(now, place.token, &call);
-                self.answer_later(WAY_MS, entry, id, &call, answer);
-            }
-            CallFate::AnswerLost => {
-                drop(target.call(now, place.token, &call));
-                self.answer_later(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
-            }
-            CallFate::Late(millis) => {
-                let place = place.clone();
-                let late = kqr_dispatch::CallId(u64::MAX);
-                self.answer_later(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
-                self.later(
-                    millis,
-                    Event::Call {
-                        entry,
-                        id: late,
-                        place,
-                        call,
-                    },
-                );
-            }
-        }
-    }
-
-    fn answer_later(
-        &mut self,
-        millis: u64,
-        entry: usize,
-        call: kqr_dispatch::CallId,
-        kind: &TargetCall,
-        answer: Result<PollAnswer, CallFailure>,
-    ) {
-        let input = match kind {
-            TargetCall::Start(_) => Input::Started {
-                call,
-                answer: answer.map(|answer| answer.clock),
-            },
-            TargetCall::Stop(_) => Input::Stopped {
-                call,
-                answer: answer.map(|answer| answer.clock),
-            },
-            TargetCall::Poll(_) => Input::Polled { call, answer },
-        };
-        self.later(millis, Event::Input(entry, Box::new(input)));
-    }
-}
-
-fn no_answer() -> Result<PollAnswer, CallFailure> {
-    Err(CallFailure::NoAnswer("no answer in time".to_owned()))
 }
 
 fn new_entry(number: usize, life: u64, options: &Options) -> Entry {
