--- a/kqr-soak/src/ledger.rs
+++ b/kqr-soak/src/ledger.rs
@@ -65,7 +65,8 @@
     /// Tasks that began again under faults after the system had taken note that they were done.
     repeated: u64,
     answers: BTreeMap<&'static str, u64>,
-    starts: u64,
+    /// Starts of each task.
+    starts: BTreeMap<String, u32>,
 }
 
 impl Ledger {
@@ -84,7 +85,7 @@
 
     /// Notes the start of a run.
     pub fn begun(&mut self, now: Instant, job: &str, task: &str, target: &str) {
-        self.starts += 1;
+        *self.starts.entry(task.to_owned()).or_default() += 1;
         if let Some(other) = self.at_work.insert(task.to_owned(), target.to_owned()) {
             self.breaches.push(Breach::AtWorkTwice {
                 task: task.to_owned(),
@@ -187,11 +188,17 @@
         &self.breaches
     }
 
+    /// Returns how often each task was started.
+    pub const fn starts(&self) -> &BTreeMap<String, u32> {
+        &self.starts
+    }
+
     /// Returns what was seen, in one line.
     pub fn summary(&self) -> String {
         let answers = self.answers.iter().map(|(name, count)| format!("{count} {name}"));
         let answers = answers.collect::<Vec<_>>().join(", ");
-        let (jobs, starts, repeated) = (self.jobs.len(), self.starts, self.repeated);
+        let (jobs, repeated) = (self.jobs.len(), self.repeated);
+        let starts: u32 = self.starts.values().sum();
         format!("{jobs} jobs ({answers}), {starts} starts, {repeated} of done tasks")
     }
 }
