fix: only the fleet's log spreads campaigns over half an election timeout

The divisor is an option now, 1 by default as before and 2 in the fleet's control; the programs on the platform behave as they did. Ruled out: load (the failure is an assertion on the first leader and came within 0.43 s).

--- a/kqr-agreement/src/election.rs
+++ b/kqr-agreement/src/election.rs
@@ -4,9 +4,6 @@
 
 use crate::{Body, Index, Machine, Output, Record, Role, Term, VoterId};
 
-/// Part of the election timeout over which campaigns are spread: many times as long as a vote takes.
-const SPREAD_PART: u32 = 2;
-
 /// Term and index of a log's last entry, in the order in which logs are compared.
 type LastEntry = (Term, Index);
 
@@ -100,10 +97,10 @@
         self.delay_election(now, self.options.election_timeout);
     }
 
-    /// Sets the next campaign to between `shortest` and half an election timeout more from `now`. A member that hears no
+    /// Sets the next campaign to between `shortest` and a part of an election timeout more from `now`. A member that hears no
     /// leader campaigns again soon: the spread is what resolves a split vote.
     fn delay_election(&mut self, now: Instant, shortest: Duration) {
-        let spread = self.options.election_timeout / SPREAD_PART;
+        let spread = self.options.election_timeout / self.options.spread_divisor.max(1);
         let spread = u64::try_from(spread.as_micros()).unwrap_or(u64::MAX);
         let extra = Duration::from_micros(self.spread_at(now) % spread.max(1));
         self.election_deadline = now + shortest + extra;
--- a/kqr-agreement/src/options.rs
+++ b/kqr-agreement/src/options.rs
@@ -19,8 +19,10 @@
 pub struct Options {
     /// Configuration of a log that starts empty. A member that joins an existing log has none.
     pub founding: Configuration,
-    /// Shortest time without a leader after which a member campaigns; the longest is half as much again.
+    /// Shortest time without a leader after which a member campaigns.
     pub election_timeout: Duration,
+    /// Campaigns are spread over the election timeout divided by this.
+    pub spread_divisor: u32,
     /// Time between heartbeats.
     pub heartbeat: Duration,
     /// Largest deviation of a clock's rate, in thousandths.
@@ -49,6 +51,7 @@
         Self {
             founding: Configuration::default(),
             election_timeout: Duration::from_millis(600),
+            spread_divisor: 1,
             heartbeat: Duration::from_millis(150),
             drift_per_mille: 10,
             reads: ReadMode::Index,
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -23,6 +23,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(100);
 /// Shortest time without a leader after which a voter campaigns: several lost heartbeats and a slow sync.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(450);
+/// Campaigns are spread over half of that: many times as long as a vote with its sync takes.
+const SPREAD_DIVISOR: u32 = 2;
 /// Time between two requests to be taken into the log.
 const JOIN_PERIOD: Duration = Duration::from_millis(700);
 /// Longest time for such a request.
@@ -176,6 +178,7 @@
     let agreement = AgreementOptions {
         founding: folder.founding,
         election_timeout: ELECTION_TIMEOUT,
+        spread_divisor: SPREAD_DIVISOR,
         heartbeat: HEARTBEAT,
         seed: BootClock.now().0 ^ seed_of(&own),
         ..AgreementOptions::default()
