test(dispatch): simulate the delivery of sibling messages as the programs do it

The simulation reported a lost link 600 ms after the first message that met a cut, and cut both directions at once. A link now delivers one batch at a time: it connects, opens a session and delivers, each with a timeout of 250 ms, and retries for 600 ms. Messages can be lost or delayed in one direction, and deliveries can be accepted while their answers are lost.

A restarted entry no longer handles events of its former incarnation, such as the loss of a link that it does not have.

Runs carry the payload of their start, so that two runs of one submission can be told from those of a caller that returned at another entry, and a start after an acknowledged completion of the same submission is seen.

--- a/kqr-dispatch/tests/simulation/calls.rs
+++ b/kqr-dispatch/tests/simulation/calls.rs
@@ -4,7 +4,7 @@
 
 use kqr_dispatch::{CallFailure, Input, PollAnswer, TargetCall, TargetEndpoint};
 
-use super::{CALL_TIMEOUT_MS, Event, LATENCY_MS, Simulation};
+use super::{CALL_TIMEOUT_MS, Event, LATENCY_MS, NO_CALLER, Simulation};
 
 /// Fault of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,7 +67,7 @@
             }
             CallFault::Late(millis) => {
                 let endpoint = endpoint.clone();
-                let late = kqr_dispatch::CallId(u64::MAX);
+                let late = NO_CALLER;
                 self.schedule_answer(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
                 self.schedule(
                     millis,
--- a/kqr-dispatch/tests/simulation/links.rs
+++ b/kqr-dispatch/tests/simulation/links.rs
@@ -1,105 +1,265 @@
-//! Links between the simulated entries.
+//! Links between the simulated entries: one delivery at a time, which is retried until the link counts as lost.
 
-use kqr_dispatch::{Input, SiblingMessage};
-use kqr_types::{InstanceId, Instant};
+use kqr_dispatch::{Input, OrderId, Outbox, SiblingMessage};
+use kqr_types::{Incarnation, InstanceId, Instant};
 
-use super::{Event, LATENCY_MS, LINK_TIMEOUT_MS, Simulation};
+use super::{Event, LATENCY_MS, Simulation};
+
+/// Time after which a link with undelivered messages is reported lost.
+const LINK_TIMEOUT_MS: u64 = 600;
+/// Timeout of a connection attempt, of the opening of a session and of a delivery.
+const DELIVERY_TIMEOUT_MS: u64 = 250;
+/// Delay after a failed delivery.
+const RETRY_DELAY_MS: u64 = 30;
+/// Maximum number of messages in one delivery.
+const MAX_BATCH_MESSAGES: usize = 256;
+
+/// Outgoing link to one incarnation of a sibling.
+#[derive(Default)]
+pub(super) struct Link {
+    pub(super) sibling_incarnation: Incarnation,
+    pub(super) outbox: Outbox,
+    is_connected: bool,
+    session: Option<u64>,
+    next_message: u64,
+    /// Messages being delivered, with the start of their delivery.
+    delivery: Option<(Vec<SiblingMessage>, u64)>,
+    /// Number of the current request; answers to earlier ones are ignored.
+    request: u64,
+}
+
+/// Request to a sibling.
+#[derive(Clone, Debug)]
+pub(super) enum LinkRequest {
+    Connect,
+    Open {
+        dropped: OrderId,
+    },
+    Deliver {
+        session: u64,
+        first: u64,
+        messages: Vec<SiblingMessage>,
+    },
+}
+
+/// Answer to a [`LinkRequest`].
+#[derive(Clone, Copy, Debug)]
+pub(super) enum LinkAnswer {
+    Connected,
+    Opened(u64),
+    Delivered(bool),
+}
+
+/// An event of the link between `from` and `to`.
+#[derive(Clone, Debug)]
+pub(super) enum LinkEvent {
+    Request(LinkRequest),
+    Answer(LinkAnswer),
+    Timeout,
+    Retry,
+}
+
+impl LinkEvent {
+    /// Returns whether the event concerns the sender of messages, and not their receiver.
+    pub(super) const fn is_for_sender(&self) -> bool {
+        !matches!(self, Self::Request(_))
+    }
+
+    /// Returns whether the kernel handles the event, even if the process is suspended.
+    pub(super) const fn is_for_kernel(&self) -> bool {
+        matches!(self, Self::Request(LinkRequest::Connect))
+    }
+}
 
 impl Simulation {
     pub(super) fn send(&mut self, from: usize, to: &InstanceId, message: SiblingMessage) {
+        let known = self.entries[from].dispatcher.siblings();
+        let Some(sibling) = known.into_iter().find(|sibling| sibling.id == *to) else {
+            return;
+        };
         let Some(to) = self.entries.iter().position(|entry| entry.info.id == *to) else {
             return;
         };
-        if self.entries[from]
-            .blocked
-            .get(&to)
-            .is_some_and(|until| *until > self.now)
-        {
+        let link = self.entries[from].links.entry(to).or_default();
+        if link.sibling_incarnation != sibling.incarnation {
+            *link = Link {
+                sibling_incarnation: sibling.incarnation,
+                request: link.request + 1,
+                ..Link::default()
+            };
+        }
+        link.outbox.push(message);
+        self.start_delivery(from, to);
+    }
+
+    pub(super) fn link_event(&mut self, from: usize, to: usize, number: u64, event: LinkEvent) {
+        match event {
+            LinkEvent::Request(request) => {
+                if let Some(answer) = self.link_request(from, to, request) {
+                    let is_lost = self.is_cut(to, from)
+                        || (matches!(answer, LinkAnswer::Delivered(_))
+                            && self.lost_answers.contains(&(from, to)));
+                    if !is_lost {
+                        let delay = self.delay(to, from);
+                        self.schedule_link(delay, from, to, number, LinkEvent::Answer(answer));
+                    }
+                }
+                return;
+            }
+            _ if !self.entries[from].is_up => return,
+            _ => {}
+        }
+        let now = self.now;
+        let Some(link) = self.entries[from].links.get_mut(&to) else {
+            return;
+        };
+        if link.request != number {
             return;
         }
-        if self.is_cut(from, to) || !self.entries[to].is_up || self.entries[to].is_suspended {
-            self.entries[from].sessions_to.remove(&to);
-            self.entries[from].blocked.insert(to, self.now + LINK_TIMEOUT_MS);
-            let sibling = self.entries[to].info.id.clone();
-            self.schedule(
-                LINK_TIMEOUT_MS,
-                Event::Input(from, Box::new(Input::LinkLost { sibling })),
-            );
+        match event {
+            LinkEvent::Request(_) => {}
+            LinkEvent::Answer(LinkAnswer::Connected) => {
+                link.is_connected = true;
+                self.send_request(from, to);
+            }
+            LinkEvent::Answer(LinkAnswer::Opened(session)) => {
+                link.session = Some(session);
+                link.next_message = 0;
+                self.send_request(from, to);
+            }
+            LinkEvent::Answer(LinkAnswer::Delivered(true)) => {
+                let (messages, _) = link.delivery.take().unwrap_or_default();
+                link.next_message += messages.len() as u64;
+                link.outbox.acknowledge_batch();
+                link.request += 1;
+                self.start_delivery(from, to);
+            }
+            LinkEvent::Answer(LinkAnswer::Delivered(false)) => self.lose_link(from, to),
+            LinkEvent::Timeout => {
+                link.is_connected = false;
+                link.request += 1;
+                let number = link.request;
+                self.schedule_link(RETRY_DELAY_MS, from, to, number, LinkEvent::Retry);
+            }
+            LinkEvent::Retry => {
+                let started = link.delivery.as_ref().map_or(now, |(_, started)| *started);
+                if now < started + LINK_TIMEOUT_MS {
+                    self.send_request(from, to);
+                } else {
+                    self.lose_link(from, to);
+                }
+            }
+        }
+    }
+
+    fn start_delivery(&mut self, from: usize, to: usize) {
+        let now = self.now;
+        let Some(link) = self.entries[from].links.get_mut(&to) else {
+            return;
+        };
+        if link.delivery.is_some() {
             return;
         }
-        let session = match self.entries[from].sessions_to.get(&to) {
-            Some(session) => *session,
-            None => self.open_session(from, to),
+        let messages = link.outbox.next_batch(MAX_BATCH_MESSAGES);
+        if !messages.is_empty() {
+            link.delivery = Some((messages, now));
+            self.send_request(from, to);
+        }
+    }
+
+    fn lose_link(&mut self, from: usize, to: usize) {
+        let sibling = self.entries[to].info.id.clone();
+        let Some(link) = self.entries[from].links.get_mut(&to) else {
+            return;
         };
-        let message = Box::new(message);
-        self.schedule(
-            LATENCY_MS,
-            Event::Message {
-                from,
-                to,
+        link.outbox.handle_link_loss();
+        link.session = None;
+        link.delivery = None;
+        link.request += 1;
+        self.input(from, Input::LinkLost { sibling });
+        self.start_delivery(from, to);
+    }
+
+    /// Sends the next request of the current delivery.
+    fn send_request(&mut self, from: usize, to: usize) {
+        let sibling = self.entries[to].info.id.clone();
+        let dropped = self.entries[from].dispatcher.last_dropped_order(&sibling);
+        let Some(link) = self.entries[from].links.get_mut(&to) else {
+            return;
+        };
+        let request = match (link.session, &link.delivery) {
+            _ if !link.is_connected => LinkRequest::Connect,
+            (None, _) => LinkRequest::Open { dropped },
+            (Some(session), Some((messages, _))) => LinkRequest::Deliver {
                 session,
-                message,
+                first: link.next_message,
+                messages: messages.clone(),
             },
-        );
+            (Some(_), None) => return,
+        };
+        link.request += 1;
+        let number = link.request;
+        if !self.is_cut(from, to) {
+            let delay = self.delay(from, to);
+            self.schedule_link(delay, from, to, number, LinkEvent::Request(request));
+        }
+        self.schedule_link(DELIVERY_TIMEOUT_MS, from, to, number, LinkEvent::Timeout);
     }
 
-    pub(super) fn open_session(&mut self, from: usize, to: usize) -> u64 {
+    /// Handles a request at its receiver.
+    fn link_request(&mut self, from: usize, to: usize, request: LinkRequest) -> Option<LinkAnswer> {
+        if !self.entries[to].is_up {
+            return None;
+        }
         let sibling = self.entries[from].info.id.clone();
         let now = Instant(self.now * 1000);
-        let (session, is_next) = self.entries[to].sessions.open(now, &sibling);
-        self.entries[from].sessions_to.insert(to, session);
-        if is_next {
-            let dropped = self.entries[from]
-                .dispatcher
-                .last_dropped_order(&self.entries[to].info.id);
-            self.schedule(
-                0,
-                Event::Input(to, Box::new(Input::SessionOpened { sibling, dropped })),
-            );
+        match request {
+            LinkRequest::Connect => Some(LinkAnswer::Connected),
+            LinkRequest::Open { dropped } => {
+                let (session, is_replacement) = self.entries[to].sessions.open(now, &sibling);
+                if is_replacement {
+                    self.input(to, Input::SessionOpened { sibling, dropped });
+                }
+                Some(LinkAnswer::Opened(session))
+            }
+            LinkRequest::Deliver {
+                session,
+                first,
+                messages,
+            } => {
+                let (count, timeout) = (messages.len() as u64, self.options.sibling_timeout);
+                let sessions = &mut self.entries[to].sessions;
+                let accepted = sessions.accept(now, &sibling, session, first, count, timeout);
+                let Some(duplicates) = accepted else {
+                    return Some(LinkAnswer::Delivered(false));
+                };
+                for message in messages.into_iter().skip(duplicates as usize) {
+                    let from = sibling.clone();
+                    self.input(to, Input::MessageReceived { from, message });
+                }
+                Some(LinkAnswer::Delivered(true))
+            }
         }
-        session
     }
 
-    pub(super) fn is_cut(&self, one: usize, other: usize) -> bool {
-        self.cut_links.contains(&(one, other)) || self.cut_links.contains(&(other, one))
+    fn schedule_link(&mut self, millis: u64, from: usize, to: usize, number: u64, event: LinkEvent) {
+        let event = Event::Link {
+            from,
+            to,
+            number,
+            event,
+        };
+        self.schedule(millis, event);
     }
 
-    pub(super) fn message(&mut self, from: usize, to: usize, session: u64, message: Box<SiblingMessage>) {
-        if self.entries[to].is_suspended {
-            let event = Event::Message {
-                from,
-                to,
-                session,
-                message,
-            };
-            self.entries[to].deferred.push(event);
-            return;
-        }
-        let sibling = self.entries[from].info.id.clone();
-        let now = Instant(self.now * 1000);
-        let silence = self.options.sibling_timeout;
-        let accepted = self.entries[to]
-            .sessions
-            .accept(now, &sibling, session, 0, 0, silence);
-        if accepted.is_some() {
-            let message = *message;
-            self.input(
-                to,
-                Input::MessageReceived {
-                    from: sibling,
-                    message,
-                },
-            );
-            return;
-        }
-        if self.entries[from].sessions_to.get(&to) == Some(&session) {
-            self.entries[from].sessions_to.remove(&to);
-            self.entries[from].blocked.insert(to, self.now + 2 * LATENCY_MS);
-            let sibling = self.entries[to].info.id.clone();
-            self.schedule(
-                LATENCY_MS,
-                Event::Input(from, Box::new(Input::LinkLost { sibling })),
-            );
-        }
+    fn delay(&self, from: usize, to: usize) -> u64 {
+        self.delays.get(&(from, to)).copied().unwrap_or(LATENCY_MS)
+    }
+
+    /// Returns whether messages from `from` to `to` are lost.
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cut_paths.contains(&(from, to))
+            || self.cut_links.contains(&(from, to))
+            || self.cut_links.contains(&(to, from))
     }
 }
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -4,22 +4,26 @@
 
 mod builders;
 mod calls;
+mod checks;
+mod entry;
 mod links;
 pub mod target;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
 pub use builders::{id, job, record, target_id};
 pub use calls::CallFault;
+use entry::Entry;
 use kqr_dispatch::{
-    Dispatcher, Input, JobEnd, JobRequest, Options, Output, Sessions, SiblingMessage, TargetCall,
-    TargetEndpoint,
+    CallId, Dispatcher, Input, JobEnd, JobRequest, Options, Output, TargetCall, TargetEndpoint, TaskId,
 };
-use kqr_fleet::{EntryInfo, FencingToken, TargetGrant};
-use kqr_types::{Incarnation, Instant, TargetId};
+use kqr_fleet::{FencingToken, TargetGrant};
+use kqr_types::{Instant, TargetId};
+use links::LinkEvent;
 pub use target::{Target, TaskBehaviour};
 
 /// One-way latency between two processes.
@@ -28,8 +32,9 @@
 const CALL_TIMEOUT_MS: u64 = 130;
 /// Time that an entry has for an orderly shutdown.
 const SHUTDOWN_MS: u64 = 5_500;
-/// Time after which a link with undelivered messages is reported lost.
-const LINK_TIMEOUT_MS: u64 = 600;
+
+/// Identifier of calls whose answers nobody waits for.
+const NO_CALLER: CallId = CallId(u64::MAX);
 
 /// A scheduled event.
 #[derive(Clone, Debug)]
@@ -41,27 +46,24 @@
         endpoint: TargetEndpoint,
         call: TargetCall,
     },
-    Message {
+    Link {
         from: usize,
         to: usize,
-        session: u64,
-        message: Box<SiblingMessage>,
+        number: u64,
+        event: LinkEvent,
     },
 }
 
-/// A simulated entry.
-struct Entry {
-    info: EntryInfo,
-    dispatcher: Dispatcher,
-    sessions: Sessions,
-    /// Open sessions for messages to siblings, by receiver.
-    sessions_to: BTreeMap<usize, u64>,
-    /// End of the time during which messages to a sibling are dropped after a failed delivery.
-    blocked: BTreeMap<usize, u64>,
-    is_up: bool,
-    is_suspended: bool,
-    /// Events that arrived while the entry was suspended.
-    deferred: Vec<Event>,
+impl Event {
+    /// Returns the entry that handles the event.
+    fn receiver(&self) -> Option<usize> {
+        match self {
+            Self::Input(entry, _) => Some(*entry),
+            Self::Link { from, event, .. } if event.is_for_sender() => Some(*from),
+            Self::Link { to, .. } => Some(*to),
+            Self::Call { .. } => None,
+        }
+    }
 }
 
 /// A fleet of entries and targets in virtual time.
@@ -76,12 +78,24 @@
     pub ends: BTreeMap<String, Vec<(usize, JobEnd)>>,
     /// Pairs of entries with a cut link.
     pub cut_links: Vec<(usize, usize)>,
+    /// Pairs of entries whose messages from the first to the second are lost.
+    pub cut_paths: Vec<(usize, usize)>,
+    /// Pairs of sender and receiver whose deliveries are accepted, but not answered.
+    pub lost_answers: Vec<(usize, usize)>,
+    /// One-way delays between entries, in milliseconds.
+    pub delays: BTreeMap<(usize, usize), u64>,
     /// Pairs of entry and target with a cut link.
     pub cut_target_links: Vec<(usize, TargetId)>,
     /// Returns the fault of each call.
     pub call_fault: Box<dyn FnMut(&TargetCall) -> CallFault>,
     /// Tasks that ran twice at the same time.
     pub duplicate_runs: BTreeSet<String>,
+    /// Tasks with two runs at the same time that have the same payload.
+    pub duplicates_of_one_payload: BTreeSet<String>,
+    /// Tasks that started again with the same payload after their completion was acknowledged.
+    pub restarts_after_done: BTreeSet<String>,
+    /// Payloads of the runs whose completion was acknowledged, by task.
+    acknowledged: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
     /// Logged decisions of all entries.
     pub decisions: Vec<String>,
     options: Options,
@@ -93,7 +107,7 @@
         let options = Options::default();
         let mut all = Vec::new();
         for number in 0..entries {
-            all.push(new_entry(number, 1, &options));
+            all.push(Entry::new(number, 1, &options));
         }
         let mut sim = Self {
             now: 1_000,
@@ -105,9 +119,15 @@
             count: 0,
             ends: BTreeMap::new(),
             cut_links: Vec::new(),
+            cut_paths: Vec::new(),
+            lost_answers: Vec::new(),
+            delays: BTreeMap::new(),
             cut_target_links: Vec::new(),
             call_fault: Box::new(|_| CallFault::Normal),
             duplicate_runs: BTreeSet::new(),
+            duplicates_of_one_payload: BTreeSet::new(),
+            restarts_after_done: BTreeSet::new(),
+            acknowledged: BTreeMap::new(),
             decisions: Vec::new(),
             options,
         };
@@ -151,6 +171,16 @@
             }
         }
         self.input(number, Input::ViewChanged { entries, owned });
+        self.close_links_to_gone(number);
+    }
+
+    fn close_links_to_gone(&mut self, number: usize) {
+        let known = self.entries[number].dispatcher.siblings();
+        let infos: Vec<_> = self.entries.iter().map(|entry| entry.info.id.clone()).collect();
+        self.entries[number].links.retain(|to, link| {
+            let mut known = known.iter();
+            known.any(|sibling| sibling.id == infos[*to] && sibling.incarnation == link.sibling_incarnation)
+        });
     }
 
     pub fn submit(&mut self, entry: usize, job: JobRequest) {
@@ -188,7 +218,29 @@
     /// Restarts a killed entry as a new incarnation without any state.
     pub fn restart(&mut self, entry: usize) {
         let incarnation = self.entries[entry].info.incarnation.0 + 1;
-        self.entries[entry] = new_entry(entry, incarnation, &self.options);
+        self.entries[entry] = Entry::new(entry, incarnation, &self.options);
+        self.queue.retain(|_, event| event.receiver() != Some(entry));
+        for event in self.queue.values_mut() {
+            if let Event::Call {
+                entry: caller, id, ..
+            } = event
+                && *caller == entry
+            {
+                *id = NO_CALLER;
+            }
+        }
+    }
+
+    /// Restarts a target as a new incarnation. The calls that it had not carried out yet are lost.
+    pub fn restart_target(&mut self, number: usize) {
+        let restarted = target_id(number);
+        self.queue.retain(|_, event| {
+            !matches!(event, Event::Call { id, endpoint, .. }
+                if *id == NO_CALLER && endpoint.target == restarted)
+        });
+        if let Some(target) = self.targets.get_mut(&restarted) {
+            target.restart();
+        }
     }
 
     pub fn suspend(&mut self, entry: usize) {
@@ -232,21 +284,10 @@
                     self.input(number, Input::Tick);
                 }
             }
-            self.check_duplicate_runs();
+            self.check_runs();
         }
     }
 
-    fn check_duplicate_runs(&mut self) {
-        let mut seen = BTreeMap::new();
-        for target in self.targets.values().filter(|target| target.is_up) {
-            for run in target.running.keys() {
-                *seen.entry(run.task.to_string()).or_insert(0) += 1;
-            }
-        }
-        let duplicate_runs = seen.into_iter().filter(|(_, count)| *count > 1);
-        self.duplicate_runs.extend(duplicate_runs.map(|(task, _)| task));
-    }
-
     fn input(&mut self, number: usize, input: Input) {
         let entry = &mut self.entries[number];
         if !entry.is_up || entry.is_suspended {
@@ -294,6 +335,14 @@
     }
 
     fn handle_event(&mut self, event: Event) {
+        if let Event::Link { event: kind, .. } = &event
+            && !kind.is_for_kernel()
+            && let Some(receiver) = event.receiver()
+            && self.entries[receiver].is_suspended
+        {
+            self.entries[receiver].deferred.push(event);
+            return;
+        }
         match event {
             Event::Input(entry, input) => self.input(entry, *input),
             Event::Call {
@@ -302,34 +351,12 @@
                 endpoint,
                 call,
             } => self.call(entry, id, &endpoint, call),
-            Event::Message {
+            Event::Link {
                 from,
                 to,
-                session,
-                message,
-            } => self.message(from, to, session, message),
+                number,
+                event,
+            } => self.link_event(from, to, number, event),
         }
     }
 }
-
-fn new_entry(number: usize, incarnation: u64, options: &Options) -> Entry {
-    let info = EntryInfo {
-        id: id(number),
-        incarnation: Incarnation(incarnation),
-        data_centre: "uppsala".parse().unwrap(),
-        siblings: format!("127.0.0.1:{}", 7000 + number).parse().unwrap(),
-        reports: format!("127.0.0.1:{}", 7100 + number).parse().unwrap(),
-        weight: 250,
-        is_leaving: false,
-    };
-    Entry {
-        dispatcher: Dispatcher::new(info.clone(), options.clone()),
-        info,
-        sessions: Sessions::default(),
-        sessions_to: BTreeMap::new(),
-        blocked: BTreeMap::new(),
-        is_up: true,
-        is_suspended: false,
-        deferred: Vec::new(),
-    }
-}
--- a/kqr-dispatch/tests/simulation/target.rs
+++ b/kqr-dispatch/tests/simulation/target.rs
@@ -1,9 +1,12 @@
 //! A simulated target, which runs tasks under a lease and lists ends until they are acknowledged.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use kqr_dispatch::{
-    CallFailure, EndKind, EndedRun, PollAnswer, Refusal, RunId, RunProgress, TargetCall, TargetTime,
+    CallFailure, EndKind, EndedRun, PollAnswer, Refusal, RunId, RunProgress, TargetCall, TargetTime, TaskId,
 };
 use kqr_fleet::{FencingToken, TargetRecord};
 
@@ -18,6 +21,8 @@
     pub end: EndKind,
     /// Whether it never makes progress.
     pub hangs: bool,
+    /// Payload of its start.
+    pub spec: Arc<str>,
 }
 
 /// Behaviour of the tasks that a target starts.
@@ -36,6 +41,10 @@
     pub is_up: bool,
     pub running: BTreeMap<RunId, ActiveRun>,
     pub starts: Vec<RunId>,
+    /// Payloads of the started runs.
+    pub specs: BTreeMap<RunId, Arc<str>>,
+    /// Tasks whose end `Done` was acknowledged, by payload.
+    pub acknowledged: BTreeSet<(TaskId, Arc<str>)>,
     token: FencingToken,
     highest_attempts: BTreeMap<String, u32>,
     ended: Vec<EndedRun>,
@@ -51,6 +60,8 @@
             is_up: true,
             running: BTreeMap::new(),
             starts: Vec::new(),
+            specs: BTreeMap::new(),
+            acknowledged: BTreeSet::new(),
             token: FencingToken(0),
             highest_attempts: BTreeMap::new(),
             ended: Vec::new(),
@@ -79,7 +90,11 @@
             life: self.record.life.next(),
             ..self.record.clone()
         };
-        *self = Self::new(record, self.behaviour);
+        let acknowledged = std::mem::take(&mut self.acknowledged);
+        *self = Self {
+            acknowledged,
+            ..Self::new(record, self.behaviour)
+        };
     }
 
     pub fn has_ends(&self, cursor: u64) -> bool {
@@ -117,8 +132,10 @@
                             ends,
                             end,
                             hangs,
+                            spec: start.spec.clone(),
                         },
                     );
+                    self.specs.insert(start.run.clone(), start.spec.clone());
                     self.starts.push(start.run.clone());
                 }
                 self.lease_until = self.lease_until.max(start.lease_until.0.min(now + 1000));
@@ -132,7 +149,15 @@
                 }
             }
             TargetCall::Poll(poll) => {
-                self.ended.retain(|ended| ended.number > poll.ack_cursor);
+                for ended in std::mem::take(&mut self.ended) {
+                    if ended.number > poll.ack_cursor {
+                        self.ended.push(ended);
+                    } else if ended.kind == EndKind::Done
+                        && let Some(spec) = self.specs.get(&ended.run)
+                    {
+                        self.acknowledged.insert((ended.run.task, spec.clone()));
+                    }
+                }
                 if let Some(until) = poll.lease_until {
                     self.lease_until = self.lease_until.max(until.0.min(now + 1000));
                 }
