fix(dispatch): drop the orders of a sibling on both sides of a one-sided loss

Callers saw one task run twice at the same time, or a job that never ended although all entries were up.

An entry that counts a sibling as lost plans to order its tasks again once the runs there must have ended. That assumes that the sibling drops the orders, which it did only if the session between them also ended. The session could stay open:

- Repeated deliveries, whose answers were lost, keep a session open, but are no messages to the dispatcher.
A coordinator lost an owner that went on with its orders.
- In the same way an owner lost a coordinator and dropped its orders without a word.
The coordinator waited for them until its deadline.
- An order that was queued or retried when its coordinator lost the owner was delivered later in the open session and run, although the coordinator had counted it as lost.

The loss of a sibling now resets the outgoing link, whatever the cause: the queued messages other than ends are discarded, and the next message opens a new session, on which the sibling drops the orders of this entry and learns which of its own were dropped. This depends only on the direction that the entry itself uses. If nothing arrives there, the sibling counts the entry as lost within its own timeout, as the end time of the runs assumes.

--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -227,8 +227,15 @@
 
     /// Marks a sibling as lost: its orders are stopped, and orders sent to it end when their leases have
     /// expired.
+    ///
+    /// The sibling may not have noticed the loss and may be heard again at any time. It drops the orders sent
+    /// to it when the link is used next, because that opens a new session, or when it no longer hears this
+    /// entry.
     fn handle_sibling_loss(&mut self, now: Instant, sibling: &InstanceId, outputs: &mut Vec<Output>) {
         log_sibling_change(outputs, sibling, "lost");
+        outputs.push(Output::ResetLink {
+            sibling: sibling.clone(),
+        });
         if let Some(known) = self.siblings.get_mut(sibling) {
             known.last_message_at = None;
             known.load = LoadReport::default();
--- a/kqr-dispatch/src/outbox.rs
+++ b/kqr-dispatch/src/outbox.rs
@@ -15,6 +15,8 @@
     messages: VecDeque<SiblingMessage>,
     /// Number of messages at the front that are being delivered.
     sending: usize,
+    /// Number of times that the link was lost.
+    losses: u64,
 }
 
 impl Outbox {
@@ -48,12 +50,19 @@
     /// Discards all messages except the ends of orders, and the oldest of these beyond the limit.
     pub fn handle_link_loss(&mut self) {
         self.sending = 0;
+        self.losses += 1;
         self.messages
             .retain(|message| matches!(message, SiblingMessage::Ended { .. }));
         let excess = self.messages.len().saturating_sub(MAX_KEPT_ENDS);
         self.messages.drain(..excess);
     }
 
+    /// Returns how many times the link was lost. A session, and the batch in flight, are outdated when this
+    /// number has changed since.
+    pub const fn losses(&self) -> u64 {
+        self.losses
+    }
+
     /// Returns the number of unacknowledged messages.
     pub fn len(&self) -> usize {
         self.messages.len()
--- a/kqr-dispatch/src/output.rs
+++ b/kqr-dispatch/src/output.rs
@@ -21,6 +21,12 @@
         /// Message to send.
         message: SiblingMessage,
     },
+    /// Discard the undelivered messages to a sibling, except the ends of orders, and open a new session before
+    /// the next one.
+    ResetLink {
+        /// Sibling that counts as lost.
+        sibling: InstanceId,
+    },
     /// Answer the callers of a job.
     JobEnded {
         /// Key of the job.
--- a/kqr-dispatch/tests/outbox.rs
+++ b/kqr-dispatch/tests/outbox.rs
@@ -50,3 +50,16 @@
     outbox.acknowledge_batch();
     assert_eq!(outbox.next_batch(9), [load(3)]);
 }
+
+#[test]
+fn a_batch_in_flight_when_the_link_is_lost_is_not_acknowledged() {
+    let mut outbox = Outbox::default();
+    outbox.push(end(1));
+    assert_eq!(outbox.next_batch(9).len(), 1);
+    let losses = outbox.losses();
+    outbox.handle_link_loss();
+    assert_ne!(outbox.losses(), losses);
+    outbox.push(end(2));
+    outbox.acknowledge_batch();
+    assert_eq!(outbox.next_batch(9), [end(1), end(2)]);
+}
--- a/kqr-dispatch/tests/simulation/links.rs
+++ b/kqr-dispatch/tests/simulation/links.rs
@@ -19,6 +19,8 @@
 pub(super) struct Link {
     pub(super) sibling_incarnation: Incarnation,
     pub(super) outbox: Outbox,
+    /// Number of losses of the link when the current delivery started.
+    losses: u64,
     is_connected: bool,
     session: Option<u64>,
     next_message: u64,
@@ -116,6 +118,14 @@
         if link.request != number {
             return;
         }
+        if link.losses != link.outbox.losses() && !matches!(event, LinkEvent::Timeout) {
+            // The link was reset meanwhile.
+            link.is_connected = link.is_connected && !matches!(event, LinkEvent::Retry);
+            link.delivery = None;
+            link.request += 1;
+            self.start_delivery(from, to);
+            return;
+        }
         match event {
             LinkEvent::Request(_) => {}
             LinkEvent::Answer(LinkAnswer::Connected) => {
@@ -161,6 +171,10 @@
             return;
         }
         let messages = link.outbox.next_batch(MAX_BATCH_MESSAGES);
+        if link.losses != link.outbox.losses() {
+            link.losses = link.outbox.losses();
+            link.session = None;
+        }
         if !messages.is_empty() {
             link.delivery = Some((messages, now));
             self.send_request(from, to);
@@ -172,8 +186,6 @@
         let Some(link) = self.entries[from].links.get_mut(&to) else {
             return;
         };
-        link.outbox.handle_link_loss();
-        link.session = None;
         link.delivery = None;
         link.request += 1;
         self.input(from, Input::LinkLost { sibling });
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -320,6 +320,13 @@
                 );
             }
             Output::Send { to, message } => self.send(number, &to, message),
+            Output::ResetLink { sibling } => {
+                let sibling = self.entries.iter().position(|entry| entry.info.id == sibling);
+                let links = &mut self.entries[number].links;
+                if let Some(link) = sibling.and_then(|sibling| links.get_mut(&sibling)) {
+                    link.outbox.handle_link_loss();
+                }
+            }
             Output::JobEnded { job, end } => {
                 self.ends.entry(job.to_string()).or_default().push((number, end));
             }
--- a/kqr-runtime/src/entry/driver.rs
+++ b/kqr-runtime/src/entry/driver.rs
@@ -249,6 +249,11 @@
                     link.send(message);
                 }
             }
+            Output::ResetLink { sibling } => {
+                if let Some(link) = lock(&self.sibling_links).get(&sibling) {
+                    link.reset();
+                }
+            }
             Output::JobEnded { job, end } => {
                 let waiters = lock(&self.waiters).remove(&job).unwrap_or_default();
                 for waiter in waiters.into_values() {
--- a/kqr-runtime/src/entry/sibling_link.rs
+++ b/kqr-runtime/src/entry/sibling_link.rs
@@ -64,6 +64,7 @@
             sibling: sibling.id.clone(),
             address: sibling.siblings,
             queue: Arc::clone(&queue),
+            losses: 0,
             session: None,
             next_message: 0,
         };
@@ -85,6 +86,11 @@
         self.queue.outbox().push(message);
         self.queue.message_added.notify_one();
     }
+
+    /// Discards the queued messages except the ends of orders. The next message opens a new session.
+    pub(super) fn reset(&self) {
+        self.queue.outbox().handle_link_loss();
+    }
 }
 
 impl Drop for SiblingLink {
@@ -105,6 +111,8 @@
     sibling: InstanceId,
     address: SocketAddr,
     queue: Arc<Queue>,
+    /// Number of losses of the link when the current batch was taken.
+    losses: u64,
     /// Number of the open session.
     session: Option<u64>,
     /// Number of the next message within the session.
@@ -122,7 +130,11 @@
             let batch = self.next_batch().await;
             let started = Instant::now();
             let mut is_accepted = None;
-            while is_accepted.is_none() && started.elapsed() < LINK_TIMEOUT && !self.is_queue_full() {
+            while is_accepted.is_none()
+                && started.elapsed() < LINK_TIMEOUT
+                && !self.is_queue_full()
+                && !self.is_reset()
+            {
                 match self.deliver(&mut client, &batch).await {
                     Ok(accepted) => is_accepted = Some(accepted),
                     Err(error) => {
@@ -132,6 +144,9 @@
                     }
                 }
             }
+            if self.is_reset() {
+                continue;
+            }
             if is_accepted == Some(true) {
                 self.next_message += batch.len() as u64;
                 self.queue.outbox().acknowledge_batch();
@@ -143,10 +158,18 @@
         }
     }
 
-    async fn next_batch(&self) -> Vec<SiblingMessage> {
+    /// Waits for the next batch, and closes the session if the link was lost since the last one.
+    async fn next_batch(&mut self) -> Vec<SiblingMessage> {
         loop {
             let message_added = self.queue.message_added.notified();
-            let batch = self.queue.outbox().next_batch(MAX_BATCH_MESSAGES);
+            let (batch, losses) = {
+                let mut outbox = self.queue.outbox();
+                (outbox.next_batch(MAX_BATCH_MESSAGES), outbox.losses())
+            };
+            if self.losses != losses {
+                self.losses = losses;
+                self.session = None;
+            }
             if !batch.is_empty() {
                 return batch;
             }
@@ -154,6 +177,11 @@
         }
     }
 
+    /// Returns whether the link was lost since the current batch was taken.
+    fn is_reset(&self) -> bool {
+        self.queue.outbox().losses() != self.losses
+    }
+
     fn is_queue_full(&self) -> bool {
         self.queue.outbox().len() > MAX_QUEUED_MESSAGES
     }
@@ -190,13 +218,11 @@
         Ok(tokio::time::timeout(DELIVERY_TIMEOUT, call).await??)
     }
 
-    /// Closes the session and reports the loss of the link. Returns whether the entry is still running.
-    fn report_link_loss(&mut self) -> bool {
-        self.queue.outbox().handle_link_loss();
+    /// Reports the loss of the link, which resets it. Returns whether the entry is still running.
+    fn report_link_loss(&self) -> bool {
         let Some(driver) = self.driver.upgrade() else {
             return false;
         };
-        self.session = None;
         let sibling = self.sibling.clone();
         driver.handle_input(Input::LinkLost { sibling });
         true
