fix(runtime): handle the messages of a session before the next one is opened

Calls of a sibling arrive on several connections after a delivery has timed out, and are served at the same time. A delivery could be accepted in the old session, and its orders be handled after the opening of the next one had dropped all orders of the sibling: they would run on although the sibling counts them as lost.

The lock on the sessions is now held until the messages are handled, and the time is taken under it. Found by reading; no run has shown it.

--- a/kqr-runtime/src/entry/sibling_service.rs
+++ b/kqr-runtime/src/entry/sibling_service.rs
@@ -39,7 +39,9 @@
     Client: TargetClient,
 {
     async fn open(self, _: Context, from: InstanceId, incarnation: Incarnation, dropped: OrderId) -> u64 {
-        let (session, is_replacement) = self.sessions().open(self.driver.clock().now(), &from);
+        // The lock is held until the inputs are handled, so that no message of an earlier session follows.
+        let mut sessions = self.sessions();
+        let (session, is_replacement) = sessions.open(self.driver.clock().now(), &from);
         let fields = [
             ("sibling", from.to_string()),
             ("incarnation", incarnation.to_string()),
@@ -53,6 +55,7 @@
                 dropped,
             });
         }
+        drop(sessions);
         session
     }
 
@@ -64,9 +67,11 @@
         first: u64,
         messages: Vec<SiblingMessage>,
     ) -> bool {
-        let (now, timeout) = (self.driver.clock().now(), self.driver.sibling_timeout());
-        let count = messages.len() as u64;
-        let accepted = self.sessions().accept(now, &from, session, first, count, timeout);
+        let (count, timeout) = (messages.len() as u64, self.driver.sibling_timeout());
+        // The lock is held until the messages are handled, so that no later session is opened before.
+        let mut sessions = self.sessions();
+        let now = self.driver.clock().now();
+        let accepted = sessions.accept(now, &from, session, first, count, timeout);
         let Some(duplicates) = accepted else {
             return false;
         };
@@ -74,6 +79,7 @@
             let from = from.clone();
             self.driver.handle_input(Input::MessageReceived { from, message });
         }
+        drop(sessions);
         true
     }
 }
