fix(dispatch): let the identifiers of orders increase over restarts

Callers saw one task run twice at the same time after the entry that coordinates it had restarted.

The identifiers of orders began at one in each incarnation, while siblings kept the highest identifiers that they had received and dropped. A sibling that opened a session to the new incarnation named a dropped order of the former one. The coordinator took it for its own, counted a running order as lost and ordered the task again 1,174 ms later. In the same way the end of an order of the former incarnation, delivered late, could end another order.

Identifiers now start above all those of earlier incarnations, so that what siblings remember can't concern orders of the new one.

Before the fix an_order_of_a_restarted_coordinator_is_not_taken_for_one_ dropped_before_its_restart fails: {"restarted.0.0.2", "restarted.0.0.3"}.

--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -38,10 +38,11 @@
 impl Dispatcher {
     /// Creates the dispatcher of the entry `own`.
     pub fn new(own: EntryInfo, options: Options) -> Self {
+        let last_order_id = OrderId::before(own.incarnation);
         Self {
             own,
             owned: OwnedTargets::new(options.clone()),
-            jobs: Jobs::new(options.clone()),
+            jobs: Jobs::new(options.clone(), last_order_id),
             siblings: Siblings::default(),
             options,
             last_report: LoadReport::default(),
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -28,7 +28,7 @@
     options: Options,
     live: BTreeMap<JobKey, Job>,
     orders: BTreeMap<OrderId, OpenOrder>,
-    last_order_id: u64,
+    last_order_id: OrderId,
     tasks: u64,
     /// Orders to be cancelled, by owner.
     cancelled: BTreeMap<InstanceId, Vec<OrderId>>,
@@ -37,12 +37,13 @@
 }
 
 impl Jobs {
-    pub(crate) fn new(options: Options) -> Self {
+    /// Creates an empty set of jobs, whose orders have identifiers above `last_order_id`.
+    pub(crate) fn new(options: Options, last_order_id: OrderId) -> Self {
         Self {
             options,
             live: BTreeMap::new(),
             orders: BTreeMap::new(),
-            last_order_id: 0,
+            last_order_id,
             tasks: 0,
             cancelled: BTreeMap::new(),
             leave_deadline: None,
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -68,7 +68,7 @@
                 if !is_ready(now, job.steps[step][index].state) {
                     continue;
                 }
-                let order_id = OrderId(self.last_order_id + 1);
+                let order_id = OrderId(self.last_order_id.0 + 1);
                 let Some(order) = new_order(now, job, order_id, step, index) else {
                     continue;
                 };
@@ -76,7 +76,7 @@
                     clear_avoided_targets(now, job, step, index);
                     continue;
                 };
-                self.last_order_id += 1;
+                self.last_order_id = order_id;
                 let order = RunOrder {
                     preferred_target,
                     ..order
--- a/kqr-dispatch/tests/one_sided_losses.rs
+++ b/kqr-dispatch/tests/one_sided_losses.rs
@@ -2,8 +2,8 @@
 
 mod simulation;
 
-use kqr_dispatch::{EndKind, JobEnd};
-use simulation::{Simulation, TaskBehaviour, job, target_id};
+use kqr_dispatch::{EndKind, Input, JobEnd};
+use simulation::{Simulation, TaskBehaviour, id, job, target_id};
 
 const LONG: TaskBehaviour = TaskBehaviour {
     run_ms: 3_000,
@@ -75,3 +75,22 @@
         sim.decisions.join("\n")
     );
 }
+
+#[test]
+fn an_order_of_a_restarted_coordinator_is_not_taken_for_one_dropped_before_its_restart() {
+    let mut sim = simulation_with_a_run_at_a_sibling(LONG);
+    sim.kill(0);
+    sim.run_for(50);
+    sim.restart(0);
+    sim.publish_views();
+    sim.run_for(1_000);
+    sim.inject(1, Input::LinkLost { sibling: id(0) });
+    sim.submit(0, job("restarted", 4, 3_000));
+    sim.run_for(2_500);
+    assert!(
+        sim.duplicate_runs.is_empty(),
+        "{:?}\n{}",
+        sim.duplicate_runs,
+        sim.decisions.join("\n")
+    );
+}
