fix(dispatch): end a run by its lease when its stop is not confirmed

The same task could run on two targets at once: after its caller had left and submitted the job to another entry, or after its coordinator had counted the owner as lost and ordered the task again.

A poll or a start extends the lease of everything on a target. Polls did so while any run was there that was not being stopped, and starts always. A run that had to end therefore lived on while its stops got no answer and other work ran on the same target. Both the coordinator's proof that a run has ended (sibling timeout plus the longest lease) and the retry delay of callers assume that its lease ends it.

A run now records since when it must end: its order was cancelled, its coordinator was lost, it hangs, or the owner does not know it. A cancelled order counts even if the run is already being stopped for another reason. If the stop is not confirmed within `max_unconfirmed_stop`, the target gets no extension of its lease and no new run until that run is gone. 400 ms of sibling timeout, 50 ms of this bound and at most 774 ms of lease are 1,224 ms, less than the 1,300 ms after which callers retry; the coordinator's proof includes the bound. Other runs on the target end as lost only when listed or when that lease has ended; a shorter pause than the lease costs them nothing. A start without an answer needs no such rule while its coordinator waits: its order stays open.

--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -244,7 +244,7 @@
     /// Returns the time by which the runs of an owner have ended if, from now on, no message passes between
     /// it and this entry.
     fn latest_run_end(&self, now: Instant) -> Instant {
-        now + self.options.sibling_timeout + self.max_lease_duration()
+        now + self.options.sibling_timeout + self.options.max_unconfirmed_stop + self.max_lease_duration()
     }
 
     /// Records the highest order received from a coordinator.
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -20,6 +20,9 @@
     pub lease_margin: Duration,
     /// Delay after which an unconfirmed stop is sent again.
     pub stop_retry_delay: Duration,
+    /// Time for which the lease of a target is still extended while a run there must end and its stop is not
+    /// confirmed. Together with `sibling_timeout` and the longest lease it is below the retry delay of callers.
+    pub max_unconfirmed_stop: Duration,
     /// Time without progress after which a run counts as hanging.
     pub progress_timeout: Duration,
     /// First quarantine of a target that fails tasks of several jobs; each further one is twice as long until
@@ -53,6 +56,7 @@
             max_drift_per_mille: 20,
             lease_margin: Duration::from_millis(60),
             stop_retry_delay: Duration::from_millis(150),
+            max_unconfirmed_stop: Duration::from_millis(50),
             progress_timeout: Duration::from_millis(300),
             min_quarantine: Duration::from_millis(1500),
             max_quarantine: Duration::from_secs(6),
--- a/kqr-dispatch/src/owned/answers.rs
+++ b/kqr-dispatch/src/owned/answers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use kqr_fleet::{Resources, TargetReport};
+use kqr_fleet::TargetReport;
 use kqr_types::{Instant, TargetId};
 
 use super::{
@@ -313,7 +313,7 @@
         for row in running {
             listed.insert(row.run.clone());
             match target.runs.get_mut(&row.run) {
-                Some(run) => update_progress(now, run, row),
+                Some(run) => run.update_progress(now, row),
                 None => unknown.push(row.run.clone()),
             }
         }
@@ -340,7 +340,7 @@
         let is_attaching = target.phase == Phase::Attaching;
         let capacity = target.record.capacity;
         for run in &unknown {
-            target.runs.insert(run.clone(), orphaned_run(now, capacity));
+            target.runs.insert(run.clone(), Run::orphaned(now, capacity));
         }
         if is_attaching && target.runs.is_empty() {
             target.phase = Phase::Attached;
@@ -369,8 +369,9 @@
             return;
         };
         let mut hanging = Vec::new();
-        for (run, state) in &target.runs {
+        for (run, state) in &mut target.runs {
             if state.state == RunState::Running && now.since(state.progressed_at) >= timeout {
+                state.require_end(now);
                 hanging.push(run.clone());
             }
         }
@@ -389,30 +390,3 @@
         }
     }
 }
-
-fn update_progress(now: Instant, run: &mut Run, row: &RunProgress) {
-    if row.percent > run.percent {
-        run.percent = row.percent;
-        run.progressed_at = now;
-    }
-    if matches!(run.state, RunState::Starting | RunState::Uncertain) {
-        run.set_state(now, RunState::Running);
-    }
-}
-
-/// Returns a run started by an earlier owner. Its needs are unknown, so it occupies the whole target.
-fn orphaned_run(now: Instant, capacity: Resources) -> Run {
-    Run {
-        ordered_by: None,
-        needs: capacity,
-        estimate: std::time::Duration::ZERO,
-        state: RunState::Running,
-        sent_at: now,
-        state_since: now,
-        start_by: now,
-        stop_confirmed_at: None,
-        percent: 0,
-        progressed_at: now,
-        failures: 0,
-    }
-}
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -193,9 +193,13 @@
         Selector: Fn(&Run) -> bool,
     {
         let mut selected = Vec::new();
-        for (id, target) in &self.targets {
-            for (run, state) in &target.runs {
-                if is_selected(state) && state.state != RunState::Stopping {
+        for (id, target) in &mut self.targets {
+            for (run, state) in &mut target.runs {
+                if !is_selected(state) {
+                    continue;
+                }
+                state.require_end(now);
+                if state.state != RunState::Stopping {
                     selected.push((id.clone(), run.clone()));
                 }
             }
@@ -263,6 +267,7 @@
             sent_at: now,
             state_since: now,
             start_by,
+            must_end_since: None,
             stop_confirmed_at: None,
             percent: 0,
             progressed_at: now,
--- a/kqr-dispatch/src/owned/polling.rs
+++ b/kqr-dispatch/src/owned/polling.rs
@@ -34,9 +34,12 @@
         let mut expired = Vec::new();
         for (id, target) in &self.targets {
             let is_watched = target.phase == Phase::Attached || !target.runs.is_empty();
+            // While the target is being attached, the lease granted by the previous owner is not known.
+            let is_withheld =
+                target.phase == Phase::Attached && target.overdue_run(now, &self.options).is_some();
             if is_watched
                 && target.lease_ends_at <= now
-                && (target.missed_polls > 0 || target.phase == Phase::Fenced)
+                && (target.missed_polls > 0 || target.phase == Phase::Fenced || is_withheld)
             {
                 expired.push(id.clone());
             }
@@ -68,9 +71,12 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        // The lease of a target that does not answer, or whose runs are not known yet, is not extended, so
-        // that its runs end.
-        let may_extend = target.phase == Phase::Attached && target.missed_polls == 0 && target.has_work();
+        // The lease of a target that does not answer, whose runs are not known yet, or which does not confirm
+        // a stop, is not extended, so that its runs end.
+        let may_extend = target.phase == Phase::Attached
+            && target.missed_polls == 0
+            && target.has_work()
+            && target.overdue_run(now, &options).is_none();
         let lease_until = if may_extend {
             target.extend_lease(now, &options)
         } else {
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -3,7 +3,7 @@
 use kqr_fleet::Resources;
 use kqr_types::{InstanceId, Instant};
 
-use crate::OrderId;
+use crate::{Options, OrderId, RunProgress};
 
 /// State of a run on a target, as known to the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +32,8 @@
     pub(super) state_since: Instant,
     /// After this instant a delayed start has no effect.
     pub(super) start_by: Instant,
+    /// Since when the run must end, whether or not its stops are answered.
+    pub(super) must_end_since: Option<Instant>,
     /// When the target confirmed a stop.
     pub(super) stop_confirmed_at: Option<Instant>,
     pub(super) percent: u8,
@@ -42,6 +44,50 @@
 }
 
 impl Run {
+    /// Returns a run started by an earlier owner. Its needs are unknown, so it occupies the whole target.
+    pub(super) const fn orphaned(now: Instant, capacity: Resources) -> Self {
+        Self {
+            ordered_by: None,
+            needs: capacity,
+            estimate: Duration::ZERO,
+            state: RunState::Running,
+            sent_at: now,
+            state_since: now,
+            start_by: now,
+            must_end_since: Some(now),
+            stop_confirmed_at: None,
+            percent: 0,
+            progressed_at: now,
+            failures: 0,
+        }
+    }
+
+    /// Records that the run must end; the first time counts.
+    pub(super) fn require_end(&mut self, now: Instant) {
+        self.must_end_since.get_or_insert(now);
+    }
+
+    /// Returns whether the run must end and its stop was not confirmed in time. A late confirmation does not
+    /// count, because the target may take a while to end the run.
+    pub(super) fn is_overdue(&self, now: Instant, options: &Options) -> bool {
+        let Some(since) = self.must_end_since else {
+            return false;
+        };
+        let due = since + options.max_unconfirmed_stop;
+        due <= now && self.stop_confirmed_at.is_none_or(|at| at > due)
+    }
+
+    /// Applies the progress that the target lists.
+    pub(super) fn update_progress(&mut self, now: Instant, row: &RunProgress) {
+        if row.percent > self.percent {
+            self.percent = row.percent;
+            self.progressed_at = now;
+        }
+        if matches!(self.state, RunState::Starting | RunState::Uncertain) {
+            self.set_state(now, RunState::Running);
+        }
+    }
+
     pub(super) fn set_state(&mut self, now: Instant, state: RunState) {
         self.state = state;
         self.state_since = now;
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -94,6 +94,7 @@
             && !self.is_leaving
             && !self.must_release
             && self.missed_polls == 0
+            && self.overdue_run(now, options).is_none()
             && now.since(self.last_answer_at) < options.target_timeout;
         let max_runs = self.health.max_runs(now);
         is_usable && max_runs.is_none_or(|max| self.runs.len() < max)
@@ -136,6 +137,14 @@
         Some(clock + now.since(at) + options.lease)
     }
 
+    /// Returns a run that must end and whose stop was not confirmed in time. The lease of the target is not
+    /// extended until it is gone, so that the end of the lease ends it.
+    pub(super) fn overdue_run(&self, now: Instant, options: &Options) -> Option<&RunId> {
+        let mut runs = self.runs.iter();
+        runs.find(|(_, run)| run.is_overdue(now, options))
+            .map(|(id, _)| id)
+    }
+
     /// Returns whether there are runs other than those being stopped.
     pub(super) fn has_work(&self) -> bool {
         self.runs.values().any(|run| run.state != RunState::Stopping)
