feat(dispatch): log targets whose lease is withheld

The log could not tell a target that is closed because a stop is overdue from one without room, nor why the other runs there were lost. `target-changed` now says `lease-withheld` with the run, and `lease-extended` once it is gone.

--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -216,6 +216,7 @@
     /// Handles timeouts: expired leases and orders, stops to resend, and polls that are due.
     pub(crate) fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.expire_leases(now, outputs);
+        self.log_withheld_leases(now, outputs);
         self.expire_waiting_orders(now, outputs);
         self.resend_stops(now, outputs);
         self.send_due_polls(now, outputs);
--- a/kqr-dispatch/src/owned/polling.rs
+++ b/kqr-dispatch/src/owned/polling.rs
@@ -57,6 +57,22 @@
         }
     }
 
+    /// Logs the targets whose lease is no longer extended because of an overdue run, or is extended again.
+    pub(super) fn log_withheld_leases(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        for target in self.targets.values_mut() {
+            let overdue = target.overdue_run(now, &self.options).cloned();
+            if overdue == target.withheld_for {
+                continue;
+            }
+            let (state, cause) = match &overdue {
+                Some(run) => ("lease-withheld", format!("{run}: its stop is not confirmed")),
+                None => ("lease-extended", "no stop is overdue".to_owned()),
+            };
+            target.withheld_for = overdue;
+            log_target_change(outputs, target, state, cause);
+        }
+    }
+
     fn end_former_runs(&mut self, target: Target) {
         for run in target.runs.into_values() {
             if let Some((coordinator, order_id)) = run.ordered_by {
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -37,6 +37,8 @@
     clock: Option<(TargetTime, Instant)>,
     /// When the lease of all runs has certainly expired, unless it is extended.
     pub(super) lease_ends_at: Instant,
+    /// Overdue run because of which the lease is not extended, as last logged.
+    pub(super) withheld_for: Option<RunId>,
     pub(super) health: Health,
 }
 
@@ -58,6 +60,7 @@
             last_answer_at: now,
             clock: None,
             lease_ends_at: now,
+            withheld_for: None,
             health: Health::new(&Options::default()),
         }
     }
