fix(dispatch): start nothing beside a run whose stop is not confirmed

The same task could run on two targets at once after its owner had stood still for almost as long as a lease: its caller left meanwhile and submitted the job again 1,300 ms later.

The bound on an unconfirmed stop counts from the moment at which the owner learns that a run must end, which is when it resumes. Within that bound it started new runs on the target, also from requests that had waited, and each start extends the lease of everything there.

an_owner_resumed_before_its_lease_has_ended_starts_nothing_beside_a_run_that_is_to_end failed before: 65: {"ending.0.0.0"} (suspended 65 ms into a period of polls, resumed after 680 ms)

A target now accepts no run from the moment at which a run there must end until the stop is confirmed. Polls need no such rule: after a standstill of the sibling timeout all runs of the owner are being stopped, so its polls extend nothing, and a shorter one fits into the retry delay with the bound.

--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -20,7 +20,7 @@
     pub lease_margin: Duration,
     /// Delay after which an unconfirmed stop is sent again.
     pub stop_retry_delay: Duration,
-    /// Time for which the lease of a target is still extended while a run there must end and its stop is not
+    /// Time for which polls still extend the lease of a target while a run there must end and its stop is not
     /// confirmed. Together with `sibling_timeout` and the longest lease it is below the retry delay of callers.
     pub max_unconfirmed_stop: Duration,
     /// Time without progress after which a run counts as hanging.
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -67,6 +67,11 @@
         self.must_end_since.get_or_insert(now);
     }
 
+    /// Returns whether the run must end and its stop is not confirmed yet.
+    pub(super) const fn is_end_unconfirmed(&self) -> bool {
+        self.must_end_since.is_some() && self.stop_confirmed_at.is_none()
+    }
+
     /// Returns whether the run must end and its stop was not confirmed in time. A late confirmation does not
     /// count, because the target may take a while to end the run.
     pub(super) fn is_overdue(&self, now: Instant, options: &Options) -> bool {
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -91,12 +91,13 @@
         free
     }
 
-    /// Returns whether the target accepts new runs.
+    /// Returns whether the target accepts new runs. A start would extend the lease of a run that must end.
     pub(super) fn is_open(&self, now: Instant, options: &Options) -> bool {
         let is_usable = self.phase == Phase::Attached
             && !self.is_leaving
             && !self.must_release
             && self.missed_polls == 0
+            && !self.runs.values().any(Run::is_end_unconfirmed)
             && self.overdue_run(now, options).is_none()
             && now.since(self.last_answer_at) < options.target_timeout;
         let max_runs = self.health.max_runs(now);
--- a/kqr-dispatch/tests/unconfirmed_stops.rs
+++ b/kqr-dispatch/tests/unconfirmed_stops.rs
@@ -117,6 +117,32 @@
     assert_eq!(sim.end_of("job-12"), Some(&JobEnd::Completed));
 }
 
+#[test]
+fn an_owner_resumed_before_its_lease_has_ended_starts_nothing_beside_a_run_that_is_to_end() {
+    // The time since the last extension of the lease differs.
+    for offset in (0..150).step_by(5) {
+        let mut sim = Simulation::new(2, 1, LONG);
+        sim.submit(1, long_job("ending"));
+        sim.run_for(100);
+        add_target(&mut sim, 1, 1);
+        sim.run_for(100 + offset);
+        delay_all_stops(&mut sim);
+        sim.suspend(0);
+        sim.abandon(1, "ending");
+        sim.run_for(680);
+        sim.submit(0, long_job("queued"));
+        sim.resume(0);
+        sim.run_for(CALLER_RETRY_MS - 680);
+        sim.submit(1, long_job("ending"));
+        sim.run_for(8_000);
+        assert!(
+            sim.duplicate_runs.is_empty(),
+            "{offset}: {:?}",
+            sim.duplicate_runs
+        );
+    }
+}
+
 #[test]
 fn a_hanging_run_whose_stops_are_unanswered_is_repeated_once_its_lease_has_ended() {
     let mut sim = with_two_runs(0, 0);
