fix(platform): admit no job whose caller is already gone

Callers that got no answer closed their connections and sent their jobs to another entry. When the first entry came round to reading, it admitted and ordered these jobs and learned a millisecond later that the callers were gone. A task could so be started at two entries, each with attempt 1.

hyper drops the handler of a request when it reads the end of the stream, but that read often fails for the moment: tokio reads an accepted socket without waiting for its first event, and after a short read the socket counts as empty until the next event. So the handler goes on although the end of the stream is in the socket's buffer.

--- a/kqr-http/src/lib.rs
+++ b/kqr-http/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use body::{BodyError, BodyLimits, empty_response, json_response, read_body, read_json, text_response};
 pub use client::{Client, ClientError, ClientOptions};
-pub use server::{ServerOptions, serve};
+pub use server::{ServerOptions, serve, yield_to_connection};
--- a/kqr-http/src/server.rs
+++ b/kqr-http/src/server.rs
@@ -31,6 +31,17 @@
     }
 }
 
+/// Yields until the runtime has looked for I/O events once, so that the connection of a pending handler notices
+/// that its client has closed it.
+///
+/// The handler of an HTTP/1 request is dropped at this point if the client is gone and the body was read. In a
+/// runtime with several threads this is likely, but not certain: another thread may be handling the event.
+pub async fn yield_to_connection() {
+    // A task of its own, because the connection may poll its handler again before the runtime gets to I/O events.
+    // It can only fail at the shutdown of the runtime.
+    drop(tokio::spawn(tokio::task::yield_now()).await);
+}
+
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
