fix(dispatch): hold jobs that are read shortly after a standstill

An entry that was suspended read a submission whose caller had sent the job to another entry meanwhile, and started its tasks at its own targets. The disconnect of the caller was read a few milliseconds later. The same task was at work at two targets.

After a standstill the entry gives up the jobs that it had, but a job that it reads next was placed at once. Such jobs are now admitted and held for Options::standstill_hold (50 ms). What waited beside them is read in this time, and an abandoned job is dropped before any of its tasks is ordered. A job whose caller still waits runs afterwards, and one whose time ends before is refused as not run.

--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -159,7 +159,8 @@
     }
 
     /// Gives up all jobs if the process was suspended for longer than the sibling timeout: siblings have
-    /// counted this entry as lost by then, and callers may have submitted their jobs to another entry.
+    /// counted this entry as lost by then, and callers may have submitted their jobs to another entry. Jobs read
+    /// shortly afterwards may be of such callers too, so they are held.
     fn give_up_after_standstill(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let last_input_at = std::mem::replace(&mut self.last_input_at, now);
         let timeout = self.options.sibling_timeout;
@@ -171,6 +172,7 @@
         }
         self.owned.drop_orders_of(now, &self.own.id, outputs);
         self.jobs.give_up_all(now, GiveUp::Standstill, outputs);
+        self.jobs.hold_new_jobs(now + self.options.standstill_hold);
     }
 
     fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -30,13 +30,14 @@
 }
 
 impl Job {
-    pub(super) fn new(now: Instant, mut request: JobRequest, options: &Options) -> Self {
+    /// Creates a job that arrived at `now`, whose tasks may be placed from `place_from` on.
+    pub(super) fn new(now: Instant, place_from: Instant, mut request: JobRequest, options: &Options) -> Self {
         let mut steps = Vec::new();
         for step in &mut request.steps {
             if step.estimate.is_zero() {
                 step.estimate = options.default_estimate;
             }
-            steps.push(vec![Task::new(now); step.count as usize]);
+            steps.push(vec![Task::new(place_from); step.count as usize]);
         }
         Self {
             arrived: now,
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -34,6 +34,8 @@
     cancelled: BTreeMap<InstanceId, Vec<OrderId>>,
     /// When all jobs are given up, if the entry is shutting down.
     leave_deadline: Option<Instant>,
+    /// When the tasks of new jobs may be placed.
+    held_until: Instant,
 }
 
 impl Jobs {
@@ -46,6 +48,7 @@
             tasks: 0,
             cancelled: BTreeMap::new(),
             leave_deadline: None,
+            held_until: Instant(0),
         }
     }
 
@@ -99,10 +102,17 @@
             time_left_ms: request.time_left.as_millis() as u64,
         }));
         self.tasks += tasks;
-        self.live.insert(job, Job::new(now, request, &self.options));
+        let place_from = now.max(self.held_until);
+        self.live
+            .insert(job, Job::new(now, place_from, request, &self.options));
         true
     }
 
+    /// Places the tasks of new jobs no earlier than at `until`.
+    pub(crate) fn hold_new_jobs(&mut self, until: Instant) {
+        self.held_until = self.held_until.max(until);
+    }
+
     /// Drops a job whose caller disconnected.
     pub(crate) fn abandon(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
         if let Some(job) = self.remove(key) {
--- a/kqr-dispatch/src/jobs/task.rs
+++ b/kqr-dispatch/src/jobs/task.rs
@@ -26,9 +26,9 @@
 }
 
 impl Task {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(place_from: Instant) -> Self {
         Self {
-            state: TaskState::Ready(now),
+            state: TaskState::Ready(place_from),
             attempt: 0,
             failures: 0,
             avoided_targets: Vec::new(),
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -34,6 +34,9 @@
     pub max_report_interval: Duration,
     /// Time without a message after which a sibling counts as lost.
     pub sibling_timeout: Duration,
+    /// Time after a standstill during which new jobs are not placed, because disconnects of callers may still be
+    /// unread.
+    pub standstill_hold: Duration,
     /// Time for which a sibling's load reports may not yet include an order.
     pub report_lag: Duration,
     /// Maximum number of tasks in coordinated jobs; a task takes about 1 KiB of memory.
@@ -59,6 +62,7 @@
             min_report_interval: Duration::from_millis(50),
             max_report_interval: Duration::from_millis(130),
             sibling_timeout: Duration::from_millis(400),
+            standstill_hold: Duration::from_millis(50),
             report_lag: Duration::from_millis(10),
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
