--- a/kqr-http/tests/disconnect.rs
+++ b/kqr-http/tests/disconnect.rs
@@ -22,6 +22,8 @@
     max_bytes: 1024,
     timeout: Duration::from_secs(5),
 };
+/// Maximum time to wait for any step of a test.
+const STEP_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time in which a handler passes the check if it is not dropped.
 const HANDLING_TIME: Duration = Duration::from_millis(200);
 
@@ -41,6 +43,16 @@
     }
 }
 
+/// Waits until `count` requests are counted.
+async fn wait_for(counter: &AtomicUsize, count: usize) {
+    let reached = async {
+        while counter.load(Ordering::Relaxed) < count {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(STEP_TIMEOUT, reached).await.unwrap();
+}
+
 /// Connections that clients close as soon as the server handles a request.
 type ClosedByHandler = Arc<Mutex<Vec<TcpStream>>>;
 
@@ -96,11 +108,12 @@
         clients.push(TcpStream::connect(address).unwrap());
     }
     tokio::time::sleep(HANDLING_TIME).await;
-    for mut client in clients {
+    for (number, mut client) in clients.into_iter().enumerate() {
         client.write_all(REQUEST).unwrap();
         closed_by_handler.lock().unwrap().push(client);
-        tokio::time::sleep(HANDLING_TIME / 4).await;
+        wait_for(&counts.begun, number + 1).await;
     }
+    tokio::time::sleep(HANDLING_TIME).await;
     assert_eq!(
         counts.get(),
         (10, 0),
@@ -112,7 +125,7 @@
 async fn a_request_whose_client_waits_is_handled() {
     let (address, counts) = start_server(&ClosedByHandler::default()).await;
     let clients: Vec<TcpStream> = (0..10).map(|_| send_request(address)).collect();
-    tokio::time::sleep(HANDLING_TIME).await;
+    wait_for(&counts.passed, 10).await;
     assert_eq!(counts.get(), (10, 10));
     for client in clients {
         client.shutdown(Shutdown::Both).unwrap();
