fix(control): answer calls at once while the disk blocks the log

Operators saw a control instance whose disk was stalled or full hold each call: 503 after 901 ms with a stalled disk, after up to 695 ms with a full one. They ask another instance only then, as after a second without an answer, so such an instance cost them as much as one that stands still.

The thread of the replicated log blocks in the write, and sleeps before it reopens the data folder after a failed one. A call was queued for it all the same and waited for its timeout. Reports of targets and syncs of entries waited in the same way.

The driver now records when a write began and that the folder is closed. A call to a driver that has been in one write for 400 ms, or whose folder is closed, is refused at once and is not queued; one that waits already ends then. Nothing is acknowledged that was not before: a refused call had no effect, and one that ends early has an unknown outcome, as at its timeout. A slow disk with syncs of 225 ms stays below the limit.

--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -15,7 +15,7 @@
 
 use super::{
     ControlHandle, ControlSettings, agreement_links::AgreementLinks, data_folder::DataFolder, driver::Driver,
-    request::Request, service,
+    driver_state::DriverState, request::Request, service,
 };
 use crate::{BootClock, rpc::ControlRpcClient, transport};
 
@@ -74,6 +74,8 @@
         let driver_settings = settings.clone();
         let metrics = Arc::new(Metrics::new()?);
         let driver_metrics = Arc::clone(&metrics);
+        let state = Arc::new(DriverState::default());
+        let driver_state = Arc::clone(&state);
         let driver = std::thread::Builder::new()
             .name("replicated-log".to_owned())
             .spawn(move || {
@@ -82,10 +84,11 @@
                     folder,
                     &runtime,
                     &driver_metrics,
+                    &driver_state,
                     &rx,
                 )));
             })?;
-        let handle = ControlHandle::new(own, tx);
+        let handle = ControlHandle::new(own, tx, state);
         tokio::spawn(service::serve(listener, handle.clone()));
         let seeds = Arc::new(ArcSwap::from_pointee(settings.seed_ids()?));
         if !is_founder {
@@ -157,6 +160,7 @@
     folder: DataFolder,
     runtime: &Handle,
     metrics: &Arc<Metrics>,
+    state: &Arc<DriverState>,
     rx: &mpsc::Receiver<Request>,
 ) -> eyre::Result<()> {
     let mut initial_folder = Some(folder);
@@ -165,10 +169,11 @@
             Some(folder) => folder,
             None => DataFolder::open(settings)?,
         };
-        match create_driver(settings, folder, runtime, metrics)?.run(rx) {
+        match create_driver(settings, folder, runtime, metrics, state)?.run(rx) {
             Ok(()) => return Ok(()),
             Err(error) => {
                 let fields = [("cause", format!("{error:#}"))];
+                state.mark_closed();
                 kqr_telemetry::log_decision("log-reopened", &fields);
                 std::thread::sleep(REOPEN_DELAY);
             }
@@ -181,6 +186,7 @@
     folder: DataFolder,
     runtime: &Handle,
     metrics: &Arc<Metrics>,
+    state: &Arc<DriverState>,
 ) -> eyre::Result<Driver> {
     let own = settings.instance_id()?;
     let voter = folder.voter;
@@ -199,7 +205,14 @@
     let machine = Machine::new(voter.clone(), agreement, folder.opened.durable);
     let links = AgreementLinks::new(runtime.clone(), voter);
     let node = FleetNode::new(options, machine);
-    Ok(Driver::new(own, node, folder.store, links, Arc::clone(metrics)))
+    Ok(Driver::new(
+        own,
+        node,
+        folder.store,
+        links,
+        Arc::clone(metrics),
+        Arc::clone(state),
+    ))
 }
 
 /// Requests to join the replicated log, periodically.
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -11,7 +11,9 @@
 use kqr_types::InstanceId;
 use tokio::sync::oneshot;
 
-use super::{ControlCallFailure, agreement_links::AgreementLinks, request::Request};
+use super::{
+    ControlCallFailure, agreement_links::AgreementLinks, driver_state::DriverState, request::Request,
+};
 use crate::BootClock;
 
 /// Interval between ticks of the node. Several of them fit into a heartbeat interval.
@@ -39,6 +41,7 @@
     next_call: u64,
     pending_replies: BTreeMap<CallId, PendingReply>,
     metrics: Arc<Metrics>,
+    state: Arc<DriverState>,
 }
 
 impl Driver {
@@ -48,6 +51,7 @@
         store: Store<FolderDisk>,
         links: AgreementLinks,
         metrics: Arc<Metrics>,
+        state: Arc<DriverState>,
     ) -> Self {
         Self {
             own,
@@ -58,6 +62,7 @@
             next_call: 0,
             pending_replies: BTreeMap::new(),
             metrics,
+            state,
         }
     }
 
@@ -67,6 +72,7 @@
     ///
     /// Fails if the durable state can't be written, or the node can't continue.
     pub(super) fn run(mut self, rx: &mpsc::Receiver<Request>) -> eyre::Result<()> {
+        self.state.end_write();
         let mut last_tick = std::time::Instant::now();
         loop {
             let mut outputs = Vec::new();
@@ -157,7 +163,9 @@
     fn persist(&mut self, records: Vec<Record>) -> eyre::Result<()> {
         if !records.is_empty() {
             let started = std::time::Instant::now();
+            self.state.begin_write();
             self.store.append(records)?;
+            self.state.end_write();
             self.metrics.record_sync(started.elapsed());
         }
         Ok(())
--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -10,7 +10,7 @@
 use tarpc::{client, context};
 use tokio::sync::oneshot;
 
-use super::request::Request;
+use super::{driver_state::DriverState, request::Request};
 use crate::{rpc::ControlRpcClient, transport};
 
 /// Timeout of a call to the replicated log. It ends before callers try another instance, which they do after
@@ -43,11 +43,12 @@
 pub struct ControlHandle {
     own: InstanceId,
     tx: mpsc::Sender<Request>,
+    driver: Arc<DriverState>,
 }
 
 impl ControlHandle {
-    pub(super) const fn new(own: InstanceId, tx: mpsc::Sender<Request>) -> Self {
-        Self { own, tx }
+    pub(super) const fn new(own: InstanceId, tx: mpsc::Sender<Request>, driver: Arc<DriverState>) -> Self {
+        Self { own, tx, driver }
     }
 
     /// Replaces the catalog by a valid one. Returns the version that is in force afterwards.
@@ -132,14 +133,23 @@
         }
     }
 
+    /// Sends a request to the driver and waits for its reply. Returns `None` without one, at once if the driver
+    /// is blocked.
     async fn call<Reply>(
         &self,
         request: Request,
         rx: oneshot::Receiver<Reply>,
         timeout: Duration,
     ) -> Option<Reply> {
+        if self.driver.is_blocked() {
+            return None;
+        }
         self.send(request);
-        tokio::time::timeout(timeout, rx).await.ok()?.ok()
+        tokio::select! {
+            biased;
+            reply = tokio::time::timeout(timeout, rx) => reply.ok()?.ok(),
+            () = self.driver.wait_until_blocked() => None,
+        }
     }
 }
 
--- a/kqr-runtime/src/control/mod.rs
+++ b/kqr-runtime/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod data_folder;
 mod driver;
+mod driver_state;
 mod handle;
 mod request;
 mod service;
