test(dispatch): search with stops that take effect late

All stops take effect after 5 s and are not answered. A run that was told to stop goes on, because other work on its target extends the lease.

--- a/kqr-dispatch/tests/fault_search.rs
+++ b/kqr-dispatch/tests/fault_search.rs
@@ -18,6 +18,8 @@
 const STEPS: usize = 40;
 /// Run times of the tasks in milliseconds; the estimates match.
 const RUN_TIMES_MS: [u64; 3] = [800, 1_500, 3_000];
+/// Delay of late stops.
+const LATE_STOP_MS: u64 = 5_000;
 /// Delay before a caller submits its job to another entry.
 const RESUBMIT_DELAY_MS: u64 = 1_300;
 /// Time after which a caller without an answer gives up its entry.
@@ -28,6 +30,8 @@
 /// Faults that are searched besides those of links, entries and calls.
 #[derive(Clone, Copy, Debug, Default)]
 struct Faults {
+    /// Stops take effect after [`LATE_STOP_MS`] and are not answered.
+    late_stops: bool,
     /// Entries are suspended.
     standstills: bool,
 }
@@ -81,6 +85,7 @@
             calls += 1;
             let (fault, delay) = table[calls % table.len()];
             match (call, fault) {
+                (TargetCall::Stop(_), _) if faults.late_stops => CallFault::Late(LATE_STOP_MS),
                 (_, 225..235) => CallFault::AnswerLost,
                 (TargetCall::Poll(_), 250..) | (TargetCall::Start(_), 235..) => CallFault::Late(delay),
                 _ => CallFault::Normal,
@@ -299,7 +304,20 @@
     search(Faults::default(), &ONE_RUN);
 }
 
+#[test]
+fn no_task_runs_twice_despite_late_stops() {
+    let faults = Faults {
+        late_stops: true,
+        ..Faults::default()
+    };
+    search(faults, &ONE_RUN);
+}
+
 #[test]
 fn no_task_runs_twice_despite_standstills() {
-    search(Faults { standstills: true }, &ONE_RUN);
+    let faults = Faults {
+        standstills: true,
+        ..Faults::default()
+    };
+    search(faults, &ONE_RUN);
 }
