test(dispatch): search with entries that are cut off from all others

An isolated entry loses its links to siblings, targets and callers. Its callers leave at once; it learns that up to a second after the links are back, as a closed connection is reported late after an outage.

--- a/kqr-dispatch/tests/fault_search.rs
+++ b/kqr-dispatch/tests/fault_search.rs
@@ -24,6 +24,8 @@
 const RESUBMIT_DELAY_MS: u64 = 1_300;
 /// Time after which a caller without an answer gives up its entry.
 const CALLER_TIMEOUT_MS: u64 = 2_500;
+/// Longest time after the end of an isolation until an entry learns that callers have left.
+const MAX_DISCONNECT_DELAY_MS: u64 = 1_000;
 /// Interval at which callers act.
 const CALLER_INTERVAL_MS: u64 = 5;
 
@@ -34,6 +36,8 @@
     late_stops: bool,
     /// Entries are suspended.
     standstills: bool,
+    /// Entries are cut off from siblings, targets and callers, and learn late that callers have left.
+    isolations: bool,
 }
 
 /// What is promised for each task.
@@ -63,6 +67,10 @@
 struct Search {
     sim: Simulation,
     callers: Vec<Caller>,
+    /// Entries that are cut off from their callers.
+    isolated: BTreeSet<usize>,
+    /// Jobs whose callers have left, with the time at which the entry learns that.
+    disconnects: Vec<(u64, usize, String)>,
     rng: ChaCha8Rng,
     run_ms: u64,
     faults: Faults,
@@ -94,6 +102,8 @@
         Self {
             sim,
             callers: Vec::new(),
+            isolated: BTreeSet::new(),
+            disconnects: Vec::new(),
             rng,
             run_ms,
             faults,
@@ -144,6 +154,7 @@
                 self.sim.publish_view(entry);
             }
             17 => self.move_a_caller(),
+            18 if self.faults.isolations => self.isolate(entry),
             _ => {
                 let millis = self.rng.random_range(0..800);
                 self.run_for(millis);
@@ -151,7 +162,26 @@
         }
     }
 
+    /// Cuts all links of an entry. Its callers notice it at once.
+    fn isolate(&mut self, entry: usize) {
+        for other in (0..ENTRIES).filter(|other| *other != entry) {
+            self.sim.cut_links.push((entry, other));
+        }
+        for target in 0..TARGETS {
+            self.sim.cut_target_links.push((entry, target_id(target)));
+        }
+        self.isolated.insert(entry);
+        self.disconnect_callers_of(entry);
+    }
+
     fn heal(&mut self) {
+        for entry in std::mem::take(&mut self.isolated) {
+            for (at, of, _) in &mut self.disconnects {
+                if *of == entry {
+                    *at = self.sim.now + self.rng.random_range(0..MAX_DISCONNECT_DELAY_MS);
+                }
+            }
+        }
         self.sim.cut_links.clear();
         self.sim.cut_paths.clear();
         self.sim.lost_answers.clear();
@@ -160,6 +190,9 @@
     }
 
     fn submit_new(&mut self, entry: usize) {
+        if self.isolated.contains(&entry) {
+            return;
+        }
         let tasks = self.rng.random_range(1..=6);
         let request = job(&format!("job-{}", self.callers.len()), tasks, self.run_ms);
         self.callers.push(Caller {
@@ -194,7 +227,11 @@
         }
         caller.resubmit_at = Some(self.sim.now + RESUBMIT_DELAY_MS);
         let (entry, key) = (caller.entry, caller.request.key.to_string());
-        self.sim.abandon(entry, &key);
+        if self.isolated.contains(&entry) {
+            self.disconnects.push((u64::MAX, entry, key));
+        } else {
+            self.sim.abandon(entry, &key);
+        }
     }
 
     fn disconnect_callers_of(&mut self, entry: usize) {
@@ -222,14 +259,22 @@
 
     fn act_for_callers(&mut self) {
         let now = self.sim.now;
+        for (at, entry, key) in std::mem::take(&mut self.disconnects) {
+            if at > now {
+                self.disconnects.push((at, entry, key));
+            } else {
+                self.sim.abandon(entry, &key);
+            }
+        }
         for number in 0..self.callers.len() {
             let caller = &mut self.callers[number];
             if caller.is_served {
                 continue;
             }
             if let Some(at) = caller.resubmit_at {
-                if at <= now {
-                    let entry = (caller.entry + 1) % ENTRIES;
+                let mut others = (1..ENTRIES).map(|step| (caller.entry + step) % ENTRIES);
+                let reachable = others.find(|entry| !self.isolated.contains(entry));
+                if let Some(entry) = reachable.filter(|_| at <= now) {
                     self.submit(number, entry);
                 }
                 continue;
@@ -321,3 +366,12 @@
     };
     search(faults, &ONE_RUN);
 }
+
+#[test]
+fn no_task_runs_twice_despite_isolations() {
+    let faults = Faults {
+        isolations: true,
+        ..Faults::default()
+    };
+    search(faults, &ONE_RUN);
+}
