fix(dispatch): give up the jobs of an entry that hears no other process

Callers saw one task run twice at the same time after the machine of their entry had been cut off. They had submitted the job to another entry, but the isolated one learned of that only after the links were back, when a closed connection is reported late. Until then it ordered the tasks again as soon as a target answered.

A suspended entry already gives up its jobs when it resumes, because its callers may have moved on. An entry that has heard no caller, sibling or target for 600 ms is in the same position and now does the same, well before callers return elsewhere. Submissions count as contact, so that jobs that arrive while targets are silent still wait for them; an entry that has not heard any sibling or target yet does not count as isolated.

Before the fix an_entry_orders_no_task_of_a_caller_that_left_while_it_was_ isolated fails: {"isolated.0.0.0", "isolated.0.0.1"}.

--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -5,18 +5,13 @@
 
 use crate::{
     Decision, GiveUp, Input, LoadReport, Options, OrderId, Output, RunOrder, SiblingMessage,
+    contact::Contact,
     jobs::{Candidates, Jobs, Placement},
     owned::OwnedTargets,
+    received_orders::ReceivedOrders,
     siblings::Siblings,
 };
 
-/// Highest identifiers of the orders received from a coordinator, and of those dropped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct ReceivedOrders {
-    highest: OrderId,
-    dropped: OrderId,
-}
-
 /// State machine with the scheduling decisions of an entry.
 ///
 /// It performs no I/O: [`Dispatcher::handle`] takes inputs and returns the actions to perform.
@@ -31,6 +26,7 @@
     last_report_at: Instant,
     /// When the last input was handled.
     last_input_at: Instant,
+    contact: Contact,
     /// Received and dropped orders by coordinator.
     received_orders: BTreeMap<InstanceId, ReceivedOrders>,
 }
@@ -48,6 +44,7 @@
             last_report: LoadReport::default(),
             last_report_at: Instant(0),
             last_input_at: Instant(0),
+            contact: Contact::default(),
             received_orders: BTreeMap::new(),
         }
     }
@@ -55,6 +52,7 @@
     /// Handles one input and appends the resulting actions to `outputs`.
     pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
         self.give_up_after_standstill(now, outputs);
+        self.contact.record(now, &input);
         match input {
             Input::Tick => self.tick(now, outputs),
             Input::Submit(request) => {
@@ -178,6 +176,9 @@
         for lost in self.siblings.expire(now, &self.options) {
             self.handle_sibling_loss(now, &lost, outputs);
         }
+        if self.contact.is_lost(now, &self.options) {
+            self.jobs.give_up_all(now, GiveUp::Isolated, outputs);
+        }
         self.jobs.expire_jobs(now, outputs);
         self.jobs.expire_lost_orders(now, outputs);
         self.owned.tick(now, outputs);
--- a/kqr-dispatch/src/job_end.rs
+++ b/kqr-dispatch/src/job_end.rs
@@ -63,6 +63,8 @@
     Cancelled,
     /// The process of the entry was suspended; the caller may have submitted the job to another entry.
     Standstill,
+    /// The entry heard no other process for a time; the caller may have submitted the job to another entry.
+    Isolated,
     /// The entry shut down.
     Leaving,
 }
@@ -74,6 +76,7 @@
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
             Self::Standstill => "standstill",
+            Self::Isolated => "isolated",
             Self::Leaving => "leaving",
         }
     }
--- a/kqr-dispatch/src/lib.rs
+++ b/kqr-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod contact;
 mod decision;
 mod dispatcher;
 mod input;
@@ -19,6 +20,7 @@
 mod outbox;
 mod output;
 mod owned;
+mod received_orders;
 mod run_end;
 mod run_order;
 mod sessions;
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -34,6 +34,9 @@
     pub max_report_interval: Duration,
     /// Time without a message after which a sibling counts as lost.
     pub sibling_timeout: Duration,
+    /// Time without a message of any caller, sibling or target after which the entry gives up its jobs. Callers
+    /// that have left unnoticed submit their jobs to another entry later than that.
+    pub isolation_timeout: Duration,
     /// Time for which a sibling's load reports may not yet include an order.
     pub report_lag: Duration,
     /// Maximum number of tasks in coordinated jobs; a task takes about 1 KiB of memory.
@@ -59,6 +62,7 @@
             min_report_interval: Duration::from_millis(50),
             max_report_interval: Duration::from_millis(130),
             sibling_timeout: Duration::from_millis(400),
+            isolation_timeout: Duration::from_millis(600),
             report_lag: Duration::from_millis(10),
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
