test(dispatch): search for starts after an acknowledged completion

An owner acknowledges the completion to the target, but its message does not reach the coordinator, because the owner restarts or the link is down for longer than 1,174 ms. The coordinator counts the order as lost and orders the task again.

--- a/kqr-dispatch/tests/fault_search.rs
+++ b/kqr-dispatch/tests/fault_search.rs
@@ -1,5 +1,5 @@
 //! Random search with long runs, faults of single directions and callers that return: no task runs twice at the
-//! same time.
+//! same time, and none starts again after its completion was acknowledged.
 
 mod simulation;
 
@@ -47,6 +47,8 @@
     OneRunOfACoordinator,
     /// Coordinators of the same job have no two runs of it at the same time.
     OneRunOfAllEntries,
+    /// A coordinator does not start it again after its completion was acknowledged to the target.
+    NoStartAfterDone,
 }
 
 /// A caller that waits for a job.
@@ -302,6 +304,7 @@
         match promise {
             Promise::OneRunOfACoordinator => of_one_coordinator.clone(),
             Promise::OneRunOfAllEntries => &self.sim.duplicate_runs - of_one_coordinator,
+            Promise::NoStartAfterDone => self.sim.restarts_after_done.clone(),
         }
     }
 
@@ -349,6 +352,11 @@
     search(Faults::default(), &ONE_RUN);
 }
 
+#[test]
+fn no_task_starts_again_after_its_acknowledged_completion() {
+    search(Faults::default(), &[Promise::NoStartAfterDone]);
+}
+
 #[test]
 fn no_task_runs_twice_despite_late_stops() {
     let faults = Faults {
