--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -40,6 +40,9 @@
     /// Time after a standstill during which new jobs are not placed, because disconnects of callers may still be
     /// unread.
     pub standstill_hold: Duration,
+    /// Time without a message of any caller, sibling or target after which the entry gives up its jobs. Callers
+    /// that have left unnoticed submit their jobs to another entry later than that.
+    pub isolation_timeout: Duration,
     /// Time for which a sibling's load reports may not yet include an order.
     pub report_lag: Duration,
     /// Maximum number of tasks in coordinated jobs; a task takes about 1 KiB of memory.
@@ -67,6 +70,7 @@
             max_report_interval: Duration::from_millis(130),
             sibling_timeout: Duration::from_millis(400),
             standstill_hold: Duration::from_millis(50),
+            isolation_timeout: Duration::from_millis(600),
             report_lag: Duration::from_millis(10),
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
