fix(runtime): keep a batch out of a session that opens after its link was reset

A batch that was taken before the loss of a link could still be delivered in a session opened after it: the sender looked for the reset only between attempts, while an attempt connects, opens a session and delivers, each with a timeout. The coordinator counts the orders of that batch as ended.

With the same gaps in the simulated sender, an order of a coordinator that lost its owner at 4,620 ms was accepted and started at 4,825 ms; no two runs at the same time were seen. The sender now looks again before it delivers, as the simulated one does.

--- a/kqr-runtime/src/entry/sibling_link.rs
+++ b/kqr-runtime/src/entry/sibling_link.rs
@@ -213,6 +213,10 @@
             self.next_message = 0;
             *self.session.insert(session)
         };
+        // The batch must not enter a session that was opened after the link was reset.
+        if self.is_reset() {
+            eyre::bail!("the link was reset");
+        }
         let (own, messages) = (self.own.clone(), batch.to_vec());
         let call = rpc.deliver(context::current(), own, session, self.next_message, messages);
         Ok(tokio::time::timeout(DELIVERY_TIMEOUT, call).await??)
