fix(dispatch): drop the orders of a coordinator that control does not list

A task ran at two targets at once after its coordinator had been cut off for about a second. An owner accepted the orders of any sender, but noticed the silence only of siblings in its view. Control lists an entry again only when it has heard it, so just after a cut the owner could take an order of a coordinator that its next view lacked. When the two lost each other again, nothing made the owner drop the order, and the coordinator ordered the task elsewhere.

Such orders are now dropped on arrival and told as dropped when the next session with the coordinator opens. The longest lease is computed in one place.

--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use kqr_fleet::{EntryInfo, FencingToken, TargetReport};
 use kqr_types::{Incarnation, InstanceId, Instant, JobKey, TargetId};
@@ -76,8 +76,8 @@
             Input::LinkLost { sibling } => self.handle_sibling_loss(now, &sibling, outputs),
             Input::SessionOpened { sibling, dropped } => {
                 self.owned.drop_orders_of(now, &sibling, outputs);
-                self.jobs
-                    .handle_owner_loss(&sibling, dropped, self.latest_run_end(now));
+                let ended_by = self.latest_run_end(now);
+                self.jobs.handle_dropped_orders(&sibling, dropped, ended_by);
             }
             Input::StartAnswered { call, answer } => {
                 self.owned.handle_start_answer(now, call, answer, outputs);
@@ -120,11 +120,8 @@
 
     /// Returns the last dropped order of a coordinator, to be sent when a session with it is opened.
     pub fn last_dropped_order(&self, coordinator: &InstanceId) -> OrderId {
-        self.received_orders
-            .get(coordinator)
-            .copied()
-            .unwrap_or_default()
-            .dropped
+        let received = self.received_orders.get(coordinator);
+        received.copied().unwrap_or_default().last_dropped()
     }
 
     /// Returns the known siblings.
@@ -207,12 +204,7 @@
                     sibling.update_load(now, load, lag);
                 }
             }
-            SiblingMessage::Run(orders) => {
-                for order in orders {
-                    self.record_order(from, order.id);
-                    self.owned.accept_order(now, from.clone(), order, outputs);
-                }
-            }
+            SiblingMessage::Run(orders) => self.accept_orders(now, from, orders, outputs),
             SiblingMessage::Cancel(order_ids) => {
                 for order_id in order_ids {
                     self.owned.cancel_order(now, from, order_id, outputs);
@@ -246,28 +238,37 @@
         }
         self.owned.drop_orders_of(now, sibling, outputs);
         if let Some(received) = self.received_orders.get_mut(sibling) {
-            received.dropped = received.highest;
+            received.drop_all();
         }
-        self.jobs
-            .handle_owner_loss(sibling, OrderId(u64::MAX), self.latest_run_end(now));
+        let ended_by = self.latest_run_end(now);
+        self.jobs.handle_owner_loss(sibling, ended_by);
     }
 
     /// Returns the time by which the runs of an owner have ended if, from now on, no message passes between
     /// it and this entry.
     fn latest_run_end(&self, now: Instant) -> Instant {
-        now + self.options.sibling_timeout + self.options.max_unconfirmed_stop + self.max_lease_duration()
-    }
-
-    /// Records the highest order received from a coordinator.
-    fn record_order(&mut self, coordinator: &InstanceId, order_id: OrderId) {
-        let received = self.received_orders.entry(coordinator.clone()).or_default();
-        received.highest = received.highest.max(order_id);
+        let options = &self.options;
+        now + options.sibling_timeout + options.max_unconfirmed_stop + options.max_lease_duration()
     }
 
-    /// Returns the longest time that a lease lasts on the clock of this entry, if it is not extended.
-    fn max_lease_duration(&self) -> Duration {
-        let slowest = 1000_u32.saturating_sub(self.options.max_drift_per_mille).max(1);
-        self.options.lease * 1000 / slowest + self.options.lease_margin
+    /// Accepts the orders of a coordinator. Those of an entry that control does not list are dropped: its silence
+    /// would not be noticed.
+    fn accept_orders(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        orders: Vec<RunOrder>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let received = self.received_orders.entry(from.clone()).or_default();
+        received.record(&orders);
+        if self.siblings.get_mut(from).is_none() {
+            received.drop_all();
+            return;
+        }
+        for order in orders {
+            self.owned.accept_order(now, from.clone(), order, outputs);
+        }
     }
 
     /// Starts waiting orders, forwards the progress of orders and places ready tasks until none is left.
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -159,8 +159,13 @@
         }
     }
 
-    /// Records the loss of an owner for its orders up to `last`: their runs have ended by `ended_by`.
-    pub(crate) fn handle_owner_loss(&mut self, owner: &InstanceId, last: OrderId, ended_by: Instant) {
+    /// Records the loss of an owner: the runs of its orders have ended by `ended_by`.
+    pub(crate) fn handle_owner_loss(&mut self, owner: &InstanceId, ended_by: Instant) {
+        self.handle_dropped_orders(owner, self.last_order_id, ended_by);
+    }
+
+    /// Records that an owner has dropped its orders up to `last`: their runs have ended by `ended_by`.
+    pub(crate) fn handle_dropped_orders(&mut self, owner: &InstanceId, last: OrderId, ended_by: Instant) {
         for (_, order) in self.orders.range_mut(..=last) {
             if order.owner == *owner && order.ends_by.is_none() {
                 order.ends_by = Some(ended_by);
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -51,6 +51,14 @@
     pub default_estimate: Duration,
 }
 
+impl Options {
+    /// Returns the longest time that a lease lasts on the clock of an entry, if it is not extended.
+    pub(crate) fn max_lease_duration(&self) -> Duration {
+        let slowest = 1000_u32.saturating_sub(self.max_drift_per_mille).max(1);
+        self.lease * 1000 / slowest + self.lease_margin
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Self {
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -7,7 +7,7 @@
     open_call::OpenCall,
     phase::Phase,
     run::{Run, RunState},
-    target::{Target, max_lease_duration},
+    target::Target,
     waiting_order::WaitingOrder,
 };
 use crate::{
@@ -252,7 +252,7 @@
 
     fn start_run(&mut self, now: Instant, id: &TargetId, waiting: &WaitingOrder, outputs: &mut Vec<Output>) {
         let order = &waiting.order;
-        let start_by = now + max_lease_duration(&self.options);
+        let start_by = now + self.options.max_lease_duration();
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use kqr_fleet::{FencingToken, Resources, TargetGrant, TargetRecord};
 use kqr_types::Instant;
@@ -137,7 +137,7 @@
     /// known yet.
     pub(super) fn extend_lease(&mut self, now: Instant, options: &Options) -> Option<TargetTime> {
         let (clock, at) = self.clock?;
-        self.lease_ends_at = self.lease_ends_at.max(now + max_lease_duration(options));
+        self.lease_ends_at = self.lease_ends_at.max(now + options.max_lease_duration());
         Some(clock + now.since(at) + options.lease)
     }
 
@@ -158,9 +158,3 @@
         self.runs.remove(run)
     }
 }
-
-/// Returns the longest time that a lease lasts on the clock of this entry.
-pub(super) fn max_lease_duration(options: &Options) -> Duration {
-    let slowest = 1000_u32.saturating_sub(options.max_drift_per_mille).max(1);
-    options.lease * 1000 / slowest + options.lease_margin
-}
--- a/kqr-dispatch/tests/one_sided_losses.rs
+++ b/kqr-dispatch/tests/one_sided_losses.rs
@@ -78,19 +78,77 @@
 
 #[test]
 fn an_order_of_a_restarted_coordinator_is_not_taken_for_one_dropped_before_its_restart() {
-    let mut sim = simulation_with_a_run_at_a_sibling(LONG);
-    sim.kill(0);
-    sim.run_for(50);
-    sim.restart(0);
+    for incarnation in [2] {
+        let mut sim = simulation_with_a_run_at_a_sibling(LONG);
+        sim.kill(0);
+        sim.run_for(50);
+        sim.restart_as(0, incarnation);
+        sim.publish_views();
+        sim.run_for(1_000);
+        sim.inject(1, Input::LinkLost { sibling: id(0) });
+        sim.submit(0, job("restarted", 4, 3_000));
+        sim.run_for(2_500);
+        assert!(
+            sim.duplicate_runs.is_empty(),
+            "incarnation {incarnation}: {:?}\n{}",
+            sim.duplicate_runs,
+            sim.decisions.join("\n")
+        );
+    }
+}
+
+#[test]
+fn an_owner_runs_no_order_of_a_coordinator_that_control_no_longer_lists() {
+    for is_killed in [false, true] {
+        for view_after in (1..150).step_by(10) {
+            let sim = order_around_a_view_without_its_coordinator(view_after, is_killed);
+            assert!(
+                sim.duplicate_runs.is_empty(),
+                "killed: {is_killed}, view {view_after} ms after the order: {:?}\n{}",
+                sim.duplicate_runs,
+                sim.decisions.join("\n")
+            );
+        }
+    }
+}
+
+/// Entry 0, which owns no target, orders a task after a cut. The view of the owner lacks it from `view_after`
+/// milliseconds later on.
+fn order_around_a_view_without_its_coordinator(view_after: u64, is_killed: bool) -> Simulation {
+    let mut sim = Simulation::new(3, 3, LONG);
+    sim.grant_target(0, 2);
     sim.publish_views();
-    sim.run_for(1_000);
-    sim.inject(1, Input::LinkLost { sibling: id(0) });
-    sim.submit(0, job("restarted", 4, 3_000));
-    sim.run_for(2_500);
-    assert!(
-        sim.duplicate_runs.is_empty(),
-        "{:?}\n{}",
-        sim.duplicate_runs,
-        sim.decisions.join("\n")
-    );
+    sim.run_for(1_500);
+    sim.cut_links = vec![(0, 1), (0, 2)];
+    sim.run_for(900);
+    sim.cut_links = vec![(0, 2)];
+    let before = hearings_of_entry_1(&sim);
+    while hearings_of_entry_1(&sim) == before {
+        sim.run_for(1);
+    }
+    sim.delays.insert((0, 1), 20);
+    sim.delays.insert((1, 0), 20);
+    sim.submit(0, job("late", 1, 3_000));
+    sim.run_for(view_after);
+    sim.publish_view_without(1, &[0]);
+    sim.run_for(200);
+    sim.cut_links.clear();
+    if is_killed {
+        sim.kill(0);
+        sim.run_for(1_300);
+        sim.submit(2, job("late", 1, 3_000));
+    }
+    sim.run_for(3_000);
+    sim
+}
+
+/// Returns how often entry 0 began to hear entry 1.
+fn hearings_of_entry_1(sim: &Simulation) -> usize {
+    let decisions = sim.decisions.iter();
+    let heard = decisions.filter(|decision| {
+        ["entry 0: SiblingChanged", "entry-1", "heard"]
+            .iter()
+            .all(|part| decision.contains(part))
+    });
+    heard.count()
 }
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -157,8 +157,17 @@
     }
 
     pub fn publish_view(&mut self, number: usize) {
-        let live = self.entries.iter().filter(|entry| entry.is_up);
-        let entries = live.map(|entry| entry.info.clone()).collect();
+        self.publish_view_without(number, &[]);
+    }
+
+    /// Sends an entry a view that lacks some of the live entries, which control has not heard for a while.
+    pub fn publish_view_without(&mut self, number: usize, unheard: &[usize]) {
+        let mut entries = Vec::new();
+        for (other, entry) in self.entries.iter().enumerate() {
+            if entry.is_up && !unheard.contains(&other) {
+                entries.push(entry.info.clone());
+            }
+        }
         let mut owned = Vec::new();
         for (target, (owner, token)) in &self.grants {
             if *owner == number {
@@ -218,6 +227,11 @@
     /// Restarts a killed entry as a new incarnation without any state.
     pub fn restart(&mut self, entry: usize) {
         let incarnation = self.entries[entry].info.incarnation.0 + 1;
+        self.restart_as(entry, incarnation);
+    }
+
+    /// Restarts a killed entry as the given incarnation, which is lower if its clock was set back.
+    pub fn restart_as(&mut self, entry: usize, incarnation: u64) {
         self.entries[entry] = Entry::new(entry, incarnation, &self.options);
         self.queue.retain(|_, event| event.receiver() != Some(entry));
         for event in self.queue.values_mut() {
