fix(control): answer calls of operators at every instance

Cause: an instance that does not lead redirected the operator to the leader. The operator sends a change again to other instances first. One lost answer after a redirect used up two of the three instances, and the next calls, more than a second each, went to the one that stood still. Reports of targets were forwarded already.

Change: an instance that does not lead forwards the call to the leader and answers itself. Nothing redirects any more.

--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -1,5 +1,4 @@
 use std::{
-    net::SocketAddr,
     sync::{Arc, mpsc},
     time::Duration,
 };
@@ -7,36 +6,16 @@
 use kqr_agreement::{Message, VoterId};
 use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_types::InstanceId;
-use tarpc::{client, context};
 use tokio::sync::oneshot;
 
-use super::{driver_state::DriverState, request::Request};
-use crate::{rpc::ControlRpcClient, transport};
+use super::{ControlCallFailure, driver_state::DriverState, request::Request};
+use crate::leader_client::LeaderClient;
 
 /// Timeout of a call to the replicated log. It ends before callers try another instance, which they do after
 /// a second.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Timeout of a report, a sync or a join, and of forwarding a report to the leader.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Failure of a call to a control instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ControlCallFailure {
-    /// The leader, if another instance is known to lead.
-    pub leader: Option<InstanceId>,
-    /// Whether the outcome is unknown, so that the call may have had its effect.
-    pub is_unknown: bool,
-}
-
-impl ControlCallFailure {
-    /// Returns the failure of a call without an answer.
-    const fn no_answer() -> Self {
-        Self {
-            leader: None,
-            is_unknown: true,
-        }
-    }
-}
+/// Timeout of a report, a sync or a join.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Handle of the control instance of this process.
 #[derive(Clone, Debug)]
@@ -51,32 +30,31 @@
         Self { own, tx, driver }
     }
 
-    /// Replaces the catalog by a valid one. Returns the version that is in force afterwards.
+    /// Replaces the catalog by a valid one, here or at the leader. Returns the version that is in force afterwards.
     ///
     /// # Errors
     ///
     /// Fails if this instance can't confirm that the catalog was accepted.
     pub async fn replace_catalog(&self, catalog: Catalog) -> Result<CatalogVersion, ControlCallFailure> {
-        let (reply, rx) = oneshot::channel();
-        let catalog = Box::new(catalog);
-        self.call(Request::Replace { catalog, reply }, rx, ANSWER_TIMEOUT)
-            .await
-            .unwrap_or_else(|| Err(ControlCallFailure::no_answer()))
+        match self.replace_catalog_locally(Box::new(catalog.clone())).await {
+            Ok(version) => Ok(version),
+            Err(failure) => self.leader_after(failure)?.replace_catalog(catalog).await,
+        }
     }
 
-    /// Returns the newest catalog, or `None` if none was ever accepted.
+    /// Returns the newest catalog, or `None` if none was ever accepted, from here or from the leader.
     ///
     /// # Errors
     ///
     /// Fails if this instance can't confirm which catalog is the newest.
     pub async fn newest_catalog(&self) -> Result<Option<Arc<Catalog>>, ControlCallFailure> {
-        let (reply, rx) = oneshot::channel();
-        self.call(Request::Read { reply }, rx, ANSWER_TIMEOUT)
-            .await
-            .unwrap_or_else(|| Err(ControlCallFailure::no_answer()))
+        match self.newest_catalog_locally().await {
+            Ok(catalog) => Ok(catalog),
+            Err(failure) => Ok(self.leader_after(failure)?.newest_catalog().await?.map(Arc::new)),
+        }
     }
 
-    /// Handles the report of a target on this instance, or forwards it to the leader.
+    /// Handles the report of a target, here or at the leader.
     ///
     /// # Errors
     ///
@@ -87,38 +65,63 @@
     ) -> Result<ReportReceipt, ControlCallFailure> {
         match self.report_locally(report.clone()).await {
             Some(Ok(receipt)) => Ok(receipt),
-            Some(Err(Some(leader))) if leader != self.own => {
-                let forwarded = tokio::time::timeout(FORWARD_TIMEOUT, forward_report(&leader, report)).await;
-                let receipt = forwarded.ok().flatten();
-                receipt.ok_or(ControlCallFailure {
-                    leader: Some(leader),
-                    is_unknown: true,
-                })
+            Some(Err(leader)) => {
+                let failure = ControlCallFailure::not_leader(leader);
+                self.leader_after(failure)?.report(report).await
             }
-            _ => Err(ControlCallFailure::no_answer()),
+            None => Err(ControlCallFailure::no_answer()),
+        }
+    }
+
+    /// Returns the client of the leader to which a call that failed here is forwarded.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if the call may have had its effect, or no other instance is known to lead.
+    fn leader_after(&self, failure: ControlCallFailure) -> Result<LeaderClient, ControlCallFailure> {
+        match failure.next_leader() {
+            Some(leader) if *leader != self.own => Ok(LeaderClient::new(leader.clone())),
+            _ => Err(failure),
         }
     }
 
+    pub(super) async fn replace_catalog_locally(
+        &self,
+        catalog: Box<Catalog>,
+    ) -> Result<CatalogVersion, ControlCallFailure> {
+        let (reply, rx) = oneshot::channel();
+        self.call(Request::Replace { catalog, reply }, rx, ANSWER_TIMEOUT)
+            .await
+            .unwrap_or_else(|| Err(ControlCallFailure::no_answer()))
+    }
+
+    pub(super) async fn newest_catalog_locally(&self) -> Result<Option<Arc<Catalog>>, ControlCallFailure> {
+        let (reply, rx) = oneshot::channel();
+        self.call(Request::Read { reply }, rx, ANSWER_TIMEOUT)
+            .await
+            .unwrap_or_else(|| Err(ControlCallFailure::no_answer()))
+    }
+
     pub(super) async fn report_locally(
         &self,
         report: TargetReport,
     ) -> Option<Result<ReportReceipt, Option<InstanceId>>> {
         let (reply, rx) = oneshot::channel();
-        self.call(Request::Report { report, reply }, rx, FORWARD_TIMEOUT)
+        self.call(Request::Report { report, reply }, rx, EXCHANGE_TIMEOUT)
             .await
     }
 
     pub(super) async fn sync(&self, request: SyncRequest) -> SyncReply {
         let (reply, rx) = oneshot::channel();
         let request = Box::new(request);
-        self.call(Request::Sync { request, reply }, rx, FORWARD_TIMEOUT)
+        self.call(Request::Sync { request, reply }, rx, EXCHANGE_TIMEOUT)
             .await
             .unwrap_or(SyncReply::NotLeader { leader: None })
     }
 
     pub(super) async fn join(&self, voter: VoterId) -> Option<InstanceId> {
         let (reply, rx) = oneshot::channel();
-        self.call(Request::Join { voter, reply }, rx, FORWARD_TIMEOUT)
+        self.call(Request::Join { voter, reply }, rx, EXCHANGE_TIMEOUT)
             .await?
     }
 
@@ -152,23 +155,3 @@
         }
     }
 }
-
-/// Forwards a report to the leader. Returns `None` if the leader doesn't accept it.
-async fn forward_report(leader: &InstanceId, report: TargetReport) -> Option<ReportReceipt> {
-    let address: SocketAddr = leader.as_str().parse().ok()?;
-    let stream = match transport::connect(address).await {
-        Ok(stream) => stream,
-        Err(error) => {
-            log::warn!("forwarding a report to {leader} failed: {error}");
-            return None;
-        }
-    };
-    let client = ControlRpcClient::new(client::Config::default(), transport::framed(stream)).spawn();
-    match client.report(context::current(), report).await {
-        Ok(answer) => answer.ok(),
-        Err(error) => {
-            log::warn!("forwarding a report to {leader} failed: {error}");
-            None
-        }
-    }
-}
--- a/kqr-runtime/src/control/mod.rs
+++ b/kqr-runtime/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The process of a control instance: a member of the replicated log with its data folder and links.
 
 mod agreement_links;
+mod call_failure;
 mod daemon;
 mod data_folder;
 mod driver;
@@ -10,7 +11,8 @@
 mod service;
 mod settings;
 
+pub use call_failure::ControlCallFailure;
 pub use daemon::Control;
-pub use handle::{ControlCallFailure, ControlHandle};
+pub use handle::ControlHandle;
 pub use settings::ControlSettings;
 pub(crate) use settings::control_id;
--- a/kqr-runtime/src/control/service.rs
+++ b/kqr-runtime/src/control/service.rs
@@ -1,6 +1,6 @@
 use futures::StreamExt;
 use kqr_agreement::{Message, VoterId};
-use kqr_fleet::{ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_types::InstanceId;
 use tarpc::{
     context::Context,
@@ -8,7 +8,7 @@
 };
 use tokio::net::TcpListener;
 
-use super::ControlHandle;
+use super::{ControlCallFailure, ControlHandle};
 use crate::{rpc::ControlRpc, transport::framed};
 
 /// RPC service of a control instance for other instances.
@@ -32,6 +32,19 @@
         self.handle.sync(request).await
     }
 
+    async fn replace_catalog(
+        self,
+        _: Context,
+        catalog: Box<Catalog>,
+    ) -> Result<CatalogVersion, ControlCallFailure> {
+        self.handle.replace_catalog_locally(catalog).await
+    }
+
+    async fn newest_catalog(self, _: Context) -> Result<Option<Catalog>, ControlCallFailure> {
+        let newest = self.handle.newest_catalog_locally().await?;
+        Ok(newest.map(|catalog| Catalog::clone(&catalog)))
+    }
+
     async fn report(self, _: Context, report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>> {
         self.handle.report_locally(report).await.unwrap_or(Err(None))
     }
--- /dev/null
+++ b/kqr-runtime/src/leader_client.rs
@@ -0,0 +1,114 @@
+use std::{
+    net::{AddrParseError, SocketAddr},
+    time::Duration,
+};
+
+use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
+use kqr_types::InstanceId;
+use tarpc::{client, context};
+
+use crate::{control::ControlCallFailure, rpc::ControlRpcClient, transport};
+
+/// Timeout of a forwarded call: some round trips and one lost packet. Two of them, one at a former leader, end
+/// before callers try another instance, which they do after a second.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum number of instances to which a call is forwarded, each of which names the next one as the leader.
+const MAX_HOPS: usize = 2;
+
+/// Client that forwards calls to the leader of the control instances.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaderClient {
+    leader: InstanceId,
+}
+
+impl LeaderClient {
+    /// Creates a client of the instance that is known as the leader.
+    pub(crate) const fn new(leader: InstanceId) -> Self {
+        Self { leader }
+    }
+
+    /// Replaces the catalog.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader confirms that the catalog was accepted.
+    pub(crate) async fn replace_catalog(
+        self,
+        catalog: Catalog,
+    ) -> Result<CatalogVersion, ControlCallFailure> {
+        self.forward("replace_catalog", |client| {
+            let catalog = Box::new(catalog.clone());
+            async move { client.replace_catalog(context::current(), catalog).await }
+        })
+        .await
+    }
+
+    /// Returns the newest catalog, or `None` if none was ever accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader confirms which catalog is the newest.
+    pub(crate) async fn newest_catalog(self) -> Result<Option<Catalog>, ControlCallFailure> {
+        self.forward("newest_catalog", |client| async move {
+            client.newest_catalog(context::current()).await
+        })
+        .await
+    }
+
+    /// Passes on the report of a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader takes it.
+    pub(crate) async fn report(self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
+        self.forward("report", |client| {
+            let report = report.clone();
+            async move {
+                let answer = client.report(context::current(), report).await?;
+                Ok(answer.map_err(ControlCallFailure::not_leader))
+            }
+        })
+        .await
+    }
+
+    /// Makes `call` at the leader, and at the one that it names if it does not lead any more.
+    async fn forward<Answer, Call, Answered>(
+        self,
+        name: &str,
+        call: Call,
+    ) -> Result<Answer, ControlCallFailure>
+    where
+        Call: Fn(ControlRpcClient) -> Answered,
+        Answered: Future<Output = Result<Result<Answer, ControlCallFailure>, client::RpcError>>,
+    {
+        let mut leader = self.leader;
+        let mut failure = ControlCallFailure::no_answer();
+        for _ in 0..MAX_HOPS {
+            let attempt = async { Ok(call(connect(&leader).await?).await?) };
+            let answer: eyre::Result<_> = match tokio::time::timeout(FORWARD_TIMEOUT, attempt).await {
+                Ok(answer) => answer,
+                Err(_) => Err(eyre::eyre!("no answer within {FORWARD_TIMEOUT:?}")),
+            };
+            failure = match answer {
+                Ok(Ok(answer)) => return Ok(answer),
+                Ok(Err(failure)) => failure,
+                Err(error) => {
+                    log::warn!("forwarding {name} to control instance {leader} failed: {error}");
+                    return Err(ControlCallFailure::no_answer());
+                }
+            };
+            match failure.next_leader() {
+                Some(next) if *next != leader => leader = next.clone(),
+                _ => break,
+            }
+        }
+        Err(failure)
+    }
+}
+
+async fn connect(leader: &InstanceId) -> eyre::Result<ControlRpcClient> {
+    let address = leader.as_str().parse();
+    let address: SocketAddr = address.map_err(|error: AddrParseError| eyre::eyre!("{error}"))?;
+    let stream = transport::connect(address).await?;
+    Ok(ControlRpcClient::new(client::Config::default(), transport::framed(stream)).spawn())
+}
--- a/kqr-runtime/src/lib.rs
+++ b/kqr-runtime/src/lib.rs
@@ -9,6 +9,7 @@
 mod boot_clock;
 pub mod control;
 pub mod entry;
+mod leader_client;
 mod rpc;
 mod settings_file;
 mod signals;
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -2,9 +2,11 @@
 
 use kqr_agreement::{Message, VoterId};
 use kqr_dispatch::{OrderId, SiblingMessage};
-use kqr_fleet::{ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_types::{Incarnation, InstanceId};
 
+use crate::control::ControlCallFailure;
+
 /// Calls that a control instance serves.
 #[tarpc::service]
 pub(crate) trait ControlRpc {
@@ -14,6 +16,11 @@
     async fn join(voter: VoterId) -> Option<InstanceId>;
     /// Exchanges the state of an entry for the current catalog and view.
     async fn sync(request: SyncRequest) -> SyncReply;
+    /// Replaces the catalog. An instance that is not the leader returns the leader instead, if it is known.
+    async fn replace_catalog(catalog: Box<Catalog>) -> Result<CatalogVersion, ControlCallFailure>;
+    /// Returns the newest catalog, if there is one. An instance that is not the leader returns the leader
+    /// instead, if it is known.
+    async fn newest_catalog() -> Result<Option<Catalog>, ControlCallFailure>;
     /// Handles the report of a target. An instance that is not the leader returns the leader instead, if it
     /// is known.
     async fn report(report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>>;
