feat(control): found the system through any seeds

Only control instances can take calls of operators today, because the seeds name those that take such calls, and the seeds are the founders of the log.

Change: the seeds, of whichever kind, agree on the founders by a log in memory (kqr-agreement); its first command names as many control instances with empty disks as the tolerance of lost disks needs. A seed that restarts takes no part again. Control instances announce themselves to the seeds and to entries that have fallen silent; entries and joining control instances ask the seeds. The port of discovery is the same at entries and control instances.

--- a/kqr-fleet/src/lib.rs
+++ b/kqr-fleet/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`FleetState`] is the state that results from the commands of the replicated log. [`FleetNode`] is the
 //! state machine of a control instance, which does no I/O: a member of the log that accepts catalogs and
-//! reports of targets, and assigns targets to entries.
+//! reports of targets, and assigns targets to entries. [`FoundingNode`] agrees on the first members of the log.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
@@ -12,6 +12,7 @@
 mod command;
 mod entry_info;
 mod fencing_token;
+mod founding;
 mod limits;
 mod node;
 mod queue;
@@ -28,6 +29,7 @@
 pub use command::{Command, Handover};
 pub use entry_info::EntryInfo;
 pub use fencing_token::FencingToken;
+pub use founding::{FoundingInput, FoundingNode, FoundingOutput};
 pub use limits::Limits;
 pub use node::{CallId, FleetInput, FleetNode, FleetOptions, FleetOutput};
 pub use queue::Queue;
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -1,4 +1,5 @@
 use std::{
+    net::SocketAddr,
     sync::{Arc, mpsc},
     thread::JoinHandle,
     time::Duration,
@@ -6,32 +7,26 @@
 
 use arc_swap::ArcSwap;
 use eyre::{WrapErr, eyre};
-use kqr_agreement::{Machine, Options as AgreementOptions, VoterId};
-use kqr_fleet::{FleetNode, FleetOptions};
+use kqr_agreement::VoterId;
 use kqr_telemetry::Metrics;
 use kqr_types::InstanceId;
 use tarpc::{client, context};
 use tokio::{net::TcpListener, runtime::Handle, sync::oneshot};
 
 use super::{
-    ControlHandle, ControlSettings, agreement_links::AgreementLinks, data_folder::DataFolder, driver::Driver,
-    driver_state::DriverState, request::Request, service,
+    ControlHandle, ControlSettings, data_folder::DataFolder, driver_state::DriverState,
+    replicated_log::ReplicatedLog, request::Request, service,
+};
+use crate::{
+    discovery::{self, DiscoveryService, FoundingMember, KnownControls, KnownEntries},
+    rpc::ControlRpcClient,
+    transport,
 };
-use crate::{BootClock, rpc::ControlRpcClient, transport};
 
-/// Interval between heartbeats of the leader.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum time without a leader before a voter campaigns. It covers several lost heartbeats and a slow sync.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(450);
-/// Divisor of the election timeout that gives the range of the random delay of a campaign. Half of the
-/// timeout is many times the duration of a vote with its sync.
-const ELECTION_SPREAD_DIVISOR: u32 = 2;
 /// Interval between requests to join the replicated log.
 const JOIN_INTERVAL: Duration = Duration::from_millis(700);
 /// Timeout of a request to join the replicated log.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay before the data folder is reopened after a failed write.
-const REOPEN_DELAY: Duration = Duration::from_millis(700);
 /// Time for the transfer of leadership before the process ends.
 const HAND_OVER_TIME: Duration = Duration::from_millis(300);
 
@@ -42,58 +37,54 @@
     driver: JoinHandle<()>,
     driver_result: oneshot::Receiver<eyre::Result<()>>,
     metrics: Arc<Metrics>,
-    seeds: Arc<ArcSwap<Vec<InstanceId>>>,
+    /// Discovery addresses of the seeds.
+    seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
 }
 
 impl Control {
-    /// Opens the listener and the data folder, and starts the instance as a member of the replicated log.
+    /// Opens the listeners and starts the instance, which becomes a member of the replicated log once its data
+    /// folder is open.
     ///
     /// # Errors
     ///
-    /// Fails if the settings are inconsistent, or the data folder or the listener can't be opened.
+    /// Fails if the settings are inconsistent, or the data folder can't be read, or a listener can't be opened.
     pub async fn start(settings: &ControlSettings) -> eyre::Result<Self> {
         settings.check()?;
         let address = settings.fleet_listen_address();
         let listener = TcpListener::bind(address).await;
         let listener = listener.wrap_err_with(|| format!("opening the listener {address}"))?;
-        let folder = DataFolder::open(settings)?;
         let own = settings.instance_id()?;
-        let voter = folder.voter.clone();
-        kqr_telemetry::log_decision(
-            "control-started",
-            &[
-                ("voter", voter.to_string()),
-                ("founders", folder.founding.voters.len().to_string()),
-                ("is_new", folder.opened.is_new.to_string()),
-            ],
-        );
-        let is_founder = folder.founding.is_voter(&voter);
-        let runtime = Handle::current();
+        let seeds = Arc::new(ArcSwap::from_pointee(settings.seed_addresses()));
+        let needs_founders = DataFolder::needs_founders(settings)?;
+        let entries = Arc::new(KnownEntries::default());
+        let (controls, discovery) = start_discovery(settings, &seeds, &entries, needs_founders).await?;
         let (tx, rx) = mpsc::channel();
         let (result_tx, driver_result) = oneshot::channel();
-        let driver_settings = settings.clone();
         let metrics = Arc::new(Metrics::new()?);
-        let driver_metrics = Arc::clone(&metrics);
         let state = Arc::new(DriverState::default());
-        let driver_state = Arc::clone(&state);
+        let log = ReplicatedLog {
+            settings: settings.clone(),
+            runtime: Handle::current(),
+            controls,
+            discovery,
+            metrics: Arc::clone(&metrics),
+            state: Arc::clone(&state),
+        };
+        state.mark_closed();
         let driver = std::thread::Builder::new()
             .name("replicated-log".to_owned())
-            .spawn(move || {
-                drop(result_tx.send(run_replicated_log(
-                    &driver_settings,
-                    folder,
-                    &runtime,
-                    &driver_metrics,
-                    &driver_state,
-                    &rx,
-                )));
-            })?;
-        let handle = ControlHandle::new(own, tx, state);
-        tokio::spawn(service::serve(listener, handle.clone()));
-        let seeds = Arc::new(ArcSwap::from_pointee(settings.seed_ids()?));
-        if !is_founder {
-            tokio::spawn(send_join_requests(voter, Arc::clone(&seeds)));
+            .spawn(move || drop(result_tx.send(log.run(&rx, needs_founders))))?;
+        if needs_founders {
+            let (seeds, founder_count) = (Arc::clone(&seeds), settings.voter_count());
+            let (own, tx) = (own.clone(), tx.clone());
+            tokio::spawn(async move {
+                let founders = discovery::find_founders(seeds, own, founder_count).await;
+                // The driver ends only when the process is about to end.
+                drop(tx.send(Request::Founded(founders)));
+            });
         }
+        let handle = ControlHandle::new(own, tx, state);
+        tokio::spawn(service::serve(listener, handle.clone(), entries));
         Ok(Self {
             handle,
             driver,
@@ -110,7 +101,7 @@
     /// Fails if the settings are inconsistent; the previous ones then stay in force.
     pub fn reload(&self, settings: &ControlSettings) -> eyre::Result<()> {
         settings.check()?;
-        self.seeds.store(Arc::new(settings.seed_ids()?));
+        self.seeds.store(Arc::new(settings.seed_addresses()));
         Ok(())
     }
 
@@ -151,89 +142,45 @@
     }
 }
 
-/// Runs the replicated log until it is stopped.
-///
-/// After a failed write the data folder is reopened, because only the disk shows which records are durable.
-/// As long as the disk is full or rejects writes, the instance takes no part in the quorum.
-fn run_replicated_log(
-    settings: &ControlSettings,
-    folder: DataFolder,
-    runtime: &Handle,
-    metrics: &Arc<Metrics>,
-    state: &Arc<DriverState>,
-    rx: &mpsc::Receiver<Request>,
-) -> eyre::Result<()> {
-    let mut initial_folder = Some(folder);
-    loop {
-        let folder = match initial_folder.take() {
-            Some(folder) => folder,
-            None => DataFolder::open(settings)?,
-        };
-        match create_driver(settings, folder, runtime, metrics, state)?.run(rx) {
-            Ok(()) => return Ok(()),
-            Err(error) => {
-                let fields = [("cause", format!("{error:#}"))];
-                state.mark_closed();
-                kqr_telemetry::log_decision("log-reopened", &fields);
-                std::thread::sleep(REOPEN_DELAY);
-            }
-        }
-    }
-}
-
-fn create_driver(
+/// Serves discovery, takes part in the founding if this instance is a seed and `is_founding`, and announces this
+/// instance.
+async fn start_discovery(
     settings: &ControlSettings,
-    folder: DataFolder,
-    runtime: &Handle,
-    metrics: &Arc<Metrics>,
-    state: &Arc<DriverState>,
-) -> eyre::Result<Driver> {
-    let own = settings.instance_id()?;
-    let voter = folder.voter;
-    let agreement = AgreementOptions {
-        founding: folder.founding,
-        election_timeout: ELECTION_TIMEOUT,
-        spread_divisor: ELECTION_SPREAD_DIVISOR,
-        heartbeat: HEARTBEAT_INTERVAL,
-        seed: BootClock.now().0 ^ hash_of(&own),
-        ..AgreementOptions::default()
-    };
-    let options = FleetOptions {
-        voter_count: settings.voter_count(),
-        ..FleetOptions::default()
+    seeds: &Arc<ArcSwap<Vec<SocketAddr>>>,
+    entries: &Arc<KnownEntries>,
+    is_founding: bool,
+) -> eyre::Result<(Arc<KnownControls>, DiscoveryService)> {
+    let address = settings.discovery_listen_address();
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.wrap_err_with(|| format!("opening the listener {address}"))?;
+    let controls = Arc::new(KnownControls::default());
+    let founding = if is_founding {
+        FoundingMember::start(settings.discovery_address(), &seeds.load())?
+    } else {
+        None
     };
-    let machine = Machine::new(voter.clone(), agreement, folder.opened.durable);
-    let links = AgreementLinks::new(runtime.clone(), voter);
-    let node = FleetNode::new(options, machine);
-    Ok(Driver::new(
+    let discovery = DiscoveryService::new(Arc::clone(&controls), founding);
+    tokio::spawn(discovery::serve(listener, discovery.clone()));
+    let (seeds, own) = (Arc::clone(seeds), settings.instance_id()?);
+    tokio::spawn(discovery::announce_periodically(
+        seeds,
         own,
-        node,
-        folder.store,
-        links,
-        Arc::clone(metrics),
-        Arc::clone(state),
-    ))
+        Arc::clone(&controls),
+        Arc::clone(entries),
+    ));
+    Ok((controls, discovery))
 }
 
-/// Requests to join the replicated log, periodically.
+/// Requests to join the replicated log at all known control instances, periodically.
 ///
-/// The leader ignores the request of a voter. For a learner the request shows that it is still alive. The
-/// seeds may change between requests.
-async fn send_join_requests(voter: VoterId, seeds: Arc<ArcSwap<Vec<InstanceId>>>) {
-    let mut leaders: Vec<InstanceId> = Vec::new();
+/// The leader ignores the request of a voter. For a learner the request shows that it is still alive.
+pub(super) async fn send_join_requests(voter: VoterId, controls: Arc<KnownControls>) {
     loop {
-        let mut instances = Vec::clone(&seeds.load());
-        instances.extend(
-            leaders
-                .iter()
-                .filter(|leader| !seeds.load().contains(leader))
-                .cloned(),
-        );
-        for instance in instances {
+        let others = controls.list().into_iter();
+        for instance in others.filter(|instance| *instance != voter.instance) {
             let answer = tokio::time::timeout(JOIN_TIMEOUT, request_join(&instance, &voter)).await;
             match answer {
-                Ok(Ok(Some(leader))) if !leaders.contains(&leader) => leaders.push(leader),
-                Ok(Ok(_)) => {}
+                Ok(Ok(leader)) => controls.record(leader),
                 Ok(Err(error)) => log::debug!("join request to {instance} failed: {error}"),
                 Err(_) => log::debug!("join request to {instance} timed out"),
             }
@@ -247,12 +194,3 @@
     let client = ControlRpcClient::new(client::Config::default(), transport::framed(stream)).spawn();
     Ok(client.join(context::current(), voter.clone()).await?)
 }
-
-/// Returns the FNV-1a hash of an identity. It makes the election timeouts of instances differ that start at
-/// the same time.
-fn hash_of(own: &InstanceId) -> u64 {
-    let bytes = own.as_str().bytes();
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/kqr-runtime/src/control/data_folder.rs
+++ b/kqr-runtime/src/control/data_folder.rs
@@ -23,21 +23,36 @@
 }
 
 impl DataFolder {
-    /// Opens the folder. An empty folder becomes that of a founder, or of a member that has yet to join the
-    /// log.
+    /// Returns whether the folder is empty and the system is started for the first time, so that its founders
+    /// have to be known before the folder is opened.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder can't be read.
+    pub(super) fn needs_founders(settings: &ControlSettings) -> eyre::Result<bool> {
+        if !settings.is_founding {
+            return Ok(false);
+        }
+        let disk = FolderDisk::open(&settings.data_folder)?;
+        Ok(Founding::read(&disk)?.is_none() && Store::is_unused(&disk)?)
+    }
+
+    /// Opens the folder. An empty folder becomes that of a founder, if this instance is one of `founders`, or of a
+    /// member that has yet to join the log.
     ///
     /// # Errors
     ///
     /// Fails if the folder is corrupt, belongs to another owner, or can't be read or written.
-    pub(super) fn open(settings: &ControlSettings) -> eyre::Result<Self> {
+    pub(super) fn open(settings: &ControlSettings, founders: &[InstanceId]) -> eyre::Result<Self> {
         let path = &settings.data_folder;
-        Self::open_at(path, settings).wrap_err_with(|| format!("opening data folder {}", path.display()))
+        Self::open_at(path, settings, founders)
+            .wrap_err_with(|| format!("opening data folder {}", path.display()))
     }
 
-    fn open_at(path: &Path, settings: &ControlSettings) -> eyre::Result<Self> {
+    fn open_at(path: &Path, settings: &ControlSettings, founders: &[InstanceId]) -> eyre::Result<Self> {
         let instance = settings.instance_id()?;
         let disk = FolderDisk::open(path)?;
-        let founders = read_or_begin_founding(&disk, &instance, settings)?;
+        let founders = read_or_begin_founding(&disk, &instance, founders)?;
         let storage = match founders {
             Some(_) => FOUNDING_STORAGE,
             None => new_storage_incarnation(),
@@ -64,28 +79,26 @@
 
 /// Returns the founders of the system if the own instance is one of them.
 ///
-/// The folder stores them at the founding, because the seeds in the settings may change later.
+/// The folder stores them, so that they are known after a restart.
 fn read_or_begin_founding(
     disk: &FolderDisk,
     own: &InstanceId,
-    settings: &ControlSettings,
+    founders: &[InstanceId],
 ) -> eyre::Result<Option<Vec<InstanceId>>> {
     if let Some(founding) = Founding::read(disk)? {
         let mut founders: Vec<InstanceId> = founding.others.into_keys().collect();
         founders.push(own.clone());
         return Ok(Some(founders));
     }
-    let seeds = settings.seed_ids()?;
-    let is_founder = settings.is_founding && seeds.contains(own) && Store::is_unused(disk)?;
-    if !is_founder {
+    if !founders.contains(own) || !Store::is_unused(disk)? {
         return Ok(None);
     }
     let mut founding = Founding::begin(FoundingId(FOUNDING_STORAGE.0));
-    for seed in seeds.iter().filter(|seed| *seed != own) {
-        founding.others.insert(seed.clone(), founding.own);
+    for founder in founders.iter().filter(|founder| *founder != own) {
+        founding.others.insert(founder.clone(), founding.own);
     }
     founding.write(disk)?;
-    Ok(Some(seeds))
+    Ok(Some(founders.to_vec()))
 }
 
 /// Returns the storage incarnation of a data folder that is created now. It never equals that of a founder.
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -139,7 +139,7 @@
                 self.handle_input(FleetInput::Join { voter }, outputs);
             }
             Request::HandOver => self.handle_input(FleetInput::HandOver, outputs),
-            Request::Stop => {}
+            Request::Founded(_) | Request::Stop => {}
         }
     }
 
--- a/kqr-runtime/src/control/request.rs
+++ b/kqr-runtime/src/control/request.rs
@@ -33,6 +33,8 @@
         voter: VoterId,
         reply: oneshot::Sender<Option<InstanceId>>,
     },
+    /// The founders of the system are agreed.
+    Founded(Vec<InstanceId>),
     HandOver,
     Stop,
 }
--- a/kqr-runtime/src/control/service.rs
+++ b/kqr-runtime/src/control/service.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use futures::StreamExt;
 use kqr_agreement::{Message, VoterId};
 use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
@@ -9,12 +11,13 @@
 use tokio::net::TcpListener;
 
 use super::{ControlCallFailure, ControlHandle};
-use crate::{rpc::ControlRpc, transport::framed};
+use crate::{discovery::KnownEntries, rpc::ControlRpc, transport::framed};
 
 /// RPC service of a control instance for other instances.
 #[derive(Clone, Debug)]
 pub(super) struct ControlService {
     handle: ControlHandle,
+    entries: Arc<KnownEntries>,
 }
 
 impl ControlRpc for ControlService {
@@ -29,6 +32,7 @@
     }
 
     async fn sync(self, _: Context, request: SyncRequest) -> SyncReply {
+        self.entries.record(&request.entry);
         self.handle.sync(request).await
     }
 
@@ -51,7 +55,7 @@
 }
 
 /// Serves other instances on `listener`.
-pub(super) async fn serve(listener: TcpListener, handle: ControlHandle) {
+pub(super) async fn serve(listener: TcpListener, handle: ControlHandle, entries: Arc<KnownEntries>) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -65,6 +69,7 @@
         }
         let service = ControlService {
             handle: handle.clone(),
+            entries: Arc::clone(&entries),
         };
         let channel = BaseChannel::with_defaults(framed(stream));
         let calls = channel.execute(service.serve()).for_each(|call| async move {
--- a/kqr-runtime/src/control/settings.rs
+++ b/kqr-runtime/src/control/settings.rs
@@ -7,6 +7,8 @@
 use kqr_types::{InstanceId, ParseError};
 use serde::Deserialize;
 
+use crate::discovery;
+
 /// Settings of a control instance.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct ControlSettings {
@@ -17,14 +19,14 @@
     /// Address on which the listeners for other instances and for metrics are bound, if it differs from
     /// `address`, as behind a NAT router.
     pub bind_address: Option<IpAddr>,
-    /// First of two consecutive ports: for other instances, and for metrics. All instances use the same
-    /// ports.
+    /// First of four consecutive ports: for other instances, for metrics, unused, and for discovery. All
+    /// instances use the same ports.
     pub first_port: u16,
     /// Address of the listener for operators and targets.
     pub operators: SocketAddr,
     /// Folder of the durable state.
     pub data_folder: PathBuf,
-    /// Addresses of some control instances.
+    /// Addresses of some instances that take calls of operators.
     pub seeds: Vec<SocketAddr>,
     /// Whether the system is started for the first time. Must not be set after a disk was lost.
     pub is_founding: bool,
@@ -39,13 +41,10 @@
     ///
     /// Fails with the first inconsistency.
     pub fn check(&self) -> eyre::Result<()> {
+        ensure!(!self.seeds.is_empty(), "seeds: at least one instance is required");
         ensure!(
-            !self.seeds.is_empty(),
-            "seeds: at least one control instance is required"
-        );
-        ensure!(
-            self.first_port < u16::MAX,
-            "first_port: must leave room for one more port"
+            self.first_port <= u16::MAX - discovery::PORT_OFFSET,
+            "first_port: must leave room for three more ports"
         );
         Ok(())
     }
@@ -66,17 +65,22 @@
     ///
     /// Never fails for a valid address.
     pub fn instance_id(&self) -> Result<InstanceId, ParseError> {
-        control_id(self.address, self.first_port)
+        SocketAddr::new(self.address, self.first_port).to_string().parse()
     }
 
-    /// Returns the identities of the seeds.
-    ///
-    /// # Errors
-    ///
-    /// Never fails for valid addresses.
-    pub fn seed_ids(&self) -> Result<Vec<InstanceId>, ParseError> {
-        let seeds = self.seeds.iter();
-        seeds.map(|seed| control_id(seed.ip(), self.first_port)).collect()
+    /// Returns the address on which to listen for discovery.
+    pub fn discovery_listen_address(&self) -> SocketAddr {
+        SocketAddr::new(self.listen_ip(), self.first_port + discovery::PORT_OFFSET)
+    }
+
+    /// Returns the address at which other instances reach this one for discovery.
+    pub const fn discovery_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address, self.first_port + discovery::PORT_OFFSET)
+    }
+
+    /// Returns the addresses at which the seeds serve discovery.
+    pub fn seed_addresses(&self) -> Vec<SocketAddr> {
+        discovery::seed_addresses(&self.seeds, self.first_port)
     }
 
     fn listen_ip(&self) -> IpAddr {
@@ -89,8 +93,3 @@
         2 * self.lost_disks + 1
     }
 }
-
-/// Returns the identity of the control instance at `address` and `port`.
-pub(crate) fn control_id(address: IpAddr, port: u16) -> Result<InstanceId, ParseError> {
-    SocketAddr::new(address, port).to_string().parse()
-}
--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -1,8 +1,6 @@
-use std::{
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
+use eyre::OptionExt;
 use kqr_dispatch::Input;
 use kqr_fleet::{EntryInfo, SyncReply, SyncRequest, SyncView, TargetReport};
 use kqr_types::InstanceId;
@@ -10,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::{EntryDriver, TargetClient};
-use crate::{rpc::ControlRpcClient, transport};
+use crate::{discovery::KnownControls, rpc::ControlRpcClient, transport};
 
 /// Interval between exchanges with control. A change is in force on all entries after a few of them.
 const SYNC_INTERVAL: Duration = Duration::from_millis(200);
@@ -31,11 +29,9 @@
     Client: TargetClient,
 {
     driver: Arc<EntryDriver<Client>>,
-    seeds: Arc<Mutex<Vec<InstanceId>>>,
-    /// Control instances of the last view.
-    known_controls: Vec<InstanceId>,
-    /// Position of the last tried instance among the known ones and the seeds.
-    last_tried: usize,
+    controls: Arc<KnownControls>,
+    /// Number of requests that were sent without a known leader.
+    tries: usize,
     /// The leader, as far as it is known.
     leader: Option<InstanceId>,
     /// Open connection and the instance at its other end.
@@ -54,13 +50,12 @@
 where
     Client: TargetClient,
 {
-    /// Creates the link. The `seeds` may change later.
-    pub(super) fn new(driver: Arc<EntryDriver<Client>>, seeds: Arc<Mutex<Vec<InstanceId>>>) -> Self {
+    /// Creates the link to one of the `controls`.
+    pub(super) const fn new(driver: Arc<EntryDriver<Client>>, controls: Arc<KnownControls>) -> Self {
         Self {
             driver,
-            seeds,
-            known_controls: Vec::new(),
-            last_tried: 0,
+            controls,
+            tries: 0,
             leader: None,
             connection: None,
             view_revision: 0,
@@ -82,6 +77,7 @@
                         kqr_telemetry::log_decision("control-lost", &fields);
                     }
                     self.is_lost = true;
+                    self.controls.set_leader(None);
                     RETRY_DELAY
                 }
             };
@@ -96,7 +92,8 @@
 
     /// Exchanges state with the leader, or with the next instance if the leader is unknown.
     async fn sync(&mut self) -> eyre::Result<()> {
-        let instance = self.leader.take().unwrap_or_else(|| self.next_instance());
+        let instance = self.leader.take().or_else(|| self.next_instance());
+        let instance = instance.ok_or_eyre("no control instance is known")?;
         let request = self.create_request();
         let reply = match self.send_request(&instance, request).await {
             Ok(reply) => reply,
@@ -114,6 +111,7 @@
                     self.is_lost = false;
                     self.regained_at = Some(Instant::now());
                 }
+                self.controls.set_leader(Some(instance.clone()));
                 self.leader = Some(instance);
                 if let Some(catalog) = catalog {
                     self.driver.apply_catalog(*catalog);
@@ -130,16 +128,13 @@
         }
     }
 
-    /// Returns the next control instance, in round-robin order of those of the last view and the seeds.
-    fn next_instance(&mut self) -> InstanceId {
-        let mut instances = self.known_controls.clone();
-        for seed in self.seeds.lock().unwrap_or_else(PoisonError::into_inner).iter() {
-            if !instances.contains(seed) {
-                instances.push(seed.clone());
-            }
-        }
-        self.last_tried = (self.last_tried + 1) % instances.len().max(1);
-        instances.swap_remove(self.last_tried.min(instances.len().saturating_sub(1)))
+    /// Returns the next control instance, in round-robin order.
+    fn next_instance(&mut self) -> Option<InstanceId> {
+        let mut instances = self.controls.list();
+        instances.sort_unstable();
+        self.tries = self.tries.wrapping_add(1);
+        let position = self.tries.checked_rem(instances.len())?;
+        Some(instances.swap_remove(position))
     }
 
     fn create_request(&mut self) -> SyncRequest {
@@ -184,7 +179,7 @@
         ];
         kqr_telemetry::log_decision("view-applied", &fields);
         self.view_revision = view.revision;
-        self.known_controls = view.controls;
+        self.controls.record(view.controls);
         self.driver.handle_input(Input::ViewChanged {
             entries: view.entries,
             owned: view.owned,
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -1,16 +1,19 @@
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    net::SocketAddr,
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 
+use arc_swap::ArcSwap;
 use eyre::WrapErr;
 use kqr_dispatch::{Input, Options};
 use kqr_fleet::EntryInfo;
 use kqr_telemetry::Metrics;
-use kqr_types::{Incarnation, InstanceId};
+use kqr_types::Incarnation;
 use tokio::net::TcpListener;
 
 use super::{EntryDriver, EntrySettings, TargetClient, control_link::ControlLink, sibling_service};
+use crate::discovery::{self, DiscoveryService, FoundingMember, KnownControls};
 
 /// Interval between ticks of the dispatcher: a fraction of the shortest of its timeouts.
 const TICK_INTERVAL: Duration = Duration::from_millis(15);
@@ -18,6 +21,9 @@
 /// owner is lost.
 const LEASE_FRACTION: f64 = 0.7;
 
+/// Interval between requests for the control instances while the leader is not known.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
+
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry<Client>
@@ -25,7 +31,8 @@
     Client: TargetClient,
 {
     driver: Arc<EntryDriver<Client>>,
-    seeds: Arc<Mutex<Vec<InstanceId>>>,
+    /// Discovery addresses of the seeds.
+    seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
 }
 
 impl<Client> Entry<Client>
@@ -59,10 +66,12 @@
         let fields = [("incarnation", own.incarnation.to_string())];
         kqr_telemetry::log_decision("entry-started", &fields);
         let driver = Arc::new(EntryDriver::new(own, options, client, Metrics::new()?));
-        let seeds = Arc::new(Mutex::new(settings.seed_ids()?));
+        let seeds = Arc::new(ArcSwap::from_pointee(settings.seed_addresses()));
+        let controls = Arc::new(KnownControls::default());
+        start_discovery(settings, &seeds, &controls).await?;
         tokio::spawn(sibling_service::serve(listener, Arc::clone(&driver)));
         tokio::spawn(run_ticks(Arc::clone(&driver)));
-        tokio::spawn(ControlLink::new(Arc::clone(&driver), Arc::clone(&seeds)).run());
+        tokio::spawn(ControlLink::new(Arc::clone(&driver), controls).run());
         Ok(Self { driver, seeds })
     }
 
@@ -78,7 +87,7 @@
     /// Fails if the settings are inconsistent; the previous ones then stay in force.
     pub fn reload(&self, settings: &EntrySettings) -> eyre::Result<()> {
         settings.check()?;
-        *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = settings.seed_ids()?;
+        self.seeds.store(Arc::new(settings.seed_addresses()));
         Ok(())
     }
 
@@ -96,6 +105,37 @@
     }
 }
 
+/// Serves discovery, takes part in the founding if this entry is a seed, and looks for control when it is lost.
+async fn start_discovery(
+    settings: &EntrySettings,
+    seeds: &Arc<ArcSwap<Vec<SocketAddr>>>,
+    controls: &Arc<KnownControls>,
+) -> eyre::Result<()> {
+    let own = settings.discovery_address();
+    let address = settings.listen_address(own);
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.wrap_err_with(|| format!("opening the listener {address}"))?;
+    let founding = if settings.is_founding {
+        FoundingMember::start(own, &seeds.load())?
+    } else {
+        None
+    };
+    let service = DiscoveryService::new(Arc::clone(controls), founding);
+    tokio::spawn(discovery::serve(listener, service));
+    tokio::spawn(look_for_control(Arc::clone(seeds), Arc::clone(controls)));
+    Ok(())
+}
+
+/// Asks the seeds for the control instances while the leader is not known.
+async fn look_for_control(seeds: Arc<ArcSwap<Vec<SocketAddr>>>, controls: Arc<KnownControls>) {
+    loop {
+        if controls.leader().is_none() {
+            discovery::announce(&seeds.load_full(), None, &controls).await;
+        }
+        tokio::time::sleep(SEARCH_INTERVAL).await;
+    }
+}
+
 async fn run_ticks<Client>(driver: Arc<EntryDriver<Client>>)
 where
     Client: TargetClient,
--- a/kqr-runtime/src/entry/settings.rs
+++ b/kqr-runtime/src/entry/settings.rs
@@ -4,10 +4,10 @@
 };
 
 use eyre::ensure;
-use kqr_types::{DataCentre, InstanceId, ParseError};
+use kqr_types::{DataCentre, InstanceId};
 use serde::Deserialize;
 
-use crate::control::control_id;
+use crate::discovery;
 
 /// Settings of an entry.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -25,11 +25,13 @@
     pub callers: SocketAddr,
     /// Address of the listener for readiness probes: whether the entry accepts new callers.
     pub readiness: SocketAddr,
-    /// First of three consecutive ports: for other instances, for reports of targets, and for metrics. All
-    /// instances use the same ports.
+    /// First of four consecutive ports: for other instances, for reports of targets, for metrics, and for
+    /// discovery. All instances use the same ports.
     pub first_port: u16,
-    /// Addresses of some control instances.
+    /// Addresses of some instances that take calls of operators.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the system is started for the first time.
+    pub is_founding: bool,
     /// Maximum lease that targets grant, in milliseconds.
     pub max_lease_ms: u64,
     /// Time from SIGTERM to the end of the process, in seconds.
@@ -45,13 +47,10 @@
     ///
     /// Fails with the first inconsistency.
     pub fn check(&self) -> eyre::Result<()> {
+        ensure!(!self.seeds.is_empty(), "seeds: at least one instance is required");
         ensure!(
-            !self.seeds.is_empty(),
-            "seeds: at least one control instance is required"
-        );
-        ensure!(
-            self.first_port < u16::MAX - 2,
-            "first_port: must leave room for two more ports"
+            self.first_port <= u16::MAX - discovery::PORT_OFFSET,
+            "first_port: must leave room for three more ports"
         );
         ensure!(
             self.max_lease_ms >= 100,
@@ -92,13 +91,13 @@
         (self.cpu_share * 1000.0).max(1.0) as u32
     }
 
-    /// Returns the identities of the seeds: control instances listen on the same port as entries.
-    ///
-    /// # Errors
-    ///
-    /// Never fails for valid addresses.
-    pub fn seed_ids(&self) -> Result<Vec<InstanceId>, ParseError> {
-        let seeds = self.seeds.iter();
-        seeds.map(|seed| control_id(seed.ip(), self.first_port)).collect()
+    /// Returns the address at which other instances reach this one for discovery.
+    pub const fn discovery_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address, self.first_port + discovery::PORT_OFFSET)
+    }
+
+    /// Returns the addresses at which the seeds serve discovery.
+    pub fn seed_addresses(&self) -> Vec<SocketAddr> {
+        discovery::seed_addresses(&self.seeds, self.first_port)
     }
 }
--- a/kqr-runtime/src/lib.rs
+++ b/kqr-runtime/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod boot_clock;
 pub mod control;
+mod discovery;
 pub mod entry;
 mod leader_client;
 mod rpc;
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -26,6 +26,18 @@
     async fn report(report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>>;
 }
 
+/// Calls that every instance serves, so that instances find control through the seeds.
+#[tarpc::service]
+pub(crate) trait DiscoveryRpc {
+    /// Announces a control instance, if one is given, and returns the known ones.
+    async fn announce(control: Option<InstanceId>) -> Vec<InstanceId>;
+    /// Delivers a message of the founding.
+    async fn deliver_founding(from: VoterId, message: Message);
+    /// Registers a control instance with an empty disk for the founding by `founder_count` instances. Returns the
+    /// founders if they are known.
+    async fn register_founder(candidate: InstanceId, founder_count: usize) -> Option<Vec<InstanceId>>;
+}
+
 /// Calls that an entry serves to its siblings.
 #[tarpc::service]
 pub(crate) trait SiblingRpc {
--- a/kqr-runtime/tests/settings.rs
+++ b/kqr-runtime/tests/settings.rs
@@ -3,7 +3,7 @@
 use kqr_runtime::{SettingsFile, control::ControlSettings, entry::EntrySettings};
 
 const ENTRY_YAML: &str = "name: entry-1\ndata_centre: uppsala\naddress: 127.0.0.1\ncallers: \"127.0.0.1:8000\"\n\
-    readiness: \"127.0.0.1:8001\"\nfirst_port: 7320\nseeds: [\"127.0.0.2:8002\"]\nmax_lease_ms: 1000\n\
+    readiness: \"127.0.0.1:8001\"\nfirst_port: 7320\nseeds: [\"127.0.0.2:8002\"]\nis_founding: false\nmax_lease_ms: 1000\n\
     grace_s: 6\ncpu_share: 0.25\n";
 
 const CONTROL_YAML: &str = "name: control-1\naddress: 127.0.0.1\nfirst_port: 7320\noperators: \"127.0.0.1:8002\"\n\
@@ -17,7 +17,7 @@
     let (mut file, settings) = SettingsFile::open::<EntrySettings>(&path).unwrap();
     settings.check().unwrap();
     assert_eq!(settings.weight(), 250);
-    assert_eq!(settings.seed_ids().unwrap()[0].as_str(), "127.0.0.2:7320");
+    assert_eq!(settings.seed_addresses()[0].to_string(), "127.0.0.2:7323");
     assert!(
         file.reload::<EntrySettings>().unwrap().is_none(),
         "unchanged content is not reloaded"
@@ -40,7 +40,7 @@
     assert!(is_rejected("max_lease_ms: 1000", "max_lease_ms: 10"));
     assert!(is_rejected("grace_s: 6", "grace_s: 0"));
     assert!(is_rejected("cpu_share: 0.25", "cpu_share: 0"));
-    assert!(is_rejected("first_port: 7320", "first_port: 65535"));
+    assert!(is_rejected("first_port: 7320", "first_port: 65533"));
     assert!(is_rejected("address: 127.0.0.1", "address: nowhere"));
     assert!(is_rejected("name: entry-1\n", ""));
 }
@@ -53,12 +53,7 @@
     let (_, settings) = SettingsFile::open::<ControlSettings>(&path).unwrap();
     settings.check().unwrap();
     assert_eq!(settings.instance_id().unwrap().as_str(), "127.0.0.1:7320");
-    assert!(
-        settings
-            .seed_ids()
-            .unwrap()
-            .contains(&settings.instance_id().unwrap())
-    );
+    assert!(settings.seed_addresses().contains(&settings.discovery_address()));
     assert_eq!(settings.voter_count(), 3);
 }
 
