fix(entry): take calls of operators and reports of targets at entries

What callers saw: a valid catalog, sent while a control instance stood still and answers were lost, had no acknowledgement after 4 s of calm.

Cause: three instances took calls of operators, so one call in three, a second or more each and often two in a row, went to the one that stood still; what was left of 4 s held one or two calls whose answers could be lost.

--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::{ControlCallFailure, driver_state::DriverState, request::Request};
-use crate::leader_client::LeaderClient;
+use crate::{ControlApi, leader_client::LeaderClient};
 
 /// Timeout of a call to the replicated log. It ends before callers try another instance, which they do after
 /// a second.
@@ -30,49 +30,6 @@
         Self { own, tx, driver }
     }
 
-    /// Replaces the catalog by a valid one, here or at the leader. Returns the version that is in force afterwards.
-    ///
-    /// # Errors
-    ///
-    /// Fails if this instance can't confirm that the catalog was accepted.
-    pub async fn replace_catalog(&self, catalog: Catalog) -> Result<CatalogVersion, ControlCallFailure> {
-        match self.replace_catalog_locally(Box::new(catalog.clone())).await {
-            Ok(version) => Ok(version),
-            Err(failure) => self.leader_after(failure)?.replace_catalog(catalog).await,
-        }
-    }
-
-    /// Returns the newest catalog, or `None` if none was ever accepted, from here or from the leader.
-    ///
-    /// # Errors
-    ///
-    /// Fails if this instance can't confirm which catalog is the newest.
-    pub async fn newest_catalog(&self) -> Result<Option<Arc<Catalog>>, ControlCallFailure> {
-        match self.newest_catalog_locally().await {
-            Ok(catalog) => Ok(catalog),
-            Err(failure) => Ok(self.leader_after(failure)?.newest_catalog().await?.map(Arc::new)),
-        }
-    }
-
-    /// Handles the report of a target, here or at the leader.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no leader is known or reachable.
-    pub async fn submit_target_report(
-        &self,
-        report: TargetReport,
-    ) -> Result<ReportReceipt, ControlCallFailure> {
-        match self.report_locally(report.clone()).await {
-            Some(Ok(receipt)) => Ok(receipt),
-            Some(Err(leader)) => {
-                let failure = ControlCallFailure::not_leader(leader);
-                self.leader_after(failure)?.report(report).await
-            }
-            None => Err(ControlCallFailure::no_answer()),
-        }
-    }
-
     /// Returns the client of the leader to which a call that failed here is forwarded.
     ///
     /// # Errors
@@ -155,3 +112,30 @@
         }
     }
 }
+
+impl ControlApi for ControlHandle {
+    async fn replace_catalog(&self, catalog: Catalog) -> Result<CatalogVersion, ControlCallFailure> {
+        match self.replace_catalog_locally(Box::new(catalog.clone())).await {
+            Ok(version) => Ok(version),
+            Err(failure) => self.leader_after(failure)?.replace_catalog(catalog).await,
+        }
+    }
+
+    async fn newest_catalog(&self) -> Result<Option<Arc<Catalog>>, ControlCallFailure> {
+        match self.newest_catalog_locally().await {
+            Ok(catalog) => Ok(catalog),
+            Err(failure) => Ok(self.leader_after(failure)?.newest_catalog().await?.map(Arc::new)),
+        }
+    }
+
+    async fn submit_target_report(&self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
+        match self.report_locally(report.clone()).await {
+            Some(Ok(receipt)) => Ok(receipt),
+            Some(Err(leader)) => {
+                let failure = ControlCallFailure::not_leader(leader);
+                self.leader_after(failure)?.report(report).await
+            }
+            None => Err(ControlCallFailure::no_answer()),
+        }
+    }
+}
--- /dev/null
+++ b/kqr-runtime/src/control_api.rs
@@ -0,0 +1,36 @@
+use std::sync::Arc;
+
+use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
+
+use crate::control::ControlCallFailure;
+
+/// Calls of operators and targets, which every instance answers, by itself or through the leader.
+pub trait ControlApi: Clone + Send + Sync + 'static {
+    /// Replaces the catalog by a valid one. Returns the version that is in force afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance can't confirm that the catalog was accepted.
+    fn replace_catalog(
+        &self,
+        catalog: Catalog,
+    ) -> impl Future<Output = Result<CatalogVersion, ControlCallFailure>> + Send;
+
+    /// Returns the newest catalog, or `None` if none was ever accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance can't confirm which catalog is the newest.
+    fn newest_catalog(&self)
+    -> impl Future<Output = Result<Option<Arc<Catalog>>, ControlCallFailure>> + Send;
+
+    /// Handles the report of a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader is known or reachable.
+    fn submit_target_report(
+        &self,
+        report: TargetReport,
+    ) -> impl Future<Output = Result<ReportReceipt, ControlCallFailure>> + Send;
+}
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -12,7 +12,9 @@
 use kqr_types::Incarnation;
 use tokio::net::TcpListener;
 
-use super::{EntryDriver, EntrySettings, TargetClient, control_link::ControlLink, sibling_service};
+use super::{
+    ControlAccess, EntryDriver, EntrySettings, TargetClient, control_link::ControlLink, sibling_service,
+};
 use crate::discovery::{self, DiscoveryService, FoundingMember, KnownControls};
 
 /// Interval between ticks of the dispatcher: a fraction of the shortest of its timeouts.
@@ -31,6 +33,7 @@
     Client: TargetClient,
 {
     driver: Arc<EntryDriver<Client>>,
+    controls: Arc<KnownControls>,
     /// Discovery addresses of the seeds.
     seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
 }
@@ -71,8 +74,12 @@
         start_discovery(settings, &seeds, &controls).await?;
         tokio::spawn(sibling_service::serve(listener, Arc::clone(&driver)));
         tokio::spawn(run_ticks(Arc::clone(&driver)));
-        tokio::spawn(ControlLink::new(Arc::clone(&driver), controls).run());
-        Ok(Self { driver, seeds })
+        tokio::spawn(ControlLink::new(Arc::clone(&driver), Arc::clone(&controls)).run());
+        Ok(Self {
+            driver,
+            controls,
+            seeds,
+        })
     }
 
     /// Returns the driver, through which callers and targets are served.
@@ -80,6 +87,11 @@
         Arc::clone(&self.driver)
     }
 
+    /// Returns the access to control, through which operators and targets are served.
+    pub fn control_access(&self) -> ControlAccess<Client> {
+        ControlAccess::new(Arc::clone(&self.driver), Arc::clone(&self.controls))
+    }
+
     /// Applies changed settings. Only the seeds can change in a running process.
     ///
     /// # Errors
--- a/kqr-runtime/src/entry/mod.rs
+++ b/kqr-runtime/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The process of an entry: jobs of callers, calls to targets, and links to siblings and to control.
 
+mod control_access;
 mod control_link;
 mod daemon;
 mod decision_log;
@@ -11,6 +12,7 @@
 mod sibling_service;
 mod target_client;
 
+pub use control_access::ControlAccess;
 pub use daemon::Entry;
 pub use driver::EntryDriver;
 pub use settings::EntrySettings;
--- a/kqr-runtime/src/entry/settings.rs
+++ b/kqr-runtime/src/entry/settings.rs
@@ -23,6 +23,8 @@
     pub bind_address: Option<IpAddr>,
     /// Address of the listener for callers.
     pub callers: SocketAddr,
+    /// Address of the listener for operators and targets, as at control instances.
+    pub operators: SocketAddr,
     /// Address of the listener for readiness probes: whether the entry accepts new callers.
     pub readiness: SocketAddr,
     /// First of four consecutive ports: for other instances, for reports of targets, for metrics, and for
--- a/kqr-runtime/src/lib.rs
+++ b/kqr-runtime/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod boot_clock;
 pub mod control;
+mod control_api;
 mod discovery;
 pub mod entry;
 mod leader_client;
@@ -17,5 +18,6 @@
 mod transport;
 
 pub use boot_clock::BootClock;
+pub use control_api::ControlApi;
 pub use settings_file::SettingsFile;
 pub use signals::{SignalAction, Signals};
--- a/kqr-runtime/tests/settings.rs
+++ b/kqr-runtime/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use kqr_runtime::{SettingsFile, control::ControlSettings, entry::EntrySettings};
 
-const ENTRY_YAML: &str = "name: entry-1\ndata_centre: uppsala\naddress: 127.0.0.1\ncallers: \"127.0.0.1:8000\"\n\
+const ENTRY_YAML: &str = "name: entry-1\ndata_centre: uppsala\naddress: 127.0.0.1\ncallers: \"127.0.0.1:8000\"\noperators: \"127.0.0.1:8002\"\n\
     readiness: \"127.0.0.1:8001\"\nfirst_port: 7320\nseeds: [\"127.0.0.2:8002\"]\nis_founding: false\nmax_lease_ms: 1000\n\
     grace_s: 6\ncpu_share: 0.25\n";
 
