fix(dispatch): give up a task under which two targets went down

What callers see: a task may crash each target that starts it. Its runs ended as lost and were ordered again without a bound until the job ended by time; the tasks that had run beside it were ordered again beside it, on the same next target, and lost with that one too. A second try at another entry began from nothing.

Cause: a lost run had one meaning, whether its link, its owner or its target was lost, and no count.

Change: an owner tells apart that the target went down: it refused connections when the lease of its runs ended, or it has another incarnation. Such a loss counts for each task that ran there, at every entry: the owner tells its siblings, and the end of the order carries it. A task with a loss is run on an idle target if there is one, and nothing is started beside it, so that the next loss names it. After two the job fails, also when it is submitted again elsewhere. A target that is silent without a refusal, as behind a cut, counts as before.

--- a/kqr-cli/src/entries.rs
+++ b/kqr-cli/src/entries.rs
@@ -109,7 +109,7 @@
             .await;
         let (status, body) = answered.map_err(|error| {
             let kind = match &error {
-                ClientError::NotSent(_) => FailureKind::Unreachable,
+                ClientError::NotSent(_) | ClientError::Refused(_) => FailureKind::Unreachable,
                 ClientError::MaybeSent(_) => FailureKind::Unavailable,
             };
             failure(kind, error.to_string())
--- a/kqr-dispatch/src/dispatcher.rs
+++ b/kqr-dispatch/src/dispatcher.rs
@@ -4,12 +4,13 @@
 use kqr_types::{Incarnation, InstanceId, Instant, JobKey, TargetId};
 
 use crate::{
-    Decision, GiveUp, Input, LoadReport, Options, OrderId, Output, RunOrder, SiblingMessage,
+    Decision, GiveUp, Input, LoadReport, Options, OrderId, Output, RunEnd, RunOrder, SiblingMessage,
     contact::Contact,
     jobs::{Candidates, Jobs, Placement},
     owned::OwnedTargets,
     received_orders::ReceivedOrders,
     siblings::Siblings,
+    target_losses::TargetLosses,
 };
 
 /// State machine with the scheduling decisions of an entry.
@@ -29,6 +30,7 @@
     contact: Contact,
     /// Received and dropped orders by coordinator.
     received_orders: BTreeMap<InstanceId, ReceivedOrders>,
+    losses: TargetLosses,
 }
 
 impl Dispatcher {
@@ -46,6 +48,7 @@
             last_input_at: Instant(0),
             contact: Contact::default(),
             received_orders: BTreeMap::new(),
+            losses: TargetLosses::default(),
         }
     }
 
@@ -58,7 +61,7 @@
             Input::Submit(request) => {
                 let key = request.key.clone();
                 let mut candidates = self.candidates(now);
-                if self.jobs.submit(now, request, &candidates, outputs) {
+                if self.jobs.submit(now, request, &candidates, &self.losses, outputs) {
                     self.place_tasks(now, &key, &mut candidates, outputs);
                 }
             }
@@ -179,7 +182,8 @@
             self.jobs.give_up_all(now, GiveUp::Isolated, outputs);
         }
         self.jobs.expire_jobs(now, outputs);
-        self.jobs.expire_lost_orders(now, outputs);
+        self.jobs.expire_lost_orders(now, &mut self.losses, outputs);
+        self.losses.expire(now);
         self.owned.tick(now, outputs);
         self.report_load(now, outputs);
     }
@@ -216,8 +220,43 @@
                 end,
                 target,
             } => {
-                self.jobs.handle_ended(now, order_id, end, target, outputs);
+                self.end_order(now, order_id, end, target, outputs);
             }
+            SiblingMessage::TargetsLost(runs) => {
+                for lost in runs {
+                    self.losses.record(now, lost);
+                }
+            }
+        }
+    }
+
+    fn end_order(
+        &mut self,
+        now: Instant,
+        order_id: OrderId,
+        end: RunEnd,
+        target: Option<TargetId>,
+        outputs: &mut Vec<Output>,
+    ) {
+        self.jobs
+            .handle_ended(now, order_id, end, target, &mut self.losses, outputs);
+    }
+
+    /// Records the runs whose targets went down, and notifies the siblings: callers may submit a job again at any
+    /// of them.
+    fn report_target_losses(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let lost = self.owned.take_lost_runs();
+        if lost.is_empty() {
+            return;
+        }
+        for run in &lost {
+            self.losses.record(now, run.clone());
+        }
+        for sibling in self.siblings.live(now, &self.options) {
+            outputs.push(Output::Send {
+                to: sibling.info.id.clone(),
+                message: SiblingMessage::TargetsLost(lost.clone()),
+            });
         }
     }
 
@@ -304,6 +343,7 @@
 
     /// Notifies coordinators of orders that have begun or ended.
     fn forward_order_progress(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.report_target_losses(now, outputs);
         for (coordinator, order_ids) in self.owned.take_begun() {
             if coordinator == self.own.id {
                 self.jobs.handle_begun(&order_ids);
@@ -318,7 +358,7 @@
         for ended in self.owned.take_ended() {
             let (order_id, end, target) = (ended.order_id, ended.end, ended.target);
             if ended.coordinator == self.own.id {
-                self.jobs.handle_ended(now, order_id, end, target, outputs);
+                self.end_order(now, order_id, end, target, outputs);
                 continue;
             }
             outputs.push(Output::Send {
@@ -340,7 +380,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let mut remote: BTreeMap<InstanceId, Vec<RunOrder>> = BTreeMap::new();
-        for Placement { owner, order } in self.jobs.place(now, key, candidates, outputs) {
+        for Placement { owner, order } in self.jobs.place(now, key, candidates, &self.losses, outputs) {
             if owner == self.own.id {
                 self.owned.accept_order(now, owner, order, outputs);
                 continue;
--- a/kqr-dispatch/src/jobs/candidates.rs
+++ b/kqr-dispatch/src/jobs/candidates.rs
@@ -67,12 +67,33 @@
     }
 
     /// Picks the owner for an order: the one with free capacity on the most suitable target, which is
-    /// returned as well, or else the one with the shortest expected wait.
+    /// returned as well, or else the one with the shortest expected wait. A suspect gets an idle target, if there
+    /// is one.
     pub(crate) fn pick_owner(&mut self, order: &RunOrder) -> Option<(InstanceId, Option<TargetId>)> {
+        let is_idle = |target: &TargetLoad| target.free == target.capacity;
+        let idle = order
+            .is_suspect()
+            .then(|| self.most_suitable(order, is_idle))
+            .flatten();
+        let Some((number, index)) = idle.or_else(|| self.most_suitable(order, |_| true)) else {
+            return self.pick_shortest_queue(order).map(|owner| (owner, None));
+        };
+        let owner = self.owners.get_mut(number)?;
+        let target = owner.load.targets.get_mut(index)?;
+        target.free -= order.needs;
+        Some((owner.owner.clone(), Some(target.id.clone())))
+    }
+
+    /// Returns the positions of the owner and the target with free capacity that suit `order` best.
+    fn most_suitable<Filter>(&self, order: &RunOrder, is_eligible: Filter) -> Option<(usize, usize)>
+    where
+        Filter: Fn(&TargetLoad) -> bool,
+    {
         let mut best: Option<(Suitability, usize, usize)> = None;
         for (number, owner) in self.owners.iter().enumerate() {
             for (index, target) in owner.load.targets.iter().enumerate() {
-                if !target.is_open || !target.free.can_fit(&order.needs) || !may_run(target, order) {
+                let has_capacity = target.is_open && target.free.can_fit(&order.needs);
+                if !has_capacity || !is_eligible(target) || !may_run(target, order) {
                     continue;
                 }
                 let is_data_remote = order
@@ -91,13 +112,7 @@
                 }
             }
         }
-        let Some((_, number, index)) = best else {
-            return self.pick_shortest_queue(order).map(|owner| (owner, None));
-        };
-        let owner = self.owners.get_mut(number)?;
-        let target = owner.load.targets.get_mut(index)?;
-        target.free -= order.needs;
-        Some((owner.owner.clone(), Some(target.id.clone())))
+        best.map(|(_, number, index)| (number, index))
     }
 
     fn pick_shortest_queue(&mut self, order: &RunOrder) -> Option<InstanceId> {
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -9,7 +9,9 @@
 
 use kqr_types::{InstanceId, Instant, JobKey};
 
-use crate::{Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause};
+use crate::{
+    Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause, target_losses::TargetLosses,
+};
 pub(crate) use candidates::Candidates;
 use job::{Job, estimated_duration};
 use orders::OpenOrder;
@@ -74,12 +76,19 @@
         now: Instant,
         request: JobRequest,
         candidates: &Candidates,
+        losses: &TargetLosses,
         outputs: &mut Vec<Output>,
     ) -> bool {
         if self.live.contains_key(&request.key) {
             return false;
         }
         let (job, tasks) = (request.key.clone(), request.task_count());
+        if losses.max_count(&job) >= self.options.max_target_losses {
+            let end = JobEnd::Failed;
+            log_job_end(outputs, &job, &end, 0, 0);
+            outputs.push(Output::JobEnded { job, end });
+            return false;
+        }
         if tasks == 0 {
             let end = JobEnd::Completed;
             outputs.push(Output::JobEnded { job, end });
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -5,7 +5,10 @@
 use kqr_types::{InstanceId, Instant, JobKey, TargetId};
 
 use super::{Candidates, Jobs, job::Job, task::TaskState};
-use crate::{Decision, JobEnd, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId};
+use crate::{
+    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId,
+    target_losses::TargetLosses,
+};
 
 /// Delay before a task whose order did not run is ordered again, which lets newer load reports arrive.
 const REORDER_DELAY: Duration = Duration::from_millis(20);
@@ -54,6 +57,7 @@
         now: Instant,
         key: &JobKey,
         candidates: &mut Candidates,
+        losses: &TargetLosses,
         outputs: &mut Vec<Output>,
     ) -> Vec<Placement> {
         let mut placed = Vec::new();
@@ -69,7 +73,7 @@
                     continue;
                 }
                 let order_id = OrderId(self.last_order_id.0 + 1);
-                let Some(order) = new_order(now, job, order_id, step, index) else {
+                let Some(order) = new_order(now, job, order_id, step, index, losses) else {
                     continue;
                 };
                 let Some((owner, preferred_target)) = candidates.pick_owner(&order) else {
@@ -113,6 +117,7 @@
         order_id: OrderId,
         end: RunEnd,
         target: Option<TargetId>,
+        losses: &mut TargetLosses,
         outputs: &mut Vec<Output>,
     ) {
         let Some(order) = self.orders.remove(&order_id) else {
@@ -130,7 +135,11 @@
         if end != RunEnd::Done {
             let run = run_id(&key, order.step, order.index, task.attempt);
             task.avoided_targets.extend(target.clone());
-            outputs.push(Output::Decision(Decision::OrderEnded { run, end, target }));
+            outputs.push(Output::Decision(Decision::OrderEnded {
+                run,
+                end,
+                target: target.clone(),
+            }));
         }
         task.state = TaskState::Ready(now);
         if is_ending {
@@ -147,6 +156,17 @@
                 }
             }
             RunEnd::Lost => {}
+            RunEnd::TargetLost(life) => {
+                let run = run_id(&key, order.step, order.index, task.attempt);
+                let task = run.task.clone();
+                if let Some(target) = target {
+                    losses.record(now, LostRun { run, target, life });
+                }
+                if losses.count(&task) >= self.options.max_target_losses {
+                    self.finish(now, &key, JobEnd::Failed, outputs);
+                    return;
+                }
+            }
             RunEnd::NotRun(NotRun::Superseded) => task.attempt *= ATTEMPT_FACTOR,
             RunEnd::NotRun(NotRun::Expired) => {
                 self.give_up(now, &key, outputs);
@@ -178,7 +198,12 @@
     }
 
     /// Ends the orders of lost owners whose runs have certainly ended.
-    pub(crate) fn expire_lost_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+    pub(crate) fn expire_lost_orders(
+        &mut self,
+        now: Instant,
+        losses: &mut TargetLosses,
+        outputs: &mut Vec<Output>,
+    ) {
         let mut ended = Vec::new();
         for (&order_id, order) in &self.orders {
             if order.ends_by.is_some_and(|by| by <= now) {
@@ -186,7 +211,7 @@
             }
         }
         for order_id in ended {
-            self.handle_ended(now, order_id, RunEnd::Lost, None, outputs);
+            self.handle_ended(now, order_id, RunEnd::Lost, None, losses, outputs);
         }
     }
 }
@@ -206,13 +231,21 @@
 }
 
 /// Returns the next order for a task.
-fn new_order(now: Instant, job: &Job, order_id: OrderId, step: usize, index: usize) -> Option<RunOrder> {
+fn new_order(
+    now: Instant,
+    job: &Job,
+    order_id: OrderId,
+    step: usize,
+    index: usize,
+    losses: &TargetLosses,
+) -> Option<RunOrder> {
     let spec = job.request.steps.get(step)?;
     let task = job.steps.get(step)?.get(index)?;
-    let key = &job.request.key;
+    let run = run_id(&job.request.key, step as u32, index as u32, task.attempt + 1);
     Some(RunOrder {
         id: order_id,
-        run: run_id(key, step as u32, index as u32, task.attempt + 1),
+        target_losses: losses.count(&run.task),
+        run,
         service: job.request.service.clone(),
         spec: job.request.spec.clone(),
         needs: spec.needs,
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -45,6 +45,8 @@
     pub isolation_timeout: Duration,
     /// Time for which a sibling's load reports may not yet include an order.
     pub report_lag: Duration,
+    /// Number of targets that went down under a task at which its job fails.
+    pub max_target_losses: u32,
     /// Maximum number of tasks in coordinated jobs; a task takes about 1 KiB of memory.
     pub max_tasks: u64,
     /// Run time assumed for a step without an estimate.
@@ -80,6 +82,7 @@
             standstill_hold: Duration::from_millis(50),
             isolation_timeout: Duration::from_millis(600),
             report_lag: Duration::from_millis(10),
+            max_target_losses: 2,
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
         }
--- a/kqr-dispatch/src/owned/answers.rs
+++ b/kqr-dispatch/src/owned/answers.rs
@@ -45,7 +45,11 @@
             }
             Ok(_) => {}
             Err(CallFailure::Refused(refusal)) => self.handle_start_refusal(now, &id, &run, refusal, outputs),
-            Err(CallFailure::NotSent(cause)) => {
+            Err(failure @ (CallFailure::NotSent(_) | CallFailure::ConnectionRefused(_))) => {
+                if matches!(failure, CallFailure::ConnectionRefused(_)) {
+                    target.refused_at = Some(now);
+                }
+                let cause = failure.to_string();
                 self.end_not_run(&id, &run, NotRun::Refused);
                 self.record_missed_poll(now, &id, cause, outputs);
             }
@@ -109,6 +113,9 @@
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
+        if matches!(answer, Err(CallFailure::ConnectionRefused(_))) {
+            target.refused_at = Some(now);
+        }
         if kind == PollKind::Periodic {
             target.next_poll = NextPoll::At(now);
         } else {
@@ -238,6 +245,7 @@
             );
         }
         target.missed_polls = 0;
+        target.refused_at = None;
         target.last_answer_at = now;
         target.update_clock(now, answer.clock);
         let is_newest = target.record_list(answer.clock);
@@ -338,9 +346,11 @@
             }
         }
         let is_attaching = target.phase == Phase::Attaching;
-        let capacity = target.record.capacity;
+        let (capacity, life) = (target.record.capacity, target.record.life);
         for run in &unknown {
-            target.runs.insert(run.clone(), Run::orphaned(now, capacity));
+            target
+                .runs
+                .insert(run.clone(), Run::orphaned(now, capacity, life));
         }
         if is_attaching && target.runs.is_empty() {
             target.phase = Phase::Attached;
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -18,11 +18,12 @@
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    CallId, Decision, LoadReport, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
+    CallId, Decision, LoadReport, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
     load_report::RANKS,
 };
 use open_call::OpenCall;
 use phase::Phase;
+use run::Run;
 use target::Target;
 use waiting_order::WaitingOrder;
 
@@ -52,6 +53,8 @@
     /// Orders whose start was sent to a target, by coordinator.
     begun: BTreeMap<InstanceId, Vec<OrderId>>,
     reports: Vec<TargetReport>,
+    /// Runs whose targets went down.
+    lost_runs: Vec<LostRun>,
 }
 
 impl OwnedTargets {
@@ -68,6 +71,7 @@
             ended: Vec::new(),
             begun: BTreeMap::new(),
             reports: Vec::new(),
+            lost_runs: Vec::new(),
         }
     }
 
@@ -81,6 +85,11 @@
         std::mem::take(&mut self.begun)
     }
 
+    /// Takes the runs whose targets went down since the last call.
+    pub(crate) fn take_lost_runs(&mut self) -> Vec<LostRun> {
+        std::mem::take(&mut self.lost_runs)
+    }
+
     /// Takes the target reports to be forwarded to control.
     pub(crate) fn take_reports(&mut self) -> Vec<TargetReport> {
         std::mem::take(&mut self.reports)
@@ -266,15 +275,30 @@
 
     /// Removes a run that is known to be inactive although the target listed no end; `proof` says why.
     fn clear_run(&mut self, id: &TargetId, run: &RunId, proof: &'static str, outputs: &mut Vec<Output>) {
-        let removed = self.targets.get_mut(id).and_then(|target| target.remove(run));
-        let Some(removed) = removed else { return };
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let Some(removed) = target.remove(run) else { return };
+        let end = target.end_of(&removed);
         outputs.push(Output::Decision(Decision::RunCleared {
             run: run.clone(),
             target: id.clone(),
             proof,
         }));
+        self.end_unlisted_run(id, run.clone(), removed, end);
+    }
+
+    /// Ends the order of a run of which its target listed no end.
+    fn end_unlisted_run(&mut self, id: &TargetId, run: RunId, removed: Run, end: RunEnd) {
+        if let RunEnd::TargetLost(life) = end {
+            self.lost_runs.push(LostRun {
+                run,
+                target: id.clone(),
+                life,
+            });
+        }
         if let Some((coordinator, order_id)) = removed.ordered_by {
-            self.end_order(coordinator, order_id, RunEnd::Lost, Some(id.clone()));
+            self.end_order(coordinator, order_id, end, Some(id.clone()));
         }
     }
 }
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -223,12 +223,31 @@
         self.end_order(coordinator, order.id, RunEnd::NotRun(cause), None);
     }
 
-    /// Returns the preferred target if it has free capacity, or else the most suitable one that has.
+    /// Returns the preferred target if it has free capacity, or else the most suitable one that has. A suspect
+    /// gets an idle target, if there is one.
     fn pick_target(&self, now: Instant, waiting: &WaitingOrder) -> Option<TargetId> {
+        let idle = waiting
+            .order
+            .is_suspect()
+            .then(|| self.pick_target_where(now, waiting, |target| target.runs.is_empty()))
+            .flatten();
+        idle.or_else(|| self.pick_target_where(now, waiting, |_| true))
+    }
+
+    fn pick_target_where<Filter>(
+        &self,
+        now: Instant,
+        waiting: &WaitingOrder,
+        is_eligible: Filter,
+    ) -> Option<TargetId>
+    where
+        Filter: Fn(&Target) -> bool,
+    {
         let (order, waited) = (&waiting.order, now.since(waiting.arrived));
         let mut best: Option<(Suitability, &TargetId)> = None;
         for (id, target) in &self.targets {
             let has_capacity = self.is_open(now, target)
+                && is_eligible(target)
                 && may_run(target, order)
                 && target.free().can_fit(&order.needs)
                 && is_within_spread(target, order);
@@ -272,6 +291,8 @@
             percent: 0,
             progressed_at: now,
             failures: order.failures,
+            is_suspect: order.is_suspect(),
+            life: target.record.life,
         };
         target.runs.insert(order.run.clone(), run);
         let slowness_milli = (target.health.slowness() * 1000.0) as u64;
--- a/kqr-dispatch/src/owned/polling.rs
+++ b/kqr-dispatch/src/owned/polling.rs
@@ -73,12 +73,11 @@
         }
     }
 
-    fn end_former_runs(&mut self, target: Target) {
-        for run in target.runs.into_values() {
-            if let Some((coordinator, order_id)) = run.ordered_by {
-                let id = Some(target.record.id.clone());
-                self.end_order(coordinator, order_id, crate::RunEnd::Lost, id);
-            }
+    fn end_former_runs(&mut self, mut target: Target) {
+        let id = target.record.id.clone();
+        for (run, removed) in std::mem::take(&mut target.runs) {
+            let end = target.end_of(&removed);
+            self.end_unlisted_run(&id, run, removed, end);
         }
     }
 
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use kqr_fleet::Resources;
-use kqr_types::{InstanceId, Instant};
+use kqr_types::{Incarnation, InstanceId, Instant};
 
 use crate::{Options, OrderId, RunProgress};
 
@@ -41,11 +41,15 @@
     pub(super) progressed_at: Instant,
     /// Number of earlier failed runs of the task.
     pub(super) failures: u32,
+    /// Whether the task may have brought down a target.
+    pub(super) is_suspect: bool,
+    /// Incarnation of the target to which the start was sent.
+    pub(super) life: Incarnation,
 }
 
 impl Run {
     /// Returns a run started by an earlier owner. Its needs are unknown, so it occupies the whole target.
-    pub(super) const fn orphaned(now: Instant, capacity: Resources) -> Self {
+    pub(super) const fn orphaned(now: Instant, capacity: Resources, life: Incarnation) -> Self {
         Self {
             ordered_by: None,
             needs: capacity,
@@ -59,6 +63,8 @@
             percent: 0,
             progressed_at: now,
             failures: 0,
+            is_suspect: false,
+            life,
         }
     }
 
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -10,7 +10,7 @@
     probe::ProbeState,
     run::{Run, RunState},
 };
-use crate::{Options, RunId, TargetEndpoint, TargetTime};
+use crate::{Options, RunEnd, RunId, TargetEndpoint, TargetTime};
 
 /// A target that this entry owns.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +31,8 @@
     listed_at: Option<TargetTime>,
     /// Number of failed polls since the last answer.
     pub(super) missed_polls: u32,
+    /// When the target last refused a connection, as its process did not run; `None` after an answer.
+    pub(super) refused_at: Option<Instant>,
     /// When the target last answered a poll, or became owned.
     pub(super) last_answer_at: Instant,
     /// A reading of the target's clock, and when it arrived.
@@ -57,6 +59,7 @@
             probe: ProbeState::Idle,
             listed_at: None,
             missed_polls: 0,
+            refused_at: None,
             last_answer_at: now,
             clock: None,
             lease_ends_at: now,
@@ -97,7 +100,10 @@
             && !self.is_leaving
             && !self.must_release
             && self.missed_polls == 0
-            && !self.runs.values().any(Run::is_end_unconfirmed)
+            && !self
+                .runs
+                .values()
+                .any(|run| run.is_end_unconfirmed() || run.is_suspect)
             && self.overdue_run(now, options).is_none()
             && now.since(self.last_answer_at) < options.target_timeout;
         let max_runs = self.health.max_runs(now);
@@ -154,6 +160,15 @@
         self.runs.values().any(|run| run.state != RunState::Stopping)
     }
 
+    /// Returns how a run of this target ended of which the target lists no end.
+    pub(super) fn end_of(&self, run: &Run) -> RunEnd {
+        if self.refused_at.is_some() || run.life != self.record.life {
+            RunEnd::TargetLost(run.life)
+        } else {
+            RunEnd::Lost
+        }
+    }
+
     pub(super) fn remove(&mut self, run: &RunId) -> Option<Run> {
         self.runs.remove(run)
     }
--- a/kqr-dispatch/src/run_end.rs
+++ b/kqr-dispatch/src/run_end.rs
@@ -1,3 +1,4 @@
+use kqr_types::Incarnation;
 use serde::{Deserialize, Serialize};
 
 /// Outcome of an order. In each case the run is no longer active on any target.
@@ -11,6 +12,8 @@
     Lost,
     /// The run did not begin and will not.
     NotRun(NotRun),
+    /// The run may have begun, and its target, which had this incarnation, went down.
+    TargetLost(Incarnation),
 }
 
 /// Why a run did not begin.
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -43,4 +43,14 @@
     pub avoided_targets: Vec<TargetId>,
     /// Number of failed runs of the task.
     pub failures: u32,
+    /// Number of targets that went down while they ran the task.
+    pub target_losses: u32,
+}
+
+impl RunOrder {
+    /// Returns whether the task may have brought down a target. It runs alone if a target is idle, and nothing is
+    /// started beside it.
+    pub const fn is_suspect(&self) -> bool {
+        self.target_losses > 0
+    }
 }
--- a/kqr-dispatch/src/sibling_message.rs
+++ b/kqr-dispatch/src/sibling_message.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{LoadReport, OrderId, RunEnd, RunOrder};
+use crate::{LoadReport, LostRun, OrderId, RunEnd, RunOrder};
 use kqr_types::TargetId;
 
 /// Message between two entries. Messages of one incarnation arrive in order and exactly once, or the link is
@@ -25,4 +25,6 @@
         /// Target to which the run was sent, if any.
         target: Option<TargetId>,
     },
+    /// Runs whose targets went down, whichever entry coordinates them.
+    TargetsLost(Vec<LostRun>),
 }
--- a/kqr-dispatch/src/target_answer.rs
+++ b/kqr-dispatch/src/target_answer.rs
@@ -87,6 +87,8 @@
 pub enum CallFailure {
     /// The call was not sent.
     NotSent(String),
+    /// The call was not sent, because no process listens at the address of the target.
+    ConnectionRefused(String),
     /// No usable answer arrived; the call may have taken effect or may do so later.
     NoAnswer(String),
     /// The target refused the call.
@@ -97,6 +99,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Self::ConnectionRefused(cause) => write!(f, "connection refused: {cause}"),
             Self::NoAnswer(cause) => write!(f, "no answer: {cause}"),
             Self::Refused(refusal) => write!(f, "refused: {}", refusal.as_str()),
         }
--- a/kqr-dispatch/tests/simulation/calls.rs
+++ b/kqr-dispatch/tests/simulation/calls.rs
@@ -30,6 +30,11 @@
         let Some(target) = self.targets.get_mut(&endpoint.target) else {
             return;
         };
+        if !is_cut && target.restarts_at.is_some() {
+            let refused = Err(CallFailure::ConnectionRefused("connection refused".to_owned()));
+            self.schedule_answer(LATENCY_MS, entry, id, &call, refused);
+            return;
+        }
         if is_cut || !target.is_up {
             self.schedule_answer(CALL_TIMEOUT_MS, entry, id, &call, no_answer());
             return;
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -282,6 +282,9 @@
         while self.now < end {
             self.now += 1;
             for target in self.targets.values_mut() {
+                if target.restarts_at.is_some_and(|at| at <= self.now) {
+                    target.restart();
+                }
                 if target.is_up {
                     target.advance(self.now);
                 }
--- a/kqr-dispatch/tests/simulation/target.rs
+++ b/kqr-dispatch/tests/simulation/target.rs
@@ -10,6 +10,12 @@
 };
 use kqr_fleet::{FencingToken, TargetRecord};
 
+/// Payload of a task that crashes each target that starts it.
+pub const CRASHING: &str = "crashing";
+/// Time from the start of such a task to the crash, and from the crash to the next incarnation.
+const CRASH_DELAY_MS: u64 = 10;
+const DOWN_MS: u64 = 3_000;
+
 /// An active run.
 #[derive(Clone, Debug)]
 pub struct ActiveRun {
@@ -39,6 +45,11 @@
     pub record: TargetRecord,
     pub behaviour: TaskBehaviour,
     pub is_up: bool,
+    /// Number of crashes.
+    pub crashes: usize,
+    crashes_at: Option<u64>,
+    /// When a crashed target starts again.
+    pub restarts_at: Option<u64>,
     pub running: BTreeMap<RunId, ActiveRun>,
     pub starts: Vec<RunId>,
     /// Payloads of the started runs.
@@ -58,6 +69,9 @@
             record,
             behaviour,
             is_up: true,
+            crashes: 0,
+            crashes_at: None,
+            restarts_at: None,
             running: BTreeMap::new(),
             starts: Vec::new(),
             specs: BTreeMap::new(),
@@ -72,6 +86,14 @@
 
     /// Ends the runs that are due. The target's clock shows the virtual time.
     pub fn advance(&mut self, now: u64) {
+        if self.crashes_at.is_some_and(|at| at <= now) {
+            self.is_up = false;
+            self.crashes += 1;
+            self.crashes_at = None;
+            self.restarts_at = Some(now + DOWN_MS);
+            self.running.clear();
+            return;
+        }
         let due: Vec<RunId> = self.running.keys().cloned().collect();
         for run in due {
             let work = &self.running[&run];
@@ -91,8 +113,11 @@
             ..self.record.clone()
         };
         let acknowledged = std::mem::take(&mut self.acknowledged);
+        let starts = std::mem::take(&mut self.starts);
         *self = Self {
             acknowledged,
+            starts,
+            crashes: self.crashes,
             ..Self::new(record, self.behaviour)
         };
     }
@@ -135,6 +160,9 @@
                             spec: start.spec.clone(),
                         },
                     );
+                    if &*start.spec == CRASHING {
+                        self.crashes_at.get_or_insert(now + CRASH_DELAY_MS);
+                    }
                     self.specs.insert(start.run.clone(), start.spec.clone());
                     self.starts.push(start.run.clone());
                 }
--- a/kqr-entry/src/callers/relay/mod.rs
+++ b/kqr-entry/src/callers/relay/mod.rs
@@ -273,7 +273,9 @@
                     entry.relay.hedge_delay.observe(started.elapsed());
                     Ok(reply.map(|inner| Either::Right(RelayBody::new(inner, slot))))
                 }
-                Err(ClientError::NotSent(cause)) => Err(TryFailure::NotSent(cause)),
+                Err(ClientError::NotSent(cause) | ClientError::Refused(cause)) => {
+                    Err(TryFailure::NotSent(cause))
+                }
                 Err(ClientError::MaybeSent(cause)) => Err(TryFailure::MaybeSent(cause)),
             }
         })
--- a/kqr-entry/src/task_client.rs
+++ b/kqr-entry/src/task_client.rs
@@ -101,7 +101,9 @@
             .await;
         let answer = match sent {
             Ok((status, bytes)) => parse_attempt(status, &bytes),
-            Err(ClientError::NotSent(cause)) => return end(TaskResult::NotStarted(cause), None),
+            Err(ClientError::NotSent(cause) | ClientError::Refused(cause)) => {
+                return end(TaskResult::NotStarted(cause), None);
+            }
             Err(ClientError::MaybeSent(cause)) => Err(cause),
         };
         let attempt = QueriedAttempt::of(start);
--- a/kqr-http/src/client.rs
+++ b/kqr-http/src/client.rs
@@ -41,6 +41,8 @@
 pub enum ClientError {
     /// No connection was opened; nothing was sent.
     NotSent(String),
+    /// The peer refused the connection, as when no process listens; nothing was sent.
+    Refused(String),
     /// The request may have been sent, but no complete response arrived.
     MaybeSent(String),
 }
@@ -49,6 +51,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Self::Refused(cause) => write!(f, "connection refused: {cause}"),
             Self::MaybeSent(cause) => write!(f, "maybe sent: {cause}"),
         }
     }
@@ -99,7 +102,9 @@
     pub async fn send(&self, req: Request<B>) -> Result<Response<Incoming>, ClientError> {
         self.pool.request(req).await.map_err(|error| {
             let cause = format_error_chain(&error);
-            if error.is_connect() {
+            if is_refused(&error) {
+                ClientError::Refused(cause)
+            } else if error.is_connect() {
                 ClientError::NotSent(cause)
             } else {
                 ClientError::MaybeSent(cause)
@@ -168,6 +173,19 @@
     }
 }
 
+/// Returns whether the peer refused the connection.
+fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let io = error.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 /// Formats an error with the chain of its sources.
 fn format_error_chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
