fix(fleet): let a target change its capacity without losing its runs

What callers see: the capacity of a target may shrink and grow while it runs tasks. A report that differed in its capacity only made control issue a new token to the same owner, which then stopped every run of that target as unknown; until that grant arrived, the owner started by the former capacity, and on targets that do not enforce it, beyond theirs.

Cause: a record that differs in any field was taken for another incarnation.

Change: the owner applies the capacity of the last report by its sequence number at once; runs beyond it continue, and nothing is started until the rest fits. Control records the change in the log under the same token, one command for all targets that changed, so that a later owner knows it too.

--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -14,7 +14,7 @@
 
 use std::collections::BTreeMap;
 
-use kqr_fleet::{FencingToken, TargetGrant, TargetReport};
+use kqr_fleet::{FencingToken, TargetGrant, TargetRecord, TargetReport};
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
@@ -154,13 +154,21 @@
         let is_changed = match (&report, self.targets.get_mut(report.target())) {
             (
                 TargetReport::Present {
-                    record, is_leaving, ..
+                    record,
+                    sequence,
+                    is_leaving,
                 },
                 Some(target),
             ) => {
-                let is_changed =
-                    *record != target.record || *is_leaving != target.is_leaving || !target.has_reported;
-                target.has_reported = true;
+                let number = (record.life, *sequence);
+                let is_outdated = target.last_report.is_some_and(|last| number <= last);
+                let is_changed = *record != target.record
+                    || *is_leaving != target.is_leaving
+                    || target.last_report.is_none();
+                if !is_outdated {
+                    target.last_report = Some(number);
+                    resize(target, record, outputs);
+                }
                 if *is_leaving && !target.is_leaving && record.life >= target.record.life {
                     target.is_leaving = true;
                     log_target_change(outputs, target, "leaving", "reported by the target".to_owned());
@@ -303,6 +311,16 @@
     }
 }
 
+/// Applies the capacity that a target reports. Runs beyond it continue; nothing is started until they have ended.
+fn resize(target: &mut Target, record: &TargetRecord, outputs: &mut Vec<Output>) {
+    if target.record.capacity == record.capacity || !target.record.is_resized_to(record) {
+        return;
+    }
+    target.record.capacity = record.capacity;
+    let cause = format!("{} thousandths of a core", record.capacity.cpu_milli);
+    log_target_change(outputs, target, "resized", cause);
+}
+
 fn new_target(now: Instant, grant: &TargetGrant, outputs: &mut Vec<Output>) -> Target {
     let target = Target::new(now, grant);
     log_target_change(outputs, &target, "owned", format!("token {}", grant.token));
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use kqr_fleet::{FencingToken, Resources, TargetGrant, TargetRecord};
-use kqr_types::Instant;
+use kqr_types::{Incarnation, Instant};
 
 use super::{
     health::Health,
@@ -20,8 +20,8 @@
     pub(super) is_leaving: bool,
     pub(super) must_release: bool,
     pub(super) phase: Phase,
-    /// Whether the target has reported to this entry since it became its owner.
-    pub(super) has_reported: bool,
+    /// Sequence number of the last report to this entry since it became the owner, if there was one.
+    pub(super) last_report: Option<(Incarnation, u64)>,
     pub(super) runs: BTreeMap<RunId, Run>,
     /// Number of the last processed end.
     pub(super) cursor: u64,
@@ -52,7 +52,7 @@
             is_leaving: grant.is_leaving,
             must_release: grant.must_release,
             phase: Phase::Attaching,
-            has_reported: false,
+            last_report: None,
             runs: BTreeMap::new(),
             cursor: 0,
             next_poll: NextPoll::At(now),
@@ -73,6 +73,9 @@
         if grant.record.life >= self.record.life {
             self.is_leaving |= grant.is_leaving;
         }
+        if self.record.is_resized_to(&grant.record) {
+            self.record.capacity = grant.record.capacity;
+        }
         self.must_release = grant.must_release;
     }
 
--- a/kqr-fleet/src/command.rs
+++ b/kqr-fleet/src/command.rs
@@ -21,4 +21,6 @@
     HandOver(Vec<Handover>),
     /// Removes targets that have ended.
     Forget(Vec<TargetId>),
+    /// Records what targets report about themselves under the same ownership.
+    Update(Vec<TargetRecord>),
 }
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -238,11 +238,17 @@
         } else {
             Vec::new()
         };
+        let updates = planner.updates();
         if self.observed.pending_moves.is_empty() && !moves.is_empty() {
             self.observed.change_count += 1;
             self.observed.pending_moves.extend(moves);
         }
         if handovers.is_empty() {
+            if !updates.is_empty() {
+                let detail = format!("recording the changed capacity of {} targets", updates.len());
+                outputs.push(FleetOutput::Decision { detail });
+                self.propose(now, Purpose::Plan, &Command::Update(updates), outputs);
+            }
             return;
         }
         for handover in &handovers {
--- a/kqr-fleet/src/node/planner.rs
+++ b/kqr-fleet/src/node/planner.rs
@@ -7,6 +7,8 @@
 
 /// Maximum number of handovers in one command.
 const MAX_HANDOVERS_PER_COMMAND: usize = 64;
+/// Maximum number of changed records in one command.
+const MAX_UPDATES_PER_COMMAND: usize = 256;
 /// Difference in the weighted number of targets of two entries from which one target moves. With a difference
 /// of 1, a move would only reverse it.
 const MIN_IMBALANCE_TARGETS: usize = 2;
@@ -44,6 +46,22 @@
         }
     }
 
+    /// Returns the records of targets that differ from the replicated state in their capacity only, as many as fit
+    /// in one command. Their owners keep them, with all runs.
+    pub(super) fn updates(&self) -> Vec<TargetRecord> {
+        let mut records = Vec::new();
+        for (id, owned) in self.state.targets() {
+            let known = self.observed.targets.get(id).map(|known| &known.record);
+            let resized =
+                known.filter(|record| **record != owned.record && owned.record.is_resized_to(record));
+            records.extend(resized.cloned());
+            if records.len() == MAX_UPDATES_PER_COMMAND {
+                break;
+            }
+        }
+        records
+    }
+
     /// Returns handovers of targets that need an owner or have a new record, as many as fit in one command.
     pub(super) fn handovers(&mut self, now: Instant) -> Vec<Handover> {
         let mut handovers = Vec::new();
@@ -120,15 +138,17 @@
             }
             let is_released = self.observed.released.get(id) == Some(&owned.token);
             let reported = self.observed.targets.get(id).map(|known| &known.record);
-            let is_changed =
-                reported.is_some_and(|record| *record != owned.record && record.life >= owned.record.life);
+            let is_changed = reported.is_some_and(|record| {
+                !owned.record.is_resized_to(record) && record.life >= owned.record.life
+            });
             let data_centre = &owned.record.data_centre;
             let is_recovering = self
                 .reachability
                 .is_recovering(now, data_centre, self.options.leader_grace);
             let is_lost = !is_recovering && !self.observed.is_live(&owned.owner);
             if is_released || is_changed || is_lost {
-                records.push(reported.filter(|_| is_changed).unwrap_or(&owned.record).clone());
+                let is_current = |record: &&TargetRecord| record.life >= owned.record.life;
+                records.push(reported.filter(is_current).unwrap_or(&owned.record).clone());
             }
         }
         for (id, known) in &self.observed.targets {
--- a/kqr-fleet/src/state.rs
+++ b/kqr-fleet/src/state.rs
@@ -65,6 +65,11 @@
                     self.targets.remove(&target);
                 }
             }
+            Command::Update(records) => {
+                for record in records {
+                    self.update_record(record);
+                }
+            }
         }
     }
 
@@ -96,6 +101,15 @@
         }
     }
 
+    /// Replaces the record of a target, unless another incarnation owns the identity by now.
+    fn update_record(&mut self, record: TargetRecord) {
+        if let Some(owned) = self.targets.get_mut(&record.id)
+            && owned.record.is_resized_to(&record)
+        {
+            owned.record = record;
+        }
+    }
+
     fn hand_over(&mut self, handover: Handover) {
         self.last_token.0 += 1;
         let owned = OwnedTarget {
--- a/kqr-fleet/src/target_record.rs
+++ b/kqr-fleet/src/target_record.rs
@@ -25,6 +25,16 @@
 }
 
 impl TargetRecord {
+    /// Returns whether `other` describes the same incarnation and differs at most in its capacity, which may change
+    /// while tasks run.
+    pub fn is_resized_to(&self, other: &Self) -> bool {
+        let resized = Self {
+            capacity: other.capacity,
+            ..self.clone()
+        };
+        resized == *other
+    }
+
     /// Returns whether the target has `label`.
     pub fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own_label| own_label == label)
--- a/kqr-fleet/tests/owners.rs
+++ b/kqr-fleet/tests/owners.rs
@@ -305,3 +305,45 @@
     control.run_with_entries(3_000, &entries);
     assert_eq!(control.owners(), BTreeMap::new());
 }
+
+/// A change of the capacity issued a new token, under which the owner stopped all runs of the target.
+#[test]
+fn a_target_whose_capacity_changes_keeps_its_token_and_all_later_owners_know_it() {
+    let mut control = Control::leading();
+    let entries = [entry("a-1", "a", 250), entry("a-2", "a", 250)];
+    control.run_with_entries(2_000, &entries);
+    let capacity = Resources {
+        cpu_milli: 16_000,
+        memory_mib: 65_536,
+        accelerators: 0,
+    };
+    let full = TargetRecord {
+        capacity,
+        ..target(1, "a")
+    };
+    control.report(full.clone(), false);
+    control.run_with_entries(1_000, &entries);
+    let before = control.node.state().targets()[&full.id].clone();
+    let shrunk = TargetRecord {
+        capacity: Resources {
+            cpu_milli: 8_000,
+            ..capacity
+        },
+        ..full.clone()
+    };
+    control.report(shrunk.clone(), false);
+    let views = control.run_with_entries(1_000, &entries);
+    let after = control.node.state().targets()[&full.id].clone();
+    assert_eq!((after.token, &after.owner), (before.token, &before.owner));
+    assert_eq!(after.record, shrunk);
+    let granted = &views[after.owner.entry.as_str()].owned;
+    assert_eq!(granted[0].record.capacity, shrunk.capacity);
+    let survivor = entries
+        .iter()
+        .find(|entry| entry.id != after.owner.entry)
+        .unwrap();
+    let views = control.run_with_entries(3_000, std::slice::from_ref(survivor));
+    let granted = &views[survivor.id.as_str()].owned;
+    assert_eq!(granted[0].record.capacity, shrunk.capacity);
+    assert!(granted[0].token > before.token);
+}
