perf(dispatch): run tasks of lost targets beside sound ones

Targets that crash by themselves cost more than before: each task that had run there was run alone, and nothing was started beside it, so that a few lost targets closed many others for a run.

Change: such a task never runs beside another one, which is what kept a sound task from being lost twice beside the same crashing one; an idle target is still preferred, and sound tasks may be started beside it.

--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -248,6 +248,7 @@
         for (id, target) in &self.targets {
             let has_capacity = self.is_open(now, target)
                 && is_eligible(target)
+                && !(order.is_suspect() && target.runs.values().any(|run| run.is_suspect))
                 && may_run(target, order)
                 && target.free().can_fit(&order.needs)
                 && is_within_spread(target, order);
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -103,10 +103,7 @@
             && !self.is_leaving
             && !self.must_release
             && self.missed_polls == 0
-            && !self
-                .runs
-                .values()
-                .any(|run| run.is_end_unconfirmed() || run.is_suspect)
+            && !self.runs.values().any(Run::is_end_unconfirmed)
             && self.overdue_run(now, options).is_none()
             && now.since(self.last_answer_at) < options.target_timeout;
         let max_runs = self.health.max_runs(now);
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -48,8 +48,8 @@
 }
 
 impl RunOrder {
-    /// Returns whether the task may have brought down a target. It runs alone if a target is idle, and nothing is
-    /// started beside it.
+    /// Returns whether the task may have brought down a target. It never runs beside another such task, and alone if
+    /// a target is idle.
     pub const fn is_suspect(&self) -> bool {
         self.target_losses > 0
     }
