fix(fleet): found with three instances also if no lost disk has to be tolerated

The seeds now wait up to 2 s for three, and take fewer only if no more register. Found by reading; three_instances_found_a_system_that_need_not_tolerate_the_loss_of_a_disk fails on the commit before (one founder of three candidates).

--- /dev/null
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -0,0 +1,129 @@
+//! The path of orders: placing tasks, starting waiting orders, and handing progress and ends to coordinators.
+
+use std::collections::BTreeMap;
+
+use kqr_types::{InstanceId, Instant, JobKey, TargetId};
+
+use super::Dispatcher;
+use crate::{
+    OrderId, Output, RunEnd, RunOrder, SiblingMessage,
+    jobs::{Candidates, Placement},
+};
+
+impl Dispatcher {
+    pub(super) fn end_order(
+        &mut self,
+        now: Instant,
+        order_id: OrderId,
+        end: RunEnd,
+        target: Option<TargetId>,
+        outputs: &mut Vec<Output>,
+    ) {
+        self.jobs
+            .handle_ended(now, order_id, end, target, &mut self.losses, outputs);
+    }
+
+    /// Records the runs whose targets went down, and notifies the siblings: callers may submit a job again at any
+    /// of them.
+    fn report_target_losses(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let lost = self.owned.take_lost_runs();
+        if lost.is_empty() {
+            return;
+        }
+        for run in &lost {
+            self.losses.record(now, run.clone());
+        }
+        for sibling in self.siblings.live(now, &self.options) {
+            outputs.push(Output::Send {
+                to: sibling.info.id.clone(),
+                message: SiblingMessage::TargetsLost(lost.clone()),
+            });
+        }
+    }
+
+    /// Starts waiting orders, forwards the progress of orders and places ready tasks until none is left.
+    pub(super) fn process_ready(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        loop {
+            self.send_cancellations(now, outputs);
+            self.owned.start_waiting_orders(now, outputs);
+            self.forward_order_progress(now, outputs);
+            let ready = self.jobs.ready_jobs(now);
+            if ready.is_empty() {
+                break;
+            }
+            let mut candidates = self.candidates(now);
+            for key in ready {
+                self.place_tasks(now, &key, &mut candidates, outputs);
+            }
+        }
+        self.send_cancellations(now, outputs);
+    }
+
+    fn send_cancellations(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        for (owner, order_ids) in self.jobs.take_cancelled() {
+            if owner != self.own.id {
+                let message = SiblingMessage::Cancel(order_ids);
+                outputs.push(Output::Send { to: owner, message });
+                continue;
+            }
+            for order_id in order_ids {
+                self.owned.cancel_order(now, &owner, order_id, outputs);
+            }
+        }
+    }
+
+    /// Notifies coordinators of orders that have begun or ended.
+    fn forward_order_progress(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.report_target_losses(now, outputs);
+        for (coordinator, order_ids) in self.owned.take_begun() {
+            if coordinator == self.own.id {
+                self.jobs.handle_begun(&order_ids);
+                continue;
+            }
+            let message = SiblingMessage::Begun(order_ids);
+            outputs.push(Output::Send {
+                to: coordinator,
+                message,
+            });
+        }
+        for ended in self.owned.take_ended() {
+            let (order_id, end, target) = (ended.order_id, ended.end, ended.target);
+            if ended.coordinator == self.own.id {
+                self.end_order(now, order_id, end, target, outputs);
+                continue;
+            }
+            outputs.push(Output::Send {
+                to: ended.coordinator,
+                message: SiblingMessage::Ended {
+                    order_id,
+                    end,
+                    target,
+                },
+            });
+        }
+    }
+
+    pub(super) fn place_tasks(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        candidates: &mut Candidates,
+        outputs: &mut Vec<Output>,
+    ) {
+        let mut remote: BTreeMap<InstanceId, Vec<RunOrder>> = BTreeMap::new();
+        for Placement { owner, order } in self.jobs.place(now, key, candidates, &self.losses, outputs) {
+            if owner == self.own.id {
+                self.owned.accept_order(now, owner, order, outputs);
+                continue;
+            }
+            if let (Some(sibling), Some(target)) = (self.siblings.get_mut(&owner), &order.preferred_target) {
+                sibling.reserve(now, target, order.needs);
+            }
+            remote.entry(owner).or_default().push(order);
+        }
+        for (to, orders) in remote {
+            let message = SiblingMessage::Run(orders);
+            outputs.push(Output::Send { to, message });
+        }
+    }
+}
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -1,6 +1,7 @@
 //! The owner role: targets that this entry owns, their runs, and orders that wait for capacity.
 
 mod answers;
+mod hanging;
 mod health;
 mod next_poll;
 mod open_call;
--- a/kqr-fleet/src/founding/input.rs
+++ b/kqr-fleet/src/founding/input.rs
@@ -17,7 +17,7 @@
     Candidate {
         /// The control instance.
         instance: InstanceId,
-        /// Number of founders that the system needs.
-        founder_count: usize,
+        /// Smallest number of founders that tolerates the losses which the system has to bear. It is odd.
+        min_founders: usize,
     },
 }
--- a/kqr-fleet/src/founding/node.rs
+++ b/kqr-fleet/src/founding/node.rs
@@ -1,10 +1,16 @@
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use kqr_agreement::{Input, Machine, Output, RequestId, Role};
 use kqr_types::{InstanceId, Instant};
 
 use super::{FoundingInput, FoundingOutput};
 
+/// Number of founders if there are as many candidates: the loss of one then stops nothing, whatever the system has to
+/// tolerate.
+const PREFERRED_FOUNDERS: usize = 3;
+/// Time for which the seeds wait for the preferred number once enough candidates have registered.
+const GATHERING_TIME: Duration = Duration::from_secs(2);
+
 /// State machine of a seed that takes part in the founding.
 ///
 /// The seeds are the voters of a log that is kept in memory, and its first command names the founders. A seed that
@@ -13,7 +19,10 @@
 pub struct FoundingNode {
     agreement: Machine,
     candidates: BTreeSet<InstanceId>,
-    founder_count: usize,
+    /// Smallest number of founders.
+    min_founders: usize,
+    /// When the first candidate registered here.
+    gathering_since: Option<Instant>,
     requests: u64,
     /// Proposal that has not completed.
     pending: Option<RequestId>,
@@ -26,7 +35,8 @@
         Self {
             agreement,
             candidates: BTreeSet::new(),
-            founder_count: 1,
+            min_founders: 1,
+            gathering_since: None,
             requests: 0,
             pending: None,
             founders: None,
@@ -47,10 +57,11 @@
             }
             FoundingInput::Candidate {
                 instance,
-                founder_count,
+                min_founders,
             } => {
                 self.candidates.insert(instance);
-                self.founder_count = self.founder_count.max(founder_count);
+                self.min_founders = self.min_founders.max(min_founders);
+                self.gathering_since.get_or_insert(now);
             }
         }
         self.propose_founders(now, outputs);
@@ -58,15 +69,14 @@
 
     /// Proposes the first candidates as founders, if this seed leads and enough of them have registered.
     fn propose_founders(&mut self, now: Instant, outputs: &mut Vec<FoundingOutput>) {
-        let is_due = self.founders.is_none()
-            && self.pending.is_none()
-            && self.agreement.role().role == Role::Leader
-            && !self.candidates.is_empty()
-            && self.candidates.len() >= self.founder_count;
-        if !is_due {
+        let is_free = self.founders.is_none() && self.pending.is_none();
+        if !is_free || self.agreement.role().role != Role::Leader {
             return;
         }
-        let founders: Vec<&InstanceId> = self.candidates.iter().take(self.founder_count).collect();
+        let Some(count) = self.founder_count(now) else {
+            return;
+        };
+        let founders: Vec<&InstanceId> = self.candidates.iter().take(count).collect();
         let Ok(command) = serde_json::to_vec(&founders) else {
             return;
         };
@@ -76,6 +86,16 @@
         self.step(now, Input::Propose { request, command }, outputs);
     }
 
+    /// Returns the number of founders, once enough candidates have registered. It is odd, as another voter would only
+    /// enlarge the majority.
+    fn founder_count(&self, now: Instant) -> Option<usize> {
+        let preferred = self.min_founders.max(PREFERRED_FOUNDERS);
+        let has_waited = now.since(self.gathering_since?) >= GATHERING_TIME;
+        let count = self.candidates.len().min(preferred);
+        let is_enough = count == preferred || (has_waited && count >= self.min_founders);
+        is_enough.then_some(count - usize::from(count.is_multiple_of(2)))
+    }
+
     fn step(&mut self, now: Instant, input: Input, outputs: &mut Vec<FoundingOutput>) {
         let mut effects = Vec::new();
         self.agreement.handle(now, input, &mut effects);
--- a/kqr-fleet/tests/founding.rs
+++ b/kqr-fleet/tests/founding.rs
@@ -151,7 +151,7 @@
             }
             let input = FoundingInput::Candidate {
                 instance: candidate_id(candidate),
-                founder_count: FOUNDER_COUNT,
+                min_founders: FOUNDER_COUNT,
             };
             self.input(seed, input);
             let is_answered = self.rng.random_range(0..100) >= self.loss_percent;
@@ -217,3 +217,36 @@
     }
     assert!(twice > 0, "no history has two foundings");
 }
+
+/// Returns the founders that a single seed agrees with itself, for candidates that register at the given times.
+fn founders_of_one_seed(min_founders: usize, registered_at_ms: &[u64]) -> Vec<InstanceId> {
+    let options = Options {
+        founding: Configuration::of_voters([seed_id(0)]),
+        ..Options::default()
+    };
+    let machine = Machine::new(seed_id(0), options, DurableState::default());
+    let mut node = FoundingNode::new(machine);
+    for now in (TICK_MS..CALM_MS).step_by(TICK_MS as usize) {
+        let now = Instant(now * 1_000);
+        node.handle(now, FoundingInput::Tick, &mut Vec::new());
+        for (candidate, registered_at_ms) in registered_at_ms.iter().enumerate() {
+            if now >= Instant(registered_at_ms * 1_000) {
+                let input = FoundingInput::Candidate {
+                    instance: candidate_id(candidate),
+                    min_founders,
+                };
+                node.handle(now, input, &mut Vec::new());
+            }
+        }
+    }
+    node.founders().cloned().unwrap_or_default()
+}
+
+#[test]
+fn three_instances_found_a_system_that_need_not_tolerate_the_loss_of_a_disk() {
+    assert_eq!(founders_of_one_seed(1, &[0, 500, 1_500]).len(), 3);
+    assert_eq!(founders_of_one_seed(1, &[0, 0]).len(), 1);
+    assert_eq!(founders_of_one_seed(1, &[0]).len(), 1);
+    assert_eq!(founders_of_one_seed(5, &[0, 0, 0, 0, 3_000, 3_100]).len(), 5);
+    assert!(founders_of_one_seed(5, &[0, 0, 0, 0]).is_empty());
+}
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -75,10 +75,10 @@
             .name("replicated-log".to_owned())
             .spawn(move || drop(result_tx.send(log.run(&rx, needs_founders))))?;
         if needs_founders {
-            let (seeds, founder_count) = (Arc::clone(&seeds), settings.voter_count());
+            let (seeds, min_founders) = (Arc::clone(&seeds), settings.voter_count());
             let (own, tx) = (own.clone(), tx.clone());
             tokio::spawn(async move {
-                let founders = discovery::find_founders(seeds, own, founder_count).await;
+                let founders = discovery::find_founders(seeds, own, min_founders).await;
                 // The driver ends only when the process is about to end.
                 drop(tx.send(Request::Founded(founders)));
             });
--- a/kqr-runtime/src/control/replicated_log.rs
+++ b/kqr-runtime/src/control/replicated_log.rs
@@ -1,5 +1,7 @@
-use std::sync::{Arc, mpsc};
-use std::time::Duration;
+use std::{
+    sync::{Arc, mpsc},
+    time::Duration,
+};
 
 use kqr_agreement::{Machine, Options as AgreementOptions};
 use kqr_fleet::{FleetNode, FleetOptions};
--- a/kqr-runtime/src/discovery/client.rs
+++ b/kqr-runtime/src/discovery/client.rs
@@ -52,7 +52,7 @@
 pub(crate) async fn find_founders(
     seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
     own: InstanceId,
-    founder_count: usize,
+    min_founders: usize,
 ) -> Vec<InstanceId> {
     loop {
         let mut calls = FuturesUnordered::new();
@@ -60,7 +60,7 @@
             let own = own.clone();
             calls.push(call(*seed, async move |client: DiscoveryRpcClient| {
                 client
-                    .register_founder(context::current(), own, founder_count)
+                    .register_founder(context::current(), own, min_founders)
                     .await
             }));
         }
--- a/kqr-runtime/src/discovery/founding_member.rs
+++ b/kqr-runtime/src/discovery/founding_member.rs
@@ -66,10 +66,10 @@
     }
 
     /// Registers a control instance with an empty disk. Returns the founders once they are agreed.
-    pub(crate) fn register(&self, instance: InstanceId, founder_count: usize) -> Option<Vec<InstanceId>> {
+    pub(crate) fn register(&self, instance: InstanceId, min_founders: usize) -> Option<Vec<InstanceId>> {
         self.handle(FoundingInput::Candidate {
             instance,
-            founder_count,
+            min_founders,
         });
         self.lock().founders().cloned()
     }
--- a/kqr-runtime/src/discovery/service.rs
+++ b/kqr-runtime/src/discovery/service.rs
@@ -54,12 +54,12 @@
         self,
         _: Context,
         candidate: InstanceId,
-        founder_count: usize,
+        min_founders: usize,
     ) -> Option<Vec<InstanceId>> {
         if let Some(founders) = self.founders.get() {
             return Some(founders.clone());
         }
-        self.founding.as_ref()?.register(candidate, founder_count)
+        self.founding.as_ref()?.register(candidate, min_founders)
     }
 }
 
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -33,9 +33,9 @@
     async fn announce(control: Option<InstanceId>) -> Vec<InstanceId>;
     /// Delivers a message of the founding.
     async fn deliver_founding(from: VoterId, message: Message);
-    /// Registers a control instance with an empty disk for the founding by `founder_count` instances. Returns the
+    /// Registers a control instance with an empty disk for the founding by at least `min_founders` instances. Returns the
     /// founders if they are known.
-    async fn register_founder(candidate: InstanceId, founder_count: usize) -> Option<Vec<InstanceId>>;
+    async fn register_founder(candidate: InstanceId, min_founders: usize) -> Option<Vec<InstanceId>>;
 }
 
 /// Calls that an entry serves to its siblings.
