--- a/kqr-agreement/src/entry.rs
+++ b/kqr-agreement/src/entry.rs
@@ -8,7 +8,7 @@
     /// No content. A new leader commits earlier terms' entries with it.
     Empty,
     /// A command of the application.
-    Command(Vec<u8>),
+    Command(#[serde(with = "serde_bytes")] Vec<u8>),
     /// A configuration. It takes effect when it is appended, not when it is committed.
     Configuration(Configuration),
 }
--- a/kqr-agreement/src/snapshot.rs
+++ b/kqr-agreement/src/snapshot.rs
@@ -12,5 +12,6 @@
     /// Configuration in force at that entry.
     pub configuration: Configuration,
     /// State in the application's encoding.
+    #[serde(with = "serde_bytes")]
     pub state: Vec<u8>,
 }
