fix(control): bound forwarded calls by their arrival

A call that was forwarded twice could take 800 ms, after what it had waited here. Both hops now end 400 ms after the arrival of the call; operators try another instance after a second. The seeds of a founding end their log in memory 1 s after the decision in place of 5 s.

--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -1,6 +1,6 @@
 use std::{
     sync::{Arc, mpsc},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use kqr_agreement::{Message, VoterId};
@@ -30,14 +30,18 @@
         Self { own, tx, driver }
     }
 
-    /// Returns the client of the leader to which a call that failed here is forwarded.
+    /// Returns the client of the leader to which a call that arrived at `arrived` and failed here is forwarded.
     ///
     /// # Errors
     ///
     /// Returns the failure if the call may have had its effect, or no other instance is known to lead.
-    fn leader_after(&self, failure: ControlCallFailure) -> Result<LeaderClient, ControlCallFailure> {
+    fn leader_after(
+        &self,
+        failure: ControlCallFailure,
+        arrived: Instant,
+    ) -> Result<LeaderClient, ControlCallFailure> {
         match failure.next_leader() {
-            Some(leader) if *leader != self.own => Ok(LeaderClient::new(leader.clone())),
+            Some(leader) if *leader != self.own => Ok(LeaderClient::new(leader.clone(), arrived.elapsed())),
             _ => Err(failure),
         }
     }
@@ -115,25 +119,34 @@
 
 impl ControlApi for ControlHandle {
     async fn replace_catalog(&self, catalog: Catalog) -> Result<CatalogVersion, ControlCallFailure> {
+        let arrived = Instant::now();
         match self.replace_catalog_locally(Box::new(catalog.clone())).await {
             Ok(version) => Ok(version),
-            Err(failure) => self.leader_after(failure)?.replace_catalog(catalog).await,
+            Err(failure) => {
+                let leader = self.leader_after(failure, arrived)?;
+                leader.replace_catalog(catalog).await
+            }
         }
     }
 
     async fn newest_catalog(&self) -> Result<Option<Arc<Catalog>>, ControlCallFailure> {
+        let arrived = Instant::now();
         match self.newest_catalog_locally().await {
             Ok(catalog) => Ok(catalog),
-            Err(failure) => Ok(self.leader_after(failure)?.newest_catalog().await?.map(Arc::new)),
+            Err(failure) => {
+                let leader = self.leader_after(failure, arrived)?;
+                Ok(leader.newest_catalog().await?.map(Arc::new))
+            }
         }
     }
 
     async fn submit_target_report(&self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
+        let arrived = Instant::now();
         match self.report_locally(report.clone()).await {
             Some(Ok(receipt)) => Ok(receipt),
             Some(Err(leader)) => {
                 let failure = ControlCallFailure::not_leader(leader);
-                self.leader_after(failure)?.report(report).await
+                self.leader_after(failure, arrived)?.report(report).await
             }
             None => Err(ControlCallFailure::no_answer()),
         }
--- a/kqr-runtime/src/discovery/founding_member.rs
+++ b/kqr-runtime/src/discovery/founding_member.rs
@@ -14,11 +14,11 @@
 /// Interval between ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between heartbeats of the leading seed.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(60);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
 /// Minimum time without a leading seed before another one campaigns: several heartbeats.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after the decision for which this seed still informs the others.
-const LINGER_TIME: Duration = Duration::from_secs(5);
+const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Storage incarnation of the seeds, none of which takes part again after a restart.
 const STORAGE: Incarnation = Incarnation(1);
 
--- a/kqr-runtime/src/entry/control_access.rs
+++ b/kqr-runtime/src/entry/control_access.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
 
@@ -26,7 +26,7 @@
     fn leader(&self) -> Result<LeaderClient, ControlCallFailure> {
         let leader = self.controls.leader();
         leader
-            .map(LeaderClient::new)
+            .map(|leader| LeaderClient::new(leader, Duration::ZERO))
             .ok_or_else(ControlCallFailure::no_answer)
     }
 }
--- a/kqr-runtime/src/leader_client.rs
+++ b/kqr-runtime/src/leader_client.rs
@@ -9,8 +9,9 @@
 
 use crate::{control::ControlCallFailure, rpc::ControlRpcClient, transport};
 
-/// Timeout of a forwarded call: some round trips and one lost packet. Two of them, one at a former leader, end
-/// before callers try another instance, which they do after a second.
+/// Time from the arrival of a call until its forwarding ends, with all hops: a commit with a slow sync, or some round trips
+/// and one lost packet.
+/// Callers try another instance after a second.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of instances to which a call is forwarded, each of which names the next one as the leader.
 const MAX_HOPS: usize = 2;
@@ -19,12 +20,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderClient {
     leader: InstanceId,
+    timeout: Duration,
 }
 
 impl LeaderClient {
-    /// Creates a client of the instance that is known as the leader.
-    pub(crate) const fn new(leader: InstanceId) -> Self {
-        Self { leader }
+    /// Creates a client of the instance that is known as the leader, for a call that arrived `waited` ago.
+    pub(crate) fn new(leader: InstanceId, waited: Duration) -> Self {
+        Self {
+            leader,
+            timeout: FORWARD_TIMEOUT.saturating_sub(waited),
+        }
     }
 
     /// Replaces the catalog.
@@ -77,32 +82,40 @@
         name: &str,
         call: Call,
     ) -> Result<Answer, ControlCallFailure>
+    where
+        Call: Fn(ControlRpcClient) -> Answered,
+        Answered: Future<Output = Result<Result<Answer, ControlCallFailure>, client::RpcError>>,
+    {
+        let (leader, timeout) = (self.leader.clone(), self.timeout);
+        let result = match tokio::time::timeout(timeout, self.follow_leaders(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(eyre::eyre!("no answer within {timeout:?}")),
+        };
+        result.unwrap_or_else(|error| {
+            log::warn!("forwarding {name} to control instance {leader} failed: {error}");
+            Err(ControlCallFailure::no_answer())
+        })
+    }
+
+    async fn follow_leaders<Answer, Call, Answered>(
+        self,
+        call: Call,
+    ) -> eyre::Result<Result<Answer, ControlCallFailure>>
     where
         Call: Fn(ControlRpcClient) -> Answered,
         Answered: Future<Output = Result<Result<Answer, ControlCallFailure>, client::RpcError>>,
     {
         let mut leader = self.leader;
-        let mut failure = ControlCallFailure::no_answer();
+        let mut result = Err(ControlCallFailure::no_answer());
         for _ in 0..MAX_HOPS {
-            let attempt = async { Ok(call(connect(&leader).await?).await?) };
-            let answer: eyre::Result<_> = match tokio::time::timeout(FORWARD_TIMEOUT, attempt).await {
-                Ok(answer) => answer,
-                Err(_) => Err(eyre::eyre!("no answer within {FORWARD_TIMEOUT:?}")),
-            };
-            failure = match answer {
-                Ok(Ok(answer)) => return Ok(answer),
-                Ok(Err(failure)) => failure,
-                Err(error) => {
-                    log::warn!("forwarding {name} to control instance {leader} failed: {error}");
-                    return Err(ControlCallFailure::no_answer());
-                }
-            };
-            match failure.next_leader() {
+            result = call(connect(&leader).await?).await?;
+            let failure = result.as_ref().err();
+            match failure.and_then(ControlCallFailure::next_leader) {
                 Some(next) if *next != leader => leader = next.clone(),
                 _ => break,
             }
         }
-        Err(failure)
+        Ok(result)
     }
 }
 
