fix(fleet): refuse reports of targets with values out of range

Cause, found by reading: a capacity, a sequence number or a start at the top of their range passed. The capacity was summed without saturation and drew all orders; the sequence number or the start outdated all later true reports of the target, for good; labels of any size were logged and sent in each load report. Ruled out: a port out of range, a number past 64 bits and deep nesting in a known field were refused before; nesting in a field that is not known is skipped without recursion.

--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -10,6 +10,9 @@
 /// Factor by which a run may exceed the estimate of its caller.
 const ESTIMATE_ERROR_FACTOR: f64 = 1.5;
 
+/// Largest multiple of the ideal response time that counts as on time.
+const MAX_SLACK_FACTOR: f64 = 1000.0;
+
 /// A job that this entry coordinates.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Job {
@@ -84,7 +87,7 @@
     /// Returns the time left until the end of a task counts as late, if it takes `estimate` on a target of
     /// normal speed.
     pub(super) fn on_time_left(&self, now: Instant, estimate: Duration) -> Duration {
-        let slack = estimate.mul_f64(self.request.slack_factor.max(0.0));
+        let slack = estimate.mul_f64(slack_factor(&self.request));
         (self.arrived + slack + self.request.objective).since(now)
     }
 
@@ -97,10 +100,15 @@
 /// Returns the time after the arrival of a job beyond which its result is of no use, with a margin for wrong
 /// estimates.
 fn max_useful_time(request: &JobRequest) -> Duration {
-    let slack = request.slack_factor.max(0.0) * ESTIMATE_ERROR_FACTOR;
+    let slack = slack_factor(request) * ESTIMATE_ERROR_FACTOR;
     (estimated_duration(request).mul_f64(slack) + request.objective) * USEFUL_TIME_FACTOR
 }
 
+/// Returns the slack factor within the range in which durations can be multiplied by it.
+const fn slack_factor(request: &JobRequest) -> f64 {
+    request.slack_factor.clamp(0.0, MAX_SLACK_FACTOR)
+}
+
 /// Returns the estimated run time of all steps in sequence.
 pub(super) fn estimated_duration(request: &JobRequest) -> Duration {
     request.steps.iter().map(|step| step.estimate).sum()
--- a/kqr-fleet/src/node/observed_fleet.rs
+++ b/kqr-fleet/src/node/observed_fleet.rs
@@ -73,8 +73,12 @@
         }
     }
 
-    /// Records the report of a target. Reports of earlier incarnations and outdated reports are dropped.
+    /// Records the report of a target. Reports of earlier incarnations, outdated reports and those with fields out of
+    /// range are dropped.
     pub(super) fn record_report(&mut self, now: Instant, report: TargetReport) {
+        if report.check().is_err() {
+            return;
+        }
         let (record, sequence, is_leaving) = match report {
             TargetReport::Present {
                 record,
--- a/kqr-fleet/src/state.rs
+++ b/kqr-fleet/src/state.rs
@@ -88,7 +88,10 @@
     ///
     /// Returns an error if the bytes are not a valid snapshot.
     pub fn restore(snapshot: &[u8]) -> serde_json::Result<Self> {
-        serde_json::from_slice(snapshot)
+        let mut state: Self = serde_json::from_slice(snapshot)?;
+        // Earlier versions accepted records with any numbers.
+        state.targets.retain(|_, owned| owned.record.check().is_ok());
+        Ok(state)
     }
 
     fn replace_catalog(&mut self, catalog: Catalog) {
@@ -105,13 +108,20 @@
     fn update_record(&mut self, record: TargetRecord) {
         if let Some(owned) = self.targets.get_mut(&record.id)
             && owned.record.is_resized_to(&record)
+            && record.check().is_ok()
         {
             owned.record = record;
         }
     }
 
+    /// Records the owner of a target. A record out of range, which an earlier version may have logged, names no
+    /// target; it uses up a token as it did there.
     fn hand_over(&mut self, handover: Handover) {
         self.last_token.0 += 1;
+        if handover.record.check().is_err() {
+            self.targets.remove(&handover.record.id);
+            return;
+        }
         let owned = OwnedTarget {
             record: handover.record,
             owner: handover.owner,
--- a/kqr-fleet/src/target_record.rs
+++ b/kqr-fleet/src/target_record.rs
@@ -3,7 +3,21 @@
 use kqr_types::{DataCentre, Incarnation, ServiceName, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::Resources;
+use crate::{RecordError, Resources};
+
+/// Largest capacity of a target, far above that of existing machines. The sums over a fleet of such targets fit in 64
+/// bits.
+const MAX_CAPACITY: Resources = Resources {
+    cpu_milli: 100_000_000,
+    memory_mib: 1 << 30,
+    accelerators: 100_000,
+};
+/// Largest number of labels of a target. Each load of all targets carries them.
+const MAX_LABELS: usize = 32;
+/// Largest size of a label.
+const MAX_LABEL_BYTES: usize = 128;
+/// Largest counter that a target may report: the largest integer that all JSON writers can represent.
+pub(crate) const MAX_COUNTER: u64 = (1 << 53) - 1;
 
 /// Description of one incarnation of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +49,28 @@
         resized == *other
     }
 
+    /// Checks that no field is beyond all targets that exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is out of range.
+    pub fn check(&self) -> Result<(), RecordError> {
+        if !MAX_CAPACITY.can_fit(&self.capacity) {
+            return Err(RecordError::Capacity);
+        }
+        let is_short = |label: &String| label.len() <= MAX_LABEL_BYTES;
+        if self.labels.len() > MAX_LABELS || !self.labels.iter().all(is_short) {
+            return Err(RecordError::Labels);
+        }
+        if self.address.port() == 0 {
+            return Err(RecordError::Address);
+        }
+        if self.life.0 > MAX_COUNTER {
+            return Err(RecordError::Counter);
+        }
+        Ok(())
+    }
+
     /// Returns whether the target has `label`.
     pub fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own_label| own_label == label)
--- a/kqr-fleet/src/target_report.rs
+++ b/kqr-fleet/src/target_report.rs
@@ -3,7 +3,7 @@
 use kqr_types::{Incarnation, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::TargetRecord;
+use crate::{RecordError, TargetRecord, target_record::MAX_COUNTER};
 
 /// Report of a target about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +27,22 @@
 }
 
 impl TargetReport {
+    /// Checks that no field is beyond all targets that exist. A report that fails names no target to use.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is out of range.
+    pub fn check(&self) -> Result<(), RecordError> {
+        match self {
+            Self::Present { sequence, .. } if *sequence > MAX_COUNTER => Err(RecordError::Counter),
+            Self::Present { record, .. } => record.check(),
+            Self::Gone { life, .. } if life.is_some_and(|life| life.0 > MAX_COUNTER) => {
+                Err(RecordError::Counter)
+            }
+            Self::Gone { .. } => Ok(()),
+        }
+    }
+
     /// Returns the identity of the target.
     pub const fn target(&self) -> &TargetId {
         match self {
--- a/kqr-fleet/tests/owners.rs
+++ b/kqr-fleet/tests/owners.rs
@@ -159,6 +159,27 @@
     assert_eq!(owned.iter().max(), Some(&20), "limit of 80 targets per core");
 }
 
+/// A report with the highest sequence number would outdate all later ones of the target.
+#[test]
+fn a_report_out_of_range_does_not_outdate_true_ones() {
+    let mut control = Control::leading();
+    let entries = [entry("a", "north", 250)];
+    let known = target(1, "north");
+    let mut odd = known.clone();
+    odd.life = Incarnation(u64::MAX);
+    for (record, sequence) in [(odd, 1), (known.clone(), u64::MAX)] {
+        let report = TargetReport::Present {
+            record,
+            sequence,
+            is_leaving: true,
+        };
+        control.node.report(control.now, report).unwrap();
+    }
+    control.report(known, false);
+    control.run_with_entries(3_000, &entries);
+    assert_eq!(control.owned_count(&entries[0]), 1);
+}
+
 #[test]
 fn targets_are_assigned_to_entries_of_their_data_centre() {
     let mut control = Control::leading();
--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -83,7 +83,7 @@
                 drop(tx.send(Request::Founded(founders)));
             });
         }
-        let handle = ControlHandle::new(own, tx, state);
+        let handle = ControlHandle::new(own, tx, state, Arc::clone(&metrics));
         tokio::spawn(service::serve(listener, handle.clone(), entries));
         Ok(Self {
             handle,
--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -5,6 +5,7 @@
 
 use kqr_agreement::{Message, VoterId};
 use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_telemetry::Metrics;
 use kqr_types::InstanceId;
 use tokio::sync::oneshot;
 
@@ -23,11 +24,22 @@
     own: InstanceId,
     tx: mpsc::Sender<Request>,
     driver: Arc<DriverState>,
+    metrics: Arc<Metrics>,
 }
 
 impl ControlHandle {
-    pub(super) const fn new(own: InstanceId, tx: mpsc::Sender<Request>, driver: Arc<DriverState>) -> Self {
-        Self { own, tx, driver }
+    pub(super) const fn new(
+        own: InstanceId,
+        tx: mpsc::Sender<Request>,
+        driver: Arc<DriverState>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            own,
+            tx,
+            driver,
+            metrics,
+        }
     }
 
     /// Returns the client of the leader to which a call that arrived at `arrived` and failed here is forwarded.
@@ -140,6 +152,10 @@
         }
     }
 
+    fn count_refused_report(&self) {
+        self.metrics.count_refused_report();
+    }
+
     async fn submit_target_report(&self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
         let arrived = Instant::now();
         match self.report_locally(report.clone()).await {
--- a/kqr-runtime/src/control_api.rs
+++ b/kqr-runtime/src/control_api.rs
@@ -24,6 +24,9 @@
     fn newest_catalog(&self)
     -> impl Future<Output = Result<Option<Arc<Catalog>>, ControlCallFailure>> + Send;
 
+    /// Counts a report of a target that was refused because it can't be decoded or is out of range.
+    fn count_refused_report(&self);
+
     /// Handles the report of a target.
     ///
     /// # Errors
--- a/kqr-runtime/src/entry/control_access.rs
+++ b/kqr-runtime/src/entry/control_access.rs
@@ -59,6 +59,10 @@
         Ok(self.leader()?.newest_catalog().await?.map(Arc::new))
     }
 
+    fn count_refused_report(&self) {
+        self.driver.count_refused_report();
+    }
+
     async fn submit_target_report(&self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
         self.leader()?.report(report).await
     }
--- a/kqr-runtime/src/entry/driver.rs
+++ b/kqr-runtime/src/entry/driver.rs
@@ -163,6 +163,11 @@
         self.handle_input(Input::TargetReported(report));
     }
 
+    /// Counts a report of a target that was refused because it can't be decoded or is out of range.
+    pub fn count_refused_report(&self) {
+        self.metrics.count_refused_report();
+    }
+
     /// Begins the shutdown: no new callers are accepted, and targets are released as they become idle. Jobs
     /// that are still in progress after `time_left` are given up.
     pub(super) fn leave(self: &Arc<Self>, time_left: Duration) {
--- a/kqr-telemetry/src/metrics.rs
+++ b/kqr-telemetry/src/metrics.rs
@@ -33,6 +33,7 @@
     wasted: Counter<u64>,
     sibling_bytes: Counter<u64>,
     suspicions: Counter<u64>,
+    refused_reports: Counter<u64>,
     dropped_events: Gauge<u64>,
     gauges: Vec<Gauge<u64>>,
 }
@@ -109,6 +110,11 @@
                 "kqr_suspicions",
                 "Members that this instance suspected as leader of its cell",
             ),
+            refused_reports: counter(
+                &meter,
+                "kqr_refused_reports",
+                "Reports of targets that can't be decoded or are out of range",
+            ),
             dropped_events: gauge(&meter, "kqr_dropped_events", "Time-line events that were dropped"),
             gauges: gauges.into(),
             provider,
@@ -158,6 +164,11 @@
         self.suspicions.add(1, &[]);
     }
 
+    /// Counts a report of a target that can't be decoded or is out of range.
+    pub fn count_refused_report(&self) {
+        self.refused_reports.add(1, &[]);
+    }
+
     /// Records the duration of a synced write.
     pub fn record_sync(&self, time: Duration) {
         self.sync.record(time.as_secs_f64(), &[]);
