perf(dispatch): send changes of loads, and the payload of a job once

Callers saw late answers on narrow links, and lost ones once siblings counted each other as lost.

Cause: each owner sent each sibling the identities, labels, capacities and loads of all its targets up to 20 times a second, so that traffic grew with owners, entries and targets; each order carried the payload of its job again; each submission cloned all reports and compared all targets.

Change: a list of all targets once and after a loss of the link, then the changed loads only; the payload once a message; an index of targets that accept runs by speed and free processors, which is kept up to date. An order stays deducted until a load of its owner includes it, in place of a fixed 10 ms. Waiting orders are found by their identifier. Coordinators prefer different ones of equal targets and queues. The dispatcher drops reports out of range.

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -1,18 +1,14 @@
 mod orders;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use kqr_fleet::{EntryInfo, FencingToken, TargetReport};
 use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
 
 use crate::{
-    Decision, GiveUp, Input, LoadReport, Options, OrderId, Output, RunOrder, SiblingMessage,
-    contact::Contact,
-    jobs::{Candidates, Jobs},
-    owned::OwnedTargets,
-    received_orders::ReceivedOrders,
-    siblings::Siblings,
-    target_losses::TargetLosses,
+    Decision, GiveUp, Input, LoadUpdate, Options, OrderId, Output, RunOrder, SiblingMessage,
+    contact::Contact, jobs::Jobs, own_load::OwnLoad, owned::OwnedTargets, owners::Owners,
+    received_orders::ReceivedOrders, siblings::Siblings, target_losses::TargetLosses,
 };
 
 /// State machine with the scheduling decisions of an entry.
@@ -25,7 +21,8 @@
     owned: OwnedTargets,
     jobs: Jobs,
     siblings: Siblings,
-    last_report: LoadReport,
+    owners: Owners,
+    own_load: OwnLoad,
     last_report_at: Instant,
     /// When the last input was handled.
     last_input_at: Instant,
@@ -40,12 +37,13 @@
     pub fn new(own: EntryInfo, options: Options) -> Self {
         let last_order_id = OrderId::before(own.incarnation);
         Self {
+            owners: Owners::new(&own.id),
             own,
             owned: OwnedTargets::new(options.clone()),
             jobs: Jobs::new(options.clone(), last_order_id),
             siblings: Siblings::default(),
             options,
-            last_report: LoadReport::default(),
+            own_load: OwnLoad::default(),
             last_report_at: Instant(0),
             last_input_at: Instant(0),
             contact: Contact::default(),
@@ -62,9 +60,12 @@
             Input::Tick => self.tick(now, outputs),
             Input::Submit(request) => {
                 let key = request.key.clone();
-                let mut candidates = self.candidates(now);
-                if self.jobs.submit(now, request, &candidates, &self.losses, outputs) {
-                    self.place_tasks(now, &key, &mut candidates, outputs);
+                self.refresh_own_load(now);
+                if self
+                    .jobs
+                    .submit(now, request, &self.owners, &self.losses, outputs)
+                {
+                    self.place_tasks(now, &key, outputs);
                 }
             }
             Input::Abandon(job) => self.jobs.abandon(now, &job, outputs),
@@ -80,6 +81,7 @@
             Input::MessageReceived { from, message } => self.handle_message(now, &from, message, outputs),
             Input::LinkLost { sibling } => self.handle_sibling_loss(now, &sibling, outputs),
             Input::SessionOpened { sibling, dropped } => {
+                self.forget_sent_load(&sibling);
                 self.owned.drop_orders_of(now, &sibling, outputs);
                 let ended_by = self.latest_run_end(now);
                 self.jobs.handle_dropped_orders(&sibling, dropped, ended_by);
@@ -197,7 +199,6 @@
         message: SiblingMessage,
         outputs: &mut Vec<Output>,
     ) {
-        let lag = self.options.report_lag;
         if let Some(sibling) = self.siblings.get_mut(from) {
             if sibling.last_message_at.is_none() {
                 log_sibling_change(outputs, from, "heard");
@@ -205,12 +206,9 @@
             sibling.last_message_at = Some(now);
         }
         match message {
-            SiblingMessage::Load(load) => {
-                if let Some(sibling) = self.siblings.get_mut(from) {
-                    sibling.update_load(now, load, lag);
-                }
-            }
-            SiblingMessage::Run(orders) => self.accept_orders(now, from, orders, outputs),
+            SiblingMessage::Load(update) => self.apply_load(from, update, outputs),
+            SiblingMessage::LoadRequest => self.forget_sent_load(from),
+            SiblingMessage::Run { spec, orders } => self.accept_orders(now, from, &spec, orders, outputs),
             SiblingMessage::Cancel(order_ids) => {
                 for order_id in order_ids {
                     self.owned.cancel_order(now, from, order_id, outputs);
@@ -245,8 +243,9 @@
         });
         if let Some(known) = self.siblings.get_mut(sibling) {
             known.last_message_at = None;
-            known.load = LoadReport::default();
+            known.sent_load = None;
         }
+        self.owners.remove(sibling);
         self.owned.drop_orders_of(now, sibling, outputs);
         if let Some(received) = self.received_orders.get_mut(sibling) {
             received.drop_all();
@@ -268,6 +267,7 @@
         &mut self,
         now: Instant,
         from: &InstanceId,
+        spec: &Arc<str>,
         orders: Vec<RunOrder>,
         outputs: &mut Vec<Output>,
     ) {
@@ -278,18 +278,43 @@
             return;
         }
         for order in orders {
-            self.owned.accept_order(now, from.clone(), order, outputs);
+            self.owned
+                .accept_order(now, from.clone(), Arc::clone(spec), order, outputs);
         }
     }
 
-    fn candidates(&self, now: Instant) -> Candidates {
-        let mut candidates = Candidates::default();
-        candidates.add(&self.own.id, true, self.owned.load_report(now));
-        for sibling in self.siblings.live(now, &self.options) {
-            let is_near = sibling.info.data_centre == self.own.data_centre;
-            candidates.add(&sibling.info.id, is_near, sibling.load.clone());
+    /// Applies the load of a sibling, and requests the loads of all its targets if the update does not continue the
+    /// known load.
+    fn apply_load(&mut self, from: &InstanceId, update: LoadUpdate, outputs: &mut Vec<Output>) {
+        let Some(sibling) = self.siblings.get_mut(from) else {
+            return;
+        };
+        let is_near = sibling.info.data_centre == self.own.data_centre;
+        if !self.owners.apply(from, is_near, update) {
+            outputs.push(Output::Send {
+                to: from.clone(),
+                message: SiblingMessage::LoadRequest,
+            });
+        }
+    }
+
+    /// Sends the loads of all targets with the next report to a sibling.
+    fn forget_sent_load(&mut self, sibling: &InstanceId) {
+        if let Some(known) = self.siblings.get_mut(sibling) {
+            known.sent_load = None;
+            known.is_outdated = true;
+        }
+    }
+
+    /// Updates the load of the own targets, before orders are placed.
+    fn refresh_own_load(&mut self, now: Instant) {
+        if self.owned.take_list_change() {
+            self.owners.replace_own(&self.own.id, self.owned.load_report(now));
+            return;
         }
-        candidates
+        self.owners.refresh_own(&self.own.id, self.owned.loads(now));
+        self.owners
+            .refresh_own_queue(&self.own.id, self.owned.queued_work());
     }
 
     /// Sends the load to siblings. Two entries without targets exchange no reports.
@@ -298,22 +323,24 @@
             return;
         }
         self.last_report_at = now;
-        let load = self.owned.load_report(now);
-        let is_changed = load != self.last_report;
-        self.last_report = load;
+        let is_changed = self.own_load.replace(self.owned.load_report(now));
         for sibling in self.siblings.iter_mut() {
             sibling.is_outdated |= is_changed;
-            let is_concerned = !self.last_report.targets.is_empty() || !sibling.load.targets.is_empty();
+            let id = &sibling.info.id;
+            let is_concerned = !self.own_load.is_empty() || self.owners.has_targets(id);
             let is_near = sibling.info.data_centre == self.own.data_centre;
             if !is_concerned || !sibling.is_report_due(now, is_near, &self.options) {
                 continue;
             }
-            sibling.is_outdated = false;
-            sibling.last_report_at = now;
+            let received = self.received_orders.get(id).copied().unwrap_or_default();
+            let update = self.own_load.update_since(sibling.sent_load, received.last());
             outputs.push(Output::Send {
-                to: sibling.info.id.clone(),
-                message: SiblingMessage::Load(self.last_report.clone()),
+                to: id.clone(),
+                message: SiblingMessage::Load(update),
             });
+            sibling.sent_load = Some(self.own_load.number());
+            sibling.is_outdated = false;
+            sibling.last_report_at = now;
         }
     }
 }
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -1,14 +1,11 @@
 //! The path of orders: placing tasks, starting waiting orders, and handing progress and ends to coordinators.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use kqr_types::{InstanceId, Instant, JobKey, TargetId};
 
 use super::Dispatcher;
-use crate::{
-    OrderId, Output, RunEnd, RunOrder, SiblingMessage,
-    jobs::{Candidates, Placement},
-};
+use crate::{OrderId, Output, RunEnd, RunOrder, SiblingMessage, jobs::Placement};
 
 impl Dispatcher {
     pub(super) fn end_order(
@@ -51,9 +48,9 @@
             if ready.is_empty() {
                 break;
             }
-            let mut candidates = self.candidates(now);
+            self.refresh_own_load(now);
             for key in ready {
-                self.place_tasks(now, &key, &mut candidates, outputs);
+                self.place_tasks(now, &key, outputs);
             }
         }
         self.send_cancellations(now, outputs);
@@ -103,26 +100,22 @@
         }
     }
 
-    pub(super) fn place_tasks(
-        &mut self,
-        now: Instant,
-        key: &JobKey,
-        candidates: &mut Candidates,
-        outputs: &mut Vec<Output>,
-    ) {
+    pub(super) fn place_tasks(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
+        let Some(spec) = self.jobs.spec_of(key) else {
+            return;
+        };
         let mut remote: BTreeMap<InstanceId, Vec<RunOrder>> = BTreeMap::new();
-        for Placement { owner, order } in self.jobs.place(now, key, candidates, &self.losses, outputs) {
+        for Placement { owner, order } in self.jobs.place(now, key, &mut self.owners, &self.losses, outputs) {
             if owner == self.own.id {
-                self.owned.accept_order(now, owner, order, outputs);
+                self.owned
+                    .accept_order(now, owner, Arc::clone(&spec), order, outputs);
                 continue;
             }
-            if let (Some(sibling), Some(target)) = (self.siblings.get_mut(&owner), &order.preferred_target) {
-                sibling.reserve(now, target, order.needs);
-            }
             remote.entry(owner).or_default().push(order);
         }
         for (to, orders) in remote {
-            let message = SiblingMessage::Run(orders);
+            let spec = Arc::clone(&spec);
+            let message = SiblingMessage::Run { spec, orders };
             outputs.push(Output::Send { to, message });
         }
     }
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -1,18 +1,17 @@
 //! The coordinator role: jobs of callers, and the orders placed for their tasks.
 
-mod candidates;
 mod job;
 mod orders;
 mod task;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use kqr_types::{InstanceId, Instant, JobKey};
 
 use crate::{
-    Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause, target_losses::TargetLosses,
+    Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause, owners::Owners,
+    target_losses::TargetLosses,
 };
-pub(crate) use candidates::Candidates;
 use job::{Job, estimated_duration};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
@@ -75,7 +74,7 @@
         &mut self,
         now: Instant,
         request: JobRequest,
-        candidates: &Candidates,
+        owners: &Owners,
         losses: &TargetLosses,
         outputs: &mut Vec<Output>,
     ) -> bool {
@@ -94,9 +93,9 @@
             outputs.push(Output::JobEnded { job, end });
             return false;
         }
-        let wait = candidates.expected_wait(&request);
+        let wait = owners.expected_wait(&request);
         let wait_ms = wait.as_millis() as u64;
-        if let Some(cause) = self.refusal_cause(now, &request, wait_ms, candidates) {
+        if let Some(cause) = self.refusal_cause(now, &request, wait_ms, owners) {
             let end = JobEnd::Refused {
                 cause,
                 retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
@@ -118,6 +117,11 @@
         true
     }
 
+    /// Returns the payload of a job.
+    pub(crate) fn spec_of(&self, key: &JobKey) -> Option<Arc<str>> {
+        self.live.get(key).map(|job| Arc::clone(&job.request.spec))
+    }
+
     /// Places the tasks of new jobs no earlier than at `until`.
     pub(crate) fn hold_new_jobs(&mut self, until: Instant) {
         self.held_until = self.held_until.max(until);
@@ -228,7 +232,7 @@
         now: Instant,
         request: &JobRequest,
         wait_ms: u64,
-        candidates: &Candidates,
+        owners: &Owners,
     ) -> Option<RefusalCause> {
         let needed = estimated_duration(request) * LEAVING_RUN_TIME_FACTOR;
         if self
@@ -237,7 +241,7 @@
         {
             return Some(RefusalCause::Leaving);
         }
-        if !request.has_ordered_steps() || candidates.is_impossible(request) {
+        if !request.has_ordered_steps() || owners.is_impossible(request) {
             return Some(RefusalCause::NoTarget);
         }
         if self.tasks + request.task_count() > self.options.max_tasks {
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -4,9 +4,9 @@
 
 use kqr_types::{InstanceId, Instant, JobKey, TargetId};
 
-use super::{Candidates, Jobs, job::Job, task::TaskState};
+use super::{Jobs, job::Job, task::TaskState};
 use crate::{
-    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId,
+    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId, owners::Owners,
     target_losses::TargetLosses,
 };
 
@@ -56,7 +56,7 @@
         &mut self,
         now: Instant,
         key: &JobKey,
-        candidates: &mut Candidates,
+        owners: &mut Owners,
         losses: &TargetLosses,
         outputs: &mut Vec<Output>,
     ) -> Vec<Placement> {
@@ -76,7 +76,7 @@
                 let Some(order) = new_order(now, job, order_id, step, index, losses) else {
                     continue;
                 };
-                let Some((owner, preferred_target)) = candidates.pick_owner(&order) else {
+                let Some((owner, preferred_target)) = owners.pick_owner(&order) else {
                     clear_avoided_targets(now, job, step, index);
                     continue;
                 };
@@ -247,7 +247,6 @@
         target_losses: losses.count(&run.task),
         run,
         service: job.request.service.clone(),
-        spec: job.request.spec.clone(),
         needs: spec.needs,
         estimate: spec.estimate,
         label: spec.label.clone(),
--- a/kqr-dispatch/src/load_report.rs
+++ b/kqr-dispatch/src/load_report.rs
@@ -5,15 +5,15 @@
 /// Number of priorities with a separate queue length; all lower priorities share the last one.
 pub(crate) const RANKS: usize = 4;
 
-/// Load of an owner, which it sends to its siblings several times a second.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct LoadReport {
+/// Load of an owner.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct LoadReport {
     /// Targets of the owner.
-    pub targets: Vec<TargetLoad>,
+    pub(crate) targets: Vec<TargetLoad>,
     /// Work of waiting orders by priority, in core-milliseconds.
-    pub queued: [u64; RANKS],
+    pub(crate) queued: [u64; RANKS],
     /// Whether the owner is shutting down.
-    pub is_leaving: bool,
+    pub(crate) is_leaving: bool,
 }
 
 /// Load of one target.
@@ -34,3 +34,13 @@
     /// Whether the target accepts new runs.
     pub is_open: bool,
 }
+
+impl TargetLoad {
+    /// Returns whether `other` describes the same target and differs at most in its load.
+    pub(crate) fn has_same_profile(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.service == other.service
+            && self.labels == other.labels
+            && self.capacity == other.capacity
+    }
+}
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -43,8 +43,6 @@
     /// Time without a message of any caller, sibling or target after which the entry gives up its jobs. Callers
     /// that have left unnoticed submit their jobs to another entry later than that.
     pub isolation_timeout: Duration,
-    /// Time for which a sibling's load reports may not yet include an order.
-    pub report_lag: Duration,
     /// Number of targets that went down under a task at which its job fails.
     pub max_target_losses: u32,
     /// Maximum number of tasks in coordinated jobs; a task takes about 1 KiB of memory.
@@ -81,7 +79,6 @@
             sibling_timeout: Duration::from_millis(400),
             standstill_hold: Duration::from_millis(50),
             isolation_timeout: Duration::from_millis(600),
-            report_lag: Duration::from_millis(10),
             max_target_losses: 2,
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
--- a/kqr-dispatch/src/outbox.rs
+++ b/kqr-dispatch/src/outbox.rs
@@ -20,17 +20,21 @@
 }
 
 impl Outbox {
-    /// Adds a message. Of several consecutive loads only the last one is kept.
+    /// Adds a message. Consecutive loads are merged.
     pub fn push(&mut self, message: SiblingMessage) {
-        let is_load = matches!(message, SiblingMessage::Load(_));
         let is_waiting = self.messages.len() > self.sending;
-        if is_load
-            && is_waiting
-            && let Some(last @ SiblingMessage::Load(_)) = self.messages.back_mut()
-        {
-            *last = message;
-        } else {
-            self.messages.push_back(message);
+        match message {
+            SiblingMessage::Load(later) if is_waiting => match self.messages.pop_back() {
+                Some(SiblingMessage::Load(earlier)) => {
+                    let merged = earlier.followed_by(later);
+                    self.messages.push_back(SiblingMessage::Load(merged));
+                }
+                last => {
+                    self.messages.extend(last);
+                    self.messages.push_back(SiblingMessage::Load(later));
+                }
+            },
+            message => self.messages.push_back(message),
         }
     }
 
--- /dev/null
+++ b/kqr-dispatch/src/own_load.rs
@@ -0,0 +1,89 @@
+use crate::{LoadChange, LoadTargets, LoadUpdate, OrderId, TargetLoad, load_report::LoadReport};
+
+/// Load of this entry as last reported, with the history that updates for siblings are made from.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnLoad {
+    report: LoadReport,
+    /// Number of the report; it increases with each change.
+    number: u64,
+    /// Number of the report in which the list of targets last changed.
+    listed_at: u64,
+    /// Numbers of the reports in which the loads of the targets last changed.
+    changed_at: Vec<u64>,
+}
+
+impl OwnLoad {
+    /// Returns whether there are no targets.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.report.targets.is_empty()
+    }
+
+    /// Returns the number of the last reported load.
+    pub(crate) const fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Replaces the load. Returns whether it differs from the last one.
+    pub(crate) fn replace(&mut self, report: LoadReport) -> bool {
+        if report == self.report {
+            return false;
+        }
+        self.number += 1;
+        let is_same_list = report.targets.len() == self.report.targets.len()
+            && pairs(&report, &self.report).all(|(new, old)| new.has_same_profile(old));
+        if is_same_list {
+            for (index, (new, old)) in pairs(&report, &self.report).enumerate() {
+                if new != old {
+                    self.changed_at[index] = self.number;
+                }
+            }
+        } else {
+            self.listed_at = self.number;
+            self.changed_at = vec![self.number; report.targets.len()];
+        }
+        self.report = report;
+        true
+    }
+
+    /// Returns the update for a sibling that has the load with the number `since`, or none. `last_order` is the last
+    /// order received from it.
+    pub(crate) fn update_since(&self, since: Option<u64>, last_order: OrderId) -> LoadUpdate {
+        let targets = match since {
+            Some(since) if since >= self.listed_at => LoadTargets::Changed {
+                since,
+                changes: self.changes_since(since),
+            },
+            _ => LoadTargets::All(self.report.targets.clone()),
+        };
+        LoadUpdate {
+            number: self.number,
+            targets,
+            queued: self.report.queued,
+            is_leaving: self.report.is_leaving,
+            last_order,
+        }
+    }
+
+    fn changes_since(&self, since: u64) -> Vec<LoadChange> {
+        let mut changes = Vec::new();
+        for (position, target) in self.report.targets.iter().enumerate() {
+            if self.changed_at.get(position).is_none_or(|at| *at <= since) {
+                continue;
+            }
+            changes.push(LoadChange {
+                position: position as u32,
+                free: target.free,
+                slowness: target.slowness,
+                is_open: target.is_open,
+            });
+        }
+        changes
+    }
+}
+
+fn pairs<'a>(
+    new: &'a LoadReport,
+    old: &'a LoadReport,
+) -> impl Iterator<Item = (&'a TargetLoad, &'a TargetLoad)> {
+    new.targets.iter().zip(&old.targets)
+}
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -12,6 +12,7 @@
 mod run;
 mod target;
 mod waiting_order;
+mod waiting_orders;
 
 use std::collections::BTreeMap;
 
@@ -19,14 +20,14 @@
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    CallId, Decision, LoadReport, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
-    load_report::RANKS,
+    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
+    load_report::{LoadReport, RANKS},
 };
 use open_call::OpenCall;
 use phase::Phase;
 use run::Run;
 use target::Target;
-use waiting_order::WaitingOrder;
+use waiting_orders::WaitingOrders;
 
 /// End of an order, to be sent to its coordinator.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,9 +45,9 @@
     targets: BTreeMap<TargetId, Target>,
     /// Targets that were granted to another owner, kept until the lease of their runs has expired.
     former: Vec<Target>,
-    /// Waiting orders, by priority and arrival.
-    waiting: BTreeMap<(u32, u64), WaitingOrder>,
-    last_arrival: u64,
+    /// Whether targets were added, removed or resized since the list was last taken.
+    is_list_changed: bool,
+    waiting: WaitingOrders,
     calls: BTreeMap<CallId, OpenCall>,
     next_call: u64,
     is_leaving: bool,
@@ -64,8 +65,8 @@
             options,
             targets: BTreeMap::new(),
             former: Vec::new(),
-            waiting: BTreeMap::new(),
-            last_arrival: 0,
+            is_list_changed: false,
+            waiting: WaitingOrders::default(),
             calls: BTreeMap::new(),
             next_call: 0,
             is_leaving: false,
@@ -99,6 +100,7 @@
     /// Stops accepting orders; targets are released as they become idle.
     pub(crate) fn start_leaving(&mut self) {
         self.is_leaving = true;
+        self.is_list_changed = true;
     }
 
     /// Returns whether there are no runs on owned targets and no waiting orders.
@@ -143,6 +145,7 @@
             }
         }
         let lost = std::mem::replace(&mut self.targets, kept);
+        self.is_list_changed = true;
         for target in lost.into_values() {
             log_target_change(outputs, &target, "handed-over", format!("token {}", target.token));
             self.former.push(target);
@@ -150,8 +153,11 @@
         self.tick(now, outputs);
     }
 
-    /// Handles a report from a target. Only reports that are news to control are forwarded.
+    /// Handles a report from a target. One with fields out of range is dropped. Only reports that are news to control are forwarded.
     pub(crate) fn handle_report(&mut self, report: TargetReport, outputs: &mut Vec<Output>) {
+        if report.check().is_err() {
+            return;
+        }
         let is_changed = match (&report, self.targets.get_mut(report.target())) {
             (
                 TargetReport::Present {
@@ -168,7 +174,7 @@
                     || target.last_report.is_none();
                 if !is_outdated {
                     target.last_report = Some(number);
-                    resize(target, record, outputs);
+                    self.is_list_changed |= resize(target, record, outputs);
                 }
                 if *is_leaving && !target.is_leaving && record.life >= target.record.life {
                     target.is_leaving = true;
@@ -209,8 +215,9 @@
     /// Returns the load report for siblings.
     pub(crate) fn load_report(&self, now: Instant) -> LoadReport {
         let mut report = LoadReport {
+            targets: Vec::with_capacity(self.targets.len()),
+            queued: self.waiting.work(),
             is_leaving: self.is_leaving,
-            ..LoadReport::default()
         };
         for target in self.targets.values() {
             report.targets.push(TargetLoad {
@@ -223,14 +230,30 @@
                 is_open: self.is_open(now, target),
             });
         }
-        for waiting in self.waiting.values() {
-            let rank = (waiting.order.priority as usize).min(RANKS - 1);
-            report.queued[rank] +=
-                waiting.order.needs.cpu_milli * waiting.order.estimate.as_millis() as u64 / 1000;
-        }
         report
     }
 
+    /// Returns the current loads of the targets, in the order of the load report.
+    pub(crate) fn loads(&self, now: Instant) -> impl Iterator<Item = LoadChange> {
+        let targets = self.targets.values().enumerate();
+        targets.map(move |(position, target)| LoadChange {
+            position: position as u32,
+            free: target.free(),
+            slowness: target.health.slowness(),
+            is_open: self.is_open(now, target),
+        })
+    }
+
+    /// Returns the work of the waiting orders by priority, in core-milliseconds.
+    pub(crate) const fn queued_work(&self) -> [u64; RANKS] {
+        self.waiting.work()
+    }
+
+    /// Returns whether targets were added, removed or resized since the last call.
+    pub(crate) fn take_list_change(&mut self) -> bool {
+        std::mem::replace(&mut self.is_list_changed, false)
+    }
+
     /// Handles timeouts: expired leases and orders, stops to resend, and polls that are due.
     pub(crate) fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.expire_leases(now, outputs);
@@ -312,14 +335,15 @@
     }
 }
 
-/// Applies the capacity that a target reports. Runs beyond it continue; nothing is started until they have ended.
-fn resize(target: &mut Target, record: &TargetRecord, outputs: &mut Vec<Output>) {
+/// Applies the capacity that a target reports. Returns whether it has changed. Runs beyond it continue; nothing is started until they have ended.
+fn resize(target: &mut Target, record: &TargetRecord, outputs: &mut Vec<Output>) -> bool {
     if target.record.capacity == record.capacity || !target.record.is_resized_to(record) {
-        return;
+        return false;
     }
     target.record.capacity = record.capacity;
     let cause = format!("{} thousandths of a core", record.capacity.cpu_milli);
     log_target_change(outputs, target, "resized", cause);
+    true
 }
 
 fn new_target(now: Instant, grant: &TargetGrant, outputs: &mut Vec<Output>) -> Target {
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -1,5 +1,7 @@
 //! Orders from coordinators: queueing them, and starting and stopping their runs.
 
+use std::sync::Arc;
+
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use super::{
@@ -25,6 +27,7 @@
         &mut self,
         now: Instant,
         coordinator: InstanceId,
+        spec: Arc<str>,
         order: RunOrder,
         outputs: &mut Vec<Output>,
     ) {
@@ -33,31 +36,28 @@
             self.refuse_order(coordinator, &order, NotRun::NoTarget, outputs);
             return;
         }
-        self.last_arrival += 1;
-        let waiting = WaitingOrder {
+        self.waiting.push(WaitingOrder {
             coordinator,
+            spec,
             arrived: now,
             until: now + order.time_left,
             order,
-        };
-        self.waiting
-            .insert((waiting.order.priority, self.last_arrival), waiting);
+        });
     }
 
     /// Starts the waiting orders for which a target has free capacity, by priority and arrival.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut passed_over = 0;
-        let keys: Vec<(u32, u64)> = self.waiting.keys().copied().collect();
-        for key in keys {
+        for place in self.waiting.places() {
             if passed_over == MAX_PASSED_OVER {
                 break;
             }
-            let Some(waiting) = self.waiting.get(&key) else {
+            let Some(waiting) = self.waiting.get(place) else {
                 continue;
             };
             match self.pick_target(now, waiting) {
                 Some(target) => {
-                    if let Some(waiting) = self.waiting.remove(&key) {
+                    if let Some(waiting) = self.waiting.remove(place) {
                         self.start_run(now, &target, &waiting, outputs);
                     }
                 }
@@ -74,11 +74,7 @@
         order_id: OrderId,
         outputs: &mut Vec<Output>,
     ) {
-        let mut waiting = self.waiting.iter();
-        let found =
-            waiting.find(|(_, waiting)| waiting.order.id == order_id && waiting.coordinator == *coordinator);
-        if let Some((&key, _)) = found {
-            self.waiting.remove(&key);
+        if self.waiting.remove_order(coordinator, order_id) {
             let end = RunEnd::NotRun(NotRun::Cancelled);
             self.end_order(coordinator.clone(), order_id, end, None);
             return;
@@ -95,8 +91,7 @@
         coordinator: &InstanceId,
         outputs: &mut Vec<Output>,
     ) {
-        self.waiting
-            .retain(|_, waiting| waiting.coordinator != *coordinator);
+        self.waiting.remove_all_of(coordinator);
         let is_selected = |run: &Run| run.ordered_by.as_ref().is_some_and(|(by, _)| by == coordinator);
         self.stop_runs_where(now, "coordinator-lost", is_selected, outputs);
         for target in self.targets.values_mut().chain(&mut self.former) {
@@ -111,21 +106,21 @@
     /// Refuses the waiting orders that have expired, or that no target can run any more.
     pub(super) fn expire_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut expired = Vec::new();
-        for (&key, waiting) in &self.waiting {
+        for (place, waiting) in self.waiting.iter() {
             if self.is_leaving {
-                expired.push((key, NotRun::NoTarget));
+                expired.push((place, NotRun::NoTarget));
             } else if waiting.until <= now {
-                expired.push((key, NotRun::Expired));
+                expired.push((place, NotRun::Expired));
             } else if !self
                 .targets
                 .values()
                 .any(|target| may_run(target, &waiting.order))
             {
-                expired.push((key, NotRun::NoTarget));
+                expired.push((place, NotRun::NoTarget));
             }
         }
-        for (key, cause) in expired {
-            if let Some(waiting) = self.waiting.remove(&key) {
+        for (place, cause) in expired {
+            if let Some(waiting) = self.waiting.remove(place) {
                 self.refuse_order(waiting.coordinator, &waiting.order, cause, outputs);
             }
         }
@@ -308,7 +303,7 @@
             .push(order.id);
         let call = StartCall {
             run: order.run.clone(),
-            spec: order.spec.clone(),
+            spec: Arc::clone(&waiting.spec),
             lease_until,
         };
         outputs.push(Output::Decision(Decision::RunStarted {
--- a/kqr-dispatch/src/owned/waiting_order.rs
+++ b/kqr-dispatch/src/owned/waiting_order.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use kqr_types::{InstanceId, Instant};
 
 use crate::RunOrder;
@@ -6,6 +8,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct WaitingOrder {
     pub(super) coordinator: InstanceId,
+    /// Payload passed to the task.
+    pub(super) spec: Arc<str>,
     pub(super) order: RunOrder,
     pub(super) arrived: Instant,
     /// When the order expires.
--- /dev/null
+++ b/kqr-dispatch/src/owners/mod.rs
@@ -0,0 +1,420 @@
+//! Loads of all owners as known to a coordinator, with an index of the targets that accept runs.
+
+mod distance;
+mod free_index;
+mod owner_load;
+
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
+
+use kqr_types::{InstanceId, ServiceName, TargetId};
+
+use crate::{
+    JobRequest, LoadChange, LoadTargets, LoadUpdate, RunOrder, StepSpec, TargetLoad,
+    load_report::{LoadReport, RANKS},
+    suitability::{Suitability, on_time_budget},
+};
+use distance::Distance;
+use free_index::{FreeIndex, FreeKey};
+use owner_load::{OwnerLoad, Reservation};
+
+/// Additional wait that is assumed for an owner in another data centre: the round trip of an order and its end.
+const FAR_WAIT: Duration = Duration::from_millis(5);
+
+/// The known owners, with their free capacity. Each placed order is deducted until a load of its owner includes it.
+///
+/// Placing an order costs a few look-ups in the index, whatever the number of targets.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Owners {
+    owners: BTreeMap<InstanceId, OwnerLoad>,
+    /// Owners by their number in the index.
+    numbers: BTreeMap<u32, InstanceId>,
+    last_number: u32,
+    /// Targets that accept runs, by service.
+    free: BTreeMap<ServiceName, FreeIndex>,
+    /// Distinguishes the order in which coordinators prefer equal targets.
+    seed: u64,
+}
+
+impl Owners {
+    /// Creates the empty set of owners known to `coordinator`.
+    pub(crate) fn new(coordinator: &InstanceId) -> Self {
+        Self {
+            seed: hash_of(&coordinator),
+            ..Self::default()
+        }
+    }
+
+    /// Applies the load that an owner sent. Returns `false` if it does not continue the known load: a list of all
+    /// targets must be requested then.
+    pub(crate) fn apply(&mut self, owner: &InstanceId, is_near: bool, update: LoadUpdate) -> bool {
+        match update.targets {
+            LoadTargets::All(targets) => {
+                let distance = if is_near { Distance::Near } else { Distance::Far };
+                self.list(owner, distance, targets);
+            }
+            LoadTargets::Changed { since, changes } => {
+                let known = self.owners.get(owner);
+                if known.is_none_or(|known| known.number != since) {
+                    return false;
+                }
+                self.change(owner, &changes);
+            }
+        }
+        self.set_leaving(owner, update.is_leaving);
+        let Some(known) = self.owners.get_mut(owner) else {
+            return false;
+        };
+        known.number = update.number;
+        let included = known.end_reservations(update.last_order);
+        known.set_queued(update.queued);
+        for position in included {
+            self.restore_free(owner, position);
+        }
+        true
+    }
+
+    /// Replaces the load of this entry itself.
+    pub(crate) fn replace_own(&mut self, own: &InstanceId, report: LoadReport) {
+        self.list(own, Distance::Own, report.targets);
+        self.set_leaving(own, report.is_leaving);
+        self.refresh_own_queue(own, report.queued);
+    }
+
+    /// Updates the loads of this entry's own targets, which are in the order of the last list.
+    pub(crate) fn refresh_own<Changes>(&mut self, own: &InstanceId, changes: Changes)
+    where
+        Changes: Iterator<Item = LoadChange>,
+    {
+        let Some(known) = self.owners.get_mut(own) else {
+            return;
+        };
+        let reserved = known.end_all_reservations();
+        for position in reserved {
+            self.restore_free(own, position);
+        }
+        for change in changes {
+            self.change(own, &[change]);
+        }
+    }
+
+    /// Updates the work of the orders that wait at this entry.
+    pub(crate) fn refresh_own_queue(&mut self, own: &InstanceId, queued: [u64; RANKS]) {
+        if let Some(known) = self.owners.get_mut(own) {
+            known.set_queued(queued);
+        }
+    }
+
+    /// Removes an owner that counts as lost.
+    pub(crate) fn remove(&mut self, owner: &InstanceId) {
+        self.list(owner, Distance::Far, Vec::new());
+        if let Some(known) = self.owners.remove(owner) {
+            self.numbers.remove(&known.index_number);
+        }
+    }
+
+    /// Returns whether `owner` is known to own targets.
+    pub(crate) fn has_targets(&self, owner: &InstanceId) -> bool {
+        let known = self.owners.get(owner);
+        known.is_some_and(|known| !known.targets.is_empty())
+    }
+
+    /// Returns whether some step fits on no target of the service. Returns `false` while no target of the service is
+    /// known, for example after a restart.
+    pub(crate) fn is_impossible(&self, request: &JobRequest) -> bool {
+        let mut known = self.targets().filter(|target| target.service == request.service);
+        let is_known = known.next().is_some();
+        let mut steps = request.steps.iter();
+        is_known && !steps.all(|step| self.targets().any(|target| fits_step(target, request, step)))
+    }
+
+    /// Returns how long the tasks of a job are expected to wait for capacity. Returns zero if no target accepts runs
+    /// at present, because this is assumed to be a short interruption.
+    pub(crate) fn expected_wait(&self, request: &JobRequest) -> Duration {
+        let Some(index) = self.free.get(&request.service) else {
+            return Duration::ZERO;
+        };
+        let capacity = index.open_cpu_milli();
+        let mut steps = request.steps.iter();
+        let has_capacity = steps.any(|step| {
+            let mut fitting = index.all_with_cpu(step.needs.cpu_milli);
+            fitting.any(|key| self.free_at(key).is_some_and(|free| free.can_fit(&step.needs)))
+        });
+        if capacity == 0 || has_capacity {
+            return Duration::ZERO;
+        }
+        let rank = (request.priority as usize).min(RANKS - 1);
+        let accepting = self.owners.values().filter(|owner| !owner.is_leaving);
+        let queued: u64 = accepting.map(|owner| owner.queued_work(rank)).sum();
+        Duration::from_millis(queued * 1000 / capacity)
+    }
+
+    /// Picks the owner for an order: the one with free capacity on the most suitable target, which is returned as
+    /// well, or else the one with the shortest expected wait. A suspect gets an idle target, if there is one.
+    pub(crate) fn pick_owner(&mut self, order: &RunOrder) -> Option<(InstanceId, Option<TargetId>)> {
+        let is_idle = |target: &TargetLoad, owner: &OwnerLoad, position: usize| {
+            owner.free_of(position) == Some(target.capacity)
+        };
+        let idle = order
+            .is_suspect()
+            .then(|| self.scan(order, is_idle))
+            .flatten()
+            .or_else(|| self.most_suitable(order));
+        let Some((owner, position)) = idle else {
+            return self.pick_shortest_queue(order).map(|owner| (owner, None));
+        };
+        let target = self.owners.get(&owner)?.targets.get(position)?.id.clone();
+        self.update_target(&owner, position, |known| {
+            known.reserve(Reservation::on_target(order, position));
+        });
+        Some((owner, Some(target)))
+    }
+
+    /// Returns the owner and the position of the target with free capacity that suits `order` best: the slowest one of
+    /// the own data centre on which the run ends on time, then the slowest such one elsewhere, then the fastest one. Of
+    /// targets of the same speed this entry prefers its own.
+    fn most_suitable(&self, order: &RunOrder) -> Option<(InstanceId, usize)> {
+        if order.data_rack.is_some() {
+            return self.scan(order, |_, _, _| true);
+        }
+        let index = self.free.get(&order.service)?;
+        let budget = on_time_budget(order, Duration::ZERO);
+        let max_slowness = budget / order.estimate.as_secs_f32().max(f32::MIN_POSITIVE);
+        let fits = |key: &FreeKey| self.can_take(key, order);
+        let is_on_time = |key: &FreeKey| {
+            let target = self.target_at(key);
+            target.is_some_and(|target| target.slowness <= max_slowness) && fits(key)
+        };
+        let cpu = order.needs.cpu_milli;
+        let found = index
+            .slowest_up_to(false, max_slowness, cpu, is_on_time)
+            .or_else(|| index.slowest_up_to(true, max_slowness, cpu, is_on_time))
+            .or_else(|| index.fastest(cpu, fits))?;
+        Some((self.numbers.get(&found.owner)?.clone(), found.position as usize))
+    }
+
+    /// Compares all targets, for the rare orders whose best target depends on more than its speed.
+    fn scan<Filter>(&self, order: &RunOrder, is_eligible: Filter) -> Option<(InstanceId, usize)>
+    where
+        Filter: Fn(&TargetLoad, &OwnerLoad, usize) -> bool,
+    {
+        let mut best: Option<(Suitability, &InstanceId, usize)> = None;
+        for (id, owner) in &self.owners {
+            for (position, target) in owner.targets.iter().enumerate() {
+                let has_capacity = !owner.is_leaving
+                    && target.is_open
+                    && owner
+                        .free_of(position)
+                        .is_some_and(|free| free.can_fit(&order.needs));
+                if !has_capacity || !is_eligible(target, owner, position) || !may_run(target, order) {
+                    continue;
+                }
+                let is_data_remote = order
+                    .data_rack
+                    .as_ref()
+                    .is_some_and(|rack| !target.labels.contains(rack));
+                let suitability = Suitability::of(
+                    order,
+                    Duration::ZERO,
+                    target.slowness,
+                    is_data_remote,
+                    owner.is_near(),
+                );
+                if best.is_none_or(|(least, ..)| suitability.is_better(least)) {
+                    best = Some((suitability, id, position));
+                }
+            }
+        }
+        best.map(|(_, id, position)| (id.clone(), position))
+    }
+
+    /// Picks the owner with the shortest expected wait, and adds the order to its queue. Of equal ones, coordinators
+    /// pick different owners, so that they don't fill one queue together before its owner reports it.
+    fn pick_shortest_queue(&mut self, order: &RunOrder) -> Option<InstanceId> {
+        let rank = (order.priority as usize).min(RANKS - 1);
+        let mut waits = Vec::new();
+        for (id, owner) in &self.owners {
+            let cpu = owner.service_cpu_milli(&order.service);
+            if owner.is_leaving || cpu == 0 {
+                continue;
+            }
+            let far_ms = if owner.is_near() {
+                0
+            } else {
+                FAR_WAIT.as_millis() as u64
+            };
+            let wait_ms = owner.queued_work(rank) * 1000 / cpu + far_ms;
+            waits.push((wait_ms, owner.spread, id));
+        }
+        waits.sort_unstable();
+        let can_run = |id: &InstanceId| {
+            let owner = self.owners.get(id);
+            owner.is_some_and(|owner| owner.targets.iter().any(|target| may_run(target, order)))
+        };
+        let id = waits
+            .into_iter()
+            .map(|(.., id)| id)
+            .find(|id| can_run(id))?
+            .clone();
+        let owner = self.owners.get_mut(&id)?;
+        owner.reserve(Reservation::in_queue(order, rank));
+        Some(id)
+    }
+
+    /// Replaces the list of an owner's targets.
+    fn list(&mut self, owner: &InstanceId, distance: Distance, targets: Vec<TargetLoad>) {
+        let positions = self.owners.get(owner).map_or(0, |known| known.targets.len());
+        for position in 0..positions {
+            self.update_target(owner, position, |known| known.close(position));
+        }
+        let index_number = match self.owners.get(owner) {
+            Some(known) => known.index_number,
+            None => {
+                self.last_number = self.last_number.wrapping_add(1);
+                self.numbers.insert(self.last_number, owner.clone());
+                self.last_number
+            }
+        };
+        let seed = self.seed;
+        let spreads = targets.iter().map(|target| hash_of(&(seed, &target.id)) as u32);
+        let spreads = spreads.collect();
+        let spread = hash_of(&(seed, owner)) as u32;
+        let known = OwnerLoad::new(index_number, distance, spread, targets, spreads);
+        let count = known.targets.len();
+        self.owners.insert(owner.clone(), known);
+        for position in 0..count {
+            self.insert_key(owner, position);
+        }
+    }
+
+    fn change(&mut self, owner: &InstanceId, changes: &[LoadChange]) {
+        for change in changes {
+            self.update_target(owner, change.position as usize, |known| known.apply(change));
+        }
+    }
+
+    fn restore_free(&mut self, owner: &InstanceId, position: usize) {
+        self.update_target(owner, position, |known| known.restore_free(position));
+    }
+
+    fn set_leaving(&mut self, owner: &InstanceId, is_leaving: bool) {
+        let known = self.owners.get(owner);
+        let Some(count) = known
+            .filter(|known| known.is_leaving != is_leaving)
+            .map(|known| known.targets.len())
+        else {
+            return;
+        };
+        for position in 0..count {
+            self.remove_key(owner, position);
+        }
+        if let Some(known) = self.owners.get_mut(owner) {
+            known.is_leaving = is_leaving;
+        }
+        for position in 0..count {
+            self.insert_key(owner, position);
+        }
+    }
+
+    /// Changes the load of a target and moves it in the index.
+    fn update_target<Change>(&mut self, owner: &InstanceId, position: usize, change: Change)
+    where
+        Change: FnOnce(&mut OwnerLoad),
+    {
+        let Some(known) = self.owners.get_mut(owner) else {
+            return;
+        };
+        let before = known.key(position);
+        change(known);
+        let after = known.key(position);
+        let Some(target) = known.targets.get(position) else {
+            return;
+        };
+        if before == after {
+            return;
+        }
+        let index = self.free.entry(target.service.clone()).or_default();
+        if let Some(key) = before {
+            index.remove(&key, target.capacity.cpu_milli);
+        }
+        if let Some(key) = after {
+            index.insert(key, target.capacity.cpu_milli);
+        }
+    }
+
+    fn insert_key(&mut self, owner: &InstanceId, position: usize) {
+        let Some(known) = self.owners.get(owner) else {
+            return;
+        };
+        if let (Some(key), Some(target)) = (known.key(position), known.targets.get(position)) {
+            let index = self.free.entry(target.service.clone()).or_default();
+            index.insert(key, target.capacity.cpu_milli);
+        }
+    }
+
+    fn remove_key(&mut self, owner: &InstanceId, position: usize) {
+        let Some(known) = self.owners.get(owner) else {
+            return;
+        };
+        if let (Some(key), Some(target)) = (known.key(position), known.targets.get(position))
+            && let Some(index) = self.free.get_mut(&target.service)
+        {
+            index.remove(&key, target.capacity.cpu_milli);
+        }
+    }
+
+    fn owner_at(&self, key: &FreeKey) -> Option<&OwnerLoad> {
+        self.owners.get(self.numbers.get(&key.owner)?)
+    }
+
+    fn target_at(&self, key: &FreeKey) -> Option<&TargetLoad> {
+        self.owner_at(key)?.targets.get(key.position as usize)
+    }
+
+    fn free_at(&self, key: &FreeKey) -> Option<kqr_fleet::Resources> {
+        self.owner_at(key)?.free_of(key.position as usize)
+    }
+
+    fn can_take(&self, key: &FreeKey, order: &RunOrder) -> bool {
+        let free = self.free_at(key);
+        let target = self.target_at(key);
+        free.is_some_and(|free| free.can_fit(&order.needs))
+            && target.is_some_and(|target| may_run(target, order))
+    }
+
+    fn targets(&self) -> impl Iterator<Item = &TargetLoad> {
+        let accepting = self.owners.values().filter(|owner| !owner.is_leaving);
+        accepting.flat_map(|owner| &owner.targets)
+    }
+}
+
+fn hash_of<Value>(value: &Value) -> u64
+where
+    Value: Hash,
+{
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn fits_step(target: &TargetLoad, request: &JobRequest, step: &StepSpec) -> bool {
+    let has_label = step
+        .label
+        .as_ref()
+        .is_none_or(|label| target.labels.contains(label));
+    has_label && target.service == request.service && target.capacity.can_fit(&step.needs)
+}
+
+fn may_run(target: &TargetLoad, order: &RunOrder) -> bool {
+    let has_label = order
+        .label
+        .as_ref()
+        .is_none_or(|label| target.labels.contains(label));
+    has_label
+        && target.service == order.service
+        && target.capacity.can_fit(&order.needs)
+        && !order.avoided_targets.contains(&target.id)
+}
--- a/kqr-dispatch/src/received_orders.rs
+++ b/kqr-dispatch/src/received_orders.rs
@@ -26,6 +26,11 @@
         self.dropped = self.last;
     }
 
+    /// Returns the last received order.
+    pub(crate) const fn last(&self) -> OrderId {
+        self.last
+    }
+
     /// Returns the last dropped order.
     pub(crate) const fn last_dropped(&self) -> OrderId {
         self.dropped
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use kqr_fleet::Resources;
 use kqr_types::{ServiceName, TargetId};
@@ -16,8 +16,6 @@
     pub run: RunId,
     /// Service whose targets may run the task.
     pub service: ServiceName,
-    /// Payload passed to the task.
-    pub spec: Arc<str>,
     /// Resources that the task requires.
     pub needs: Resources,
     /// Estimated run time; zero if unknown.
@@ -48,6 +46,12 @@
 }
 
 impl RunOrder {
+    /// Returns the estimated work, in core-milliseconds.
+    pub(crate) const fn work_core_ms(&self) -> u64 {
+        let estimate_ms = self.estimate.as_millis() as u64;
+        self.needs.cpu_milli.saturating_mul(estimate_ms) / 1000
+    }
+
     /// Returns whether the task may have brought down a target. It never runs beside another such task, and alone if
     /// a target is idle.
     pub const fn is_suspect(&self) -> bool {
--- a/kqr-dispatch/src/sibling_message.rs
+++ b/kqr-dispatch/src/sibling_message.rs
@@ -1,6 +1,8 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{LoadReport, LostRun, OrderId, RunEnd, RunOrder};
+use std::sync::Arc;
+
+use crate::{LoadUpdate, LostRun, OrderId, RunEnd, RunOrder};
 use kqr_types::TargetId;
 
 /// Message between two entries. Messages of one incarnation arrive in order and exactly once, or the link is
@@ -8,9 +10,16 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SiblingMessage {
     /// Load of the sender; also serves as a heartbeat.
-    Load(LoadReport),
-    /// Orders from the sender as coordinator.
-    Run(Vec<RunOrder>),
+    Load(LoadUpdate),
+    /// Requests the loads of all targets, because an update did not continue the load that the sender knows.
+    LoadRequest,
+    /// Orders of one job from the sender as coordinator.
+    Run {
+        /// Payload passed to the tasks, which is the same for all of them.
+        spec: Arc<str>,
+        /// Orders for tasks of the job.
+        orders: Vec<RunOrder>,
+    },
     /// Orders that the sender cancels as coordinator.
     Cancel(Vec<OrderId>),
     /// Orders whose start the sender, as owner, has sent to a target.
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -1,55 +1,37 @@
-//! Loads and liveness of the siblings of an entry.
+//! Liveness of the siblings of an entry, and what was reported to them.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use kqr_fleet::{EntryInfo, Resources};
-use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
+use kqr_fleet::EntryInfo;
+use kqr_types::{Incarnation, InstanceId, Instant};
 
-use crate::{LoadReport, Options};
+use crate::Options;
 
 /// A sibling entry.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Sibling {
     pub(crate) info: EntryInfo,
-    pub(crate) load: LoadReport,
     /// When the last message arrived; `None` before the first one and while the sibling counts as lost.
     pub(crate) last_message_at: Option<Instant>,
     /// When the load of this entry was last sent to the sibling.
     pub(crate) last_report_at: Instant,
     /// Whether the load of this entry has changed since.
     pub(crate) is_outdated: bool,
-    /// Orders that the last load report may not include yet.
-    unreported_orders: Vec<(Instant, TargetId, Resources)>,
+    /// Number of the load that was last sent to the sibling, if it is known to have it once it has handled all messages.
+    pub(crate) sent_load: Option<u64>,
 }
 
 impl Sibling {
     fn new(info: EntryInfo) -> Self {
         Self {
             info,
-            load: LoadReport::default(),
             last_message_at: None,
             last_report_at: Instant(0),
             is_outdated: true,
-            unreported_orders: Vec::new(),
+            sent_load: None,
         }
     }
 
-    /// Replaces the load. Orders placed less than `lag` ago remain deducted.
-    pub(crate) fn update_load(&mut self, now: Instant, load: LoadReport, lag: Duration) {
-        self.load = load;
-        self.unreported_orders
-            .retain(|(ordered, ..)| now.since(*ordered) < lag);
-        for (_, target, needs) in &self.unreported_orders {
-            deduct(&mut self.load, target, *needs);
-        }
-    }
-
-    /// Deducts an order from the load until a report includes it.
-    pub(crate) fn reserve(&mut self, now: Instant, target: &TargetId, needs: Resources) {
-        deduct(&mut self.load, target, needs);
-        self.unreported_orders.push((now, target.clone(), needs));
-    }
-
     /// Returns whether a load report is due: soon after a change, and otherwise as a heartbeat. Siblings in
     /// other data centres receive only the heartbeats, because links to them are expensive.
     pub(crate) fn is_report_due(&self, now: Instant, is_near: bool, options: &Options) -> bool {
@@ -145,16 +127,8 @@
             if sibling.last_message_at.is_some() && !sibling.is_alive(now, options.sibling_timeout) {
                 lost.push(sibling.info.id.clone());
                 sibling.last_message_at = None;
-                sibling.load = LoadReport::default();
             }
         }
         lost
     }
 }
-
-fn deduct(load: &mut LoadReport, target: &TargetId, needs: Resources) {
-    let mut targets = load.targets.iter_mut();
-    if let Some(load) = targets.find(|load| load.id == *target) {
-        load.free -= needs;
-    }
-}
--- a/kqr-dispatch/src/suitability.rs
+++ b/kqr-dispatch/src/suitability.rs
@@ -21,6 +21,13 @@
     cost: f32,
 }
 
+/// Returns the longest expected run time, in seconds, with which a run of `order` that begins now ends on time, after
+/// the order has waited for `waited`.
+pub(crate) fn on_time_budget(order: &RunOrder, waited: Duration) -> f32 {
+    let left = order.on_time_left.saturating_sub(CALL_OVERHEAD + waited);
+    left.as_secs_f32() * ON_TIME_FRACTION
+}
+
 impl Suitability {
     /// Returns how well a target on which runs take `slowness` times their estimate suits `order`, which has
     /// waited for `waited`.
@@ -33,11 +40,7 @@
     ) -> Self {
         let factor = if is_data_remote { REMOTE_DATA_FACTOR } else { 1.0 };
         let expected = order.estimate.as_secs_f32() * slowness * factor;
-        let on_time = order
-            .on_time_left
-            .saturating_sub(CALL_OVERHEAD + waited)
-            .as_secs_f32();
-        if expected > on_time * ON_TIME_FRACTION {
+        if expected > on_time_budget(order, waited) {
             return Self {
                 class: 1,
                 cost: expected,
