perf(fleet): pass catalogs to entries compressed and in parts

Change: an entry receives the catalog without the operator's document, compressed, in parts of 16 KiB, one an exchange, and continues where it was. Operators' calls are forwarded compressed. A view leaves out the list of entries if the entry has it.

--- a/kqr-fleet/src/entry_info.rs
+++ b/kqr-fleet/src/entry_info.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Description of an entry for other instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EntryInfo {
     /// Identity.
     pub id: InstanceId,
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -1,6 +1,6 @@
 mod leading;
 
-use std::sync::Arc;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use kqr_agreement::{Index, Input, Machine, Output, ProposalResult, Refusal, RequestId, Role, VoterId};
 use kqr_types::{InstanceId, Instant};
@@ -13,8 +13,8 @@
     voter_planner::VoterPlanner,
 };
 use crate::{
-    Catalog, Command, EntryInfo, FleetState, ReportReceipt, SyncReply, SyncRequest, SyncView, TargetGrant,
-    TargetReport,
+    Catalog, CatalogPart, Command, EntryInfo, FleetState, PackedCatalog, ReportReceipt, SyncReply,
+    SyncRequest, SyncView, TargetGrant, TargetReport, ViewRevision,
 };
 
 /// State machine of a control instance: a member of the replicated log that assigns targets to entries.
@@ -31,6 +31,8 @@
     reachability: Reachability,
     applied: Index,
     compacted: Index,
+    /// The catalog in the form that entries receive.
+    packed: Option<PackedCatalog>,
 }
 
 impl FleetNode {
@@ -47,6 +49,7 @@
             reachability: Reachability::default(),
             applied: Index(0),
             compacted: Index(0),
+            packed: None,
         }
     }
 
@@ -113,13 +116,11 @@
             return SyncReply::NotLeader { leader };
         }
         self.observed.record_sync(now, request);
-        let is_newer = |catalog: &&Arc<Catalog>| request.catalog.is_none_or(|known| known < catalog.version);
-        let catalog = self.state.catalog().filter(is_newer);
-        let revision = self.revision();
-        let is_due = self.is_view_complete(now) && revision != request.view;
+        let number = self.revision();
+        let is_due = self.is_view_complete(now) && number != request.view.number;
         SyncReply::Current {
-            catalog: catalog.map(|catalog| Box::new(Catalog::clone(catalog))),
-            view: is_due.then(|| self.view(&request.entry, revision)),
+            catalog: self.catalog_part(request),
+            view: is_due.then(|| self.view(request, number)),
         }
     }
 
@@ -160,7 +161,23 @@
         (term << 40) + (self.applied.0 << 20) + u64::from(self.observed.change_count)
     }
 
-    fn view(&self, entry: &EntryInfo, revision: u64) -> SyncView {
+    /// Returns the next part of the catalog, if the entry's is older or missing.
+    fn catalog_part(&mut self, request: &SyncRequest) -> Option<CatalogPart> {
+        let catalog = self.state.catalog()?;
+        if request.catalog.is_some_and(|known| known >= catalog.version) {
+            return None;
+        }
+        let is_packed = self.packed.as_ref().map(PackedCatalog::version) == Some(catalog.version);
+        if !is_packed {
+            // Without a packed catalog the entry keeps its own, and asks again.
+            self.packed = PackedCatalog::pack_for_entry(catalog).ok();
+        }
+        let packed = self.packed.as_ref()?;
+        Some(packed.part_after(request.catalog_progress))
+    }
+
+    fn view(&self, request: &SyncRequest, number: u64) -> SyncView {
+        let entry = &request.entry;
         let mut owned = Vec::new();
         for (id, target) in self.state.targets() {
             let is_own = target.owner.entry == entry.id && target.owner.incarnation == entry.incarnation;
@@ -175,11 +192,21 @@
                 must_release: self.observed.pending_moves.contains(id),
             });
         }
-        let entries = self.observed.entries.values().map(|entry| entry.info.clone());
+        let entries: Vec<EntryInfo> = self
+            .observed
+            .entries
+            .values()
+            .map(|entry| entry.info.clone())
+            .collect();
+        let revision = ViewRevision {
+            number,
+            entries: digest(&entries),
+        };
+        let is_list_known = request.view.entries == revision.entries;
         let members = self.agreement.configuration().members();
         SyncView {
             revision,
-            entries: entries.collect(),
+            entries: (!is_list_known).then_some(entries),
             owned,
             controls: members.map(|member| member.instance.clone()).collect(),
         }
@@ -324,3 +351,10 @@
 fn instance_of(voter: VoterId) -> InstanceId {
     voter.instance
 }
+
+/// Returns a digest of the list of live entries. It is never that of a missing list.
+fn digest(entries: &[EntryInfo]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    entries.hash(&mut hasher);
+    hasher.finish().max(1)
+}
--- a/kqr-fleet/src/sync.rs
+++ b/kqr-fleet/src/sync.rs
@@ -1,7 +1,18 @@
 use kqr_types::{Incarnation, InstanceId, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Catalog, CatalogVersion, EntryInfo, FencingToken, TargetRecord, TargetReport};
+use crate::{
+    CatalogPart, CatalogProgress, CatalogVersion, EntryInfo, FencingToken, TargetRecord, TargetReport,
+};
+
+/// Revision of a view of the fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewRevision {
+    /// Number that changes whenever the view may change.
+    pub number: u64,
+    /// Digest of the list of live entries.
+    pub entries: u64,
+}
 
 /// State that an entry sends to the leading control instance several times a second.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -10,8 +21,10 @@
     pub entry: EntryInfo,
     /// Version of the entry's catalog.
     pub catalog: Option<CatalogVersion>,
+    /// Catalog that the entry is receiving.
+    pub catalog_progress: Option<CatalogProgress>,
     /// Revision of the entry's view.
-    pub view: u64,
+    pub view: ViewRevision,
     /// Targets that the entry has released. None of its tasks run there.
     pub released: Vec<(TargetId, FencingToken)>,
     /// Siblings from which the entry received messages recently, with their incarnations.
@@ -39,9 +52,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncView {
     /// Revision of this view.
-    pub revision: u64,
-    /// The live entries.
-    pub entries: Vec<EntryInfo>,
+    pub revision: ViewRevision,
+    /// The live entries, unless the requesting entry has this list.
+    pub entries: Option<Vec<EntryInfo>>,
     /// The targets that the requesting entry owns.
     pub owned: Vec<TargetGrant>,
     /// The control instances.
@@ -53,8 +66,8 @@
 pub enum SyncReply {
     /// The instance is the leader and holds a lease from a quorum.
     Current {
-        /// The catalog in force, if the entry's is older or missing.
-        catalog: Option<Box<Catalog>>,
+        /// The next part of the catalog in force, if the entry's is older or missing.
+        catalog: Option<CatalogPart>,
         /// The current view, if its revision differs from the entry's.
         view: Option<SyncView>,
     },
--- a/kqr-runtime/src/control/service.rs
+++ b/kqr-runtime/src/control/service.rs
@@ -2,7 +2,7 @@
 
 use futures::StreamExt;
 use kqr_agreement::{Message, VoterId};
-use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{CatalogVersion, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_types::InstanceId;
 use tarpc::{
     context::Context,
@@ -39,14 +39,22 @@
     async fn replace_catalog(
         self,
         _: Context,
-        catalog: Box<Catalog>,
+        catalog: PackedCatalog,
     ) -> Result<CatalogVersion, ControlCallFailure> {
-        self.handle.replace_catalog_locally(catalog).await
+        let catalog = catalog.unpack().map_err(|error| {
+            log::warn!("a forwarded catalog can't be unpacked: {error}");
+            ControlCallFailure::no_answer()
+        })?;
+        self.handle.replace_catalog_locally(Box::new(catalog)).await
     }
 
-    async fn newest_catalog(self, _: Context) -> Result<Option<Catalog>, ControlCallFailure> {
+    async fn newest_catalog(self, _: Context) -> Result<Option<PackedCatalog>, ControlCallFailure> {
         let newest = self.handle.newest_catalog_locally().await?;
-        Ok(newest.map(|catalog| Catalog::clone(&catalog)))
+        let packed = newest.map(|catalog| PackedCatalog::pack(&catalog)).transpose();
+        packed.map_err(|error| {
+            log::warn!("the catalog can't be packed: {error}");
+            ControlCallFailure::no_answer()
+        })
     }
 
     async fn report(self, _: Context, report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>> {
--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -1,8 +1,8 @@
 use std::{sync::Arc, time::Duration};
 
-use eyre::OptionExt;
+use eyre::{OptionExt, WrapErr};
 use kqr_dispatch::Input;
-use kqr_fleet::{EntryInfo, SyncReply, SyncRequest, SyncView, TargetReport};
+use kqr_fleet::{CatalogReceiver, EntryInfo, SyncReply, SyncRequest, SyncView, TargetReport, ViewRevision};
 use kqr_types::InstanceId;
 use tarpc::{client, context};
 use tokio::time::Instant;
@@ -37,7 +37,11 @@
     /// Open connection and the instance at its other end.
     connection: Option<(InstanceId, ControlRpcClient)>,
     /// Revision of the last applied view.
-    view_revision: u64,
+    view_revision: ViewRevision,
+    /// The entries in the last view that listed them.
+    entries: Vec<EntryInfo>,
+    /// The catalog that is being received.
+    catalog: CatalogReceiver,
     /// Reports of targets that control has not acknowledged.
     pending_reports: Vec<TargetReport>,
     /// Whether the last exchange failed, or none has succeeded yet.
@@ -51,14 +55,16 @@
     Client: TargetClient,
 {
     /// Creates the link to one of the `controls`.
-    pub(super) const fn new(driver: Arc<EntryDriver<Client>>, controls: Arc<KnownControls>) -> Self {
+    pub(super) fn new(driver: Arc<EntryDriver<Client>>, controls: Arc<KnownControls>) -> Self {
         Self {
             driver,
             controls,
             tries: 0,
             leader: None,
             connection: None,
-            view_revision: 0,
+            view_revision: ViewRevision::default(),
+            entries: Vec::new(),
+            catalog: CatalogReceiver::default(),
             pending_reports: Vec::new(),
             is_lost: true,
             regained_at: None,
@@ -69,6 +75,7 @@
     pub(super) async fn run(mut self) {
         loop {
             let delay = match self.sync().await {
+                Ok(()) if self.catalog.progress().is_some() => Duration::ZERO,
                 Ok(()) if self.is_settling() => SETTLING_SYNC_INTERVAL,
                 Ok(()) => SYNC_INTERVAL,
                 Err(error) => {
@@ -113,8 +120,10 @@
                 }
                 self.controls.set_leader(Some(instance.clone()));
                 self.leader = Some(instance);
-                if let Some(catalog) = catalog {
-                    self.driver.apply_catalog(*catalog);
+                if let Some(part) = catalog
+                    && let Some(catalog) = self.catalog.add(part).wrap_err("unpacking the catalog")?
+                {
+                    self.driver.apply_catalog(catalog);
                 }
                 if let Some(view) = view {
                     self.apply_view(view);
@@ -148,6 +157,7 @@
                 ..self.driver.own.clone()
             },
             catalog,
+            catalog_progress: self.catalog.progress(),
             view: self.view_revision,
             released: dispatcher.releasable_targets(),
             heard: dispatcher.live_siblings(now),
@@ -172,16 +182,19 @@
     }
 
     fn apply_view(&mut self, view: SyncView) {
+        if let Some(entries) = view.entries {
+            self.entries = entries;
+        }
         let fields = [
-            ("revision", view.revision.to_string()),
-            ("entries", view.entries.len().to_string()),
+            ("revision", view.revision.number.to_string()),
+            ("entries", self.entries.len().to_string()),
             ("targets", view.owned.len().to_string()),
         ];
         kqr_telemetry::log_decision("view-applied", &fields);
         self.view_revision = view.revision;
         self.controls.record(view.controls);
         self.driver.handle_input(Input::ViewChanged {
-            entries: view.entries,
+            entries: self.entries.clone(),
             owned: view.owned,
         });
         self.driver.update_sibling_links();
--- a/kqr-runtime/src/leader_client.rs
+++ b/kqr-runtime/src/leader_client.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, PackedCatalog, ReportReceipt, TargetReport};
 use kqr_types::InstanceId;
 use tarpc::{client, context};
 
@@ -41,9 +41,13 @@
         self,
         catalog: Catalog,
     ) -> Result<CatalogVersion, ControlCallFailure> {
+        let packed = PackedCatalog::pack(&catalog).map_err(|error| {
+            log::warn!("the catalog can't be packed: {error}");
+            ControlCallFailure::no_answer()
+        })?;
         self.forward("replace_catalog", |client| {
-            let catalog = Box::new(catalog.clone());
-            async move { client.replace_catalog(context::current(), catalog).await }
+            let packed = packed.clone();
+            async move { client.replace_catalog(context::current(), packed).await }
         })
         .await
     }
@@ -54,10 +58,14 @@
     ///
     /// Fails if no leader confirms which catalog is the newest.
     pub(crate) async fn newest_catalog(self) -> Result<Option<Catalog>, ControlCallFailure> {
-        self.forward("newest_catalog", |client| async move {
+        let newest = self.forward("newest_catalog", |client| async move {
             client.newest_catalog(context::current()).await
+        });
+        let unpacked = newest.await?.map(|packed| packed.unpack()).transpose();
+        unpacked.map_err(|error| {
+            log::warn!("the newest catalog can't be unpacked: {error}");
+            ControlCallFailure::no_answer()
         })
-        .await
     }
 
     /// Passes on the report of a target.
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -2,7 +2,7 @@
 
 use kqr_agreement::{Message, VoterId};
 use kqr_dispatch::{OrderId, SiblingMessage};
-use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{CatalogVersion, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_types::{Incarnation, InstanceId};
 
 use crate::control::ControlCallFailure;
@@ -17,10 +17,10 @@
     /// Exchanges the state of an entry for the current catalog and view.
     async fn sync(request: SyncRequest) -> SyncReply;
     /// Replaces the catalog. An instance that is not the leader returns the leader instead, if it is known.
-    async fn replace_catalog(catalog: Box<Catalog>) -> Result<CatalogVersion, ControlCallFailure>;
+    async fn replace_catalog(catalog: PackedCatalog) -> Result<CatalogVersion, ControlCallFailure>;
     /// Returns the newest catalog, if there is one. An instance that is not the leader returns the leader
     /// instead, if it is known.
-    async fn newest_catalog() -> Result<Option<Catalog>, ControlCallFailure>;
+    async fn newest_catalog() -> Result<Option<PackedCatalog>, ControlCallFailure>;
     /// Handles the report of a target. An instance that is not the leader returns the leader instead, if it
     /// is known.
     async fn report(report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>>;
