fix(entry): redirect reads of long catalogs to control

Change: an entry with more than 200 queues answers a read with 307 and the leader's address. Ruled out: redirecting shorter catalogs or replacements, whose calls were missed before when an instance stood still.

--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -156,6 +156,10 @@
         self.metrics.count_refused_report();
     }
 
+    fn catalog_server(&self) -> Option<InstanceId> {
+        None
+    }
+
     async fn submit_target_report(&self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
         let arrived = Instant::now();
         match self.report_locally(report.clone()).await {
--- a/kqr-runtime/src/control_api.rs
+++ b/kqr-runtime/src/control_api.rs
@@ -2,6 +2,8 @@
 
 use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
 
+use kqr_types::InstanceId;
+
 use crate::control::ControlCallFailure;
 
 /// Calls of operators and targets, which every instance answers, by itself or through the leader.
@@ -27,6 +29,10 @@
     /// Counts a report of a target that was refused because it can't be decoded or is out of range.
     fn count_refused_report(&self);
 
+    /// Returns the instance that operators read the catalog from, or `None` if this one serves it. A long catalog
+    /// fills the narrow link of an entry, behind which heartbeats would be late.
+    fn catalog_server(&self) -> Option<InstanceId>;
+
     /// Handles the report of a target.
     ///
     /// # Errors
--- a/kqr-runtime/src/entry/control_access.rs
+++ b/kqr-runtime/src/entry/control_access.rs
@@ -2,9 +2,14 @@
 
 use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
 
+use kqr_types::InstanceId;
+
 use super::{EntryDriver, TargetClient};
 use crate::{ControlApi, control::ControlCallFailure, discovery::KnownControls, leader_client::LeaderClient};
 
+/// Number of queues up to which an entry serves the catalog: it passes a link of 2 Mbit/s in a fifth of a second.
+const MAX_SERVED_QUEUES: usize = 200;
+
 /// Access to control for operators and targets that call an entry.
 #[derive(Debug)]
 pub struct ControlAccess<Client>
@@ -63,6 +68,12 @@
         self.driver.count_refused_report();
     }
 
+    fn catalog_server(&self) -> Option<InstanceId> {
+        let is_long = |catalog: &Arc<Catalog>| catalog.queues.len() > MAX_SERVED_QUEUES;
+        self.driver.catalog().filter(is_long)?;
+        self.controls.leader()
+    }
+
     async fn submit_target_report(&self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
         self.leader()?.report(report).await
     }
