--- a/kqr-dispatch/src/owners/free_index.rs
+++ b/kqr-dispatch/src/owners/free_index.rs
@@ -65,18 +65,22 @@
     keys: BTreeSet<FreeKey>,
     /// Total processors of the targets, whether free or not.
     cpu_milli: u64,
+    /// Total of the buckets of free processors.
+    free_buckets: u64,
 }
 
 impl FreeIndex {
     pub(super) fn insert(&mut self, key: FreeKey, cpu_milli: u64) {
         if self.keys.insert(key) {
             self.cpu_milli = self.cpu_milli.saturating_add(cpu_milli);
+            self.free_buckets += u64::from(key.free.0);
         }
     }
 
     pub(super) fn remove(&mut self, key: &FreeKey, cpu_milli: u64) {
         if self.keys.remove(key) {
             self.cpu_milli = self.cpu_milli.saturating_sub(cpu_milli);
+            self.free_buckets -= u64::from(key.free.0);
         }
     }
 
@@ -85,6 +89,12 @@
         self.cpu_milli
     }
 
+    /// Returns the part of the processors that is in use.
+    pub(super) fn utilisation(&self) -> f32 {
+        let free = self.free_buckets.saturating_mul(CPU_BUCKET_MILLI) as f32;
+        1.0 - free / self.cpu_milli.max(1) as f32
+    }
+
     /// Returns the slowest target of a ratio up to `max_slowness` that has `cpu_milli` free and is accepted.
     pub(super) fn slowest_up_to<Accept>(
         &self,
--- a/kqr-dispatch/src/owners/mod.rs
+++ b/kqr-dispatch/src/owners/mod.rs
@@ -15,7 +15,7 @@
 use crate::{
     JobRequest, LoadChange, LoadTargets, LoadUpdate, RunOrder, StepSpec, TargetLoad,
     load_report::{LoadReport, RANKS},
-    suitability::{Suitability, on_time_budget},
+    suitability::{Suitability, on_time_budget, on_time_fraction},
 };
 use distance::Distance;
 use free_index::{FreeIndex, FreeKey};
@@ -29,7 +29,7 @@
 /// Placing an order costs a few look-ups in the index, whatever the number of targets.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Owners {
-    owners: BTreeMap<InstanceId, OwnerLoad>,
+    loads: BTreeMap<InstanceId, OwnerLoad>,
     /// Owners by their number in the index.
     numbers: BTreeMap<u32, InstanceId>,
     last_number: u32,
@@ -57,7 +57,7 @@
                 self.list(owner, distance, targets);
             }
             LoadTargets::Changed { since, changes } => {
-                let known = self.owners.get(owner);
+                let known = self.loads.get(owner);
                 if known.is_none_or(|known| known.number != since) {
                     return false;
                 }
@@ -65,7 +65,7 @@
             }
         }
         self.set_leaving(owner, update.is_leaving);
-        let Some(known) = self.owners.get_mut(owner) else {
+        let Some(known) = self.loads.get_mut(owner) else {
             return false;
         };
         known.number = update.number;
@@ -89,7 +89,7 @@
     where
         Changes: Iterator<Item = LoadChange>,
     {
-        let Some(known) = self.owners.get_mut(own) else {
+        let Some(known) = self.loads.get_mut(own) else {
             return;
         };
         let reserved = known.end_all_reservations();
@@ -103,7 +103,7 @@
 
     /// Updates the work of the orders that wait at this entry.
     pub(crate) fn refresh_own_queue(&mut self, own: &InstanceId, queued: [u64; RANKS]) {
-        if let Some(known) = self.owners.get_mut(own) {
+        if let Some(known) = self.loads.get_mut(own) {
             known.set_queued(queued);
         }
     }
@@ -111,17 +111,24 @@
     /// Removes an owner that counts as lost.
     pub(crate) fn remove(&mut self, owner: &InstanceId) {
         self.list(owner, Distance::Far, Vec::new());
-        if let Some(known) = self.owners.remove(owner) {
+        if let Some(known) = self.loads.remove(owner) {
             self.numbers.remove(&known.index_number);
         }
     }
 
     /// Returns whether `owner` is known to own targets.
     pub(crate) fn has_targets(&self, owner: &InstanceId) -> bool {
-        let known = self.owners.get(owner);
+        let known = self.loads.get(owner);
         known.is_some_and(|known| !known.targets.is_empty())
     }
 
+    /// Returns the owners of the own data centre that are known to have targets.
+    pub(crate) fn near_owners(&self) -> impl Iterator<Item = &InstanceId> {
+        let near = self.loads.iter();
+        let near = near.filter(|(_, owner)| owner.is_near() && !owner.targets.is_empty());
+        near.map(|(id, _)| id)
+    }
+
     /// Returns whether some step fits on no target of the service. Returns `false` while no target of the service is
     /// known, for example after a restart.
     pub(crate) fn is_impossible(&self, request: &JobRequest) -> bool {
@@ -147,7 +154,7 @@
             return Duration::ZERO;
         }
         let rank = (request.priority as usize).min(RANKS - 1);
-        let accepting = self.owners.values().filter(|owner| !owner.is_leaving);
+        let accepting = self.loads.values().filter(|owner| !owner.is_leaving);
         let queued: u64 = accepting.map(|owner| owner.queued_work(rank)).sum();
         Duration::from_millis(queued * 1000 / capacity)
     }
@@ -166,7 +173,7 @@
         let Some((owner, position)) = idle else {
             return self.pick_shortest_queue(order).map(|owner| (owner, None));
         };
-        let target = self.owners.get(&owner)?.targets.get(position)?.id.clone();
+        let target = self.loads.get(&owner)?.targets.get(position)?.id.clone();
         self.update_target(&owner, position, |known| {
             known.reserve(Reservation::on_target(order, position));
         });
@@ -181,7 +188,7 @@
             return self.scan(order, |_, _, _| true);
         }
         let index = self.free.get(&order.service)?;
-        let budget = on_time_budget(order, Duration::ZERO);
+        let budget = on_time_budget(order, Duration::ZERO) * on_time_fraction(index.utilisation());
         let max_slowness = budget / order.estimate.as_secs_f32().max(f32::MIN_POSITIVE);
         let fits = |key: &FreeKey| self.can_take(key, order);
         let is_on_time = |key: &FreeKey| {
@@ -202,7 +209,7 @@
         Filter: Fn(&TargetLoad, &OwnerLoad, usize) -> bool,
     {
         let mut best: Option<(Suitability, &InstanceId, usize)> = None;
-        for (id, owner) in &self.owners {
+        for (id, owner) in &self.loads {
             for (position, target) in owner.targets.iter().enumerate() {
                 let has_capacity = !owner.is_leaving
                     && target.is_open
@@ -236,7 +243,7 @@
     fn pick_shortest_queue(&mut self, order: &RunOrder) -> Option<InstanceId> {
         let rank = (order.priority as usize).min(RANKS - 1);
         let mut waits = Vec::new();
-        for (id, owner) in &self.owners {
+        for (id, owner) in &self.loads {
             let cpu = owner.service_cpu_milli(&order.service);
             if owner.is_leaving || cpu == 0 {
                 continue;
@@ -251,7 +258,7 @@
         }
         waits.sort_unstable();
         let can_run = |id: &InstanceId| {
-            let owner = self.owners.get(id);
+            let owner = self.loads.get(id);
             owner.is_some_and(|owner| owner.targets.iter().any(|target| may_run(target, order)))
         };
         let id = waits
@@ -259,37 +266,40 @@
             .map(|(.., id)| id)
             .find(|id| can_run(id))?
             .clone();
-        let owner = self.owners.get_mut(&id)?;
+        let owner = self.loads.get_mut(&id)?;
         owner.reserve(Reservation::in_queue(order, rank));
         Some(id)
     }
 
     /// Replaces the list of an owner's targets.
     fn list(&mut self, owner: &InstanceId, distance: Distance, targets: Vec<TargetLoad>) {
-        let positions = self.owners.get(owner).map_or(0, |known| known.targets.len());
+        let positions = self.loads.get(owner).map_or(0, |known| known.targets.len());
         for position in 0..positions {
             self.update_target(owner, position, |known| known.close(position));
         }
-        let index_number = match self.owners.get(owner) {
-            Some(known) => known.index_number,
-            None => {
-                self.last_number = self.last_number.wrapping_add(1);
-                self.numbers.insert(self.last_number, owner.clone());
-                self.last_number
-            }
-        };
+        let index_number = self.index_number(owner);
         let seed = self.seed;
         let spreads = targets.iter().map(|target| hash_of(&(seed, &target.id)) as u32);
         let spreads = spreads.collect();
         let spread = hash_of(&(seed, owner)) as u32;
         let known = OwnerLoad::new(index_number, distance, spread, targets, spreads);
         let count = known.targets.len();
-        self.owners.insert(owner.clone(), known);
+        self.loads.insert(owner.clone(), known);
         for position in 0..count {
             self.insert_key(owner, position);
         }
     }
 
+    /// Returns the number of an owner in the index. A new owner gets one.
+    fn index_number(&mut self, owner: &InstanceId) -> u32 {
+        if let Some(known) = self.loads.get(owner) {
+            return known.index_number;
+        }
+        self.last_number = self.last_number.wrapping_add(1);
+        self.numbers.insert(self.last_number, owner.clone());
+        self.last_number
+    }
+
     fn change(&mut self, owner: &InstanceId, changes: &[LoadChange]) {
         for change in changes {
             self.update_target(owner, change.position as usize, |known| known.apply(change));
@@ -301,7 +311,7 @@
     }
 
     fn set_leaving(&mut self, owner: &InstanceId, is_leaving: bool) {
-        let known = self.owners.get(owner);
+        let known = self.loads.get(owner);
         let Some(count) = known
             .filter(|known| known.is_leaving != is_leaving)
             .map(|known| known.targets.len())
@@ -311,7 +321,7 @@
         for position in 0..count {
             self.remove_key(owner, position);
         }
-        if let Some(known) = self.owners.get_mut(owner) {
+        if let Some(known) = self.loads.get_mut(owner) {
             known.is_leaving = is_leaving;
         }
         for position in 0..count {
@@ -324,7 +334,7 @@
     where
         Change: FnOnce(&mut OwnerLoad),
     {
-        let Some(known) = self.owners.get_mut(owner) else {
+        let Some(known) = self.loads.get_mut(owner) else {
             return;
         };
         let before = known.key(position);
@@ -346,7 +356,7 @@
     }
 
     fn insert_key(&mut self, owner: &InstanceId, position: usize) {
-        let Some(known) = self.owners.get(owner) else {
+        let Some(known) = self.loads.get(owner) else {
             return;
         };
         if let (Some(key), Some(target)) = (known.key(position), known.targets.get(position)) {
@@ -356,7 +366,7 @@
     }
 
     fn remove_key(&mut self, owner: &InstanceId, position: usize) {
-        let Some(known) = self.owners.get(owner) else {
+        let Some(known) = self.loads.get(owner) else {
             return;
         };
         if let (Some(key), Some(target)) = (known.key(position), known.targets.get(position))
@@ -367,7 +377,7 @@
     }
 
     fn owner_at(&self, key: &FreeKey) -> Option<&OwnerLoad> {
-        self.owners.get(self.numbers.get(&key.owner)?)
+        self.loads.get(self.numbers.get(&key.owner)?)
     }
 
     fn target_at(&self, key: &FreeKey) -> Option<&TargetLoad> {
@@ -386,7 +396,7 @@
     }
 
     fn targets(&self) -> impl Iterator<Item = &TargetLoad> {
-        let accepting = self.owners.values().filter(|owner| !owner.is_leaving);
+        let accepting = self.loads.values().filter(|owner| !owner.is_leaving);
         accepting.flat_map(|owner| &owner.targets)
     }
 }
