perf(dispatch): let owners report to a part of the entries elsewhere

Callers saw late answers at 97 entries: each owner sent each entry a report 7.7 times a second, which took most of the processor time of entries of 0.09 cores.

Change: an owner reports to its own data centre, to entries elsewhere to which it is assigned (two owners of each data centre for an entry), and to each whose orders it has. Losses of targets are still told to all entries.

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -1,6 +1,9 @@
 mod orders;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use kqr_fleet::{EntryInfo, FencingToken, TargetReport};
 use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
@@ -8,9 +11,12 @@
 use crate::{
     Decision, GiveUp, Input, LoadUpdate, Options, OrderId, Output, RunOrder, SiblingMessage,
     contact::Contact, jobs::Jobs, own_load::OwnLoad, owned::OwnedTargets, owners::Owners,
-    received_orders::ReceivedOrders, siblings::Siblings, target_losses::TargetLosses,
+    received_orders::ReceivedOrders, relations::is_assigned, siblings::Siblings, target_losses::TargetLosses,
 };
 
+/// Number of ticks over which the reports to all siblings are spread; together they are below the interval of reports.
+const TICKS_PER_ROUND: usize = 5;
+
 /// State machine with the scheduling decisions of an entry.
 ///
 /// It performs no I/O: [`Dispatcher::handle`] takes inputs and returns the actions to perform.
@@ -23,7 +29,16 @@
     siblings: Siblings,
     owners: Owners,
     own_load: OwnLoad,
-    last_report_at: Instant,
+    /// Number of the list of own targets that orders were last placed with.
+    placed_list: u64,
+    /// Number of the list of own targets that was last reported.
+    reported_list: u64,
+    /// Owners of the own data centre, including this entry.
+    near_owners: BTreeSet<InstanceId>,
+    /// Number of siblings that exchange loads with this entry.
+    related_siblings: usize,
+    /// Whether siblings were added since they were last assigned.
+    are_siblings_changed: bool,
     /// When the last input was handled.
     last_input_at: Instant,
     contact: Contact,
@@ -44,7 +59,11 @@
             siblings: Siblings::default(),
             options,
             own_load: OwnLoad::default(),
-            last_report_at: Instant(0),
+            placed_list: 0,
+            reported_list: 0,
+            near_owners: BTreeSet::new(),
+            related_siblings: 0,
+            are_siblings_changed: false,
             last_input_at: Instant(0),
             contact: Contact::default(),
             received_orders: BTreeMap::new(),
@@ -75,6 +94,7 @@
                 for gone in self.siblings.update(now, &self.own.id, entries, timeout) {
                     self.handle_sibling_loss(now, &gone, outputs);
                 }
+                self.are_siblings_changed = true;
                 self.owned.update_grants(now, &owned, outputs);
             }
             Input::TargetReported(report) => self.owned.handle_report(report, outputs),
@@ -308,7 +328,8 @@
 
     /// Updates the load of the own targets, before orders are placed.
     fn refresh_own_load(&mut self, now: Instant) {
-        if self.owned.take_list_change() {
+        let number = self.owned.list_number();
+        if std::mem::replace(&mut self.placed_list, number) != number {
             self.owners.replace_own(&self.own.id, self.owned.load_report(now));
             return;
         }
@@ -317,21 +338,61 @@
             .refresh_own_queue(&self.own.id, self.owned.queued_work());
     }
 
-    /// Sends the load to siblings. Two entries without targets exchange no reports.
-    fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        if now.since(self.last_report_at) < self.options.min_report_interval {
+    /// Updates the load that siblings are told. Returns whether it differs from the last one.
+    fn refresh_reported_load(&mut self, now: Instant) -> bool {
+        let number = self.owned.list_number();
+        if std::mem::replace(&mut self.reported_list, number) != number {
+            self.own_load.replace(self.owned.load_report(now));
+            return true;
+        }
+        self.own_load
+            .refresh(self.owned.loads(now), self.owned.queued_work())
+    }
+
+    /// Determines the siblings of other data centres to which this entry reports as an owner.
+    fn assign_siblings(&mut self) {
+        let mut near_owners: BTreeSet<InstanceId> = self.owners.near_owners().cloned().collect();
+        near_owners.insert(self.own.id.clone());
+        if near_owners == self.near_owners && !self.are_siblings_changed {
             return;
         }
-        self.last_report_at = now;
-        let is_changed = self.own_load.replace(self.owned.load_report(now));
+        self.near_owners = near_owners;
+        self.are_siblings_changed = false;
+        for sibling in self.siblings.iter_mut() {
+            sibling.is_assigned = sibling.info.data_centre == self.own.data_centre
+                || is_assigned(&self.own.id, &self.near_owners, &sibling.info.id);
+        }
+    }
+
+    /// Sends the load to siblings. Two entries without targets exchange no reports, and an owner reports only to a part
+    /// of the entries of other data centres, but to each whose orders it has.
+    ///
+    /// Reports are spread over several ticks: sent all at once, they would delay the orders behind them.
+    fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let is_changed = self.refresh_reported_load(now);
+        let is_owner = !self.own_load.is_empty();
+        if is_owner {
+            self.assign_siblings();
+        }
+        let served = self.owned.coordinators();
+        let mut early_reports = self.related_siblings / TICKS_PER_ROUND + 1;
+        self.related_siblings = 0;
         for sibling in self.siblings.iter_mut() {
             sibling.is_outdated |= is_changed;
-            let id = &sibling.info.id;
-            let is_concerned = !self.own_load.is_empty() || self.owners.has_targets(id);
             let is_near = sibling.info.data_centre == self.own.data_centre;
-            if !is_concerned || !sibling.is_report_due(now, is_near, &self.options) {
+            let id = &sibling.info.id;
+            let is_related =
+                (is_owner && sibling.is_assigned) || self.owners.has_targets(id) || served.contains(id);
+            self.related_siblings += usize::from(is_related);
+            if !is_related || !sibling.may_report(now, is_near, &self.options) {
                 continue;
             }
+            if !sibling.must_report(now, &self.options) {
+                if early_reports == 0 {
+                    continue;
+                }
+                early_reports -= 1;
+            }
             let received = self.received_orders.get(id).copied().unwrap_or_default();
             let update = self.own_load.update_since(sibling.sent_load, received.last());
             outputs.push(Output::Send {
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -30,7 +30,7 @@
         for run in &lost {
             self.losses.record(now, run.clone());
         }
-        for sibling in self.siblings.live(now, &self.options) {
+        for sibling in self.siblings.iter() {
             outputs.push(Output::Send {
                 to: sibling.info.id.clone(),
                 message: SiblingMessage::TargetsLost(lost.clone()),
--- a/kqr-dispatch/src/lib.rs
+++ b/kqr-dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod owned;
 mod owners;
 mod received_orders;
+mod relations;
 mod run_end;
 mod run_order;
 mod sessions;
--- a/kqr-dispatch/src/own_load.rs
+++ b/kqr-dispatch/src/own_load.rs
@@ -1,4 +1,7 @@
-use crate::{LoadChange, LoadTargets, LoadUpdate, OrderId, TargetLoad, load_report::LoadReport};
+use crate::{
+    LoadChange, LoadTargets, LoadUpdate, OrderId, TargetLoad,
+    load_report::{LoadReport, RANKS},
+};
 
 /// Load of this entry as last reported, with the history that updates for siblings are made from.
 #[derive(Clone, Debug, Default)]
@@ -23,11 +26,8 @@
         self.number
     }
 
-    /// Replaces the load. Returns whether it differs from the last one.
-    pub(crate) fn replace(&mut self, report: LoadReport) -> bool {
-        if report == self.report {
-            return false;
-        }
+    /// Replaces the load, whose list of targets may have changed.
+    pub(crate) fn replace(&mut self, report: LoadReport) {
         self.number += 1;
         let is_same_list = report.targets.len() == self.report.targets.len()
             && pairs(&report, &self.report).all(|(new, old)| new.has_same_profile(old));
@@ -42,7 +42,38 @@
             self.changed_at = vec![self.number; report.targets.len()];
         }
         self.report = report;
-        true
+    }
+
+    /// Updates the loads of the targets, which are those of the last list. Returns whether something differs.
+    pub(crate) fn refresh<Changes>(&mut self, changes: Changes, queued: [u64; RANKS]) -> bool
+    where
+        Changes: Iterator<Item = LoadChange>,
+    {
+        let next_number = self.number + 1;
+        let mut is_changed = queued != self.report.queued;
+        self.report.queued = queued;
+        for change in changes {
+            let position = change.position as usize;
+            let (Some(target), Some(at)) = (
+                self.report.targets.get_mut(position),
+                self.changed_at.get_mut(position),
+            ) else {
+                continue;
+            };
+            let is_same = target.free == change.free
+                && target.is_open == change.is_open
+                && target.slowness.to_bits() == change.slowness.to_bits();
+            if is_same {
+                continue;
+            }
+            target.free = change.free;
+            target.is_open = change.is_open;
+            target.slowness = change.slowness;
+            *at = next_number;
+            is_changed = true;
+        }
+        self.number += u64::from(is_changed);
+        is_changed
     }
 
     /// Returns the update for a sibling that has the load with the number `since`, or none. `last_order` is the last
--- a/kqr-dispatch/src/owned/answers.rs
+++ b/kqr-dispatch/src/owned/answers.rs
@@ -202,7 +202,7 @@
     fn remove_replaced(&mut self, id: &TargetId, outputs: &mut Vec<Output>) {
         self.clear_runs(id, "another target has the address", outputs);
         if let Some(target) = self.targets.remove(id) {
-            self.is_list_changed = true;
+            self.list_number += 1;
             log_target_change(
                 outputs,
                 &target,
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -14,7 +14,7 @@
 mod waiting_order;
 mod waiting_orders;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use kqr_fleet::{FencingToken, TargetGrant, TargetRecord, TargetReport};
 use kqr_types::{InstanceId, Instant, TargetId};
@@ -45,8 +45,8 @@
     targets: BTreeMap<TargetId, Target>,
     /// Targets that were granted to another owner, kept until the lease of their runs has expired.
     former: Vec<Target>,
-    /// Whether targets were added, removed or resized since the list was last taken.
-    is_list_changed: bool,
+    /// Number of times that targets were added, removed or resized.
+    list_number: u64,
     waiting: WaitingOrders,
     calls: BTreeMap<CallId, OpenCall>,
     next_call: u64,
@@ -65,7 +65,7 @@
             options,
             targets: BTreeMap::new(),
             former: Vec::new(),
-            is_list_changed: false,
+            list_number: 0,
             waiting: WaitingOrders::default(),
             calls: BTreeMap::new(),
             next_call: 0,
@@ -100,7 +100,7 @@
     /// Stops accepting orders; targets are released as they become idle.
     pub(crate) fn start_leaving(&mut self) {
         self.is_leaving = true;
-        self.is_list_changed = true;
+        self.list_number += 1;
     }
 
     /// Returns whether there are no runs on owned targets and no waiting orders.
@@ -145,7 +145,7 @@
             }
         }
         let lost = std::mem::replace(&mut self.targets, kept);
-        self.is_list_changed = true;
+        self.list_number += 1;
         for target in lost.into_values() {
             log_target_change(outputs, &target, "handed-over", format!("token {}", target.token));
             self.former.push(target);
@@ -174,7 +174,7 @@
                     || target.last_report.is_none();
                 if !is_outdated {
                     target.last_report = Some(number);
-                    self.is_list_changed |= resize(target, record, outputs);
+                    self.list_number += u64::from(resize(target, record, outputs));
                 }
                 if *is_leaving && !target.is_leaving && record.life >= target.record.life {
                     target.is_leaving = true;
@@ -249,9 +249,17 @@
         self.waiting.work()
     }
 
-    /// Returns whether targets were added, removed or resized since the last call.
-    pub(crate) fn take_list_change(&mut self) -> bool {
-        std::mem::replace(&mut self.is_list_changed, false)
+    /// Returns a number that increases when targets are added, removed or resized.
+    pub(crate) const fn list_number(&self) -> u64 {
+        self.list_number
+    }
+
+    /// Returns the coordinators whose orders wait or run here.
+    pub(crate) fn coordinators(&self) -> BTreeSet<&InstanceId> {
+        let runs = self.targets.values().flat_map(|target| target.runs.values());
+        let running = runs.filter_map(|run| run.ordered_by.as_ref());
+        let waiting = self.waiting.iter().map(|(_, waiting)| &waiting.coordinator);
+        running.map(|(by, _)| by).chain(waiting).collect()
     }
 
     /// Handles timeouts: expired leases and orders, stops to resend, and polls that are due.
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -7,6 +7,9 @@
 
 use crate::Options;
 
+/// Fraction of the interval of heartbeats from which on one may be sent early, so that they are spread over time.
+const EARLY_HEARTBEAT_FRACTION: f64 = 0.75;
+
 /// A sibling entry.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Sibling {
@@ -17,6 +20,8 @@
     pub(crate) last_report_at: Instant,
     /// Whether the load of this entry has changed since.
     pub(crate) is_outdated: bool,
+    /// Whether this entry as an owner reports to the sibling, which is in another data centre.
+    pub(crate) is_assigned: bool,
     /// Number of the load that was last sent to the sibling, if it is known to have it once it has handled all messages.
     pub(crate) sent_load: Option<u64>,
 }
@@ -28,18 +33,24 @@
             last_message_at: None,
             last_report_at: Instant(0),
             is_outdated: true,
+            is_assigned: false,
             sent_load: None,
         }
     }
 
-    /// Returns whether a load report is due: soon after a change, and otherwise as a heartbeat. Siblings in
-    /// other data centres receive only the heartbeats, because links to them are expensive.
-    pub(crate) fn is_report_due(&self, now: Instant, is_near: bool, options: &Options) -> bool {
+    /// Returns whether a load report may be sent: soon after a change within the data centre, and otherwise some time
+    /// before it is due as a heartbeat.
+    pub(crate) fn may_report(&self, now: Instant, is_near: bool, options: &Options) -> bool {
         let passed = now.since(self.last_report_at);
         if is_near && self.is_outdated {
             return passed >= options.min_report_interval;
         }
-        passed >= options.max_report_interval
+        passed >= options.max_report_interval.mul_f64(EARLY_HEARTBEAT_FRACTION)
+    }
+
+    /// Returns whether a load report is due as a heartbeat.
+    pub(crate) fn must_report(&self, now: Instant, options: &Options) -> bool {
+        now.since(self.last_report_at) >= options.max_report_interval
     }
 
     pub(crate) fn is_alive(&self, now: Instant, timeout: Duration) -> bool {
