--- a/kqr-fleet/tests/catalog_parts.rs
+++ b/kqr-fleet/tests/catalog_parts.rs
@@ -71,7 +71,7 @@
     replace(&mut control, long.clone());
     let mut receiver = CatalogReceiver::default();
     let (mut total, mut parts) = (0, 0);
-    let received = loop {
+    let complete = loop {
         let part = receive(&mut control, &mut receiver, Some(CatalogVersion(1))).unwrap();
         assert!(part.bytes.len() <= MAX_REPLY_BYTES);
         total += part.bytes.len();
@@ -82,8 +82,8 @@
     };
     assert!(parts > 1);
     assert!(total <= MAX_CATALOG_BYTES, "{total} bytes");
-    assert_eq!(received.queues, long.queues);
-    assert_eq!(received.version, long.version);
+    assert_eq!(complete.queues, long.queues);
+    assert_eq!(complete.version, long.version);
     assert_eq!(receiver.progress(), None);
     let current = receive(&mut control, &mut receiver, Some(CatalogVersion(2)));
     assert_eq!(current, None);
@@ -98,8 +98,8 @@
     assert_eq!(receiver.add(part).unwrap(), None);
     replace(&mut control, catalog(3, 10));
     let part = receive(&mut control, &mut receiver, None).unwrap();
-    let received = receiver.add(part).unwrap().unwrap();
-    assert_eq!((received.version, received.queues.len()), (CatalogVersion(3), 10));
+    let newer = receiver.add(part).unwrap().unwrap();
+    assert_eq!((newer.version, newer.queues.len()), (CatalogVersion(3), 10));
 }
 
 #[test]
