perf(dispatch): hear fewer owners at many data centres, and bound the search of the index

An entry hears four owners of other data centres in all, in place of two of each; changes within a data centre are sent after 100 ms; heartbeats are early by at most 15%. A target whose speed is in the bucket of the bound is no longer examined.

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -358,9 +358,10 @@
         }
         self.near_owners = near_owners;
         self.are_siblings_changed = false;
+        let data_centres = self.siblings.data_centre_count(&self.own.data_centre);
         for sibling in self.siblings.iter_mut() {
             sibling.is_assigned = sibling.info.data_centre == self.own.data_centre
-                || is_assigned(&self.own.id, &self.near_owners, &sibling.info.id);
+                || is_assigned(&self.own.id, &self.near_owners, &sibling.info.id, data_centres);
         }
     }
 
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -74,7 +74,7 @@
             progress_timeout: Duration::from_millis(300),
             min_quarantine: Duration::from_millis(1500),
             max_quarantine: Duration::from_secs(6),
-            min_report_interval: Duration::from_millis(75),
+            min_report_interval: Duration::from_millis(100),
             max_report_interval: Duration::from_millis(130),
             sibling_timeout: Duration::from_millis(400),
             standstill_hold: Duration::from_millis(50),
--- a/kqr-dispatch/src/owners/free_index.rs
+++ b/kqr-dispatch/src/owners/free_index.rs
@@ -95,8 +95,9 @@
         1.0 - free / self.cpu_milli.max(1) as f32
     }
 
-    /// Returns the slowest target of a ratio up to `max_slowness` that has `cpu_milli` free and is accepted.
-    pub(super) fn slowest_up_to<Accept>(
+    /// Returns the slowest target of a ratio below `max_slowness`, by whole buckets, that has `cpu_milli` free and is
+    /// accepted.
+    pub(super) fn slowest_below<Accept>(
         &self,
         is_far: bool,
         max_slowness: f32,
@@ -107,7 +108,7 @@
         Accept: Fn(&FreeKey) -> bool,
     {
         let free = cpu_bucket(cpu_milli);
-        let mut below = FreeKey::last(is_far, slowness_bucket(max_slowness), 0);
+        let mut below = FreeKey::last(is_far, slowness_bucket(max_slowness).checked_sub(1)?, 0);
         loop {
             let slowness = self
                 .keys
--- a/kqr-dispatch/src/owners/mod.rs
+++ b/kqr-dispatch/src/owners/mod.rs
@@ -191,14 +191,10 @@
         let budget = on_time_budget(order, Duration::ZERO) * on_time_fraction(index.utilisation());
         let max_slowness = budget / order.estimate.as_secs_f32().max(f32::MIN_POSITIVE);
         let fits = |key: &FreeKey| self.can_take(key, order);
-        let is_on_time = |key: &FreeKey| {
-            let target = self.target_at(key);
-            target.is_some_and(|target| target.slowness <= max_slowness) && fits(key)
-        };
         let cpu = order.needs.cpu_milli;
         let found = index
-            .slowest_up_to(false, max_slowness, cpu, is_on_time)
-            .or_else(|| index.slowest_up_to(true, max_slowness, cpu, is_on_time))
+            .slowest_below(false, max_slowness, cpu, fits)
+            .or_else(|| index.slowest_below(true, max_slowness, cpu, fits))
             .or_else(|| index.fastest(cpu, fits))?;
         Some((self.numbers.get(&found.owner)?.clone(), found.position as usize))
     }
--- a/kqr-dispatch/src/relations.rs
+++ b/kqr-dispatch/src/relations.rs
@@ -11,12 +11,20 @@
 
 use kqr_types::InstanceId;
 
-/// Number of owners of another data centre that an entry hears: if one is lost, another still offers its capacity.
-const FAR_OWNERS: usize = 2;
+/// Number of owners of other data centres that an entry hears, as far as these have so many: if one is lost, the others
+/// still offer their capacity.
+const FAR_OWNERS: usize = 4;
 
 /// Returns whether the owner `own` reports to the entry `other` of another data centre, if `owners` are all owners of its
-/// own data centre. Each entry is assigned to different owners, so that these share the entries.
-pub(crate) fn is_assigned(own: &InstanceId, owners: &BTreeSet<InstanceId>, other: &InstanceId) -> bool {
+/// own data centre and there are `data_centres` in all. Each entry is assigned to different owners, so that these share
+/// the entries.
+pub(crate) fn is_assigned(
+    own: &InstanceId,
+    owners: &BTreeSet<InstanceId>,
+    other: &InstanceId,
+    data_centres: usize,
+) -> bool {
+    let wanted = FAR_OWNERS.div_ceil(data_centres.saturating_sub(1).max(1));
     let rank = |owner: &InstanceId| {
         let mut hasher = DefaultHasher::new();
         (other, owner).hash(&mut hasher);
@@ -26,5 +34,5 @@
     let ahead = owners
         .iter()
         .filter(|owner| *owner != own && rank(owner) < own_rank);
-    ahead.count() < FAR_OWNERS
+    ahead.count() < wanted
 }
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -1,14 +1,17 @@
 //! Liveness of the siblings of an entry, and what was reported to them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use kqr_fleet::EntryInfo;
-use kqr_types::{Incarnation, InstanceId, Instant};
+use kqr_types::{DataCentre, Incarnation, InstanceId, Instant};
 
 use crate::Options;
 
 /// Fraction of the interval of heartbeats from which on one may be sent early, so that they are spread over time.
-const EARLY_HEARTBEAT_FRACTION: f64 = 0.75;
+const EARLY_HEARTBEAT_FRACTION: f64 = 0.85;
 
 /// A sibling entry.
 #[derive(Clone, Debug, PartialEq)]
@@ -112,6 +115,12 @@
         self.siblings.values_mut()
     }
 
+    /// Returns the number of data centres with entries, including `own`.
+    pub(crate) fn data_centre_count(&self, own: &DataCentre) -> usize {
+        let others = self.siblings.values().map(|sibling| &sibling.info.data_centre);
+        others.chain([own]).collect::<BTreeSet<_>>().len()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Sibling> {
         self.siblings.values()
     }
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -84,6 +84,10 @@
     pub lost_answers: Vec<(usize, usize)>,
     /// One-way delays between entries, in milliseconds.
     pub delays: BTreeMap<(usize, usize), u64>,
+    /// Rate of the link of each entry to its siblings, in bytes a millisecond; unlimited if there is none.
+    pub link_bytes_per_ms: Option<u64>,
+    /// When the links of entries have sent what is queued.
+    link_free_at: BTreeMap<usize, u64>,
     /// Pairs of entry and target with a cut link.
     pub cut_target_links: Vec<(usize, TargetId)>,
     /// Returns the fault of each call.
@@ -122,6 +126,8 @@
             cut_paths: Vec::new(),
             lost_answers: Vec::new(),
             delays: BTreeMap::new(),
+            link_bytes_per_ms: None,
+            link_free_at: BTreeMap::new(),
             cut_target_links: Vec::new(),
             call_fault: Box::new(|_| CallFault::Normal),
             duplicate_runs: BTreeSet::new(),
