--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -1,20 +1,22 @@
 mod orders;
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use kqr_fleet::{EntryInfo, FencingToken, TargetReport};
 use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
 
 use crate::{
-    Decision, GiveUp, Input, LoadReport, Options, OrderId, Output, RunOrder, SiblingMessage,
-    contact::Contact,
-    jobs::{Candidates, Jobs},
-    owned::OwnedTargets,
-    received_orders::ReceivedOrders,
-    siblings::Siblings,
-    target_losses::TargetLosses,
+    Decision, GiveUp, Input, LoadUpdate, Options, OrderId, Output, RunOrder, SiblingMessage,
+    contact::Contact, jobs::Jobs, own_load::OwnLoad, owned::OwnedTargets, owners::Owners,
+    received_orders::ReceivedOrders, relations::is_assigned, siblings::Siblings, target_losses::TargetLosses,
 };
 
+/// Number of ticks over which the reports to all siblings are spread; together they are below the interval of reports.
+const TICKS_PER_ROUND: usize = 5;
+
 /// State machine with the scheduling decisions of an entry.
 ///
 /// It performs no I/O: [`Dispatcher::handle`] takes inputs and returns the actions to perform.
@@ -25,8 +27,18 @@
     owned: OwnedTargets,
     jobs: Jobs,
     siblings: Siblings,
-    last_report: LoadReport,
-    last_report_at: Instant,
+    owners: Owners,
+    own_load: OwnLoad,
+    /// Number of the list of own targets that orders were last placed with.
+    placed_list: u64,
+    /// Number of the list of own targets that was last reported.
+    reported_list: u64,
+    /// Owners of the own data centre, including this entry.
+    near_owners: BTreeSet<InstanceId>,
+    /// Number of siblings that exchange loads with this entry.
+    related_siblings: usize,
+    /// Whether siblings were added since they were last assigned.
+    are_siblings_changed: bool,
     /// When the last input was handled.
     last_input_at: Instant,
     contact: Contact,
@@ -40,13 +52,18 @@
     pub fn new(own: EntryInfo, options: Options) -> Self {
         let last_order_id = OrderId::before(own.incarnation);
         Self {
+            owners: Owners::new(&own.id),
             own,
             owned: OwnedTargets::new(options.clone()),
             jobs: Jobs::new(options.clone(), last_order_id),
             siblings: Siblings::default(),
             options,
-            last_report: LoadReport::default(),
-            last_report_at: Instant(0),
+            own_load: OwnLoad::default(),
+            placed_list: 0,
+            reported_list: 0,
+            near_owners: BTreeSet::new(),
+            related_siblings: 0,
+            are_siblings_changed: false,
             last_input_at: Instant(0),
             contact: Contact::default(),
             received_orders: BTreeMap::new(),
@@ -62,9 +79,12 @@
             Input::Tick => self.tick(now, outputs),
             Input::Submit(request) => {
                 let key = request.key.clone();
-                let mut candidates = self.candidates(now);
-                if self.jobs.submit(now, request, &candidates, &self.losses, outputs) {
-                    self.place_tasks(now, &key, &mut candidates, outputs);
+                self.refresh_own_load(now);
+                if self
+                    .jobs
+                    .submit(now, request, &self.owners, &self.losses, outputs)
+                {
+                    self.place_tasks(now, &key, outputs);
                 }
             }
             Input::Abandon(job) => self.jobs.abandon(now, &job, outputs),
@@ -74,12 +94,14 @@
                 for gone in self.siblings.update(now, &self.own.id, entries, timeout) {
                     self.handle_sibling_loss(now, &gone, outputs);
                 }
+                self.are_siblings_changed = true;
                 self.owned.update_grants(now, &owned, outputs);
             }
             Input::TargetReported(report) => self.owned.handle_report(report, outputs),
             Input::MessageReceived { from, message } => self.handle_message(now, &from, message, outputs),
             Input::LinkLost { sibling } => self.handle_sibling_loss(now, &sibling, outputs),
             Input::SessionOpened { sibling, dropped } => {
+                self.forget_sent_load(&sibling);
                 self.owned.drop_orders_of(now, &sibling, outputs);
                 let ended_by = self.latest_run_end(now);
                 self.jobs.handle_dropped_orders(&sibling, dropped, ended_by);
@@ -197,7 +219,6 @@
         message: SiblingMessage,
         outputs: &mut Vec<Output>,
     ) {
-        let lag = self.options.report_lag;
         if let Some(sibling) = self.siblings.get_mut(from) {
             if sibling.last_message_at.is_none() {
                 log_sibling_change(outputs, from, "heard");
@@ -205,12 +226,9 @@
             sibling.last_message_at = Some(now);
         }
         match message {
-            SiblingMessage::Load(load) => {
-                if let Some(sibling) = self.siblings.get_mut(from) {
-                    sibling.update_load(now, load, lag);
-                }
-            }
-            SiblingMessage::Run(orders) => self.accept_orders(now, from, orders, outputs),
+            SiblingMessage::Load(update) => self.apply_load(from, update, outputs),
+            SiblingMessage::LoadRequest => self.forget_sent_load(from),
+            SiblingMessage::Run { spec, orders } => self.accept_orders(now, from, &spec, orders, outputs),
             SiblingMessage::Cancel(order_ids) => {
                 for order_id in order_ids {
                     self.owned.cancel_order(now, from, order_id, outputs);
@@ -245,8 +263,9 @@
         });
         if let Some(known) = self.siblings.get_mut(sibling) {
             known.last_message_at = None;
-            known.load = LoadReport::default();
+            known.sent_load = None;
         }
+        self.owners.remove(sibling);
         self.owned.drop_orders_of(now, sibling, outputs);
         if let Some(received) = self.received_orders.get_mut(sibling) {
             received.drop_all();
@@ -268,6 +287,7 @@
         &mut self,
         now: Instant,
         from: &InstanceId,
+        spec: &Arc<str>,
         orders: Vec<RunOrder>,
         outputs: &mut Vec<Output>,
     ) {
@@ -278,42 +298,111 @@
             return;
         }
         for order in orders {
-            self.owned.accept_order(now, from.clone(), order, outputs);
+            self.owned
+                .accept_order(now, from.clone(), Arc::clone(spec), order, outputs);
         }
     }
 
-    fn candidates(&self, now: Instant) -> Candidates {
-        let mut candidates = Candidates::default();
-        candidates.add(&self.own.id, true, self.owned.load_report(now));
-        for sibling in self.siblings.live(now, &self.options) {
-            let is_near = sibling.info.data_centre == self.own.data_centre;
-            candidates.add(&sibling.info.id, is_near, sibling.load.clone());
+    /// Applies the load of a sibling, and requests the loads of all its targets if the update does not continue the
+    /// known load.
+    fn apply_load(&mut self, from: &InstanceId, update: LoadUpdate, outputs: &mut Vec<Output>) {
+        let Some(sibling) = self.siblings.get_mut(from) else {
+            return;
+        };
+        let is_near = sibling.info.data_centre == self.own.data_centre;
+        if !self.owners.apply(from, is_near, update) {
+            outputs.push(Output::Send {
+                to: from.clone(),
+                message: SiblingMessage::LoadRequest,
+            });
         }
-        candidates
     }
 
-    /// Sends the load to siblings. Two entries without targets exchange no reports.
-    fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        if now.since(self.last_report_at) < self.options.min_report_interval {
+    /// Sends the loads of all targets with the next report to a sibling.
+    fn forget_sent_load(&mut self, sibling: &InstanceId) {
+        if let Some(known) = self.siblings.get_mut(sibling) {
+            known.sent_load = None;
+            known.is_outdated = true;
+        }
+    }
+
+    /// Updates the load of the own targets, before orders are placed.
+    fn refresh_own_load(&mut self, now: Instant) {
+        let number = self.owned.list_number();
+        if std::mem::replace(&mut self.placed_list, number) != number {
+            self.owners.replace_own(&self.own.id, self.owned.load_report(now));
             return;
         }
-        self.last_report_at = now;
-        let load = self.owned.load_report(now);
-        let is_changed = load != self.last_report;
-        self.last_report = load;
+        self.owners.refresh_own(&self.own.id, self.owned.loads(now));
+        self.owners
+            .refresh_own_queue(&self.own.id, self.owned.queued_work());
+    }
+
+    /// Updates the load that siblings are told. Returns whether it differs from the last one.
+    fn refresh_reported_load(&mut self, now: Instant) -> bool {
+        let number = self.owned.list_number();
+        if std::mem::replace(&mut self.reported_list, number) != number {
+            self.own_load.replace(self.owned.load_report(now));
+            return true;
+        }
+        self.own_load
+            .refresh(self.owned.loads(now), self.owned.queued_work())
+    }
+
+    /// Determines the siblings of other data centres to which this entry reports as an owner.
+    fn assign_siblings(&mut self) {
+        let mut near_owners: BTreeSet<InstanceId> = self.owners.near_owners().cloned().collect();
+        near_owners.insert(self.own.id.clone());
+        if near_owners == self.near_owners && !self.are_siblings_changed {
+            return;
+        }
+        self.near_owners = near_owners;
+        self.are_siblings_changed = false;
+        let data_centres = self.siblings.data_centre_count(&self.own.data_centre);
+        for sibling in self.siblings.iter_mut() {
+            sibling.is_assigned = sibling.info.data_centre == self.own.data_centre
+                || is_assigned(&self.own.id, &self.near_owners, &sibling.info.id, data_centres);
+        }
+    }
+
+    /// Sends the load to siblings. Two entries without targets exchange no reports, and an owner reports only to a part
+    /// of the entries of other data centres, but to each whose orders it has.
+    ///
+    /// Reports are spread over several ticks: sent all at once, they would delay the orders behind them.
+    fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let is_changed = self.refresh_reported_load(now);
+        let is_owner = !self.own_load.is_empty();
+        if is_owner {
+            self.assign_siblings();
+        }
+        let served = self.owned.coordinators();
+        let mut early_reports = self.related_siblings / TICKS_PER_ROUND + 1;
+        self.related_siblings = 0;
         for sibling in self.siblings.iter_mut() {
             sibling.is_outdated |= is_changed;
-            let is_concerned = !self.last_report.targets.is_empty() || !sibling.load.targets.is_empty();
             let is_near = sibling.info.data_centre == self.own.data_centre;
-            if !is_concerned || !sibling.is_report_due(now, is_near, &self.options) {
+            let id = &sibling.info.id;
+            let is_related =
+                (is_owner && sibling.is_assigned) || self.owners.has_targets(id) || served.contains(id);
+            self.related_siblings += usize::from(is_related);
+            if !is_related || !sibling.may_report(now, is_near, &self.options) {
                 continue;
             }
-            sibling.is_outdated = false;
-            sibling.last_report_at = now;
+            if !sibling.must_report(now, &self.options) {
+                if early_reports == 0 {
+                    continue;
+                }
+                early_reports -= 1;
+            }
+            let received = self.received_orders.get(id).copied().unwrap_or_default();
+            let update = self.own_load.update_since(sibling.sent_load, received.last());
             outputs.push(Output::Send {
-                to: sibling.info.id.clone(),
-                message: SiblingMessage::Load(self.last_report.clone()),
+                to: id.clone(),
+                message: SiblingMessage::Load(update),
             });
+            sibling.sent_load = Some(self.own_load.number());
+            sibling.is_outdated = false;
+            sibling.last_report_at = now;
         }
     }
 }
