refactor(dispatch): split the exchange of loads and the placement; keep losses of targets over a lost link

Two siblings that exchange no loads have no live session, so the second loss of a target that an owner tells such a sibling found the session expired, reset the link and was discarded; a task that crashes its targets would have been started at further ones after a second try there.

--- /dev/null
+++ b/kqr-dispatch/src/dispatcher/loads.rs
@@ -0,0 +1,116 @@
+//! The exchange of loads with siblings, and which siblings take part in it.
+
+use std::collections::BTreeSet;
+
+use kqr_types::{InstanceId, Instant};
+
+use super::Dispatcher;
+use crate::{LoadUpdate, Output, SiblingMessage, relations::is_assigned};
+
+/// Number of ticks over which the reports to all siblings are spread; together they are below the interval of reports.
+const TICKS_PER_ROUND: usize = 5;
+
+impl Dispatcher {
+    /// Applies the load of a sibling, and requests the loads of all its targets if the update does not continue the
+    /// known load.
+    pub(super) fn apply_load(&mut self, from: &InstanceId, update: LoadUpdate, outputs: &mut Vec<Output>) {
+        let Some(sibling) = self.siblings.get_mut(from) else {
+            return;
+        };
+        let is_near = sibling.info.data_centre == self.own.data_centre;
+        if !self.owners.apply(from, is_near, update) {
+            outputs.push(Output::Send {
+                to: from.clone(),
+                message: SiblingMessage::LoadRequest,
+            });
+        }
+    }
+
+    /// Sends the loads of all targets with the next report to a sibling.
+    pub(super) fn forget_sent_load(&mut self, sibling: &InstanceId) {
+        if let Some(known) = self.siblings.get_mut(sibling) {
+            known.sent_load = None;
+            known.is_outdated = true;
+        }
+    }
+
+    /// Updates the load of the own targets, before orders are placed.
+    pub(super) fn refresh_own_load(&mut self, now: Instant) {
+        let number = self.owned.list_number();
+        if std::mem::replace(&mut self.placed_list, number) != number {
+            self.owners.replace_own(&self.own.id, self.owned.load_report(now));
+            return;
+        }
+        self.owners.refresh_own(&self.own.id, self.owned.loads(now));
+        self.owners
+            .refresh_own_queue(&self.own.id, self.owned.queued_work());
+    }
+
+    /// Updates the load that siblings are told. Returns whether it differs from the last one.
+    fn refresh_reported_load(&mut self, now: Instant) -> bool {
+        let number = self.owned.list_number();
+        if std::mem::replace(&mut self.reported_list, number) != number {
+            self.own_load.replace(self.owned.load_report(now));
+            return true;
+        }
+        self.own_load
+            .refresh(self.owned.loads(now), self.owned.queued_work())
+    }
+
+    /// Determines the siblings of other data centres to which this entry reports as an owner.
+    fn assign_siblings(&mut self) {
+        let mut near_owners: BTreeSet<InstanceId> = self.owners.near_owners().cloned().collect();
+        near_owners.insert(self.own.id.clone());
+        if near_owners == self.near_owners && !self.are_siblings_changed {
+            return;
+        }
+        self.near_owners = near_owners;
+        self.are_siblings_changed = false;
+        let data_centres = self.siblings.data_centre_count(&self.own.data_centre);
+        for sibling in self.siblings.iter_mut() {
+            sibling.is_assigned = sibling.info.data_centre == self.own.data_centre
+                || is_assigned(&self.own.id, &self.near_owners, &sibling.info.id, data_centres);
+        }
+    }
+
+    /// Sends the load to siblings. Two entries without targets exchange no reports, and an owner reports only to a part
+    /// of the entries of other data centres, but to each whose orders it has.
+    ///
+    /// Reports are spread over several ticks: sent all at once, they would delay the orders behind them.
+    pub(super) fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let is_changed = self.refresh_reported_load(now);
+        let is_owner = !self.own_load.is_empty();
+        if is_owner {
+            self.assign_siblings();
+        }
+        let served = self.owned.coordinators();
+        let mut early_reports = self.related_siblings / TICKS_PER_ROUND + 1;
+        self.related_siblings = 0;
+        for sibling in self.siblings.iter_mut() {
+            sibling.is_outdated |= is_changed;
+            let is_near = sibling.info.data_centre == self.own.data_centre;
+            let id = &sibling.info.id;
+            let is_related =
+                (is_owner && sibling.is_assigned) || self.owners.has_targets(id) || served.contains(id);
+            self.related_siblings += usize::from(is_related);
+            if !is_related || !sibling.may_report(now, is_near, &self.options) {
+                continue;
+            }
+            if !sibling.must_report(now, &self.options) {
+                if early_reports == 0 {
+                    continue;
+                }
+                early_reports -= 1;
+            }
+            let received = self.received_orders.get(id).copied().unwrap_or_default();
+            let update = self.own_load.update_since(sibling.sent_load, received.last());
+            outputs.push(Output::Send {
+                to: id.clone(),
+                message: SiblingMessage::Load(update),
+            });
+            sibling.sent_load = Some(self.own_load.number());
+            sibling.is_outdated = false;
+            sibling.last_report_at = now;
+        }
+    }
+}
--- a/kqr-dispatch/src/outbox.rs
+++ b/kqr-dispatch/src/outbox.rs
@@ -2,14 +2,15 @@
 
 use crate::SiblingMessage;
 
-/// Maximum number of `Ended` messages kept for an unreachable sibling, about 200 bytes each.
-const MAX_KEPT_ENDS: usize = 4096;
+/// Maximum number of messages kept for an unreachable sibling, about 200 bytes each.
+const MAX_KEPT_MESSAGES: usize = 4096;
 
 /// Messages to a sibling that it has not acknowledged yet.
 ///
 /// When the link is lost, orders, cancellations and loads are discarded, because the sibling counts them as
-/// lost. Ends of orders remain valid and are delivered once the sibling is reachable again, since its jobs
-/// may still wait for them.
+/// lost. Ends of orders and losses of targets remain valid and are delivered once the sibling is reachable again: its
+/// jobs may still wait for the ends, and its callers may submit jobs whose tasks have brought down targets. The session
+/// of two siblings that exchange no loads has mostly expired, which loses the link.
 #[derive(Clone, Debug, Default)]
 pub struct Outbox {
     messages: VecDeque<SiblingMessage>,
@@ -51,13 +52,17 @@
         self.sending = 0;
     }
 
-    /// Discards all messages except the ends of orders, and the oldest of these beyond the limit.
+    /// Discards all messages except the ends of orders and the losses of targets, and the oldest of these beyond the limit.
     pub fn handle_link_loss(&mut self) {
         self.sending = 0;
         self.losses += 1;
-        self.messages
-            .retain(|message| matches!(message, SiblingMessage::Ended { .. }));
-        let excess = self.messages.len().saturating_sub(MAX_KEPT_ENDS);
+        self.messages.retain(|message| {
+            matches!(
+                message,
+                SiblingMessage::Ended { .. } | SiblingMessage::TargetsLost(_)
+            )
+        });
+        let excess = self.messages.len().saturating_sub(MAX_KEPT_MESSAGES);
         self.messages.drain(..excess);
     }
 
--- /dev/null
+++ b/kqr-dispatch/src/owners/placement.rs
@@ -0,0 +1,147 @@
+//! Picking an owner and a target for an order.
+
+use std::time::Duration;
+
+use kqr_types::{InstanceId, TargetId};
+
+use super::{
+    Owners,
+    free_index::FreeKey,
+    owner_load::{OwnerLoad, Reservation},
+};
+use crate::{
+    RunOrder, TargetLoad,
+    load_report::RANKS,
+    suitability::{Suitability, on_time_budget, on_time_fraction},
+};
+
+/// Additional wait that is assumed for an owner in another data centre: the round trip of an order and its end.
+const FAR_WAIT: Duration = Duration::from_millis(5);
+
+impl Owners {
+    /// Picks the owner for an order: the one with free capacity on the most suitable target, which is returned as
+    /// well, or else the one with the shortest expected wait. A suspect gets an idle target, if there is one.
+    pub(crate) fn pick_owner(&mut self, order: &RunOrder) -> Option<(InstanceId, Option<TargetId>)> {
+        let is_idle = |target: &TargetLoad, owner: &OwnerLoad, position: usize| {
+            owner.free_of(position) == Some(target.capacity)
+        };
+        let idle = order
+            .is_suspect()
+            .then(|| self.scan(order, is_idle))
+            .flatten()
+            .or_else(|| self.most_suitable(order));
+        let Some((owner, position)) = idle else {
+            return self.pick_shortest_queue(order).map(|owner| (owner, None));
+        };
+        let target = self.loads.get(&owner)?.targets.get(position)?.id.clone();
+        self.update_target(&owner, position, |known| {
+            known.reserve(Reservation::on_target(order, position));
+        });
+        Some((owner, Some(target)))
+    }
+
+    /// Returns the owner and the position of the target with free capacity that suits `order` best: the slowest one of
+    /// the own data centre on which the run ends on time, then the slowest such one elsewhere, then the fastest one. Of
+    /// targets of the same speed this entry prefers its own.
+    fn most_suitable(&self, order: &RunOrder) -> Option<(InstanceId, usize)> {
+        if order.data_rack.is_some() {
+            return self.scan(order, |_, _, _| true);
+        }
+        let index = self.free.get(&order.service)?;
+        let budget = on_time_budget(order, Duration::ZERO) * on_time_fraction(index.utilisation());
+        let max_slowness = budget / order.estimate.as_secs_f32().max(f32::MIN_POSITIVE);
+        let fits = |key: &FreeKey| self.can_take(key, order);
+        let cpu = order.needs.cpu_milli;
+        let found = index
+            .slowest_below(false, max_slowness, cpu, fits)
+            .or_else(|| index.slowest_below(true, max_slowness, cpu, fits))
+            .or_else(|| index.fastest(cpu, fits))?;
+        Some((self.numbers.get(&found.owner)?.clone(), found.position as usize))
+    }
+
+    /// Compares all targets, for the rare orders whose best target depends on more than its speed.
+    fn scan<Filter>(&self, order: &RunOrder, is_eligible: Filter) -> Option<(InstanceId, usize)>
+    where
+        Filter: Fn(&TargetLoad, &OwnerLoad, usize) -> bool,
+    {
+        let mut best: Option<(Suitability, &InstanceId, usize)> = None;
+        for (id, owner) in &self.loads {
+            for (position, target) in owner.targets.iter().enumerate() {
+                let has_capacity = !owner.is_leaving
+                    && target.is_open
+                    && owner
+                        .free_of(position)
+                        .is_some_and(|free| free.can_fit(&order.needs));
+                if !has_capacity || !is_eligible(target, owner, position) || !may_run(target, order) {
+                    continue;
+                }
+                let is_data_remote = order
+                    .data_rack
+                    .as_ref()
+                    .is_some_and(|rack| !target.labels.contains(rack));
+                let suitability = Suitability::of(
+                    order,
+                    Duration::ZERO,
+                    target.slowness,
+                    is_data_remote,
+                    owner.is_near(),
+                );
+                if best.is_none_or(|(least, ..)| suitability.is_better(least)) {
+                    best = Some((suitability, id, position));
+                }
+            }
+        }
+        best.map(|(_, id, position)| (id.clone(), position))
+    }
+
+    /// Picks the owner with the shortest expected wait, and adds the order to its queue. Of equal ones, coordinators
+    /// pick different owners, so that they don't fill one queue together before its owner reports it.
+    fn pick_shortest_queue(&mut self, order: &RunOrder) -> Option<InstanceId> {
+        let rank = (order.priority as usize).min(RANKS - 1);
+        let mut waits = Vec::new();
+        for (id, owner) in &self.loads {
+            let cpu = owner.service_cpu_milli(&order.service);
+            if owner.is_leaving || cpu == 0 {
+                continue;
+            }
+            let far_ms = if owner.is_near() {
+                0
+            } else {
+                FAR_WAIT.as_millis() as u64
+            };
+            let wait_ms = owner.queued_work(rank) * 1000 / cpu + far_ms;
+            waits.push((wait_ms, owner.spread, id));
+        }
+        waits.sort_unstable();
+        let can_run = |id: &InstanceId| {
+            let owner = self.loads.get(id);
+            owner.is_some_and(|owner| owner.targets.iter().any(|target| may_run(target, order)))
+        };
+        let id = waits
+            .into_iter()
+            .map(|(.., id)| id)
+            .find(|id| can_run(id))?
+            .clone();
+        let owner = self.loads.get_mut(&id)?;
+        owner.reserve(Reservation::in_queue(order, rank));
+        Some(id)
+    }
+
+    fn can_take(&self, key: &FreeKey, order: &RunOrder) -> bool {
+        let free = self.free_at(key);
+        let target = self.target_at(key);
+        free.is_some_and(|free| free.can_fit(&order.needs))
+            && target.is_some_and(|target| may_run(target, order))
+    }
+}
+
+fn may_run(target: &TargetLoad, order: &RunOrder) -> bool {
+    let has_label = order
+        .label
+        .as_ref()
+        .is_none_or(|label| target.labels.contains(label));
+    has_label
+        && target.service == order.service
+        && target.capacity.can_fit(&order.needs)
+        && !order.avoided_targets.contains(&target.id)
+}
--- a/kqr-dispatch/tests/outbox.rs
+++ b/kqr-dispatch/tests/outbox.rs
@@ -71,6 +71,19 @@
     assert_eq!(outbox.next_batch(9), [end(1), end(2)]);
 }
 
+/// The session of two siblings that exchange no loads has expired when a target goes down, and its loss resets the link.
+/// Without the count of losses a task crashes further targets.
+#[test]
+fn losses_of_targets_survive_a_lost_link() {
+    let mut outbox = Outbox::default();
+    let lost = SiblingMessage::TargetsLost(Vec::new());
+    outbox.push(lost.clone());
+    outbox.push(SiblingMessage::Cancel(vec![OrderId(7)]));
+    outbox.next_batch(9);
+    outbox.handle_link_loss();
+    assert_eq!(outbox.next_batch(9), [lost]);
+}
+
 #[test]
 fn an_acknowledged_batch_is_not_delivered_again() {
     let mut outbox = Outbox::default();
