--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -153,7 +153,8 @@
         self.tick(now, outputs);
     }
 
-    /// Handles a report from a target. One with fields out of range is dropped. Only reports that are news to control are forwarded.
+    /// Handles a report from a target. One with fields out of range is dropped. Only reports that are news to control are
+    /// forwarded.
     pub(crate) fn handle_report(&mut self, report: TargetReport, outputs: &mut Vec<Output>) {
         if report.check().is_err() {
             return;
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -33,6 +33,8 @@
     compacted: Index,
     /// The catalog in the form that entries receive.
     packed: Option<PackedCatalog>,
+    /// Why the catalog could not be packed, to be logged with the next tick.
+    pack_failure: Option<String>,
 }
 
 impl FleetNode {
@@ -50,6 +52,7 @@
             applied: Index(0),
             compacted: Index(0),
             packed: None,
+            pack_failure: None,
         }
     }
 
@@ -88,6 +91,9 @@
             FleetInput::Tick => {
                 self.step_agreement(now, Input::Tick, outputs);
                 self.tick_leader(now, outputs);
+                if let Some(detail) = self.pack_failure.take() {
+                    outputs.push(FleetOutput::Decision { detail });
+                }
             }
             FleetInput::Message { from, message } => {
                 self.voters.record_message(now, &from);
@@ -170,7 +176,13 @@
         let is_packed = self.packed.as_ref().map(PackedCatalog::version) == Some(catalog.version);
         if !is_packed {
             // Without a packed catalog the entry keeps its own, and asks again.
-            self.packed = PackedCatalog::pack_for_entry(catalog).ok();
+            match PackedCatalog::pack_for_entry(catalog) {
+                Ok(packed) => self.packed = Some(packed),
+                Err(error) => {
+                    self.packed = None;
+                    self.pack_failure = Some(format!("can't pack catalog {}: {error}", catalog.version));
+                }
+            }
         }
         let packed = self.packed.as_ref()?;
         Some(packed.part_after(request.catalog_progress))
