--- a/kqr-dispatch/src/relations.rs
+++ b/kqr-dispatch/src/relations.rs
@@ -1,8 +1,7 @@
 //! Which entries exchange loads and heartbeats.
 //!
-//! With all pairs of owners and entries, the messages of an entry grow with the number of entries, and answer the
-//! reports of owners that it never needs. An owner reports to its own data centre, and to a few entries of each other
-//! one, so that an entry hears a few owners of each data centre whatever the size of the fleet.
+//! If each owner reported to each entry, the messages of an entry would grow with the fleet. An owner reports to its own
+//! data centre, and to some entries of the others, so that an entry hears a few owners elsewhere whatever their number.
 
 use std::{
     collections::BTreeSet,
