fix(dispatch): ask all owners before a job is refused for want of a target

Since an entry hears a part of the owners, a job for a label or a capacity that only unheard owners have was refused as impossible.

--- a/kqr-dispatch/src/dispatcher/loads.rs
+++ b/kqr-dispatch/src/dispatcher/loads.rs
@@ -5,7 +5,7 @@
 use kqr_types::{InstanceId, Instant};
 
 use super::Dispatcher;
-use crate::{LoadUpdate, Output, SiblingMessage, relations::is_assigned};
+use crate::{JobRequest, LoadUpdate, Output, SiblingMessage, relations::is_assigned, survey::REPORT_TIME};
 
 /// Number of ticks over which the reports to all siblings are spread; together they are below the interval of reports.
 const TICKS_PER_ROUND: usize = 5;
@@ -34,6 +34,42 @@
         }
     }
 
+    /// Reports to a sibling for a while that asks for the load.
+    pub(super) fn accept_load_request(&mut self, now: Instant, from: &InstanceId) {
+        self.forget_sent_load(from);
+        if let Some(known) = self.siblings.get_mut(from) {
+            known.requested_until = now + REPORT_TIME;
+        }
+    }
+
+    /// Asks all owners that are not heard for their loads if no known target can run the job. Returns whether answers may
+    /// be missing.
+    pub(super) fn survey_owners(
+        &mut self,
+        now: Instant,
+        request: &JobRequest,
+        outputs: &mut Vec<Output>,
+    ) -> bool {
+        if !self.owners.is_impossible(request) {
+            return false;
+        }
+        let siblings = self.siblings.iter().map(|sibling| &sibling.info.id);
+        let unheard: Vec<_> = siblings
+            .filter(|id| !self.owners.has_targets(id))
+            .cloned()
+            .collect();
+        if unheard.is_empty() {
+            return false;
+        }
+        if self.survey.start(now) {
+            for to in unheard {
+                let message = SiblingMessage::LoadRequest;
+                outputs.push(Output::Send { to, message });
+            }
+        }
+        self.survey.is_pending(now)
+    }
+
     /// Updates the load of the own targets, before orders are placed.
     pub(super) fn refresh_own_load(&mut self, now: Instant) {
         let number = self.owned.list_number();
@@ -74,7 +110,7 @@
     }
 
     /// Sends the load to siblings. Two entries without targets exchange no reports, and an owner reports only to a part
-    /// of the entries of other data centres, but to each whose orders it has.
+    /// of the entries of other data centres, but to each whose orders it has or that asked for its load.
     ///
     /// Reports are spread over several ticks: sent all at once, they would delay the orders behind them.
     pub(super) fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
@@ -90,8 +126,8 @@
             sibling.is_outdated |= is_changed;
             let is_near = sibling.info.data_centre == self.own.data_centre;
             let id = &sibling.info.id;
-            let is_related =
-                (is_owner && sibling.is_assigned) || self.owners.has_targets(id) || served.contains(id);
+            let is_told = sibling.is_assigned || now < sibling.requested_until;
+            let is_related = (is_owner && is_told) || self.owners.has_targets(id) || served.contains(id);
             self.related_siblings += usize::from(is_related);
             if !is_related || !sibling.may_report(now, is_near, &self.options) {
                 continue;
--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -12,7 +12,7 @@
 use crate::{
     Decision, GiveUp, Input, Options, OrderId, Output, RunOrder, SiblingMessage, contact::Contact,
     jobs::Jobs, own_load::OwnLoad, owned::OwnedTargets, owners::Owners, received_orders::ReceivedOrders,
-    siblings::Siblings, target_losses::TargetLosses,
+    siblings::Siblings, survey::Survey, target_losses::TargetLosses,
 };
 
 /// State machine with the scheduling decisions of an entry.
@@ -33,6 +33,7 @@
     reported_list: u64,
     /// Owners of the own data centre, including this entry.
     near_owners: BTreeSet<InstanceId>,
+    survey: Survey,
     /// Number of siblings that exchange loads with this entry.
     related_siblings: usize,
     /// Whether siblings were added since they were last assigned.
@@ -60,6 +61,7 @@
             placed_list: 0,
             reported_list: 0,
             near_owners: BTreeSet::new(),
+            survey: Survey::default(),
             related_siblings: 0,
             are_siblings_changed: false,
             last_input_at: Instant(0),
@@ -78,9 +80,10 @@
             Input::Submit(request) => {
                 let key = request.key.clone();
                 self.refresh_own_load(now);
+                let is_pending = self.survey_owners(now, &request, outputs);
                 if self
                     .jobs
-                    .submit(now, request, &self.owners, &self.losses, outputs)
+                    .submit(now, request, &self.owners, is_pending, &self.losses, outputs)
                 {
                     self.place_tasks(now, &key, outputs);
                 }
@@ -206,6 +209,9 @@
         self.jobs.expire_jobs(now, outputs);
         self.jobs.expire_lost_orders(now, &mut self.losses, outputs);
         self.losses.expire(now);
+        if self.survey.take_end(now) {
+            self.jobs.refuse_impossible(now, &self.owners, outputs);
+        }
         self.owned.tick(now, outputs);
         self.report_load(now, outputs);
     }
@@ -225,7 +231,7 @@
         }
         match message {
             SiblingMessage::Load(update) => self.apply_load(from, update, outputs),
-            SiblingMessage::LoadRequest => self.forget_sent_load(from),
+            SiblingMessage::LoadRequest => self.accept_load_request(now, from),
             SiblingMessage::Run { spec, orders } => self.accept_orders(now, from, &spec, orders, outputs),
             SiblingMessage::Cancel(order_ids) => {
                 for order_id in order_ids {
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -69,12 +69,14 @@
         std::mem::take(&mut self.cancelled)
     }
 
-    /// Admits or refuses a job. Returns whether its tasks are to be placed.
+    /// Admits or refuses a job. Returns whether its tasks are to be placed. A job that no known target can run is admitted
+    /// while a survey of the owners is pending.
     pub(crate) fn submit(
         &mut self,
         now: Instant,
         request: JobRequest,
         owners: &Owners,
+        is_survey_pending: bool,
         losses: &TargetLosses,
         outputs: &mut Vec<Output>,
     ) -> bool {
@@ -95,7 +97,8 @@
         }
         let wait = owners.expected_wait(&request);
         let wait_ms = wait.as_millis() as u64;
-        if let Some(cause) = self.refusal_cause(now, &request, wait_ms, owners) {
+        let is_impossible = !is_survey_pending && owners.is_impossible(&request);
+        if let Some(cause) = self.refusal_cause(now, &request, wait_ms, is_impossible) {
             let end = JobEnd::Refused {
                 cause,
                 retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
@@ -122,6 +125,23 @@
         self.live.get(key).map(|job| Arc::clone(&job.request.spec))
     }
 
+    /// Refuses the jobs without any order that no known target can run, after a survey of the owners.
+    pub(crate) fn refuse_impossible(&mut self, now: Instant, owners: &Owners, outputs: &mut Vec<Output>) {
+        let mut impossible = Vec::new();
+        for (key, job) in &self.live {
+            if job.orders == 0 && owners.is_impossible(&job.request) {
+                impossible.push(key.clone());
+            }
+        }
+        for key in impossible {
+            let end = JobEnd::Refused {
+                cause: RefusalCause::NoTarget,
+                retry_after: Duration::from_millis(RETRY_AFTER_MS),
+            };
+            self.finish(now, &key, end, outputs);
+        }
+    }
+
     /// Places the tasks of new jobs no earlier than at `until`.
     pub(crate) fn hold_new_jobs(&mut self, until: Instant) {
         self.held_until = self.held_until.max(until);
@@ -232,7 +252,7 @@
         now: Instant,
         request: &JobRequest,
         wait_ms: u64,
-        owners: &Owners,
+        is_impossible: bool,
     ) -> Option<RefusalCause> {
         let needed = estimated_duration(request) * LEAVING_RUN_TIME_FACTOR;
         if self
@@ -241,7 +261,7 @@
         {
             return Some(RefusalCause::Leaving);
         }
-        if !request.has_ordered_steps() || owners.is_impossible(request) {
+        if !request.has_ordered_steps() || is_impossible {
             return Some(RefusalCause::NoTarget);
         }
         if self.tasks + request.task_count() > self.options.max_tasks {
--- a/kqr-dispatch/src/lib.rs
+++ b/kqr-dispatch/src/lib.rs
@@ -33,6 +33,7 @@
 mod siblings;
 mod step_spec;
 mod suitability;
+mod survey;
 mod target_answer;
 mod target_call;
 mod target_losses;
--- a/kqr-dispatch/src/outbox.rs
+++ b/kqr-dispatch/src/outbox.rs
@@ -9,7 +9,8 @@
 ///
 /// When the link is lost, orders, cancellations and loads are discarded, because the sibling counts them as
 /// lost. Ends of orders and losses of targets remain valid and are delivered once the sibling is reachable again: its
-/// jobs may still wait for the ends, and its callers may submit jobs whose tasks have brought down targets. The session
+/// jobs may still wait for the ends, and its callers may submit jobs whose tasks have brought down targets. Requests for
+/// loads remain as well. The session
 /// of two siblings that exchange no loads has mostly expired, which loses the link.
 #[derive(Clone, Debug, Default)]
 pub struct Outbox {
@@ -52,14 +53,15 @@
         self.sending = 0;
     }
 
-    /// Discards all messages except the ends of orders and the losses of targets, and the oldest of these beyond the limit.
+    /// Discards all messages except the ends of orders, the losses of targets and requests for loads, and the oldest of
+    /// these beyond the limit.
     pub fn handle_link_loss(&mut self) {
         self.sending = 0;
         self.losses += 1;
         self.messages.retain(|message| {
             matches!(
                 message,
-                SiblingMessage::Ended { .. } | SiblingMessage::TargetsLost(_)
+                SiblingMessage::Ended { .. } | SiblingMessage::TargetsLost(_) | SiblingMessage::LoadRequest
             )
         });
         let excess = self.messages.len().saturating_sub(MAX_KEPT_MESSAGES);
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -25,6 +25,8 @@
     pub(crate) is_outdated: bool,
     /// Whether this entry as an owner reports to the sibling, which is in another data centre.
     pub(crate) is_assigned: bool,
+    /// Until when this entry as an owner reports to the sibling because it asked.
+    pub(crate) requested_until: Instant,
     /// Number of the load that was last sent to the sibling, if it is known to have it once it has handled all messages.
     pub(crate) sent_load: Option<u64>,
 }
@@ -37,6 +39,7 @@
             last_report_at: Instant(0),
             is_outdated: true,
             is_assigned: false,
+            requested_until: Instant(0),
             sent_load: None,
         }
     }
--- a/kqr-dispatch/tests/relations.rs
+++ b/kqr-dispatch/tests/relations.rs
@@ -222,3 +222,86 @@
     assert_eq!(preferred_target(16), 0, "the fast one of an idle fleet");
     assert_eq!(preferred_target(0), 1, "the slow one of a busy fleet");
 }
+
+/// Creates an entry that hears one owner, whose target lacks the label of the job, and submits the job.
+fn submit_with_unknown_label(now: Instant) -> (Dispatcher, Vec<Output>) {
+    let mut dispatcher = Dispatcher::new(info("far-0", "nykoping"), Options::default());
+    let (entries, owned) = (fleet(), Vec::new());
+    dispatcher.handle(now, Input::ViewChanged { entries, owned }, &mut Vec::new());
+    receive(&mut dispatcher, now, "owner-0", load(vec![target(0, 1.0, 16)]));
+    let mut outputs = Vec::new();
+    dispatcher.handle(now, Input::Submit(labelled_job("first")), &mut outputs);
+    (dispatcher, outputs)
+}
+
+fn labelled_job(key: &str) -> kqr_dispatch::JobRequest {
+    let mut request = job(key, 1, 200);
+    request.steps[0].label = Some("rare".to_owned());
+    request
+}
+
+fn job_ends(outputs: &[Output]) -> usize {
+    let ends = outputs
+        .iter()
+        .filter(|output| matches!(output, Output::JobEnded { .. }));
+    ends.count()
+}
+
+/// An entry hears a part of the owners, so a label that it does not know may still exist.
+#[test]
+fn a_job_for_a_label_of_an_unheard_owner_is_placed_after_a_survey() {
+    let now = Instant(1_000_000);
+    let (mut dispatcher, outputs) = submit_with_unknown_label(now);
+    let asked = outputs.iter().filter(
+        |output| matches!(output, Output::Send { message, .. } if *message == SiblingMessage::LoadRequest),
+    );
+    assert_eq!(
+        asked.count(),
+        OWNERS + FAR_ENTRIES - 2,
+        "all but the owner that is heard and itself"
+    );
+    assert_eq!(job_ends(&outputs), 0);
+    let mut labelled = target(7, 1.0, 16);
+    labelled.labels = vec!["rare".to_owned()];
+    let later = now + Duration::from_millis(150);
+    let outputs = receive(&mut dispatcher, later, "owner-5", load(vec![labelled]));
+    let ordered = outputs.iter().any(|output| {
+        matches!(output, Output::Send { to, message: SiblingMessage::Run { .. } } if to.as_str() == "owner-5")
+    });
+    assert!(ordered);
+}
+
+#[test]
+fn a_job_for_an_unknown_label_is_refused_when_the_survey_ends_and_later_ones_at_once() {
+    let now = Instant(1_000_000);
+    let (mut dispatcher, _) = submit_with_unknown_label(now);
+    let mut outputs = Vec::new();
+    let mut later = now;
+    for _ in 0..30 {
+        later = later + TICK;
+        receive(&mut dispatcher, later, "owner-0", load(vec![target(0, 1.0, 16)]));
+        dispatcher.handle(later, Input::Tick, &mut outputs);
+    }
+    assert_eq!(job_ends(&outputs), 1);
+    let mut outputs = Vec::new();
+    dispatcher.handle(later, Input::Submit(labelled_job("second")), &mut outputs);
+    assert_eq!(job_ends(&outputs), 1);
+}
+
+#[test]
+fn an_owner_reports_to_an_entry_that_asks() {
+    let now = Instant(1_000_000);
+    let mut dispatcher = owner(0, now);
+    let told = reports(&mut dispatcher, now, 10);
+    let mut far = fleet().into_iter().skip(OWNERS);
+    let unassigned = far.find(|entry| !told.contains_key(&entry.id)).unwrap();
+    let later = now + Duration::from_millis(150);
+    receive(
+        &mut dispatcher,
+        later,
+        unassigned.id.as_str(),
+        SiblingMessage::LoadRequest,
+    );
+    let told = reports(&mut dispatcher, later, 10);
+    assert!(told.contains_key(&unassigned.id));
+}
