--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -16,6 +16,7 @@
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -180,12 +180,17 @@
     }
 
     /// Says `draining` from now on, at once and with each heartbeat.
-    pub fn drain(self: &Arc<Self>) {
+    pub fn drain(&self) {
+        self.drain_with_next_heartbeat();
+        self.send_heartbeat();
+    }
+
+    /// Says `draining` with each heartbeat from the next one on.
+    pub fn drain_with_next_heartbeat(&self) {
         if let Some(life) = &mut *self.life.lock().unwrap() {
             life.is_draining = true;
         }
         self.record.line(&format!("runner {} decides to leave", self.id));
-        self.send_heartbeat();
     }
 
     /// Deregisters and ends.
