--- a/review/standin/cases/draining_forgotten.rs
+++ b/review/standin/cases/draining_forgotten.rs
@@ -131,5 +131,6 @@
         Event::DrainingAcknowledged { at_ms } => {
             seen.acknowledged_at_ms.get_or_insert(at_ms);
         }
+        Event::End { .. } => {}
     }
 }
--- a/review/standin/cases/kind_changed.rs
+++ b/review/standin/cases/kind_changed.rs
@@ -20,8 +20,10 @@
 };
 
 const RUNNERS: usize = 15;
-/// Runners that crash: 2 of 15, below the share of 0.14 of the site file.
+/// Runners that crash at a time: 2 of 15, below the share of 0.14 of the site file.
 const CRASHED: usize = 2;
+/// Number of crashes, each of other runners, until the rule is broken.
+const ROUNDS: usize = 3;
 /// First digit of the jobs that need a runner of the kind `b`.
 const NEEDS_B: char = 'b';
 
@@ -65,16 +67,22 @@
         }
     });
     thread::sleep(CONTACT);
-    if has_trouble {
-        for runner in &runners[..CRASHED] {
-            runner.crash();
+    for round in 0..ROUNDS {
+        if has_trouble {
+            let crashed = &runners[round * CRASHED..(round + 1) * CRASHED];
+            for runner in crashed {
+                runner.crash();
+            }
+            thread::sleep(Duration::from_millis(500));
+            for runner in crashed {
+                runner.start(kind(&["a", "r1-1"]))?;
+            }
         }
-        thread::sleep(Duration::from_millis(500));
-        for runner in &runners[..CRASHED] {
-            runner.start(kind(&["a", "r1-1"]))?;
+        thread::sleep(Duration::from_secs(5));
+        if !seen.lock().unwrap().broken.is_empty() {
+            break;
         }
     }
-    thread::sleep(Duration::from_secs(6));
     is_over.store(true, Ordering::Relaxed);
     for client in clients {
         let _ = client.join();
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,7 +1,7 @@
 mod cancel_elsewhere;
 mod draining_forgotten;
-mod draining_lost;
 mod kind_changed;
+mod owner_stalls;
 mod steps_in_sequence;
 
 use std::{
@@ -28,8 +28,8 @@
     match case {
         "cancel-elsewhere" => cancel_elsewhere::play(has_trouble, record),
         "draining-forgotten" => draining_forgotten::play(has_trouble, record),
-        "draining-lost" => draining_lost::play(has_trouble, record),
         "kind-changed" => kind_changed::play(has_trouble, record),
+        "owner-stalls" => owner_stalls::play(has_trouble, record),
         "steps-in-sequence" => steps_in_sequence::play(has_trouble, record),
         _ => Err(io::Error::other("there is no such case")),
     }
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime},
 };
@@ -72,6 +75,8 @@
     },
     /// A heartbeat that says `draining` was acknowledged.
     DrainingAcknowledged { at_ms: u64 },
+    /// A run has ended.
+    End { runner: &'a str, task: &'a str },
 }
 
 type Observer = dyn Fn(Event) + Send + Sync;
@@ -90,6 +95,10 @@
     /// Address for the next heartbeats of the current life.
     heartbeat_addr: Mutex<Option<SocketAddr>>,
     lives: Mutex<u32>,
+    /// Percentage of the orders (starts and stops) that get no answer and are carried out 2 to 12 s later.
+    late_percent: AtomicU32,
+    /// Number that the next draw is made from.
+    draws: AtomicU64,
 }
 
 pub struct RunnerOptions {
@@ -115,6 +124,8 @@
             life: Mutex::new(None),
             heartbeat_addr: Mutex::new(None),
             lives: Mutex::new(0),
+            late_percent: AtomicU32::new(0),
+            draws: AtomicU64::new(options.addr.to_string().bytes().map(u64::from).sum()),
         });
         let ticker = Arc::clone(&runner);
         thread::spawn(move || {
@@ -181,16 +192,11 @@
 
     /// Says `draining` from now on, at once and with each heartbeat.
     pub fn drain(&self) {
-        self.drain_with_next_heartbeat();
-        self.send_heartbeat();
-    }
-
-    /// Says `draining` with each heartbeat from the next one on.
-    pub fn drain_with_next_heartbeat(&self) {
         if let Some(life) = &mut *self.life.lock().unwrap() {
             life.is_draining = true;
         }
         self.record.line(&format!("runner {} decides to leave", self.id));
+        self.send_heartbeat();
     }
 
     /// Deregisters and ends.
@@ -294,6 +300,7 @@
 
     fn report_end(&self, task: &str, how: &'static str) {
         self.record.line(&format!("runner {} ends {task}: {how}", self.id));
+        (self.observer)(Event::End { runner: &self.id, task });
     }
 
     /// Ends the runs that are done, and all runs if their lease has expired.
@@ -326,7 +333,43 @@
         self.report_end(&run.0, how);
     }
 
-    fn handle(&self, number: u32, req: Request) -> (u16, String) {
+    /// Leaves this percentage of the orders unanswered from now on, and carries them out late.
+    pub fn set_late_percent(&self, percent: u32) {
+        self.late_percent.store(percent, Ordering::Relaxed);
+    }
+
+    /// Returns a pseudorandom number, from the output function of SplitMix64.
+    fn draw(&self) -> u64 {
+        let mut mixed = self.draws.fetch_add(0x9E37_79B9_7F4A_7C15, Ordering::Relaxed);
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn handle(self: &Arc<Self>, number: u32, req: Request) -> (u16, String) {
+        let is_order = req.path.ends_with("/run-start") || req.path.ends_with("/run-stop");
+        let is_late = self.draw() % 100 < u64::from(self.late_percent.load(Ordering::Relaxed));
+        if !is_order || !is_late {
+            return self.carry_out(number, req);
+        }
+        let delay = Duration::from_millis(2000 + self.draw() % 10_000);
+        self.record.line(&format!(
+            "runner {} leaves an order unanswered for {delay:?}: {} {}",
+            self.id,
+            req.path,
+            String::from_utf8_lossy(&req.body)
+        ));
+        let runner = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(delay);
+            runner.carry_out(number, req);
+        });
+        // The caller has given up long before.
+        thread::sleep(Duration::from_secs(2));
+        NO_ANSWER
+    }
+
+    fn carry_out(&self, number: u32, req: Request) -> (u16, String) {
         if req.method == "GET" {
             return (200, "{}".to_owned());
         }
