--- a/review/standin/cases/cancel_elsewhere.rs
+++ b/review/standin/cases/cancel_elsewhere.rs
@@ -45,7 +45,9 @@
             }
         })
     };
-    let runners: Vec<_> = (0..2).map(|n| new_runner(cluster, n, record, &observer)).collect();
+    let runners: Vec<_> = (0..2)
+        .map(|n| new_runner(cluster, n, record, &observer))
+        .collect();
     for runner in &runners {
         runner.start(kind(&["a", "r1-1"]))?;
     }
@@ -73,14 +75,26 @@
     };
     if has_trouble {
         cluster.launch(RESTARTED)?;
-        wait_until("the daemon is back in rotation", || rotation.pick(CLIENT) != coordinator)?;
+        wait_until("the daemon is back in rotation", || {
+            rotation.pick(CLIENT) != coordinator
+        })?;
     }
     // The restart lies further back than `contactMs`.
     thread::sleep(CONTACT);
     let daemon = rotation.pick(CLIENT);
     record.line(&format!("client cancels job {id} at {daemon}"));
-    let answer = http::call(daemon, "DELETE", &path, &[("Host", HOST)], "", Duration::from_secs(2))?;
-    let acknowledged_at_ms = record.line(&format!("client gets {} for the cancelling of {id}", answer.status));
+    let answer = http::call(
+        daemon,
+        "DELETE",
+        &path,
+        &[("Host", HOST)],
+        "",
+        Duration::from_secs(2),
+    )?;
+    let acknowledged_at_ms = record.line(&format!(
+        "client gets {} for the cancelling of {id}",
+        answer.status
+    ));
     let start = Instant::now();
     thread::sleep(Duration::from_millis(CANCEL_MS + KILL_GRACE_MS + 1000));
     let running: usize = runners.iter().map(|runner| runner.running_count()).sum();
--- a/review/standin/cases/draining_forgotten.rs
+++ b/review/standin/cases/draining_forgotten.rs
@@ -48,7 +48,9 @@
         let seen = Arc::clone(&seen);
         Arc::new(move |event: Event| observe(&seen, event))
     };
-    let runners: Vec<_> = (0..4).map(|n| new_runner(cluster, n, record, &observer)).collect();
+    let runners: Vec<_> = (0..4)
+        .map(|n| new_runner(cluster, n, record, &observer))
+        .collect();
     for runner in &runners {
         runner.start(kind(&["a", "r1-1"]))?;
     }
@@ -57,7 +59,9 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let daemons = (3..6).map(|entry| (cluster.frontend(entry), cluster.readiness(entry)));
     let rotation = Rotation::start(daemons.collect());
-    let clients = start_clients(12, &rotation, record, &is_over, |_| Job::of_one_task('a', 250, TASK_CPU));
+    let clients = start_clients(12, &rotation, record, &is_over, |_| {
+        Job::of_one_task('a', 250, TASK_CPU)
+    });
     wait_until("the runner has work", || leaving.running_count() > 0)?;
     thread::sleep(CONTACT + Duration::from_millis(1500));
     leaving.drain();
@@ -66,21 +70,33 @@
     let mut terminated = None;
     if has_trouble {
         thread::sleep(Duration::from_millis(300));
-        let leader = cluster.leader().ok_or_else(|| io::Error::other("no leader is known"))?;
+        let leader = cluster
+            .leader()
+            .ok_or_else(|| io::Error::other("no leader is known"))?;
         cluster.stop(leader);
         thread::sleep(Duration::from_millis(300));
         cluster.launch(leader)?;
         let started_at_ms = record.now_ms();
         thread::sleep(CONTACT + Duration::from_millis(400));
         calm_from_ms = started_at_ms + CONTACT.as_millis() as u64;
-        owner_token = seen.lock().unwrap().starts.iter().map(|start| start.2).max().unwrap_or(0);
-        let owner = leaving.heartbeat_addr().and_then(|addr| cluster.machine_at(addr.ip()));
+        owner_token = seen
+            .lock()
+            .unwrap()
+            .starts
+            .iter()
+            .map(|start| start.2)
+            .max()
+            .unwrap_or(0);
+        let owner = leaving
+            .heartbeat_addr()
+            .and_then(|addr| cluster.machine_at(addr.ip()));
         let owner = owner.ok_or_else(|| io::Error::other("the runner has no owner"))?;
         cluster.signal(owner, SIGTERM, "SIGTERM");
         terminated = Some(owner);
     }
     let acknowledged_at_ms = seen.lock().unwrap().acknowledged_at_ms;
-    let acknowledged_at_ms = acknowledged_at_ms.ok_or_else(|| io::Error::other("draining has no acknowledgement"))?;
+    let acknowledged_at_ms =
+        acknowledged_at_ms.ok_or_else(|| io::Error::other("draining has no acknowledgement"))?;
     let since = Duration::from_millis(record.now_ms().saturating_sub(acknowledged_at_ms));
     thread::sleep(LINGER.saturating_sub(since));
     leaving.leave();
--- a/review/standin/cases/kind_changed.rs
+++ b/review/standin/cases/kind_changed.rs
@@ -48,7 +48,9 @@
         let seen = Arc::clone(&seen);
         Arc::new(move |event: Event| observe(&seen, event))
     };
-    let runners: Vec<_> = (0..RUNNERS).map(|n| new_runner(cluster, n, record, &observer)).collect();
+    let runners: Vec<_> = (0..RUNNERS)
+        .map(|n| new_runner(cluster, n, record, &observer))
+        .collect();
     for (number, runner) in runners.iter().enumerate() {
         let name = if number < RUNNERS / 2 { "b" } else { "a" };
         runner.start(kind(&[name, "r1-1"]))?;
@@ -88,7 +90,10 @@
         let _ = client.join();
     }
     let seen = seen.lock().unwrap();
-    let summary = format!("{} starts, {} of them of tasks that need the label b", seen.starts, seen.starts_of_b);
+    let summary = format!(
+        "{} starts, {} of them of tasks that need the label b",
+        seen.starts, seen.starts_of_b
+    );
     let broken = seen.broken.clone();
     Ok(Verdict { broken, summary })
 }
--- a/review/standin/cases/owner_stalls.rs
+++ b/review/standin/cases/owner_stalls.rs
@@ -63,7 +63,9 @@
         let seen = Arc::clone(&seen);
         Arc::new(move |event: Event| observe(&seen, event))
     };
-    let runners: Vec<_> = (0..RUNNERS).map(|n| new_runner(cluster, n, record, &observer)).collect();
+    let runners: Vec<_> = (0..RUNNERS)
+        .map(|n| new_runner(cluster, n, record, &observer))
+        .collect();
     for runner in &runners {
         runner.start(kind(&["a", "r1-1"]))?;
     }
@@ -73,7 +75,9 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let daemons = SECOND_ENTRIES.map(|entry| (cluster.frontend(entry), cluster.readiness(entry)));
     let rotation = Rotation::start(daemons.to_vec());
-    let clients = start_clients(6, &rotation, record, &is_over, |_| Job::of_one_task('a', 150, TASK_CPU));
+    let clients = start_clients(6, &rotation, record, &is_over, |_| {
+        Job::of_one_task('a', 150, TASK_CPU)
+    });
     thread::sleep(CONTACT);
     for round in 0..ROUNDS {
         record.line(&format!("round {round}"));
@@ -104,13 +108,17 @@
     for number in 0..JOBS {
         let second = cluster.frontend(SECOND_ENTRIES[number % SECOND_ENTRIES.len()]);
         let record = Arc::clone(record);
-        submitting.push(thread::spawn(move || submit_twice(number, first, second, &record)));
+        submitting.push(thread::spawn(move || {
+            submit_twice(number, first, second, &record)
+        }));
     }
     // The owner has just heard the other entry when it stops.
     thread::sleep(Duration::from_millis(10 * JOBS as u64 * 3 / 4));
     let start = Instant::now();
     if has_trouble {
-        let owner = runners[0].heartbeat_addr().and_then(|addr| cluster.machine_at(addr.ip()));
+        let owner = runners[0]
+            .heartbeat_addr()
+            .and_then(|addr| cluster.machine_at(addr.ip()));
         let owner = owner.ok_or_else(|| io::Error::other("the runners have no owner"))?;
         cluster.signal(owner, SIGSTOP, "SIGSTOP");
         for runner in runners {
@@ -162,7 +170,10 @@
             let on = seen.running.entry(task.to_owned()).or_default();
             on.push(runner.to_owned());
             if on.len() > 1 {
-                let line = format!("TWICE: {task} runs on {on:?} at the same time from {:.3} s on", at_ms as f64 / 1000.0);
+                let line = format!(
+                    "TWICE: {task} runs on {on:?} at the same time from {:.3} s on",
+                    at_ms as f64 / 1000.0
+                );
                 seen.broken.push(line);
             }
         }
--- a/review/standin/cases/steps_in_sequence.rs
+++ b/review/standin/cases/steps_in_sequence.rs
@@ -49,7 +49,9 @@
             }
         })
     };
-    let runners: Vec<_> = (0..4).map(|n| new_runner(cluster, n, record, &observer)).collect();
+    let runners: Vec<_> = (0..4)
+        .map(|n| new_runner(cluster, n, record, &observer))
+        .collect();
     for runner in &runners {
         runner.start(kind(&["a", "r1-1"]))?;
     }
@@ -60,9 +62,13 @@
     let entries: Vec<usize> = (0..cluster.machines.len())
         .filter(|number| cluster.machines[*number].class == Class::Entry)
         .collect();
-    let daemons = entries.iter().map(|entry| (cluster.frontend(*entry), cluster.readiness(*entry)));
+    let daemons = entries
+        .iter()
+        .map(|entry| (cluster.frontend(*entry), cluster.readiness(*entry)));
     let rotation = Rotation::start(daemons.collect());
-    let clients = start_clients(4, &rotation, record, &is_over, |_| Job::of_one_task('a', 100, TASK_CPU));
+    let clients = start_clients(4, &rotation, record, &is_over, |_| {
+        Job::of_one_task('a', 100, TASK_CPU)
+    });
     thread::sleep(CONTACT);
     let job = Job {
         steps: vec![1, 1],
@@ -109,9 +115,14 @@
         }
     }
     if status != 200 {
-        broken.push(format!("the job of two steps got no result in {SENDS} sends, the last ended with {status}"));
+        broken.push(format!(
+            "the job of two steps got no result in {SENDS} sends, the last ended with {status}"
+        ));
     }
     let starts = starts.lock().unwrap();
-    let summary = format!("{} starts, {} of them of the job of two steps, which got {status}", starts.0, starts.1);
+    let summary = format!(
+        "{} starts, {} of them of the job of two steps, which got {status}",
+        starts.0, starts.1
+    );
     Ok(Verdict { broken, summary })
 }
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -74,10 +74,22 @@
         fs::create_dir_all(&folder)?;
         let mut machines = Vec::new();
         for (number, zone) in deployment.controls.iter().enumerate() {
-            machines.push(machine(net, format!("core-{number}"), Class::Control, zone, number));
+            machines.push(machine(
+                net,
+                format!("core-{number}"),
+                Class::Control,
+                zone,
+                number,
+            ));
         }
         for (number, zone) in deployment.entries.iter().enumerate() {
-            machines.push(machine(net, format!("front-{number}"), Class::Entry, zone, number));
+            machines.push(machine(
+                net,
+                format!("front-{number}"),
+                Class::Entry,
+                zone,
+                number,
+            ));
         }
         let mut cluster = Cluster {
             deployment,
@@ -107,7 +119,9 @@
 
     /// Returns the addresses of all daemons that serve `control_plane`.
     pub fn control_plane(&self) -> Vec<SocketAddr> {
-        (0..self.machines.len()).map(|number| self.control(number)).collect()
+        (0..self.machines.len())
+            .map(|number| self.control(number))
+            .collect()
     }
 
     /// Returns the address of a runner.
@@ -127,7 +141,9 @@
         let machine = &mut self.machines[number];
         let path = self.folder.join(format!("{}.yaml", machine.name));
         fs::write(&path, settings)?;
-        let log = self.folder.join(format!("{}-{}.log", machine.name, machine.starts));
+        let log = self
+            .folder
+            .join(format!("{}-{}.log", machine.name, machine.starts));
         let program = match machine.class {
             Class::Entry => "target/release/kumquatroad-entry",
             Class::Control => "target/release/kumquatroad-control",
@@ -154,7 +170,8 @@
     pub fn signal(&mut self, number: usize, signal: i32, name: &str) {
         let machine = &mut self.machines[number];
         if let Some(child) = &machine.child {
-            self.record.line(&format!("platform sends {name} to {}", machine.name));
+            self.record
+                .line(&format!("platform sends {name} to {}", machine.name));
             // SAFETY: the process was started here and has not been waited for.
             unsafe { kill(child.id() as i32, signal) };
         }
@@ -167,7 +184,8 @@
         while let Some(child) = &mut machine.child {
             if matches!(child.try_wait(), Ok(Some(_))) {
                 machine.child = None;
-                self.record.line(&format!("the process of {} has ended", machine.name));
+                self.record
+                    .line(&format!("the process of {} has ended", machine.name));
                 return true;
             }
             if start.elapsed() > limit {
@@ -200,7 +218,10 @@
                 .join(format!("{}-{}.log", machine.name, machine.starts - 1));
             let text = fs::read_to_string(log).unwrap_or_default();
             for line in text.lines().filter(|line| line.contains("\"Leader\"")) {
-                let term = line.split("\"term\":\"").nth(1).and_then(|rest| rest.split('"').next());
+                let term = line
+                    .split("\"term\":\"")
+                    .nth(1)
+                    .and_then(|rest| rest.split('"').next());
                 let term: u64 = term.and_then(|term| term.parse().ok()).unwrap_or(0);
                 newest = newest.max(Some((term, number)));
             }
@@ -217,7 +238,8 @@
             let path = "/kumquatroad/config/replace";
             let answer = http::call(addr, "POST", path, &[], body, Duration::from_secs(1));
             if answer.is_ok_and(|answer| answer.status == 200) {
-                self.record.line(&format!("{addr} acknowledges the configuration"));
+                self.record
+                    .line(&format!("{addr} acknowledges the configuration"));
                 return true;
             }
             if start.elapsed() > limit {
@@ -258,11 +280,20 @@
             ("nodeName", machine.name.clone()),
             ("ip", machine.ip.to_string()),
             ("zone", machine.zone.to_owned()),
-            ("internalPortRange.0", (self.base + FIRST_INTERNAL_PORT).to_string()),
+            (
+                "internalPortRange.0",
+                (self.base + FIRST_INTERNAL_PORT).to_string(),
+            ),
             ("listenAddrs.control", self.control(number).to_string()),
             ("listenAddrs.frontendAddr", self.frontend(number).to_string()),
             ("listenAddrs.readinessAddr", self.readiness(number).to_string()),
-            ("dataDir", self.folder.join(format!("{}-data", machine.name)).display().to_string()),
+            (
+                "dataDir",
+                self.folder
+                    .join(format!("{}-data", machine.name))
+                    .display()
+                    .to_string(),
+            ),
             ("bootstrap", (machine.starts == 0).to_string()),
             ("faultTolerance.machines", "1".to_owned()),
             ("bounds.holdMaxMs", self.deployment.max_lease_ms.to_string()),
@@ -308,6 +339,13 @@
 
 /// Returns whether a readiness probe is answered with 200.
 pub fn is_ready(addr: SocketAddr) -> bool {
-    let answer = http::call(addr, "GET", "/kumquatroad/readyz", &[], "", Duration::from_millis(900));
+    let answer = http::call(
+        addr,
+        "GET",
+        "/kumquatroad/readyz",
+        &[],
+        "",
+        Duration::from_millis(900),
+    );
     answer.is_ok_and(|answer| answer.status == 200)
 }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -83,7 +83,9 @@
 }
 
 fn read_body<R: Read>(reader: &mut R, headers: &BTreeMap<String, String>) -> io::Result<Vec<u8>> {
-    let length = headers.get("content-length").and_then(|length| length.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body)?;
     Ok(body)
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -181,7 +181,8 @@
         let Some(mut life) = self.life.lock().unwrap().take() else {
             return;
         };
-        self.record.line(&format!("runner {} crashes, life {}", self.id, life.number));
+        self.record
+            .line(&format!("runner {} crashes, life {}", self.id, life.number));
         for (task, _) in life.running.keys() {
             self.report_end(task, "crashed");
         }
@@ -206,7 +207,8 @@
         for addr in self.heartbeat_addrs() {
             let body = format!("{{\"born\":{born}}}");
             if http::call(addr, "POST", &path, &[], &body, HEARTBEAT_TIMEOUT).is_ok_and(|a| a.status < 300) {
-                self.record.line(&format!("runner {} has deregistered at {addr}", self.id));
+                self.record
+                    .line(&format!("runner {} has deregistered at {addr}", self.id));
                 break;
             }
         }
@@ -220,7 +222,11 @@
 
     /// Returns the number of tasks that run.
     pub fn running_count(&self) -> usize {
-        self.life.lock().unwrap().as_ref().map_or(0, |life| life.running.len())
+        self.life
+            .lock()
+            .unwrap()
+            .as_ref()
+            .map_or(0, |life| life.running.len())
     }
 
     fn heartbeat_addrs(&self) -> Vec<SocketAddr> {
@@ -251,7 +257,10 @@
         for addr in self.heartbeat_addrs() {
             let answer = http::call(addr, "POST", &path, &[], &body, HEARTBEAT_TIMEOUT);
             let Some(answer) = answer.ok().filter(|answer| (200..300).contains(&answer.status)) else {
-                self.record.line(&format!("heartbeat of {} to {addr} has no acknowledgement", self.id));
+                self.record.line(&format!(
+                    "heartbeat of {} to {addr} has no acknowledgement",
+                    self.id
+                ));
                 *self.heartbeat_addr.lock().unwrap() = None;
                 continue;
             };
@@ -260,10 +269,15 @@
                 *self.heartbeat_addr.lock().unwrap() = Some(named);
             }
             if self.is_first_heartbeat(&body) {
-                self.record.line(&format!("{addr} acknowledges the first heartbeat of this life of {}", self.id));
+                self.record.line(&format!(
+                    "{addr} acknowledges the first heartbeat of this life of {}",
+                    self.id
+                ));
             }
             if is_draining {
-                let at_ms = self.record.line(&format!("{addr} acknowledges that {} is draining", self.id));
+                let at_ms = self
+                    .record
+                    .line(&format!("{addr} acknowledges that {} is draining", self.id));
                 (self.observer)(Event::DrainingAcknowledged { at_ms });
             }
             return;
@@ -280,7 +294,11 @@
         life.sequence += 1;
         let state = if life.is_draining { "draining" } else { "ready" };
         let labels: Vec<String> = life.kind.labels.iter().map(|label| quote(label)).collect();
-        let remaining = if life.is_draining { ",\"remainingMs\":1000" } else { "" };
+        let remaining = if life.is_draining {
+            ",\"remainingMs\":1000"
+        } else {
+            ""
+        };
         let body = format!(
             "{{\"service\":{},\"addr\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\"state\":\"{state}\",\
              \"coldRemainingMs\":0{remaining},\"capacity\":{{\"cpu\":{},\"memMb\":{},\"gpu\":0}},\"labels\":[{}],\
@@ -299,8 +317,12 @@
     }
 
     fn report_end(&self, task: &str, how: &'static str) {
-        self.record.line(&format!("runner {} ends {task}: {how}", self.id));
-        (self.observer)(Event::End { runner: &self.id, task });
+        self.record
+            .line(&format!("runner {} ends {task}: {how}", self.id));
+        (self.observer)(Event::End {
+            runner: &self.id,
+            task,
+        });
     }
 
     /// Ends the runs that are done, and all runs if their lease has expired.
@@ -373,7 +395,11 @@
         if req.method == "GET" {
             return (200, "{}".to_owned());
         }
-        if req.headers.get("kumquatroad-expected-instance").is_some_and(|id| *id != self.id) {
+        if req
+            .headers
+            .get("kumquatroad-expected-instance")
+            .is_some_and(|id| *id != self.id)
+        {
             return (421, "{}".to_owned());
         }
         let body = json::parse(&req.body).unwrap_or(Value::Null);
@@ -407,7 +433,10 @@
                 }
             }
         }
-        self.wait_for_end(number, Duration::from_millis(body.get("waitMs").number().unwrap_or(0)))
+        self.wait_for_end(
+            number,
+            Duration::from_millis(body.get("waitMs").number().unwrap_or(0)),
+        )
     }
 
     fn start_run(&self, life: &mut Life, body: &Value) -> (u16, String) {
@@ -469,7 +498,12 @@
     let mut running = Vec::new();
     for ((task, number), run) in &life.running {
         let percent = run.start.elapsed().as_millis() * 100 / run.work.as_millis().max(1);
-        running.push(format!("[{},{number},\"\",{},{}]", quote(task), percent.min(99), run.cpu));
+        running.push(format!(
+            "[{},{number},\"\",{},{}]",
+            quote(task),
+            percent.min(99),
+            run.cpu
+        ));
     }
     let mut finished = Vec::new();
     for (end, task, number, how) in life.finished.iter().take(500) {
@@ -485,7 +519,10 @@
 }
 
 fn decode_run(body: &Value) -> (String, u64) {
-    (body.get("task").text().to_owned(), body.get("attempt").number().unwrap_or(0))
+    (
+        body.get("task").text().to_owned(),
+        body.get("attempt").number().unwrap_or(0),
+    )
 }
 
 fn close(life: &mut Life, run: &(String, u64)) {
@@ -499,5 +536,8 @@
 }
 
 fn refusal(life: &Life, reason: &str) -> (u16, String) {
-    (409, format!("{{\"clockMs\":{},\"reason\":\"{reason}\"}}", life.clock_ms()))
+    (
+        409,
+        format!("{{\"clockMs\":{},\"reason\":\"{reason}\"}}", life.clock_ms()),
+    )
 }
