fix(dispatch): place only tasks of steps that are due

Callers saw: after one job with a dependent step the entry that read it answered nobody, used a whole core and did not end after SIGTERM. As the caller sent the job again, each entry that read it stopped in the same way.

Cause: `process_ready` places tasks until no job has a ready one. `ready_jobs` counted the tasks of steps that were not due, `place` skipped them, so the loop never ended.

Change: `Job::ready_tasks` alone says which tasks may be ordered, and placing takes each of them out of that state. Whether a step is due is kept with the step, since thousands of steps that depend on a wide one occupied the entry as well.

--- a/kqr-dispatch/src/job_end.rs
+++ b/kqr-dispatch/src/job_end.rs
@@ -25,6 +25,8 @@
 pub enum RefusalCause {
     /// The expected wait exceeds the time left for the job.
     Overload,
+    /// A step depends on itself, on a later step or on one that does not exist.
+    InvalidSteps,
     /// No known target can run a task of the job.
     NoTarget,
     /// The deadline passed before a task could be started.
@@ -40,6 +42,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Overload => "overload",
+            Self::InvalidSteps => "invalid-steps",
             Self::NoTarget => "no-target",
             Self::Expired => "expired",
             Self::TooManyTasks => "too-many-tasks",
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -2,7 +2,10 @@
 
 use kqr_types::Instant;
 
-use super::task::{Task, TaskState};
+use super::{
+    step::Step,
+    task::{Task, TaskState},
+};
 use crate::{JobRequest, Options, OrderId};
 
 /// Multiple of the on-time response time after which an answer is of no use.
@@ -24,8 +27,7 @@
     pub(super) give_up_at: Instant,
     /// Whether the job is over and only waits for the ends of its cancelled orders.
     pub(super) is_ending: bool,
-    /// Tasks by step.
-    pub(super) steps: Vec<Vec<Task>>,
+    pub(super) steps: Vec<Step>,
     /// Number of orders placed.
     pub(super) orders: u64,
     /// Whether a run may have begun.
@@ -40,9 +42,9 @@
             if step.estimate.is_zero() {
                 step.estimate = options.default_estimate;
             }
-            steps.push(vec![Task::new(place_from); step.count as usize]);
+            steps.push(Step::new(step.count as usize, place_from));
         }
-        Self {
+        let mut job = Self {
             arrived: now,
             deadline: now + request.time_left.min(max_useful_time(&request)),
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
@@ -51,7 +53,9 @@
             orders: 0,
             has_begun: false,
             request,
-        }
+        };
+        job.update_due_steps();
+        job
     }
 
     /// Returns whether no task was started and no order is open.
@@ -60,19 +64,27 @@
     }
 
     pub(super) fn is_complete(&self) -> bool {
-        (0..self.steps.len()).all(|step| self.is_step_complete(step))
+        self.steps.iter().all(Step::is_complete)
     }
 
-    /// Returns whether all dependencies of `step` are complete.
-    pub(super) fn is_step_due(&self, step: usize) -> bool {
-        let depends_on = self.request.steps.get(step).map(|spec| &spec.depends_on);
-        depends_on.is_some_and(|steps| steps.iter().all(|step| self.is_step_complete(*step as usize)))
+    /// Returns the tasks that may be ordered at `now`, as pairs of step and index.
+    pub(super) fn ready_tasks(&self, now: Instant) -> impl Iterator<Item = (usize, usize)> {
+        let steps = self.steps.iter().enumerate();
+        steps.flat_map(move |(number, step)| step.ready_tasks(now).map(move |index| (number, index)))
+    }
+
+    /// Records that a task has completed.
+    pub(super) fn complete_task(&mut self, step: u32, index: u32) {
+        let tasks = self.steps.get_mut(step as usize);
+        if tasks.is_some_and(|step| step.complete_task(index as usize)) {
+            self.update_due_steps();
+        }
     }
 
     /// Returns the identifiers of the orders that have not ended.
     pub(super) fn open_order_ids(&self) -> Vec<OrderId> {
         let mut order_ids = Vec::new();
-        for task in self.steps.iter().flatten() {
+        for task in self.steps.iter().flat_map(|step| &step.tasks) {
             if let TaskState::Ordered(order_id) = task.state {
                 order_ids.push(order_id);
             }
@@ -81,7 +93,8 @@
     }
 
     pub(super) fn task_mut(&mut self, step: u32, index: u32) -> Option<&mut Task> {
-        self.steps.get_mut(step as usize)?.get_mut(index as usize)
+        let step = self.steps.get_mut(step as usize)?;
+        step.tasks.get_mut(index as usize)
     }
 
     /// Returns the time left until the end of a task counts as late, if it takes `estimate` on a target of
@@ -91,9 +104,13 @@
         (self.arrived + slack + self.request.objective).since(now)
     }
 
-    fn is_step_complete(&self, step: usize) -> bool {
-        let tasks = self.steps.get(step);
-        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.state == TaskState::Done))
+    /// Marks the steps whose dependencies are all complete as due.
+    fn update_due_steps(&mut self) {
+        let complete: Vec<bool> = self.steps.iter().map(Step::is_complete).collect();
+        for (step, spec) in self.steps.iter_mut().zip(&self.request.steps) {
+            let mut depends_on = spec.depends_on.iter();
+            step.is_due = depends_on.all(|earlier| complete.get(*earlier as usize) == Some(&true));
+        }
     }
 }
 
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 
 mod job;
 mod orders;
+mod step;
 mod task;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -84,6 +85,10 @@
             return false;
         }
         let (job, tasks) = (request.key.clone(), request.task_count());
+        if !request.has_ordered_steps() {
+            refuse(outputs, job, RefusalCause::InvalidSteps, 0);
+            return false;
+        }
         if losses.max_count(&job) >= self.options.max_target_losses {
             let end = JobEnd::Failed;
             log_job_end(outputs, &job, &end, 0, 0);
@@ -99,12 +104,7 @@
         let wait_ms = wait.as_millis() as u64;
         let is_impossible = !is_survey_pending && owners.is_impossible(&request);
         if let Some(cause) = self.refusal_cause(now, &request, wait_ms, is_impossible) {
-            let end = JobEnd::Refused {
-                cause,
-                retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
-            };
-            log_job_end(outputs, &job, &end, 0, 0);
-            outputs.push(Output::JobEnded { job, end });
+            refuse(outputs, job, cause, wait_ms);
             return false;
         }
         outputs.push(Output::Decision(Decision::JobAdmitted {
@@ -261,7 +261,7 @@
         {
             return Some(RefusalCause::Leaving);
         }
-        if !request.has_ordered_steps() || is_impossible {
+        if is_impossible {
             return Some(RefusalCause::NoTarget);
         }
         if self.tasks + request.task_count() > self.options.max_tasks {
@@ -272,6 +272,16 @@
     }
 }
 
+/// Refuses a job that was not admitted. `wait_ms` is the expected wait for capacity.
+fn refuse(outputs: &mut Vec<Output>, job: JobKey, cause: RefusalCause, wait_ms: u64) {
+    let end = JobEnd::Refused {
+        cause,
+        retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
+    };
+    log_job_end(outputs, &job, &end, 0, 0);
+    outputs.push(Output::JobEnded { job, end });
+}
+
 fn log_job_end(outputs: &mut Vec<Output>, job: &JobKey, end: &JobEnd, after_ms: u64, orders: u64) {
     outputs.push(Output::Decision(Decision::JobEnded {
         job: job.clone(),
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -41,9 +41,7 @@
             if job.is_ending {
                 continue;
             }
-            let tasks = job.steps.iter().flatten();
-            let has_ready = tasks.into_iter().any(|task| is_ready(now, task.state));
-            if has_ready {
+            if job.ready_tasks(now).next().is_some() {
                 ready.push((job.request.priority, job.arrived, key));
             }
         }
@@ -51,7 +49,7 @@
         ready.into_iter().map(|(.., key)| key.clone()).collect()
     }
 
-    /// Places orders for the tasks of a job that may be ordered now.
+    /// Places orders for the tasks of a job that may be ordered now. Those without an order are ready again later.
     pub(crate) fn place(
         &mut self,
         now: Instant,
@@ -64,38 +62,30 @@
         let Some(job) = self.live.get_mut(key) else {
             return placed;
         };
-        for step in 0..job.steps.len() {
-            if !job.is_step_due(step) {
+        let ready: Vec<(usize, usize)> = job.ready_tasks(now).collect();
+        for (step, index) in ready {
+            let order_id = OrderId(self.last_order_id.0 + 1);
+            let order = new_order(now, job, order_id, step, index, losses);
+            let picked = order.and_then(|order| Some((owners.pick_owner(&order)?, order)));
+            let Some(((owner, preferred_target), order)) = picked else {
+                clear_avoided_targets(now, job, step, index);
                 continue;
-            }
-            for index in 0..job.steps[step].len() {
-                if !is_ready(now, job.steps[step][index].state) {
-                    continue;
-                }
-                let order_id = OrderId(self.last_order_id.0 + 1);
-                let Some(order) = new_order(now, job, order_id, step, index, losses) else {
-                    continue;
-                };
-                let Some((owner, preferred_target)) = owners.pick_owner(&order) else {
-                    clear_avoided_targets(now, job, step, index);
-                    continue;
-                };
-                self.last_order_id = order_id;
-                let order = RunOrder {
-                    preferred_target,
-                    ..order
-                };
-                record_order(job, step, index, &owner, &order, outputs);
-                let open = OpenOrder {
-                    owner: owner.clone(),
-                    job: key.clone(),
-                    step: step as u32,
-                    index: index as u32,
-                    ends_by: None,
-                };
-                self.orders.insert(order_id, open);
-                placed.push(Placement { owner, order });
-            }
+            };
+            self.last_order_id = order_id;
+            let order = RunOrder {
+                preferred_target,
+                ..order
+            };
+            record_order(job, step, index, &owner, &order, outputs);
+            let open = OpenOrder {
+                owner: owner.clone(),
+                job: key.clone(),
+                step: step as u32,
+                index: index as u32,
+                ends_by: None,
+            };
+            self.orders.insert(order_id, open);
+            placed.push(Placement { owner, order });
         }
         placed
     }
@@ -147,7 +137,7 @@
             return;
         }
         match end {
-            RunEnd::Done => task.state = TaskState::Done,
+            RunEnd::Done => job.complete_task(order.step, order.index),
             RunEnd::Failed => {
                 task.failures += 1;
                 if task.failures >= max_attempts {
@@ -216,10 +206,6 @@
     }
 }
 
-fn is_ready(now: Instant, state: TaskState) -> bool {
-    matches!(state, TaskState::Ready(from) if from <= now)
-}
-
 fn run_id(job: &JobKey, step: u32, index: u32, attempt: u32) -> RunId {
     let task = TaskId {
         job: job.clone(),
@@ -240,7 +226,7 @@
     losses: &TargetLosses,
 ) -> Option<RunOrder> {
     let spec = job.request.steps.get(step)?;
-    let task = job.steps.get(step)?.get(index)?;
+    let task = job.steps.get(step)?.tasks.get(index)?;
     let run = run_id(&job.request.key, step as u32, index as u32, task.attempt + 1);
     Some(RunOrder {
         id: order_id,
