fix(dispatch): count the silence of a sibling from when its messages were sent

Callers saw: a task ran at two targets at once after its coordinator was killed, if the owner stood still for a third of a second at that moment and the stops were lost, or if an order was on its way for 160 ms or more.

Cause: the times after which the runs of a dead coordinator have ended add up to 1,224 ms, below the 1,300 ms of a retry, but they counted from when the owner handled the last message. A message that waited in its socket or was on its way prolonged the life of the coordinator by as long.

Change: a delivery carries when it was sent, as a lower bound of the receiver's clock that the sender knows from earlier answers. Sessions, the silence of siblings, the time left of orders and the proof against isolation count from there, and a cancelled or lost run must have ended since then. Timeouts of siblings are checked before another input when the last check is 20 ms old.

--- a/kqr-dispatch/examples/submit_cost.rs
+++ b/kqr-dispatch/examples/submit_cost.rs
@@ -64,7 +64,11 @@
         let from = owner.id.clone();
         dispatcher.handle(
             Instant(1_000_000),
-            Input::MessageReceived { from, message },
+            Input::MessageReceived {
+                from,
+                sent_at: Instant(1_000_000),
+                message,
+            },
             &mut outputs,
         );
     }
--- a/kqr-dispatch/src/contact.rs
+++ b/kqr-dispatch/src/contact.rs
@@ -19,8 +19,12 @@
             Input::PollAnswered { answer, .. } => answer.is_ok(),
             Input::Tick | Input::ViewChanged { .. } | Input::LinkLost { .. } | Input::Leave { .. } => false,
         };
+        let at = match input {
+            Input::MessageReceived { sent_at, .. } => now.min(*sent_at),
+            _ => now,
+        };
         if is_contact {
-            self.last_at = Some(now);
+            self.last_at = self.last_at.max(Some(at));
         }
     }
 
--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use kqr_fleet::{EntryInfo, FencingToken, TargetReport};
@@ -15,6 +16,10 @@
     siblings::Siblings, survey::Survey, target_losses::TargetLosses,
 };
 
+/// Longest time between checks of the siblings' timeouts, above the interval of ticks. Together with the timeout it is part
+/// of the time in which a lost coordinator's runs end.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// State machine with the scheduling decisions of an entry.
 ///
 /// It performs no I/O: [`Dispatcher::handle`] takes inputs and returns the actions to perform.
@@ -40,6 +45,8 @@
     are_siblings_changed: bool,
     /// When the last input was handled.
     last_input_at: Instant,
+    /// When the timeouts of the siblings were last checked.
+    siblings_checked_at: Instant,
     contact: Contact,
     /// Received and dropped orders by coordinator.
     received_orders: BTreeMap<InstanceId, ReceivedOrders>,
@@ -65,6 +72,7 @@
             related_siblings: 0,
             are_siblings_changed: false,
             last_input_at: Instant(0),
+            siblings_checked_at: Instant(0),
             contact: Contact::default(),
             received_orders: BTreeMap::new(),
             losses: TargetLosses::default(),
@@ -73,6 +81,9 @@
 
     /// Handles one input and appends the resulting actions to `outputs`.
     pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
+        if input == Input::Tick || now.since(self.siblings_checked_at) >= MAX_CHECK_INTERVAL {
+            self.expire_siblings(now, outputs);
+        }
         self.give_up_after_standstill(now, outputs);
         self.contact.record(now, &input);
         match input {
@@ -93,17 +104,21 @@
             Input::ViewChanged { entries, owned } => {
                 let timeout = self.options.sibling_timeout;
                 for gone in self.siblings.update(now, &self.own.id, entries, timeout) {
-                    self.handle_sibling_loss(now, &gone, outputs);
+                    self.handle_sibling_loss(now, now, &gone, outputs);
                 }
                 self.are_siblings_changed = true;
                 self.owned.update_grants(now, &owned, outputs);
             }
             Input::TargetReported(report) => self.owned.handle_report(report, outputs),
-            Input::MessageReceived { from, message } => self.handle_message(now, &from, message, outputs),
-            Input::LinkLost { sibling } => self.handle_sibling_loss(now, &sibling, outputs),
+            Input::MessageReceived {
+                from,
+                sent_at,
+                message,
+            } => self.handle_message(now, &from, sent_at.min(now), message, outputs),
+            Input::LinkLost { sibling } => self.handle_sibling_loss(now, now, &sibling, outputs),
             Input::SessionOpened { sibling, dropped } => {
                 self.forget_sent_load(&sibling);
-                self.owned.drop_orders_of(now, &sibling, outputs);
+                self.owned.drop_orders_of(now, now, &sibling, outputs);
                 let ended_by = self.latest_run_end(now);
                 self.jobs.handle_dropped_orders(&sibling, dropped, ended_by);
             }
@@ -191,18 +206,21 @@
         if last_input_at == Instant(0) || now.since(last_input_at) < timeout {
             return;
         }
-        for lost in self.siblings.expire(now, &self.options) {
-            self.handle_sibling_loss(now, &lost, outputs);
-        }
-        self.owned.drop_orders_of(now, &self.own.id, outputs);
+        self.owned.drop_orders_of(now, now, &self.own.id, outputs);
         self.jobs.give_up_all(now, GiveUp::Standstill, outputs);
         self.jobs.hold_new_jobs(now + self.options.standstill_hold);
     }
 
-    fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        for lost in self.siblings.expire(now, &self.options) {
-            self.handle_sibling_loss(now, &lost, outputs);
+    /// Counts siblings as lost whose timeout has passed. After a standstill this comes before the first input, so that no
+    /// lease is extended for a sibling that is already lost.
+    fn expire_siblings(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        self.siblings_checked_at = now;
+        for (lost, expired_at) in self.siblings.expire(now, &self.options) {
+            self.handle_sibling_loss(now, expired_at, &lost, outputs);
         }
+    }
+
+    fn tick(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         if self.contact.is_lost(now, &self.options) {
             self.jobs.give_up_all(now, GiveUp::Isolated, outputs);
         }
@@ -220,22 +238,25 @@
         &mut self,
         now: Instant,
         from: &InstanceId,
+        sent_at: Instant,
         message: SiblingMessage,
         outputs: &mut Vec<Output>,
     ) {
         if let Some(sibling) = self.siblings.get_mut(from) {
-            if sibling.last_message_at.is_none() {
+            if sibling.last_sent_at.is_none() {
                 log_sibling_change(outputs, from, "heard");
             }
-            sibling.last_message_at = Some(now);
+            sibling.last_sent_at = sibling.last_sent_at.max(Some(sent_at));
         }
         match message {
             SiblingMessage::Load(update) => self.apply_load(from, update, outputs),
             SiblingMessage::LoadRequest => self.accept_load_request(now, from),
-            SiblingMessage::Run { spec, orders } => self.accept_orders(now, from, &spec, orders, outputs),
+            SiblingMessage::Run { spec, orders } => {
+                self.accept_orders(sent_at, from, &spec, orders, outputs);
+            }
             SiblingMessage::Cancel(order_ids) => {
                 for order_id in order_ids {
-                    self.owned.cancel_order(now, from, order_id, outputs);
+                    self.owned.cancel_order(now, sent_at, from, order_id, outputs);
                 }
             }
             SiblingMessage::Begun(order_ids) => self.jobs.handle_begun(&order_ids),
@@ -254,23 +275,29 @@
         }
     }
 
-    /// Marks a sibling as lost: its orders are stopped, and orders sent to it end when their leases have
+    /// Marks a sibling as lost: its runs must have ended since `since`, and orders sent to it end when their leases have
     /// expired.
     ///
     /// The sibling may not have noticed the loss and may be heard again at any time. It drops the orders sent
     /// to it when the link is used next, because that opens a new session, or when it no longer hears this
     /// entry.
-    fn handle_sibling_loss(&mut self, now: Instant, sibling: &InstanceId, outputs: &mut Vec<Output>) {
+    fn handle_sibling_loss(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        sibling: &InstanceId,
+        outputs: &mut Vec<Output>,
+    ) {
         log_sibling_change(outputs, sibling, "lost");
         outputs.push(Output::ResetLink {
             sibling: sibling.clone(),
         });
         if let Some(known) = self.siblings.get_mut(sibling) {
-            known.last_message_at = None;
+            known.last_sent_at = None;
             known.sent_load = None;
         }
         self.owners.remove(sibling);
-        self.owned.drop_orders_of(now, sibling, outputs);
+        self.owned.drop_orders_of(now, since, sibling, outputs);
         if let Some(received) = self.received_orders.get_mut(sibling) {
             received.drop_all();
         }
@@ -285,11 +312,11 @@
         now + options.sibling_timeout + options.max_unconfirmed_stop + options.max_lease_duration()
     }
 
-    /// Accepts the orders of a coordinator. Those of an entry that control does not list are dropped: its silence
+    /// Accepts the orders of a coordinator, which were sent at `sent_at`. Those of an entry that control does not list are dropped: its silence
     /// would not be noticed.
     fn accept_orders(
         &mut self,
-        now: Instant,
+        sent_at: Instant,
         from: &InstanceId,
         spec: &Arc<str>,
         orders: Vec<RunOrder>,
@@ -303,7 +330,7 @@
         }
         for order in orders {
             self.owned
-                .accept_order(now, from.clone(), Arc::clone(spec), order, outputs);
+                .accept_order(sent_at, from.clone(), Arc::clone(spec), order, outputs);
         }
     }
 }
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -64,7 +64,7 @@
                 continue;
             }
             for order_id in order_ids {
-                self.owned.cancel_order(now, &owner, order_id, outputs);
+                self.owned.cancel_order(now, now, &owner, order_id, outputs);
             }
         }
     }
--- a/kqr-dispatch/src/input.rs
+++ b/kqr-dispatch/src/input.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use kqr_fleet::{EntryInfo, TargetGrant, TargetReport};
-use kqr_types::{InstanceId, JobKey};
+use kqr_types::{InstanceId, Instant, JobKey};
 
 use crate::{CallFailure, CallId, JobRequest, OrderId, PollAnswer, SiblingMessage, TargetTime};
 
@@ -29,6 +29,8 @@
     MessageReceived {
         /// Sender.
         from: InstanceId,
+        /// When the message was sent at the earliest. It may have been on its way or unread for long.
+        sent_at: Instant,
         /// Received message.
         message: SiblingMessage,
     },
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -22,10 +22,10 @@
 const MAX_PASSED_OVER: usize = 24;
 
 impl OwnedTargets {
-    /// Queues an order until a target has free capacity, or refuses it if no target can run it.
+    /// Queues an order that was sent at `sent_at` until a target has free capacity, or refuses it if no target can run it.
     pub(crate) fn accept_order(
         &mut self,
-        now: Instant,
+        sent_at: Instant,
         coordinator: InstanceId,
         spec: Arc<str>,
         order: RunOrder,
@@ -39,8 +39,8 @@
         self.waiting.push(WaitingOrder {
             coordinator,
             spec,
-            arrived: now,
-            until: now + order.time_left,
+            sent_at,
+            until: sent_at + order.time_left,
             order,
         });
     }
@@ -66,10 +66,11 @@
         }
     }
 
-    /// Cancels an order, and stops its run if it was started.
+    /// Cancels an order, and stops its run if it was started. The run must have ended since `since`.
     pub(crate) fn cancel_order(
         &mut self,
         now: Instant,
+        since: Instant,
         coordinator: &InstanceId,
         order_id: OrderId,
         outputs: &mut Vec<Output>,
@@ -80,20 +81,21 @@
             return;
         }
         let is_selected = |run: &Run| run.ordered_by.as_ref() == Some(&(coordinator.clone(), order_id));
-        self.stop_runs_where(now, "cancelled", is_selected, outputs);
+        self.stop_runs_where(now, since, "cancelled", is_selected, outputs);
     }
 
     /// Drops the orders of a lost coordinator and stops their runs: no caller waits for them any more, and
-    /// the callers may submit their jobs to another entry.
+    /// the callers may submit their jobs to another entry. The runs must have ended since `since`.
     pub(crate) fn drop_orders_of(
         &mut self,
         now: Instant,
+        since: Instant,
         coordinator: &InstanceId,
         outputs: &mut Vec<Output>,
     ) {
         self.waiting.remove_all_of(coordinator);
         let is_selected = |run: &Run| run.ordered_by.as_ref().is_some_and(|(by, _)| by == coordinator);
-        self.stop_runs_where(now, "coordinator-lost", is_selected, outputs);
+        self.stop_runs_where(now, since, "coordinator-lost", is_selected, outputs);
         for target in self.targets.values_mut().chain(&mut self.former) {
             for run in target.runs.values_mut() {
                 if is_selected(run) {
@@ -181,6 +183,7 @@
     fn stop_runs_where<Selector>(
         &mut self,
         now: Instant,
+        since: Instant,
         cause: &'static str,
         is_selected: Selector,
         outputs: &mut Vec<Output>,
@@ -193,7 +196,7 @@
                 if !is_selected(state) {
                     continue;
                 }
-                state.require_end(now);
+                state.require_end(since);
                 if state.state != RunState::Stopping {
                     selected.push((id.clone(), run.clone()));
                 }
@@ -238,7 +241,7 @@
     where
         Filter: Fn(&Target) -> bool,
     {
-        let (order, waited) = (&waiting.order, now.since(waiting.arrived));
+        let (order, waited) = (&waiting.order, now.since(waiting.sent_at));
         let mut best: Option<(Suitability, &TargetId)> = None;
         for (id, target) in &self.targets {
             let has_capacity = self.is_open(now, target)
@@ -309,7 +312,7 @@
         outputs.push(Output::Decision(Decision::RunStarted {
             run: order.run.clone(),
             target: id.clone(),
-            waited_ms: now.since(waiting.arrived).as_millis() as u64,
+            waited_ms: now.since(waiting.sent_at).as_millis() as u64,
             estimate_ms: order.estimate.as_millis() as u64,
             slowness_milli,
         }));
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -68,9 +68,10 @@
         }
     }
 
-    /// Records that the run must end; the first time counts.
-    pub(super) fn require_end(&mut self, now: Instant) {
-        self.must_end_since.get_or_insert(now);
+    /// Records that the run must have ended since `since`; the earliest time counts.
+    pub(super) fn require_end(&mut self, since: Instant) {
+        let earlier = self.must_end_since.unwrap_or(since);
+        self.must_end_since = Some(earlier.min(since));
     }
 
     /// Returns whether the run must end and its stop is not confirmed yet.
--- a/kqr-dispatch/src/owned/waiting_order.rs
+++ b/kqr-dispatch/src/owned/waiting_order.rs
@@ -11,7 +11,8 @@
     /// Payload passed to the task.
     pub(super) spec: Arc<str>,
     pub(super) order: RunOrder,
-    pub(super) arrived: Instant,
+    /// When its coordinator sent the order.
+    pub(super) sent_at: Instant,
     /// When the order expires.
     pub(super) until: Instant,
 }
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -17,8 +17,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Sibling {
     pub(crate) info: EntryInfo,
-    /// When the last message arrived; `None` before the first one and while the sibling counts as lost.
-    pub(crate) last_message_at: Option<Instant>,
+    /// When the last received message was sent at the earliest; `None` before the first one and while the sibling counts as
+    /// lost.
+    pub(crate) last_sent_at: Option<Instant>,
     /// When the load of this entry was last sent to the sibling.
     pub(crate) last_report_at: Instant,
     /// Whether the load of this entry has changed since.
@@ -35,7 +36,7 @@
     fn new(info: EntryInfo) -> Self {
         Self {
             info,
-            last_message_at: None,
+            last_sent_at: None,
             last_report_at: Instant(0),
             is_outdated: true,
             is_assigned: false,
@@ -60,7 +61,7 @@
     }
 
     pub(crate) fn is_alive(&self, now: Instant, timeout: Duration) -> bool {
-        self.last_message_at.is_some_and(|at| now.since(at) < timeout)
+        self.last_sent_at.is_some_and(|at| now.since(at) < timeout)
     }
 }
 
@@ -128,7 +129,7 @@
         self.siblings.values()
     }
 
-    /// Returns the siblings that sent a message within the timeout.
+    /// Returns the siblings of which a message was received that they sent within the timeout.
     pub(crate) fn live(&self, now: Instant, options: &Options) -> impl Iterator<Item = &Sibling> {
         let timeout = options.sibling_timeout;
         self.siblings
@@ -143,13 +144,16 @@
             .collect()
     }
 
-    /// Marks the siblings whose timeout has passed as lost, and returns them.
-    pub(crate) fn expire(&mut self, now: Instant, options: &Options) -> Vec<InstanceId> {
+    /// Marks the siblings whose timeout has passed as lost, and returns them with the end of their timeouts.
+    pub(crate) fn expire(&mut self, now: Instant, options: &Options) -> Vec<(InstanceId, Instant)> {
         let mut lost = Vec::new();
         for sibling in self.siblings.values_mut() {
-            if sibling.last_message_at.is_some() && !sibling.is_alive(now, options.sibling_timeout) {
-                lost.push(sibling.info.id.clone());
-                sibling.last_message_at = None;
+            let Some(expired_at) = sibling.last_sent_at.map(|at| at + options.sibling_timeout) else {
+                continue;
+            };
+            if expired_at <= now {
+                lost.push((sibling.info.id.clone(), expired_at));
+                sibling.last_sent_at = None;
             }
         }
         lost
--- a/kqr-dispatch/tests/load_updates.rs
+++ b/kqr-dispatch/tests/load_updates.rs
@@ -59,7 +59,11 @@
 
     fn receive(&mut self, message: SiblingMessage) -> Vec<SiblingMessage> {
         let from = id(1);
-        messages(self.input(Input::MessageReceived { from, message }))
+        messages(self.input(Input::MessageReceived {
+            from,
+            sent_at: self.now,
+            message,
+        }))
     }
 
     /// Lets the interval of reports pass, and returns the update sent to entry 1.
--- a/kqr-dispatch/tests/relations.rs
+++ b/kqr-dispatch/tests/relations.rs
@@ -72,7 +72,15 @@
 fn receive(dispatcher: &mut Dispatcher, now: Instant, from: &str, message: SiblingMessage) -> Vec<Output> {
     let mut outputs = Vec::new();
     let from = from.parse().unwrap();
-    dispatcher.handle(now, Input::MessageReceived { from, message }, &mut outputs);
+    dispatcher.handle(
+        now,
+        Input::MessageReceived {
+            from,
+            sent_at: now,
+            message,
+        },
+        &mut outputs,
+    );
     outputs
 }
 
--- a/kqr-dispatch/tests/simulation/links.rs
+++ b/kqr-dispatch/tests/simulation/links.rs
@@ -1,6 +1,6 @@
 //! Links between the simulated entries: one delivery at a time, which is retried until the link counts as lost.
 
-use kqr_dispatch::{Input, OrderId, Outbox, SiblingMessage};
+use kqr_dispatch::{Delivery, Input, OrderId, Outbox, ReceiverClock, ReceiverTime, SiblingMessage};
 use kqr_types::{Incarnation, InstanceId, Instant};
 
 use super::{Event, LATENCY_MS, Simulation};
@@ -23,6 +23,7 @@
     losses: u64,
     is_connected: bool,
     session: Option<u64>,
+    receiver_clock: ReceiverClock,
     next_message: u64,
     /// Messages being delivered, with the start of their delivery.
     delivery: Option<(Vec<SiblingMessage>, u64)>,
@@ -34,22 +35,16 @@
 #[derive(Clone, Debug)]
 pub(super) enum LinkRequest {
     Connect,
-    Open {
-        dropped: OrderId,
-    },
-    Deliver {
-        session: u64,
-        first: u64,
-        messages: Vec<SiblingMessage>,
-    },
+    Open { dropped: OrderId },
+    Deliver(Delivery),
 }
 
 /// Answer to a [`LinkRequest`].
 #[derive(Clone, Copy, Debug)]
 pub(super) enum LinkAnswer {
     Connected,
-    Opened(u64),
-    Delivered(bool),
+    Opened(u64, ReceiverTime),
+    Delivered(Option<ReceiverTime>),
 }
 
 /// An event of the link between `from` and `to`.
@@ -132,19 +127,21 @@
                 link.is_connected = true;
                 self.send_request(from, to);
             }
-            LinkEvent::Answer(LinkAnswer::Opened(session)) => {
+            LinkEvent::Answer(LinkAnswer::Opened(session, reading)) => {
+                link.receiver_clock.record(Instant(now * 1000), reading);
                 link.session = Some(session);
                 link.next_message = 0;
                 self.send_request(from, to);
             }
-            LinkEvent::Answer(LinkAnswer::Delivered(true)) => {
+            LinkEvent::Answer(LinkAnswer::Delivered(Some(reading))) => {
+                link.receiver_clock.record(Instant(now * 1000), reading);
                 let (messages, _) = link.delivery.take().unwrap_or_default();
                 link.next_message += messages.len() as u64;
                 link.outbox.acknowledge_batch();
                 link.request += 1;
                 self.start_delivery(from, to);
             }
-            LinkEvent::Answer(LinkAnswer::Delivered(false)) => self.lose_link(from, to),
+            LinkEvent::Answer(LinkAnswer::Delivered(None)) => self.lose_link(from, to),
             LinkEvent::Timeout => {
                 link.is_connected = false;
                 link.request += 1;
@@ -194,7 +191,7 @@
 
     /// Sends the next request of the current delivery.
     fn send_request(&mut self, from: usize, to: usize) {
-        let sibling = self.entries[to].info.id.clone();
+        let (now, sibling) = (self.now, self.entries[to].info.id.clone());
         let dropped = self.entries[from].dispatcher.last_dropped_order(&sibling);
         let Some(link) = self.entries[from].links.get_mut(&to) else {
             return;
@@ -202,11 +199,12 @@
         let request = match (link.session, &link.delivery) {
             _ if !link.is_connected => LinkRequest::Connect,
             (None, _) => LinkRequest::Open { dropped },
-            (Some(session), Some((messages, _))) => LinkRequest::Deliver {
+            (Some(session), Some((messages, _))) => LinkRequest::Deliver(Delivery {
                 session,
                 first: link.next_message,
+                sent_at: link.receiver_clock.at(Instant(now * 1000)),
                 messages: messages.clone(),
-            },
+            }),
             (Some(_), None) => return,
         };
         link.request += 1;
@@ -232,24 +230,23 @@
                 if is_replacement {
                     self.input(to, Input::SessionOpened { sibling, dropped });
                 }
-                Some(LinkAnswer::Opened(session))
+                Some(LinkAnswer::Opened(session, ReceiverTime(now)))
             }
-            LinkRequest::Deliver {
-                session,
-                first,
-                messages,
-            } => {
-                let (count, timeout) = (messages.len() as u64, self.options.sibling_timeout);
+            LinkRequest::Deliver(delivery) => {
+                let timeout = self.options.sibling_timeout;
                 let sessions = &mut self.entries[to].sessions;
-                let accepted = sessions.accept(now, &sibling, session, first, count, timeout);
-                let Some(duplicates) = accepted else {
-                    return Some(LinkAnswer::Delivered(false));
+                let Some(duplicates) = sessions.accept(now, &sibling, &delivery, timeout) else {
+                    return Some(LinkAnswer::Delivered(None));
                 };
-                for message in messages.into_iter().skip(duplicates as usize) {
-                    let from = sibling.clone();
-                    self.input(to, Input::MessageReceived { from, message });
+                for message in delivery.messages.into_iter().skip(duplicates as usize) {
+                    let input = Input::MessageReceived {
+                        from: sibling.clone(),
+                        sent_at: delivery.sent_at.0,
+                        message,
+                    };
+                    self.input(to, input);
                 }
-                Some(LinkAnswer::Delivered(true))
+                Some(LinkAnswer::Delivered(Some(ReceiverTime(now))))
             }
         }
     }
@@ -266,10 +263,10 @@
 
     /// Returns the time until `from` has sent a request over its own link, behind earlier ones, if that has a rate.
     fn transmission_time(&mut self, from: usize, request: &LinkRequest) -> u64 {
-        let (Some(rate), LinkRequest::Deliver { messages, .. }) = (self.link_bytes_per_ms, request) else {
+        let (Some(rate), LinkRequest::Deliver(delivery)) = (self.link_bytes_per_ms, request) else {
             return 0;
         };
-        let bytes = bincode::serialized_size(messages).unwrap();
+        let bytes = bincode::serialized_size(&delivery.messages).unwrap();
         let free_at = self.link_free_at.entry(from).or_default();
         *free_at = (*free_at).max(self.now) + bytes.div_ceil(rate);
         *free_at - self.now
--- a/kqr-runtime/src/entry/sibling_link.rs
+++ b/kqr-runtime/src/entry/sibling_link.rs
@@ -4,14 +4,14 @@
     time::Duration,
 };
 
-use kqr_dispatch::{Input, Outbox, SiblingMessage};
+use kqr_dispatch::{Delivery, Input, Outbox, ReceiverClock, SiblingMessage};
 use kqr_fleet::EntryInfo;
 use kqr_types::{Incarnation, InstanceId};
 use tarpc::{client, context};
 use tokio::{sync::Notify, task::JoinHandle, time::Instant};
 
 use super::{EntryDriver, TargetClient};
-use crate::{rpc::SiblingRpcClient, transport};
+use crate::{BootClock, rpc::SiblingRpcClient, transport};
 
 /// Maximum number of messages that are queued for a sibling. With more of them the link counts as lost.
 const MAX_QUEUED_MESSAGES: usize = 8192;
@@ -67,6 +67,7 @@
             losses: 0,
             session: None,
             next_message: 0,
+            receiver_clock: ReceiverClock::default(),
         };
         Self {
             sibling_incarnation: sibling.incarnation,
@@ -117,6 +118,7 @@
     session: Option<u64>,
     /// Number of the next message within the session.
     next_message: u64,
+    receiver_clock: ReceiverClock,
 }
 
 impl<Client> LinkSender<Client>
@@ -209,17 +211,27 @@
                 .ok_or_else(|| eyre::eyre!("the entry has ended"))?;
             let dropped = driver.dispatcher().last_dropped_order(&self.sibling);
             let call = rpc.open(context::current(), self.own.clone(), self.incarnation, dropped);
-            let session = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+            let opened = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+            self.receiver_clock.record(BootClock.now(), opened.time);
             self.next_message = 0;
-            *self.session.insert(session)
+            *self.session.insert(opened.number)
         };
         // The batch must not enter a session that was opened after the link was reset.
         if self.is_reset() {
             eyre::bail!("the link was reset");
         }
-        let (own, messages) = (self.own.clone(), batch.to_vec());
-        let call = rpc.deliver(context::current(), own, session, self.next_message, messages);
-        Ok(tokio::time::timeout(DELIVERY_TIMEOUT, call).await??)
+        let delivery = Delivery {
+            session,
+            first: self.next_message,
+            sent_at: self.receiver_clock.at(BootClock.now()),
+            messages: batch.to_vec(),
+        };
+        let call = rpc.deliver(context::current(), self.own.clone(), delivery);
+        let answer = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+        if let Some(time) = answer {
+            self.receiver_clock.record(BootClock.now(), time);
+        }
+        Ok(answer.is_some())
     }
 
     /// Reports the loss of the link, which resets it. Returns whether the entry is still running.
--- a/kqr-runtime/src/entry/sibling_service.rs
+++ b/kqr-runtime/src/entry/sibling_service.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures::StreamExt;
-use kqr_dispatch::{Input, OrderId, Sessions, SiblingMessage};
+use kqr_dispatch::{Delivery, Input, OpenedSession, OrderId, ReceiverTime, Sessions};
 use kqr_types::{Incarnation, InstanceId};
 use tarpc::{
     context::Context,
@@ -38,14 +38,20 @@
 where
     Client: TargetClient,
 {
-    async fn open(self, _: Context, from: InstanceId, incarnation: Incarnation, dropped: OrderId) -> u64 {
+    async fn open(
+        self,
+        _: Context,
+        from: InstanceId,
+        incarnation: Incarnation,
+        dropped: OrderId,
+    ) -> OpenedSession {
         // The lock is held until the inputs are handled, so that no message of an earlier session follows.
         let mut sessions = self.sessions();
-        let (session, is_replacement) = sessions.open(self.driver.clock().now(), &from);
+        let (number, is_replacement) = sessions.open(self.driver.clock().now(), &from);
         let fields = [
             ("sibling", from.to_string()),
             ("incarnation", incarnation.to_string()),
-            ("session", session.to_string()),
+            ("session", number.to_string()),
             ("dropped_orders", dropped.to_string()),
         ];
         kqr_telemetry::log_decision("session-opened", &fields);
@@ -56,31 +62,26 @@
             });
         }
         drop(sessions);
-        session
+        OpenedSession {
+            number,
+            time: self.time(),
+        }
     }
 
-    async fn deliver(
-        self,
-        _: Context,
-        from: InstanceId,
-        session: u64,
-        first: u64,
-        messages: Vec<SiblingMessage>,
-    ) -> bool {
-        let (count, timeout) = (messages.len() as u64, self.driver.sibling_timeout());
+    async fn deliver(self, _: Context, from: InstanceId, delivery: Delivery) -> Option<ReceiverTime> {
         // The lock is held until the messages are handled, so that no later session is opened before.
         let mut sessions = self.sessions();
-        let now = self.driver.clock().now();
-        let accepted = sessions.accept(now, &from, session, first, count, timeout);
-        let Some(duplicates) = accepted else {
-            return false;
-        };
-        for message in messages.into_iter().skip(duplicates as usize) {
-            let from = from.clone();
-            self.driver.handle_input(Input::MessageReceived { from, message });
+        let (now, timeout) = (self.driver.clock().now(), self.driver.sibling_timeout());
+        let duplicates = sessions.accept(now, &from, &delivery, timeout)?;
+        for message in delivery.messages.into_iter().skip(duplicates as usize) {
+            self.driver.handle_input(Input::MessageReceived {
+                from: from.clone(),
+                sent_at: delivery.sent_at.0,
+                message,
+            });
         }
         drop(sessions);
-        true
+        Some(self.time())
     }
 }
 
@@ -88,6 +89,10 @@
 where
     Client: TargetClient,
 {
+    fn time(&self) -> ReceiverTime {
+        ReceiverTime(self.driver.clock().now())
+    }
+
     fn sessions(&self) -> MutexGuard<'_, Sessions> {
         self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -1,7 +1,7 @@
 //! Remote procedure calls between the instances of a fleet, by tarpc.
 
 use kqr_agreement::{Message, VoterId};
-use kqr_dispatch::{OrderId, SiblingMessage};
+use kqr_dispatch::{Delivery, OpenedSession, OrderId, ReceiverTime};
 use kqr_fleet::{CatalogVersion, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_types::{Incarnation, InstanceId};
 
@@ -42,12 +42,11 @@
 #[tarpc::service]
 pub(crate) trait SiblingRpc {
     /// Opens a session, which replaces the earlier one of `from`. The sender has dropped the receiver's
-    /// orders up to `dropped`. Returns the number of the session.
-    async fn open(from: InstanceId, incarnation: Incarnation, dropped: OrderId) -> u64;
-    /// Delivers messages, which are numbered from `first` within the session. Returns whether the session is
-    /// still open.
+    /// orders up to `dropped`.
+    async fn open(from: InstanceId, incarnation: Incarnation, dropped: OrderId) -> OpenedSession;
+    /// Delivers messages. Returns the clock of the receiver, or `None` if the session is not open any more.
     ///
-    /// A session expires when no message arrives for the sibling timeout, so that a delayed message is not
-    /// accepted after its sender has counted it as lost.
-    async fn deliver(from: InstanceId, session: u64, first: u64, messages: Vec<SiblingMessage>) -> bool;
+    /// A session expires when the sibling timeout has passed since its last message was sent, so that a delayed message is
+    /// not accepted after its sender has counted it as lost.
+    async fn deliver(from: InstanceId, delivery: Delivery) -> Option<ReceiverTime>;
 }
