fix(fleet): keep departures of targets in the replicated log

Callers saw: tasks lost with a target that had said that it leaves. After a restart of the leading control instance and of the target's owner, the next owner started tasks there until it ended, 4.7 s and more after the acknowledgement. An entry that lost power right after its acknowledgement took the knowledge with it as well.

Cause: that a target leaves was kept in the memory of the leader and of the owner. The owner acknowledged it before control knew, and passed it on once; a new leader told the next owner that the target stays.

Change: a departure is a command of the log, and its acknowledgement follows the commit, at the owner too. Views and the choice of owners go by the log. An owner repeats what a target reports until control's view shows it, so that a changed capacity is not lost with a leader either.

--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -153,13 +153,13 @@
         self.tick(now, outputs);
     }
 
-    /// Handles a report from a target. One with fields out of range is dropped. Only reports that are news to control are
-    /// forwarded.
+    /// Handles a report from a target. One with fields out of range is dropped. Reports are forwarded until control knows what
+    /// they say.
     pub(crate) fn handle_report(&mut self, report: TargetReport, outputs: &mut Vec<Output>) {
         if report.check().is_err() {
             return;
         }
-        let is_changed = match (&report, self.targets.get_mut(report.target())) {
+        let is_forwarded = match (&report, self.targets.get_mut(report.target())) {
             (
                 TargetReport::Present {
                     record,
@@ -170,9 +170,7 @@
             ) => {
                 let number = (record.life, *sequence);
                 let is_outdated = target.last_report.is_some_and(|last| number <= last);
-                let is_changed = *record != target.record
-                    || *is_leaving != target.is_leaving
-                    || target.last_report.is_none();
+                let is_news = !target.is_granted_as(record, *is_leaving) || target.last_report.is_none();
                 if !is_outdated {
                     target.last_report = Some(number);
                     self.list_number += u64::from(resize(target, record, outputs));
@@ -181,11 +179,11 @@
                     target.is_leaving = true;
                     log_target_change(outputs, target, "leaving", "reported by the target".to_owned());
                 }
-                is_changed || target.is_unresponsive()
+                is_news || target.is_unresponsive()
             }
             _ => true,
         };
-        if is_changed {
+        if is_forwarded {
             self.reports.push(report);
         }
     }
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Target {
     pub(super) record: TargetRecord,
+    /// The target as control knows it.
+    granted: TargetGrant,
     pub(super) token: FencingToken,
     pub(super) is_leaving: bool,
     pub(super) must_release: bool,
@@ -48,6 +50,7 @@
     pub(super) fn new(now: Instant, grant: &TargetGrant) -> Self {
         Self {
             record: grant.record.clone(),
+            granted: grant.clone(),
             token: grant.token,
             is_leaving: grant.is_leaving,
             must_release: grant.must_release,
@@ -77,6 +80,12 @@
             self.record.capacity = grant.record.capacity;
         }
         self.must_release = grant.must_release;
+        self.granted = grant.clone();
+    }
+
+    /// Returns whether control knows what the target reports. A report may be lost with the instance that took it.
+    pub(super) fn is_granted_as(&self, record: &TargetRecord, is_leaving: bool) -> bool {
+        self.granted.record == *record && self.granted.is_leaving == is_leaving
     }
 
     pub(super) fn endpoint(&self) -> TargetEndpoint {
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -21,7 +21,7 @@
 use kqr_dispatch::{
     CallId, Dispatcher, Input, JobEnd, JobRequest, Options, Output, TargetCall, TargetEndpoint, TaskId,
 };
-use kqr_fleet::{FencingToken, TargetGrant};
+use kqr_fleet::{FencingToken, TargetGrant, TargetReport};
 use kqr_types::{Instant, TargetId};
 use links::LinkEvent;
 pub use target::{Target, TaskBehaviour};
@@ -90,6 +90,8 @@
     link_free_at: BTreeMap<usize, u64>,
     /// Pairs of entry and target with a cut link.
     pub cut_target_links: Vec<(usize, TargetId)>,
+    /// Targets that leave, as far as control knows.
+    pub leaving: BTreeSet<TargetId>,
     /// Returns the fault of each call.
     pub call_fault: Box<dyn FnMut(&TargetCall) -> CallFault>,
     /// Tasks that ran twice at the same time.
@@ -129,6 +131,7 @@
             link_bytes_per_ms: None,
             link_free_at: BTreeMap::new(),
             cut_target_links: Vec::new(),
+            leaving: BTreeSet::new(),
             call_fault: Box::new(|_| CallFault::Normal),
             duplicate_runs: BTreeSet::new(),
             duplicates_of_one_payload: BTreeSet::new(),
@@ -180,7 +183,7 @@
                 owned.push(TargetGrant {
                     record: self.targets[target].record.clone(),
                     token: *token,
-                    is_leaving: false,
+                    is_leaving: self.leaving.contains(target),
                     must_release: false,
                 });
             }
@@ -225,6 +228,11 @@
         &self.entries[entry].dispatcher
     }
 
+    /// Takes the reports that an entry passes on to control.
+    pub fn take_reports(&mut self, entry: usize) -> Vec<TargetReport> {
+        self.entries[entry].dispatcher.take_reports()
+    }
+
     /// Stops an entry abruptly.
     pub fn kill(&mut self, entry: usize) {
         self.entries[entry].is_up = false;
--- a/kqr-fleet/src/command.rs
+++ b/kqr-fleet/src/command.rs
@@ -1,4 +1,4 @@
-use kqr_types::TargetId;
+use kqr_types::{Incarnation, TargetId};
 use serde::{Deserialize, Serialize};
 
 use crate::{Catalog, Owner, TargetRecord};
@@ -23,4 +23,6 @@
     Forget(Vec<TargetId>),
     /// Records what targets report about themselves under the same ownership.
     Update(Vec<TargetRecord>),
+    /// Records that an incarnation of a target is about to leave.
+    Leave(TargetId, Incarnation),
 }
--- a/kqr-fleet/src/node/input.rs
+++ b/kqr-fleet/src/node/input.rs
@@ -1,7 +1,7 @@
 use kqr_agreement::{Message, VoterId};
 
 use super::CallId;
-use crate::Catalog;
+use crate::{Catalog, TargetReport};
 
 /// Input of the [`FleetNode`](super::FleetNode).
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +27,13 @@
         /// Call that waits for the answer.
         call: CallId,
     },
+    /// A target reports. If it is about to leave, the answer waits until that is replicated.
+    Report {
+        /// Call that waits for the answer.
+        call: CallId,
+        /// The report.
+        report: Box<TargetReport>,
+    },
     /// A control instance that is not in the log's configuration requests to join it.
     Join {
         /// The instance with the incarnation of its storage.
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -3,7 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use kqr_agreement::{Index, Input, Machine, Output, ProposalResult, Refusal, RequestId, Role, VoterId};
-use kqr_types::{InstanceId, Instant};
+use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
 
 use super::{
     CallId, FleetInput, FleetOptions, FleetOutput,
@@ -104,6 +104,7 @@
                 let request = self.requests.register(Purpose::Read(call));
                 self.step_agreement(now, Input::Read { request }, outputs);
             }
+            FleetInput::Report { call, report } => self.handle_report(now, call, *report, outputs),
             FleetInput::Join { voter } => {
                 self.voters
                     .record_join(now, voter, self.agreement.configuration());
@@ -130,24 +131,59 @@
         }
     }
 
-    /// Records the report of a target.
-    ///
-    /// # Errors
-    ///
-    /// Returns the leader, if it is known, if this instance does not hold the lease.
-    pub fn report(
+    /// Records the report of a target. The answer is a promise to a target that leaves, which the next leader and the next
+    /// owner have to keep: it is given when the log holds it.
+    fn handle_report(
         &mut self,
         now: Instant,
+        call: CallId,
         report: TargetReport,
-    ) -> Result<ReportReceipt, Option<InstanceId>> {
+        outputs: &mut Vec<FleetOutput>,
+    ) {
         if !self.holds_lease(now) {
-            return Err(self.leader());
+            outputs.push(FleetOutput::CallFailed {
+                call,
+                leader: self.leader(),
+                is_unknown: false,
+            });
+            return;
         }
-        let target = self.state.targets().get(report.target());
-        let entry = target.and_then(|target| self.observed.entries.get(&target.owner.entry));
-        let report_to = entry.map(|entry| entry.info.reports);
+        let leaving = self.unrecorded_departure(&report);
+        let target = report.target().clone();
         self.observed.record_report(now, report);
-        Ok(ReportReceipt { report_to })
+        let Some(life) = leaving else {
+            let receipt = self.receipt(&target);
+            outputs.push(FleetOutput::Reported { call, receipt });
+            return;
+        };
+        let detail = format!("recording that target {target} leaves");
+        outputs.push(FleetOutput::Decision { detail });
+        let command = Command::Leave(target.clone(), life);
+        self.propose(now, Purpose::Leave(call, target), &command, outputs);
+    }
+
+    /// Returns the incarnation of a target that reports that it leaves, unless the log holds that or a later incarnation.
+    fn unrecorded_departure(&self, report: &TargetReport) -> Option<Incarnation> {
+        let TargetReport::Present {
+            record,
+            is_leaving: true,
+            ..
+        } = report
+        else {
+            return None;
+        };
+        let owned = self.state.targets().get(&record.id);
+        let is_outdated = owned.is_some_and(|owned| owned.record.life > record.life);
+        let is_known = is_outdated || self.state.is_leaving(record);
+        (!is_known && report.check().is_ok()).then_some(record.life)
+    }
+
+    fn receipt(&self, target: &TargetId) -> ReportReceipt {
+        let owned = self.state.targets().get(target);
+        let entry = owned.and_then(|owned| self.observed.entries.get(&owned.owner.entry));
+        ReportReceipt {
+            report_to: entry.map(|entry| entry.info.reports),
+        }
     }
 
     /// Returns whether all owners of targets have sent a request to this leader, or have had the time to.
@@ -200,7 +236,8 @@
             owned.push(TargetGrant {
                 record: target.record.clone(),
                 token: target.token,
-                is_leaving: known.is_some_and(|known| known.is_leaving),
+                is_leaving: self.state.is_leaving(&target.record)
+                    || known.is_some_and(|known| known.is_leaving),
                 must_release: self.observed.pending_moves.contains(id),
             });
         }
@@ -326,13 +363,20 @@
     }
 
     fn end_proposal(&mut self, request: RequestId, result: ProposalResult, outputs: &mut Vec<FleetOutput>) {
-        let Some(Purpose::Replace(call)) = self.requests.complete(request) else {
-            return;
+        let (call, accepted) = match self.requests.complete(request) {
+            Some(Purpose::Replace(call)) => {
+                let version = self.state.catalog_version();
+                (call, FleetOutput::Accepted { call, version })
+            }
+            Some(Purpose::Leave(call, target)) => {
+                let receipt = self.receipt(&target);
+                (call, FleetOutput::Reported { call, receipt })
+            }
+            Some(Purpose::Read(_) | Purpose::Plan | Purpose::Voters) | None => return,
         };
         let (leader, is_unknown) = match result {
             ProposalResult::Committed { .. } => {
-                let version = self.state.catalog_version();
-                outputs.push(FleetOutput::Accepted { call, version });
+                outputs.push(accepted);
                 return;
             }
             ProposalResult::Unknown { leader } => (leader, true),
--- a/kqr-fleet/src/node/machine/leading.rs
+++ b/kqr-fleet/src/node/machine/leading.rs
@@ -16,15 +16,14 @@
             return;
         }
         self.change_voters(now, outputs);
-        if self.requests.is_pending(Purpose::Plan) || !self.is_view_complete(now) {
+        if self.requests.is_pending(&Purpose::Plan) || !self.is_view_complete(now) {
             return;
         }
-        let owned = self.state.targets();
         self.observed.expire(
             now,
             self.options.entry_timeout,
             self.options.target_timeout,
-            owned,
+            &self.state,
         );
         self.reachability.update(now, &self.observed, &self.state);
         self.forget_targets(now, outputs);
@@ -58,10 +57,10 @@
     }
 
     fn forget_targets(&mut self, now: Instant, outputs: &mut Vec<FleetOutput>) {
-        let owned = self.state.targets();
+        let (owned, leaving) = (self.state.targets(), self.state.leaving());
         self.observed
             .to_forget
-            .retain(|target| owned.contains_key(target));
+            .retain(|target| owned.contains_key(target) || leaving.contains_key(target));
         if self.observed.to_forget.is_empty() {
             return;
         }
@@ -72,7 +71,7 @@
     }
 
     fn change_voters(&mut self, now: Instant, outputs: &mut Vec<FleetOutput>) {
-        if self.requests.is_pending(Purpose::Voters) {
+        if self.requests.is_pending(&Purpose::Voters) {
             return;
         }
         let configuration: Configuration = self.agreement.configuration().clone();
--- a/kqr-fleet/src/node/observed_fleet.rs
+++ b/kqr-fleet/src/node/observed_fleet.rs
@@ -5,7 +5,7 @@
 
 use kqr_types::{DataCentre, Incarnation, InstanceId, Instant, TargetId};
 
-use crate::{EntryInfo, FencingToken, OwnedTarget, Owner, SyncRequest, TargetRecord, TargetReport};
+use crate::{EntryInfo, FencingToken, FleetState, Owner, SyncRequest, TargetRecord, TargetReport};
 
 /// Latest information about an entry.
 #[derive(Clone, Debug)]
@@ -91,14 +91,16 @@
             }
         };
         let known = self.targets.get(&record.id);
-        if let Some(known) = known {
-            let is_stale = (record.life, sequence) <= (known.record.life, known.sequence);
-            if is_stale {
-                return;
-            }
-            let is_same = known.record == record && known.is_leaving == is_leaving;
-            self.change_count += u32::from(!is_same);
+        let is_stale =
+            known.is_some_and(|known| (record.life, sequence) <= (known.record.life, known.sequence));
+        if is_stale {
+            return;
         }
+        // The views of a new leader say of a target that has not reported to it that it stays.
+        let is_news = known.map_or(is_leaving, |known| {
+            known.record != record || known.is_leaving != is_leaving
+        });
+        self.change_count += u32::from(is_news);
         self.to_forget.remove(&record.id);
         self.unreachable.remove(&record.id);
         let known = ObservedTarget {
@@ -116,15 +118,20 @@
         now: Instant,
         entry_timeout: Duration,
         target_timeout: Duration,
-        owned: &BTreeMap<TargetId, OwnedTarget>,
+        state: &FleetState,
     ) {
+        let owned = state.targets();
         let before = self.entries.len();
         self.entries
             .retain(|_, entry| now.since(entry.last_seen) < entry_timeout);
         self.change_count += (before - self.entries.len()) as u32;
         self.unreachable
             .retain(|target, token| owned.get(target).is_some_and(|owned| owned.token == *token));
-        for target in self.unreachable.keys() {
+        let unowned = state
+            .leaving()
+            .keys()
+            .filter(|target| !owned.contains_key(*target));
+        for target in self.unreachable.keys().chain(unowned) {
             let is_reported = self
                 .targets
                 .get(target)
--- a/kqr-fleet/src/node/output.rs
+++ b/kqr-fleet/src/node/output.rs
@@ -4,7 +4,7 @@
 use kqr_types::InstanceId;
 
 use super::CallId;
-use crate::{Catalog, CatalogVersion};
+use crate::{Catalog, CatalogVersion, ReportReceipt};
 
 /// Output of the [`FleetNode`](super::FleetNode). Outputs are performed in order.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,6 +32,13 @@
         /// The catalog in force, or `None` if none was ever accepted.
         catalog: Option<Arc<Catalog>>,
     },
+    /// A report of a target is recorded.
+    Reported {
+        /// The call.
+        call: CallId,
+        /// The answer to the target.
+        receipt: ReportReceipt,
+    },
     /// A call can't be completed by this instance.
     CallFailed {
         /// The call.
--- a/kqr-fleet/src/node/pending_requests.rs
+++ b/kqr-fleet/src/node/pending_requests.rs
@@ -1,16 +1,20 @@
 use std::collections::BTreeMap;
 
+use kqr_types::TargetId;
+
 use kqr_agreement::RequestId;
 
 use super::CallId;
 
 /// Purpose of a request to the replicated log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Purpose {
     /// Replaces the catalog.
     Replace(CallId),
     /// Reads the catalog, so that the result reflects all accepted ones.
     Read(CallId),
+    /// Records that a target is about to leave.
+    Leave(CallId, TargetId),
     /// Assigns owners to targets or removes targets.
     Plan,
     /// Changes a voter.
@@ -39,7 +43,7 @@
     }
 
     /// Returns whether a request for `purpose` is pending.
-    pub(super) fn is_pending(&self, purpose: Purpose) -> bool {
-        self.pending.values().any(|pending| *pending == purpose)
+    pub(super) fn is_pending(&self, purpose: &Purpose) -> bool {
+        self.pending.values().any(|pending| pending == purpose)
     }
 }
--- a/kqr-fleet/src/node/planner.rs
+++ b/kqr-fleet/src/node/planner.rs
@@ -154,7 +154,8 @@
         for (id, known) in &self.observed.targets {
             let services = self.state.catalog().map(|catalog| &catalog.services);
             let is_served = services.is_some_and(|services| services.contains_key(&known.record.service));
-            if is_served && !self.state.targets().contains_key(id) && !known.is_leaving {
+            let is_leaving = known.is_leaving || self.state.is_leaving(&known.record);
+            if is_served && !self.state.targets().contains_key(id) && !is_leaving {
                 records.push(known.record.clone());
             }
         }
--- a/kqr-fleet/src/state.rs
+++ b/kqr-fleet/src/state.rs
@@ -30,6 +30,9 @@
 pub struct FleetState {
     catalog: Option<Arc<Catalog>>,
     targets: BTreeMap<TargetId, OwnedTarget>,
+    /// Targets that are about to leave, with or without an owner. A later incarnation does not leave.
+    #[serde(default)]
+    leaving: BTreeMap<TargetId, Incarnation>,
     last_token: FencingToken,
 }
 
@@ -51,6 +54,18 @@
         &self.targets
     }
 
+    /// Returns the incarnations of targets that are about to leave.
+    pub const fn leaving(&self) -> &BTreeMap<TargetId, Incarnation> {
+        &self.leaving
+    }
+
+    /// Returns whether the incarnation of a target is about to leave.
+    pub fn is_leaving(&self, record: &TargetRecord) -> bool {
+        self.leaving
+            .get(&record.id)
+            .is_some_and(|life| *life >= record.life)
+    }
+
     /// Applies `command`.
     pub fn apply(&mut self, command: Command) {
         match command {
@@ -63,6 +78,7 @@
             Command::Forget(targets) => {
                 for target in targets {
                     self.targets.remove(&target);
+                    self.leaving.remove(&target);
                 }
             }
             Command::Update(records) => {
@@ -70,6 +86,10 @@
                     self.update_record(record);
                 }
             }
+            Command::Leave(target, life) => {
+                let known = self.leaving.entry(target).or_default();
+                *known = life.max(*known);
+            }
         }
     }
 
@@ -122,6 +142,9 @@
             self.targets.remove(&handover.record.id);
             return;
         }
+        if !self.is_leaving(&handover.record) {
+            self.leaving.remove(&handover.record.id);
+        }
         let owned = OwnedTarget {
             record: handover.record,
             owner: handover.owner,
--- a/kqr-fleet/src/target_report.rs
+++ b/kqr-fleet/src/target_report.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns whether the target reports that it is about to leave.
+    pub const fn is_leaving(&self) -> bool {
+        matches!(self, Self::Present { is_leaving: true, .. })
+    }
+
     /// Returns the identity of the target.
     pub const fn target(&self) -> &TargetId {
         match self {
--- a/kqr-fleet/tests/control/mod.rs
+++ b/kqr-fleet/tests/control/mod.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use kqr_agreement::{Configuration, Machine, Options, VoterId};
+use kqr_agreement::{Configuration, DurableState, Machine, Options, VoterId};
 use kqr_fleet::{
     CallId, Catalog, CatalogVersion, EntryInfo, FleetInput, FleetNode, FleetOptions, FleetOutput, Limits,
     Resources, ServicePool, SyncReply, SyncRequest, SyncView, TargetRecord, TargetReport, ViewRevision,
@@ -15,21 +15,18 @@
     pub node: FleetNode,
     pub now: Instant,
     sequence: u64,
+    /// What the instance has synced to its disk.
+    durable: DurableState,
 }
 
 impl Control {
     /// Creates an instance that is the leader and has a catalog.
     pub fn leading() -> Self {
-        let own = VoterId::new("control-1".parse().unwrap(), Incarnation(1));
-        let agreement = Options {
-            founding: Configuration::of_voters([own.clone()]),
-            ..Options::default()
-        };
-        let machine = Machine::new(own, agreement, kqr_agreement::DurableState::default());
         let mut control = Self {
-            node: FleetNode::new(FleetOptions::default(), machine),
+            node: new_node(DurableState::default()),
             now: Instant(1_000_000),
             sequence: 0,
+            durable: DurableState::default(),
         };
         control.run(2_000);
         let pool = ServicePool {
@@ -53,9 +50,20 @@
     pub fn input(&mut self, input: FleetInput) -> Vec<FleetOutput> {
         let mut outputs = Vec::new();
         self.node.handle(self.now, input, &mut outputs);
+        for output in &outputs {
+            if let FleetOutput::Persist(record) = output {
+                self.durable.apply(record.clone());
+            }
+        }
         outputs
     }
 
+    /// Replaces the leader by one that has only what was synced, and waits until it leads.
+    pub fn change_leader(&mut self) {
+        self.node = new_node(self.durable.clone());
+        self.run(2_000);
+    }
+
     pub fn run(&mut self, millis: u64) {
         for _ in 0..millis / 20 {
             self.now = self.now + Duration::from_millis(20);
@@ -91,7 +99,16 @@
             sequence: self.sequence,
             is_leaving,
         };
-        self.node.report(self.now, report).unwrap();
+        assert!(self.submit_report(report), "{:?}", self.node.leader());
+    }
+
+    /// Passes on a report. Returns whether it was answered at once.
+    pub fn submit_report(&mut self, report: TargetReport) -> bool {
+        let call = CallId(2);
+        let report = Box::new(report);
+        let outputs = self.input(FleetInput::Report { call, report });
+        let mut answers = outputs.iter();
+        answers.any(|output| matches!(output, FleetOutput::Reported { .. }))
     }
 
     pub fn owners(&self) -> BTreeMap<TargetId, String> {
@@ -110,6 +127,15 @@
     }
 }
 
+fn new_node(durable: DurableState) -> FleetNode {
+    let own = VoterId::new("control-1".parse().unwrap(), Incarnation(1));
+    let agreement = Options {
+        founding: Configuration::of_voters([own.clone()]),
+        ..Options::default()
+    };
+    FleetNode::new(FleetOptions::default(), Machine::new(own, agreement, durable))
+}
+
 pub fn request(entry: &EntryInfo) -> SyncRequest {
     SyncRequest {
         entry: entry.clone(),
--- a/kqr-fleet/tests/owners.rs
+++ b/kqr-fleet/tests/owners.rs
@@ -35,7 +35,7 @@
             sequence,
             is_leaving: true,
         };
-        control.node.report(control.now, report).unwrap();
+        assert!(control.submit_report(report));
     }
     control.report(known, false);
     control.run_with_entries(3_000, &entries);
@@ -172,10 +172,7 @@
     control.report(target(1, "north"), false);
     control.run_with_entries(3_000, &entries);
     let id = target(1, "north").id;
-    control
-        .node
-        .report(control.now, TargetReport::Gone { id, life: None })
-        .unwrap();
+    assert!(control.submit_report(TargetReport::Gone { id, life: None }));
     control.run_with_entries(1_000, &entries);
     assert_eq!(control.owners(), BTreeMap::new());
 }
--- a/kqr-runtime/src/control/call_failure.rs
+++ b/kqr-runtime/src/control/call_failure.rs
@@ -19,14 +19,6 @@
         }
     }
 
-    /// Returns the failure of a call without effect at an instance that does not lead.
-    pub(crate) const fn not_leader(leader: Option<InstanceId>) -> Self {
-        Self {
-            leader,
-            is_unknown: false,
-        }
-    }
-
     /// Returns the leader at which to repeat the call, which had no effect.
     pub(crate) fn next_leader(&self) -> Option<&InstanceId> {
         self.leader.as_ref().filter(|_| !self.is_unknown)
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -5,7 +5,7 @@
 };
 
 use kqr_agreement::Record;
-use kqr_fleet::{CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOutput};
+use kqr_fleet::{CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOutput, ReportReceipt};
 use kqr_store::{FolderDisk, Store};
 use kqr_telemetry::{GaugeMetric, Metrics};
 use kqr_types::InstanceId;
@@ -26,6 +26,7 @@
 enum PendingReply {
     Replace(oneshot::Sender<Result<CatalogVersion, ControlCallFailure>>),
     Read(oneshot::Sender<Result<Option<Arc<Catalog>>, ControlCallFailure>>),
+    Report(oneshot::Sender<Result<ReportReceipt, ControlCallFailure>>),
 }
 
 /// Runs the state machine of a control instance.
@@ -132,7 +133,11 @@
                 self.handle_input(FleetInput::Read { call }, outputs);
             }
             Request::Sync { request, reply } => drop(reply.send(self.node.sync(now, &request))),
-            Request::Report { report, reply } => drop(reply.send(self.node.report(now, report))),
+            Request::Report { report, reply } => {
+                let call = self.register_call(PendingReply::Report(reply));
+                let report = Box::new(report);
+                self.handle_input(FleetInput::Report { call, report }, outputs);
+            }
             Request::Join { voter, reply } => {
                 let leader = self.node.leader().filter(|leader| *leader != self.own);
                 drop(reply.send(leader));
@@ -185,6 +190,11 @@
                     drop(reply.send(Ok(catalog)));
                 }
             }
+            FleetOutput::Reported { call, receipt } => {
+                if let Some(PendingReply::Report(reply)) = self.pending_replies.remove(&call) {
+                    drop(reply.send(Ok(receipt)));
+                }
+            }
             FleetOutput::CallFailed {
                 call,
                 leader,
@@ -220,6 +230,7 @@
         match self.pending_replies.remove(&call) {
             Some(PendingReply::Replace(reply)) => drop(reply.send(Err(failure))),
             Some(PendingReply::Read(reply)) => drop(reply.send(Err(failure))),
+            Some(PendingReply::Report(reply)) => drop(reply.send(Err(failure))),
             None => {}
         }
     }
--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -78,10 +78,11 @@
     pub(super) async fn report_locally(
         &self,
         report: TargetReport,
-    ) -> Option<Result<ReportReceipt, Option<InstanceId>>> {
+    ) -> Result<ReportReceipt, ControlCallFailure> {
         let (reply, rx) = oneshot::channel();
         self.call(Request::Report { report, reply }, rx, EXCHANGE_TIMEOUT)
             .await
+            .unwrap_or_else(|| Err(ControlCallFailure::no_answer()))
     }
 
     pub(super) async fn sync(&self, request: SyncRequest) -> SyncReply {
@@ -163,12 +164,8 @@
     async fn submit_target_report(&self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
         let arrived = Instant::now();
         match self.report_locally(report.clone()).await {
-            Some(Ok(receipt)) => Ok(receipt),
-            Some(Err(leader)) => {
-                let failure = ControlCallFailure::not_leader(leader);
-                self.leader_after(failure, arrived)?.report(report).await
-            }
-            None => Err(ControlCallFailure::no_answer()),
+            Ok(receipt) => Ok(receipt),
+            Err(failure) => self.leader_after(failure, arrived)?.report(report).await,
         }
     }
 }
--- a/kqr-runtime/src/control/request.rs
+++ b/kqr-runtime/src/control/request.rs
@@ -27,7 +27,7 @@
     },
     Report {
         report: TargetReport,
-        reply: oneshot::Sender<Result<ReportReceipt, Option<InstanceId>>>,
+        reply: oneshot::Sender<Result<ReportReceipt, ControlCallFailure>>,
     },
     Join {
         voter: VoterId,
--- a/kqr-runtime/src/control/service.rs
+++ b/kqr-runtime/src/control/service.rs
@@ -57,8 +57,8 @@
         })
     }
 
-    async fn report(self, _: Context, report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>> {
-        self.handle.report_locally(report).await.unwrap_or(Err(None))
+    async fn report(self, _: Context, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
+        self.handle.report_locally(report).await
     }
 }
 
--- a/kqr-runtime/src/leader_client.rs
+++ b/kqr-runtime/src/leader_client.rs
@@ -76,10 +76,7 @@
     pub(crate) async fn report(self, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
         self.forward("report", |client| {
             let report = report.clone();
-            async move {
-                let answer = client.report(context::current(), report).await?;
-                Ok(answer.map_err(ControlCallFailure::not_leader))
-            }
+            async move { client.report(context::current(), report).await }
         })
         .await
     }
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -23,7 +23,7 @@
     async fn newest_catalog() -> Result<Option<PackedCatalog>, ControlCallFailure>;
     /// Handles the report of a target. An instance that is not the leader returns the leader instead, if it
     /// is known.
-    async fn report(report: TargetReport) -> Result<ReportReceipt, Option<InstanceId>>;
+    async fn report(report: TargetReport) -> Result<ReportReceipt, ControlCallFailure>;
 }
 
 /// Calls that every instance serves, so that instances find control through the seeds.
