fix(dispatch): start nothing on a restarted target before it is granted anew

Callers saw: a job that needs a label ran on a target without it, after that target had crashed and started again under its identity as another kind.

Cause: an owner that saw another incarnation in a list of runs kept the labels, the service and the capacity of the former life until the next grant, and the target stayed open.

Change: such a target, and one whose next life reports to the owner, accepts nothing before control grants it with the record of its new life. One whose next life seems older, since its clock was set back, is reported as unreachable until control has removed the former life.

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -146,7 +146,8 @@
         self.owned.releasable()
     }
 
-    /// Returns the owned targets that have not answered for [`Options::unreachable_after`].
+    /// Returns the owned targets that have not answered for [`Options::unreachable_after`], or whose incarnation control takes
+    /// for an earlier one.
     pub fn unreachable_targets(&self, now: Instant) -> Vec<(TargetId, FencingToken)> {
         self.owned.unreachable(now)
     }
--- a/kqr-dispatch/src/owned/answers.rs
+++ b/kqr-dispatch/src/owned/answers.rs
@@ -232,10 +232,9 @@
         {
             let cause = format!("incarnation {} after {}", incarnation, target.record.life);
             log_target_change(outputs, target, "restarted", cause);
-            target.record.life = incarnation;
             // A start in flight may have reached the new incarnation, so the lists of runs decide about each
             // run.
-            target.reset_for_restart();
+            target.restart_as(incarnation);
         }
         if target.missed_polls > 0 {
             log_target_change(
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -175,6 +175,10 @@
                     target.last_report = Some(number);
                     self.list_number += u64::from(resize(target, record, outputs));
                 }
+                if record.life > target.record.life && target.close_until_granted() {
+                    let cause = format!("incarnation {} reports", record.life);
+                    log_target_change(outputs, target, "restarted", cause);
+                }
                 if *is_leaving && !target.is_leaving && record.life >= target.record.life {
                     target.is_leaving = true;
                     log_target_change(outputs, target, "leaving", "reported by the target".to_owned());
@@ -200,11 +204,13 @@
         released
     }
 
-    /// Returns the targets that have not answered for [`Options::unreachable_after`].
+    /// Returns the targets that have not answered for [`Options::unreachable_after`], and those of which control ignores the
+    /// reports until it has removed them.
     pub(crate) fn unreachable(&self, now: Instant) -> Vec<(TargetId, FencingToken)> {
         let mut unreachable = Vec::new();
         for target in self.targets.values() {
-            if now.since(target.last_answer_at) >= self.options.unreachable_after {
+            let is_silent = now.since(target.last_answer_at) >= self.options.unreachable_after;
+            if is_silent || target.is_older_than_granted() {
                 unreachable.push((target.record.id.clone(), target.token));
             }
         }
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -133,11 +133,30 @@
         }
     }
 
-    /// Discards the clock, the cursor and the list time of an earlier incarnation.
-    pub(super) fn reset_for_restart(&mut self) {
+    /// Records that another incarnation runs: discards the clock, the cursor and the list time of the earlier one, and
+    /// accepts no runs before the next grant.
+    pub(super) fn restart_as(&mut self, life: Incarnation) {
+        self.record.life = life;
         self.clock = None;
         self.cursor = 0;
         self.listed_at = None;
+        self.close_until_granted();
+    }
+
+    /// Accepts no runs before the next grant, because another incarnation runs than the granted one. Returns whether it did
+    /// before.
+    pub(super) fn close_until_granted(&mut self) -> bool {
+        let is_closed = matches!(self.phase, Phase::Restarted | Phase::Fenced);
+        if !is_closed {
+            self.phase = Phase::Restarted;
+        }
+        !is_closed
+    }
+
+    /// Returns whether control takes the incarnation that runs for an earlier one than it has granted, and so ignores its
+    /// reports. That happens if the target's clock was set back.
+    pub(super) fn is_older_than_granted(&self) -> bool {
+        self.record.life < self.granted.record.life
     }
 
     /// Records a list of runs made at `clock`. Returns whether no newer list was received before: answers on
