fix(dispatch): time the progress of runs by the clock of their target

Callers saw: a sound run stopped and repeated, and its target paused for 1.5 s, after its owner had stood still.

Cause: the time without progress was measured from when the owner handled lists of runs. A list that waited through a standstill of 300 ms or more seemed to say that the run had made no progress since.

Change: progress is timed by the clock that the target puts into its lists.

Before: `runs_that_went_on_during_a_standstill_do_not_count_as_hanging` failed ("1 runs without progress" after a standstill of 350 ms). After: it passes.

--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -264,6 +264,9 @@
         if is_impossible {
             return Some(RefusalCause::NoTarget);
         }
+        if request.time_left.is_zero() {
+            return Some(RefusalCause::Expired);
+        }
         if self.tasks + request.task_count() > self.options.max_tasks {
             return Some(RefusalCause::TooManyTasks);
         }
--- a/kqr-dispatch/src/owned/answers.rs
+++ b/kqr-dispatch/src/owned/answers.rs
@@ -39,8 +39,8 @@
             return;
         };
         match answer {
-            Ok(_) if state.state == RunState::Starting => {
-                state.progressed_at = now;
+            Ok(clock) if state.state == RunState::Starting => {
+                state.progressed_at = Some(clock);
                 state.set_state(now, RunState::Running);
             }
             Ok(_) => {}
@@ -123,8 +123,9 @@
         }
         match answer {
             Ok(answer) => {
+                let clock = answer.clock;
                 self.apply_poll_answer(now, &id, sent_at, answer, outputs);
-                self.stop_hanging_runs(now, &id, outputs);
+                self.stop_hanging_runs(now, &id, clock, outputs);
                 if kind == PollKind::Periodic && self.targets.contains_key(&id) {
                     self.send_poll(now, &id, outputs);
                 }
@@ -253,7 +254,7 @@
             self.apply_end(now, id, &ended, outputs);
         }
         if is_newest {
-            self.reconcile_runs(now, id, sent_at, &answer.running, outputs);
+            self.reconcile_runs(now, id, sent_at, answer.clock, &answer.running, outputs);
         }
     }
 
@@ -310,6 +311,7 @@
         now: Instant,
         id: &TargetId,
         sent_at: Instant,
+        clock: TargetTime,
         running: &[RunProgress],
         outputs: &mut Vec<Output>,
     ) {
@@ -321,7 +323,7 @@
         for row in running {
             listed.insert(row.run.clone());
             match target.runs.get_mut(&row.run) {
-                Some(run) => run.update_progress(now, row),
+                Some(run) => run.update_progress(now, clock, row),
                 None => unknown.push(row.run.clone()),
             }
         }
--- a/kqr-dispatch/src/owned/hanging.rs
+++ b/kqr-dispatch/src/owned/hanging.rs
@@ -3,18 +3,25 @@
 use kqr_types::{Instant, TargetId};
 
 use super::{OwnedTargets, log_target_change, run::RunState};
-use crate::Output;
+use crate::{Output, TargetTime};
 
 impl OwnedTargets {
-    /// Stops the runs without progress, and quarantines the target if there are any.
-    pub(super) fn stop_hanging_runs(&mut self, now: Instant, id: &TargetId, outputs: &mut Vec<Output>) {
+    /// Stops the runs without progress until the target listed them at `clock`, and quarantines the target if there are any.
+    pub(super) fn stop_hanging_runs(
+        &mut self,
+        now: Instant,
+        id: &TargetId,
+        clock: TargetTime,
+        outputs: &mut Vec<Output>,
+    ) {
         let timeout = self.options.progress_timeout;
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
         let mut hanging = Vec::new();
         for (run, state) in &mut target.runs {
-            if state.state == RunState::Running && now.since(state.progressed_at) >= timeout {
+            let is_hanging = state.progressed_at.is_some_and(|at| clock.since(at) >= timeout);
+            if state.state == RunState::Running && is_hanging {
                 state.require_end(now);
                 hanging.push(run.clone());
             }
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -288,7 +288,7 @@
             must_end_since: None,
             stop_confirmed_at: None,
             percent: 0,
-            progressed_at: now,
+            progressed_at: None,
             failures: order.failures,
             is_suspect: order.is_suspect(),
             life: target.record.life,
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -3,7 +3,7 @@
 use kqr_fleet::Resources;
 use kqr_types::{Incarnation, InstanceId, Instant};
 
-use crate::{Options, OrderId, RunProgress};
+use crate::{Options, OrderId, RunProgress, TargetTime};
 
 /// State of a run on a target, as known to the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,8 +37,8 @@
     /// When the target confirmed a stop.
     pub(super) stop_confirmed_at: Option<Instant>,
     pub(super) percent: u8,
-    /// When the progress last increased.
-    pub(super) progressed_at: Instant,
+    /// Clock of the target when the run began or was listed with a higher progress; `None` before.
+    pub(super) progressed_at: Option<TargetTime>,
     /// Number of earlier failed runs of the task.
     pub(super) failures: u32,
     /// Whether the task may have brought down a target.
@@ -61,7 +61,7 @@
             must_end_since: Some(now),
             stop_confirmed_at: None,
             percent: 0,
-            progressed_at: now,
+            progressed_at: None,
             failures: 0,
             is_suspect: false,
             life,
@@ -89,11 +89,11 @@
         due <= now && self.stop_confirmed_at.is_none_or(|at| at > due)
     }
 
-    /// Applies the progress that the target lists.
-    pub(super) fn update_progress(&mut self, now: Instant, row: &RunProgress) {
-        if row.percent > self.percent {
+    /// Applies the progress that the target listed at `clock`.
+    pub(super) fn update_progress(&mut self, now: Instant, clock: TargetTime, row: &RunProgress) {
+        if row.percent > self.percent || self.progressed_at.is_none() {
             self.percent = row.percent;
-            self.progressed_at = now;
+            self.progressed_at = Some(clock);
         }
         if matches!(self.state, RunState::Starting | RunState::Uncertain) {
             self.set_state(now, RunState::Running);
--- a/kqr-dispatch/src/target_time.rs
+++ b/kqr-dispatch/src/target_time.rs
@@ -7,6 +7,13 @@
 #[serde(transparent)]
 pub struct TargetTime(pub u64);
 
+impl TargetTime {
+    /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
 impl Add<Duration> for TargetTime {
     type Output = Self;
 
--- a/kqr-dispatch/tests/standstill.rs
+++ b/kqr-dispatch/tests/standstill.rs
@@ -180,3 +180,46 @@
     }
     panic!("the lease of the run was extended");
 }
+
+/// A list of runs that was read after a standstill of the owner seemed to say that they had stood still as well.
+#[test]
+fn runs_that_went_on_during_a_standstill_do_not_count_as_hanging() {
+    let slow = TaskBehaviour {
+        run_ms: 2_000,
+        ..LONG
+    };
+    for (started_after, suspended_after) in (590..610)
+        .step_by(5)
+        .flat_map(|at| (1_380..1_420).map(move |by| (at, by)))
+    {
+        let mut sim = Simulation::new(1, 1, slow);
+        let small_job = |key: &str| {
+            let mut request = job(key, 1, 2_000);
+            request.time_left = Duration::from_secs(10);
+            request.steps[0].needs.cpu_milli = 1_000;
+            request
+        };
+        sim.submit(0, small_job("ends-first"));
+        sim.run_for(10);
+        sim.submit(0, small_job("ends-next"));
+        sim.run_for(started_after);
+        sim.submit(0, small_job("goes-on"));
+        sim.run_for(suspended_after);
+        sim.suspend(0);
+        // Longer than runs may be without progress, shorter than the sibling timeout.
+        sim.run_for(350);
+        sim.resume(0);
+        sim.run_for(1_500);
+        let stopped = sim
+            .decisions
+            .iter()
+            .filter(|decision| decision.contains("hanging"));
+        assert_eq!(
+            stopped.count(),
+            0,
+            "{suspended_after} ms\n{}",
+            sim.decisions.join("\n")
+        );
+        assert_eq!(sim.end_of("goes-on"), Some(&JobEnd::Completed));
+    }
+}
