--- a/kqr-dispatch/tests/standstill.rs
+++ b/kqr-dispatch/tests/standstill.rs
@@ -96,6 +96,19 @@
     assert_eq!(start_count(&sim), 0);
 }
 
+#[test]
+fn a_job_whose_time_has_passed_is_refused_at_once() {
+    let mut sim = Simulation::new(1, 1, LONG);
+    let mut late = job("late", 1, 900);
+    late.time_left = Duration::ZERO;
+    sim.submit(0, late);
+    let Some(JobEnd::Refused { cause, .. }) = sim.end_of("late") else {
+        panic!("{:?}", sim.ends);
+    };
+    assert_eq!(*cause, RefusalCause::Expired);
+    assert_eq!(start_count(&sim), 0);
+}
+
 #[test]
 fn jobs_are_placed_at_once_when_the_hold_is_over() {
     let mut sim = Simulation::new(2, 4, LONG);
