--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -276,8 +276,8 @@
         }
     }
 
-    /// Marks a sibling as lost: its runs must have ended since `since`, and orders sent to it end when their leases have
-    /// expired.
+    /// Marks a sibling as lost: its runs are stopped, for which the time began at `since`, and orders sent to it end when
+    /// their leases have expired.
     ///
     /// The sibling may not have noticed the loss and may be heard again at any time. It drops the orders sent
     /// to it when the link is used next, because that opens a new session, or when it no longer hears this
@@ -313,8 +313,8 @@
         now + options.sibling_timeout + options.max_unconfirmed_stop + options.max_lease_duration()
     }
 
-    /// Accepts the orders of a coordinator, which were sent at `sent_at`. Those of an entry that control does not list are dropped: its silence
-    /// would not be noticed.
+    /// Accepts the orders that a coordinator sent at `sent_at`. Those of an entry that control does not list are dropped: its
+    /// silence would not be noticed.
     fn accept_orders(
         &mut self,
         sent_at: Instant,
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Cancels an order, and stops its run if it was started. The run must have ended since `since`.
+    /// Cancels an order, and stops its run if it was started. The time for that began at `since`.
     pub(crate) fn cancel_order(
         &mut self,
         now: Instant,
@@ -85,7 +85,7 @@
     }
 
     /// Drops the orders of a lost coordinator and stops their runs: no caller waits for them any more, and
-    /// the callers may submit their jobs to another entry. The runs must have ended since `since`.
+    /// the callers may submit their jobs to another entry. The time for that began at `since`.
     pub(crate) fn drop_orders_of(
         &mut self,
         now: Instant,
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Records that the run must have ended since `since`; the earliest time counts.
+    /// Records that the run must end, for which the time began at `since`; the earliest one counts.
     pub(super) fn require_end(&mut self, since: Instant) {
         let earlier = self.must_end_since.unwrap_or(since);
         self.must_end_since = Some(earlier.min(since));
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -143,8 +143,8 @@
         self.close_until_granted();
     }
 
-    /// Accepts no runs before the next grant, because another incarnation runs than the granted one. Returns whether it did
-    /// before.
+    /// Accepts no runs before the next grant, because another incarnation runs than the granted one. Returns whether the target
+    /// accepted some until now.
     pub(super) fn close_until_granted(&mut self) -> bool {
         let is_closed = matches!(self.phase, Phase::Restarted | Phase::Fenced);
         if !is_closed {
