fix(fleet): let a new leader wait before it forgets a departure

Callers would see: a task lost with a leaving target that had no owner, if an earlier report of it arrived at a new leader before its next one.

Cause: the leader forgot departures of targets without an owner that had not reported within 6 s, and counted the time before its election as silence.

Change: it forgets them only after it has led for that time.

Before: `a_leaving_target_without_an_owner_gets_none_from_the_next_leader`, with 3 s between the election and the earlier report, failed. After: it passes. `a_snapshot_of_a_version_without_departures_is_restored` passed before as well.

--- a/kqr-fleet/src/node/machine/leading.rs
+++ b/kqr-fleet/src/node/machine/leading.rs
@@ -23,6 +23,7 @@
             now,
             self.options.entry_timeout,
             self.options.target_timeout,
+            self.elected_at.unwrap_or(now),
             &self.state,
         );
         self.reachability.update(now, &self.observed, &self.state);
--- a/kqr-fleet/src/node/observed_fleet.rs
+++ b/kqr-fleet/src/node/observed_fleet.rs
@@ -112,12 +112,14 @@
         self.targets.insert(known.record.id.clone(), known);
     }
 
-    /// Drops entries that timed out and determines the targets to forget.
+    /// Drops entries that timed out and determines the targets to forget. A departed target without an owner is forgotten when it
+    /// has not reported for the timeout, in which this instance has led all the while.
     pub(super) fn expire(
         &mut self,
         now: Instant,
         entry_timeout: Duration,
         target_timeout: Duration,
+        elected_at: Instant,
         state: &FleetState,
     ) {
         let owned = state.targets();
@@ -127,10 +129,9 @@
         self.change_count += (before - self.entries.len()) as u32;
         self.unreachable
             .retain(|target, token| owned.get(target).is_some_and(|owned| owned.token == *token));
-        let unowned = state
-            .leaving()
-            .keys()
-            .filter(|target| !owned.contains_key(*target));
+        let has_led_long = now.since(elected_at) >= target_timeout;
+        let unowned = state.leaving().keys();
+        let unowned = unowned.filter(|target| has_led_long && !owned.contains_key(*target));
         for target in self.unreachable.keys().chain(unowned) {
             let is_reported = self
                 .targets
--- a/kqr-fleet/tests/departures.rs
+++ b/kqr-fleet/tests/departures.rs
@@ -3,7 +3,7 @@
 mod control;
 
 use control::{Control, entry, target};
-use kqr_fleet::{CallId, EntryInfo, FleetInput, FleetOutput, TargetRecord, TargetReport};
+use kqr_fleet::{CallId, EntryInfo, FleetInput, FleetOutput, FleetState, TargetRecord, TargetReport};
 use kqr_types::Incarnation;
 
 fn report(record: TargetRecord, sequence: u64, is_leaving: bool) -> TargetReport {
@@ -105,6 +105,8 @@
     let entries = [entry("a", "north", 250)];
     control.report(target(1, "north"), true);
     control.change_leader();
+    // Longer than the first view takes, shorter than a silence after which targets are forgotten.
+    control.run_with_entries(3_000, &entries);
     assert!(control.submit_report(report(target(1, "north"), 1, false)));
     control.run_with_entries(3_000, &entries);
     assert_eq!(control.owned_count(&entries[0]), 0);
@@ -129,3 +131,13 @@
     control.run_with_entries(8_000, &entries);
     assert!(control.node.state().leaving().is_empty());
 }
+
+#[test]
+fn a_snapshot_of_a_version_without_departures_is_restored() {
+    let (control, _) = owned_target();
+    let snapshot = control.node.state().snapshot().unwrap();
+    let mut fields: serde_json::Value = serde_json::from_slice(&snapshot).unwrap();
+    fields.as_object_mut().unwrap().remove("leaving").unwrap();
+    let earlier = serde_json::to_vec(&fields).unwrap();
+    assert_eq!(FleetState::restore(&earlier).unwrap(), *control.node.state());
+}
