feat(runtime): log and count the voters and learners of the control instances

Operators saw control instances without a leader, and no line told which instances voted at that time: a role line names the leader only. Each instance now logs the members when it learns that a change of them is committed, and serves their numbers as gauges.

--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -329,7 +329,9 @@
                 }
                 outputs.push(FleetOutput::RoleChanged(view));
             }
-            Output::VotersChanged { .. } => {}
+            Output::VotersChanged { index, configuration } => {
+                outputs.push(FleetOutput::MembersChanged { index, configuration });
+            }
         }
     }
 
--- a/kqr-fleet/src/node/output.rs
+++ b/kqr-fleet/src/node/output.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use kqr_agreement::{Message, Record, RoleView, VoterId};
+use kqr_agreement::{Configuration, Index, Message, Record, RoleView, VoterId};
 use kqr_types::InstanceId;
 
 use super::CallId;
@@ -55,6 +55,13 @@
     },
     /// The role, the term or the known leader has changed.
     RoleChanged(RoleView),
+    /// A change of the voters and learners of the log is committed.
+    MembersChanged {
+        /// Index in the log.
+        index: Index,
+        /// The members from then on.
+        configuration: Configuration,
+    },
     /// A decision to write to the event log.
     Decision {
         /// Description of the decision.
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -1,10 +1,10 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, mpsc},
     time::Duration,
 };
 
-use kqr_agreement::Record;
+use kqr_agreement::{Configuration, Index, Record, RoleView, VoterId};
 use kqr_fleet::{CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOutput, ReportReceipt};
 use kqr_store::{FolderDisk, Store};
 use kqr_telemetry::{GaugeMetric, Metrics};
@@ -208,17 +208,14 @@
                 kqr_telemetry::log_decision("catalog-applied", &[("version", version.to_string())]);
             }
             FleetOutput::RoleChanged(view) => {
-                let leader = view
-                    .leader
-                    .map_or_else(|| "none".to_owned(), |leader| leader.to_string());
-                kqr_telemetry::log_decision(
-                    "role",
-                    &[
-                        ("role", format!("{:?}", view.role)),
-                        ("term", view.term.0.to_string()),
-                        ("leader", leader),
-                    ],
-                );
+                log_role(&view);
+            }
+            FleetOutput::MembersChanged { index, configuration } => {
+                let voters = configuration.voters.len() as u64;
+                let learners = configuration.learners.len() as u64;
+                self.metrics.set_gauge(GaugeMetric::LogVoters, voters);
+                self.metrics.set_gauge(GaugeMetric::LogLearners, learners);
+                log_members(index, &configuration);
             }
             FleetOutput::Decision { detail } => kqr_telemetry::log_decision("fleet", &[("detail", detail)]),
             FleetOutput::Failed { detail } => eyre::bail!("the replicated log can't continue: {detail}"),
@@ -235,3 +232,34 @@
         }
     }
 }
+
+fn log_role(view: &RoleView) {
+    let leader = view
+        .leader
+        .as_ref()
+        .map_or_else(|| "none".to_owned(), VoterId::to_string);
+    kqr_telemetry::log_decision(
+        "role",
+        &[
+            ("role", format!("{:?}", view.role)),
+            ("term", view.term.0.to_string()),
+            ("leader", leader),
+        ],
+    );
+}
+
+/// Logs who votes from the entry at `index` on.
+fn log_members(index: Index, configuration: &Configuration) {
+    let list = |members: &BTreeSet<VoterId>| {
+        let names: Vec<_> = members.iter().map(VoterId::to_string).collect();
+        names.join(",")
+    };
+    kqr_telemetry::log_decision(
+        "members",
+        &[
+            ("index", index.to_string()),
+            ("voters", list(&configuration.voters)),
+            ("learners", list(&configuration.learners)),
+        ],
+    );
+}
--- a/kqr-telemetry/src/gauge_metric.rs
+++ b/kqr-telemetry/src/gauge_metric.rs
@@ -25,11 +25,15 @@
     Epoch,
     /// Version of the applied settings.
     SettingsVersion,
+    /// Members of the replicated log that vote.
+    LogVoters,
+    /// Members of the replicated log that do not vote.
+    LogLearners,
 }
 
 impl GaugeMetric {
     /// All gauges, in the order of their declaration.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 14] = [
         Self::WaitingTasks,
         Self::LiveJobs,
         Self::RememberedKeys,
@@ -42,6 +46,8 @@
         Self::RetryBudget,
         Self::Epoch,
         Self::SettingsVersion,
+        Self::LogVoters,
+        Self::LogLearners,
     ];
 
     /// Returns the name of the metric.
@@ -59,6 +65,8 @@
             Self::RetryBudget => "kqr_retry_budget",
             Self::Epoch => "kqr_epoch",
             Self::SettingsVersion => "kqr_settings_version",
+            Self::LogVoters => "kqr_log_voters",
+            Self::LogLearners => "kqr_log_learners",
         }
     }
 
@@ -79,6 +87,8 @@
             Self::RetryBudget => "Retries and hedges that the budget still allows",
             Self::Epoch => "Epoch of the cell",
             Self::SettingsVersion => "Version of the settings in force",
+            Self::LogVoters => "Voters of the replicated log in the last committed configuration",
+            Self::LogLearners => "Learners of the replicated log in the last committed configuration",
         }
     }
 }
