feat(agreement): replace voters by learners in one step

A lost voter was replaced by its removal and, after that was committed, the promotion of a learner. In between the log has one voter less: if another voter loses its disk then, and the removed one comes back with its own, what is left can't elect. Promotion first depends on the successor in the same way.

A joint configuration needs a majority of the former and of the next voters for elections and commits, until the leader has committed the next voters alone.

--- a/kqr-agreement/src/apply.rs
+++ b/kqr-agreement/src/apply.rs
@@ -15,15 +15,20 @@
                     term: entry.term,
                     command: command.clone(),
                 }),
-                Payload::Configuration(configuration) => outputs.push(Output::VotersChanged {
-                    index: entry.index,
-                    configuration: configuration.clone(),
-                }),
+                payload @ (Payload::Configuration(_) | Payload::Joint(..)) => {
+                    if let Some(configuration) = payload.configuration() {
+                        outputs.push(Output::VotersChanged {
+                            index: entry.index,
+                            configuration,
+                        });
+                    }
+                }
             }
         }
     }
 
-    /// Replaces the entries up to `index` with the application's snapshot.
+    /// Replaces the entries up to `index` with the application's snapshot, unless voters were being replaced there: a
+    /// snapshot does not store the former ones.
     pub(crate) fn compact(&mut self, index: Index, state: Vec<u8>, outputs: &mut Vec<Output>) {
         if index > self.applied || index <= self.log.base() {
             return;
@@ -31,6 +36,9 @@
         let Some(term) = self.log.term_at(index) else {
             return;
         };
+        if self.log.configuration_at(index).is_joint() {
+            return;
+        }
         let snapshot = Snapshot {
             index,
             term,
--- a/kqr-agreement/src/commit.rs
+++ b/kqr-agreement/src/commit.rs
@@ -1,6 +1,6 @@
 use kqr_types::Instant;
 
-use crate::{Index, Machine, Output, ProposalResult};
+use crate::{Index, Machine, Output, Payload, ProposalResult};
 
 impl Machine {
     /// Advances the commit index and the acknowledged round to what a majority has reached, then completes
@@ -44,8 +44,14 @@
         if index == self.log.last_index() {
             self.broadcast(now, outputs);
         }
-        let is_committed = self.log.configuration_index() <= self.commit;
-        if is_committed && !self.log.configuration().is_voter(&self.id) {
+        if self.log.configuration_index() > self.commit {
+            return;
+        }
+        let configuration = self.log.configuration();
+        if configuration.is_joint() {
+            let next = configuration.without_outgoing();
+            self.append_entry(now, Payload::Configuration(next), outputs);
+        } else if !configuration.is_voter(&self.id) {
             self.transfer_leadership(now, outputs);
         }
     }
--- a/kqr-agreement/src/election.rs
+++ b/kqr-agreement/src/election.rs
@@ -136,7 +136,7 @@
     }
 
     fn request_votes(&self, term: Term, body: &Body, outputs: &mut Vec<Output>) {
-        for voter in &self.log.configuration().voters {
+        for voter in self.log.configuration().all_voters() {
             if *voter == self.id {
                 continue;
             }
@@ -158,9 +158,8 @@
         if !configuration.is_voter(from) {
             return false;
         }
-        let quorum = configuration.quorum();
         self.votes.insert(from.clone());
-        self.votes.len() >= quorum
+        configuration.is_quorum(&self.votes)
     }
 
     fn is_up_to_date(&self, last: LastEntry) -> bool {
--- a/kqr-agreement/src/entry.rs
+++ b/kqr-agreement/src/entry.rs
@@ -1,6 +1,8 @@
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
-use crate::{Configuration, Index, Term};
+use crate::{Configuration, Index, Term, VoterId};
 
 /// Content of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -11,6 +13,32 @@
     Command(#[serde(with = "serde_bytes")] Vec<u8>),
     /// A configuration. It takes effect when it is appended, not when it is committed.
     Configuration(Configuration),
+    /// A configuration in which voters are being replaced, and the former voters. Takes effect like a configuration.
+    Joint(Configuration, BTreeSet<VoterId>),
+}
+
+impl Payload {
+    /// Returns the payload that stores `configuration`.
+    pub(crate) fn of_configuration(configuration: Configuration) -> Self {
+        if configuration.is_joint() {
+            let outgoing = configuration.outgoing.clone();
+            Self::Joint(configuration, outgoing)
+        } else {
+            Self::Configuration(configuration)
+        }
+    }
+
+    /// Returns the configuration that takes effect with the entry, if it has one.
+    pub(crate) fn configuration(&self) -> Option<Configuration> {
+        match self {
+            Self::Configuration(configuration) => Some(configuration.clone()),
+            Self::Joint(configuration, outgoing) => Some(Configuration {
+                outgoing: outgoing.clone(),
+                ..configuration.clone()
+            }),
+            Self::Empty | Self::Command(_) => None,
+        }
+    }
 }
 
 /// One entry of the log.
@@ -32,7 +60,7 @@
     pub(crate) fn approximate_size(&self) -> usize {
         match &self.payload {
             Payload::Command(command) => Self::OVERHEAD_BYTES + command.len(),
-            Payload::Empty | Payload::Configuration(_) => Self::OVERHEAD_BYTES,
+            Payload::Empty | Payload::Configuration(_) | Payload::Joint(..) => Self::OVERHEAD_BYTES,
         }
     }
 }
--- a/kqr-agreement/src/leader.rs
+++ b/kqr-agreement/src/leader.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use kqr_types::Instant;
 
 use crate::{
@@ -103,13 +105,18 @@
         let Some(leader_state) = &self.leader_state else {
             return Instant(0);
         };
-        let configuration = self.log.configuration();
-        if configuration.quorum() == 1 && configuration.is_voter(&self.id) {
+        if self.is_single_voter() {
             return now;
         }
         leader_state.rounds.quorum_sent_at
     }
 
+    /// Returns whether this member is a majority by itself.
+    pub(crate) fn is_single_voter(&self) -> bool {
+        let configuration = self.log.configuration();
+        configuration.is_quorum(&BTreeSet::from([self.id.clone()]))
+    }
+
     /// Starts a round and sends it to all other members.
     pub(crate) fn broadcast(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let Some(leader_state) = &mut self.leader_state else {
--- a/kqr-agreement/src/log.rs
+++ b/kqr-agreement/src/log.rs
@@ -115,7 +115,8 @@
     }
 
     fn changes_configurations(&self, entries: &[Entry]) -> bool {
-        let is_configuration = |entry: &Entry| matches!(entry.payload, Payload::Configuration(_));
+        let is_configuration =
+            |entry: &Entry| matches!(entry.payload, Payload::Configuration(_) | Payload::Joint(..));
         let truncates = entries
             .first()
             .is_some_and(|first| first.index <= self.configuration_index());
@@ -130,8 +131,8 @@
     fn rebuild_configurations(&mut self) {
         self.configurations.clear();
         for entry in &self.durable.entries {
-            if let Payload::Configuration(configuration) = &entry.payload {
-                self.configurations.push((entry.index, configuration.clone()));
+            if let Some(configuration) = entry.payload.configuration() {
+                self.configurations.push((entry.index, configuration));
             }
         }
     }
--- a/kqr-agreement/src/reads.rs
+++ b/kqr-agreement/src/reads.rs
@@ -27,7 +27,7 @@
 
     /// Completes the reads whose round is acknowledged and whose index is applied.
     pub(crate) fn finish_reads(&mut self, outputs: &mut Vec<Output>) {
-        let is_single_voter = self.log.configuration().quorum() == 1;
+        let is_single_voter = self.is_single_voter();
         let applied = self.applied;
         let Some(leader_state) = &mut self.leader_state else {
             return;
--- a/kqr-agreement/src/voter_change.rs
+++ b/kqr-agreement/src/voter_change.rs
@@ -5,7 +5,8 @@
 };
 
 impl Machine {
-    /// Appends the configuration that results from `change`, or refuses the change.
+    /// Appends the configuration that results from `change`, or refuses the change. A joint configuration is followed by the
+    /// final one as soon as it is committed.
     pub(crate) fn change_voters(
         &mut self,
         now: Instant,
@@ -15,7 +16,7 @@
     ) {
         match self.allowed_change(change) {
             Ok(configuration) => {
-                self.propose(now, request, Payload::Configuration(configuration), outputs);
+                self.propose(now, request, Payload::of_configuration(configuration), outputs);
             }
             Err(refusal) => outputs.push(Output::Proposed {
                 request,
@@ -37,15 +38,21 @@
         }
         let next = self.log.configuration().with_change(change);
         let configuration = next.ok_or(Refusal::ChangeInvalid)?;
-        if let VoterChange::Promote(learner) = change
-            && !self.has_caught_up(learner)
-        {
+        let is_behind = match change {
+            VoterChange::Promote(learner) => !self.has_caught_up(learner),
+            VoterChange::Replace { learners, .. } => {
+                learners.iter().any(|learner| !self.has_caught_up(learner))
+            }
+            VoterChange::AddLearner(_) | VoterChange::Remove(_) => false,
+        };
+        if is_behind {
             return Err(Refusal::LearnerBehind);
         }
         Ok(configuration)
     }
 
-    fn has_caught_up(&self, learner: &VoterId) -> bool {
+    /// Returns whether this member leads and `learner` lacks so few entries that it may be promoted.
+    pub fn has_caught_up(&self, learner: &VoterId) -> bool {
         let matched = self
             .leader_state
             .as_ref()
--- a/kqr-agreement/tests/failures.rs
+++ b/kqr-agreement/tests/failures.rs
@@ -2,10 +2,11 @@
 
 mod network;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use kqr_agreement::{Configuration, Input, ProposalResult, ReadMode, RequestId, VoterChange};
+use kqr_agreement::{Configuration, Input, ProposalResult, ReadMode, RequestId, VoterChange, VoterId};
 use network::{FIRST_CHANGE_REQUEST, Network, voter};
+use rand::RngExt;
 
 const SEED_COUNT: u64 = 200;
 const SECOND: Duration = Duration::from_secs(1);
@@ -169,3 +170,53 @@
         assert_ne!(next, old, "seed {seed}");
     }
 }
+
+/// With two separate changes, one step depended on a member more, or the other on one of the remaining voters.
+#[test]
+fn the_loss_of_any_member_during_a_replacement_leaves_a_leader() {
+    for seed in 0..SEED_COUNT {
+        let mut network = network_with_leader(seed, 3, 1);
+        let leader = network.leader().unwrap();
+        let learner = voter(3, 1);
+        change_voters(&mut network, VoterChange::AddLearner(learner.clone()));
+        let mut followers = network.ids().into_iter();
+        let is_follower = |id: &VoterId| *id != leader && *id != learner;
+        let away = followers.find(is_follower).unwrap();
+        let other = followers.find(is_follower).unwrap();
+        network.crash(&away);
+        network.propose(&leader, 1);
+        network.run(Duration::from_millis(50));
+        network.handle(
+            &leader,
+            Input::ChangeVoters {
+                request: RequestId(FIRST_CHANGE_REQUEST),
+                change: VoterChange::Replace {
+                    voters: BTreeSet::from([away.clone()]),
+                    learners: BTreeSet::from([learner.clone()]),
+                },
+            },
+        );
+        let until_loss = Duration::from_micros(network.rng.random_range(0..8_000));
+        network.run(until_loss);
+        match seed % 3 {
+            0 => network.crash(&learner),
+            1 => {
+                network.crash(&other);
+                network.restart(&away);
+            }
+            _ => {
+                network.crash(&leader);
+                network.restart(&away);
+            }
+        }
+        network.run(3 * SECOND);
+        let next = network.leader();
+        let next = next.unwrap_or_else(|| panic!("seed {seed}: no leader"));
+        network.propose(&next, 2);
+        network.run(SECOND);
+        assert!(
+            is_committed(&network, 1) && is_committed(&network, 2),
+            "seed {seed}"
+        );
+    }
+}
--- a/kqr-agreement/tests/histories.rs
+++ b/kqr-agreement/tests/histories.rs
@@ -3,7 +3,7 @@
 
 mod network;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use kqr_agreement::{Input, ProposalResult, ReadMode, RequestId, VoterChange, VoterId};
 use network::{FIRST_CHANGE_REQUEST, Network};
@@ -20,13 +20,24 @@
     ids[position].clone()
 }
 
+/// Returns the learners that `member` knows.
+fn learners(network: &Network, member: &VoterId) -> BTreeSet<VoterId> {
+    let machine = network.nodes[member].machine.as_ref();
+    let learners = machine.map(|machine| machine.configuration().learners.clone());
+    learners.unwrap_or_default()
+}
+
 fn change_voters(network: &mut Network, step: u64) {
     let member = random_member(network);
     let leader = network.leader().unwrap_or_else(|| member.clone());
-    let change = match network.rng.random_range(0..3) {
+    let change = match network.rng.random_range(0..4) {
         0 => VoterChange::AddLearner(member),
         1 => VoterChange::Promote(member),
-        _ => VoterChange::Remove(member),
+        2 => VoterChange::Remove(member),
+        _ => VoterChange::Replace {
+            voters: BTreeSet::from([member]),
+            learners: learners(network, &leader),
+        },
     };
     network.handle(
         &leader,
