fix(fleet): replace a lost voter before the next one may be lost

Operators got 503 for every change and read, to the end, after control instances had been replaced one after the other; acknowledged changes did not reach the entries.

Cause: the leader gave the vote of a lost instance to its successor 9 s after its last message, and a new leader counted from its election. The next instance may be lost 4 s after the successor of the last one has started. By then the log still depended on the lost voter, so that one of three was left, and nobody can be elected for good. The class: a wait that is longer than the time for which it may rely on the others.

A voter is replaced after 1.5 s of silence by a learner that has caught up, in one step, several at once where several are lost, the one that has been silent for longest first. Learners that are silent for a minute are removed.

--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -76,13 +76,11 @@
         self.agreement.holds_lease(now)
     }
 
-    /// Returns whether this instance is a member of the log.
-    pub fn is_member(&self) -> bool {
-        let id = self.agreement.id();
-        self.agreement
-            .configuration()
-            .members()
-            .any(|member| member == id)
+    /// Returns the number of other voters without a message for the time after which they are replaced, as far as this
+    /// instance knows: only the leader hears from all of them.
+    pub fn silent_voter_count(&self, now: Instant) -> usize {
+        let timeout = self.options.voter_timeout;
+        self.voters.silent_voter_count(now, &self.agreement, timeout)
     }
 
     /// Handles `input` at time `now` and appends the effects to `outputs`.
--- a/kqr-fleet/src/node/machine/leading.rs
+++ b/kqr-fleet/src/node/machine/leading.rs
@@ -1,6 +1,6 @@
 //! What the leader does at each tick: assigning targets to entries and changing the members of the log.
 
-use kqr_agreement::{Configuration, Input};
+use kqr_agreement::Input;
 use kqr_types::Instant;
 
 use super::FleetNode;
@@ -75,12 +75,7 @@
         if self.requests.is_pending(&Purpose::Voters) {
             return;
         }
-        let configuration: Configuration = self.agreement.configuration().clone();
-        let (own, voter_count) = (self.agreement.id().clone(), self.options.voter_count);
-        let timeout = self.options.voter_timeout;
-        let change = self
-            .voters
-            .next_change(now, &own, &configuration, voter_count, timeout);
+        let change = self.voters.next_change(now, &self.agreement, &self.options);
         let Some(change) = change else { return };
         let detail = format!("changing the members of the replicated log: {change:?}");
         outputs.push(FleetOutput::Decision { detail });
--- a/kqr-fleet/src/node/options.rs
+++ b/kqr-fleet/src/node/options.rs
@@ -9,8 +9,11 @@
     pub leader_grace: Duration,
     /// Time without a report after which a target that its owner can't reach is removed.
     pub target_timeout: Duration,
-    /// Time without a message after which a learner may replace a voter.
+    /// Time without a message after which a learner replaces a voter. Together with an election before it and the join of the
+    /// successor it stays below the shortest time, 4 s, after which another voter may be lost.
     pub voter_timeout: Duration,
+    /// Time without a message after which a learner is removed.
+    pub learner_timeout: Duration,
     /// Maximum number of targets of an entry per core, while other entries have capacity left. Polling a
     /// target and running its tasks takes about 2 thousandths of a core, and an entry needs as much again for
     /// its callers.
@@ -27,7 +30,8 @@
             entry_timeout: Duration::from_millis(800),
             leader_grace: Duration::from_millis(1500),
             target_timeout: Duration::from_secs(6),
-            voter_timeout: Duration::from_secs(9),
+            voter_timeout: Duration::from_millis(1500),
+            learner_timeout: Duration::from_secs(60),
             max_targets_per_core: 80,
             voter_count: 3,
             compact_after_commands: 400,
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -97,6 +97,8 @@
             if last_tick.elapsed() >= TICK_INTERVAL {
                 last_tick = std::time::Instant::now();
                 self.handle_input(FleetInput::Tick, &mut outputs);
+                let silent = self.node.silent_voter_count(self.clock.now());
+                self.metrics.set_gauge(GaugeMetric::SilentVoters, silent as u64);
             }
             self.perform_outputs(outputs)?;
         }
@@ -260,6 +262,7 @@
             ("index", index.to_string()),
             ("voters", list(&configuration.voters)),
             ("learners", list(&configuration.learners)),
+            ("outgoing", list(&configuration.outgoing)),
         ],
     );
 }
--- a/kqr-telemetry/src/gauge_metric.rs
+++ b/kqr-telemetry/src/gauge_metric.rs
@@ -29,11 +29,13 @@
     LogVoters,
     /// Members of the replicated log that do not vote.
     LogLearners,
+    /// Voters that the leader has not heard from for so long that learners replace them.
+    SilentVoters,
 }
 
 impl GaugeMetric {
     /// All gauges, in the order of their declaration.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::WaitingTasks,
         Self::LiveJobs,
         Self::RememberedKeys,
@@ -48,6 +50,7 @@
         Self::SettingsVersion,
         Self::LogVoters,
         Self::LogLearners,
+        Self::SilentVoters,
     ];
 
     /// Returns the name of the metric.
@@ -67,6 +70,7 @@
             Self::SettingsVersion => "kqr_settings_version",
             Self::LogVoters => "kqr_log_voters",
             Self::LogLearners => "kqr_log_learners",
+            Self::SilentVoters => "kqr_silent_voters",
         }
     }
 
@@ -89,6 +93,9 @@
             Self::SettingsVersion => "Version of the settings in force",
             Self::LogVoters => "Voters of the replicated log in the last committed configuration",
             Self::LogLearners => "Learners of the replicated log in the last committed configuration",
+            Self::SilentVoters => {
+                "Voters that the leader has not heard from for the time after which they are replaced"
+            }
         }
     }
 }
