fix(runtime): let an instance that lost its vote ask to become a member again

A control instance that stood still or was cut off while a spare one took its vote stayed outside the log for good: its callers got 503 at once, and the system had one instance less than its operators believed.

Cause: join requests were sent by instances that had never voted only; a founder that came back had no leader and asked nobody. Its removal is not told to it, as the leader does not send to instances that are no members.

An instance sends join requests whenever it hears no leader, to all known instances at the same time: in turn, each instance that is gone delayed the ones behind it by half a second.

--- a/kqr-runtime/src/control/daemon.rs
+++ b/kqr-runtime/src/control/daemon.rs
@@ -171,24 +171,34 @@
     Ok((controls, discovery))
 }
 
-/// Requests to join the replicated log at all known control instances, periodically.
+/// Requests to join the replicated log at all known control instances, periodically while this instance hears no leader.
 ///
-/// The leader ignores the request of a voter. For a learner the request shows that it is still alive.
-pub(super) async fn send_join_requests(voter: VoterId, controls: Arc<KnownControls>) {
+/// Besides a new instance, that is one whose vote was given to another while it was cut off or down. The leader ignores the
+/// request of a member.
+pub(super) async fn send_join_requests(
+    voter: VoterId,
+    controls: Arc<KnownControls>,
+    state: Arc<DriverState>,
+) {
     loop {
-        let others = controls.list().into_iter();
-        for instance in others.filter(|instance| *instance != voter.instance) {
-            let answer = tokio::time::timeout(JOIN_TIMEOUT, request_join(&instance, &voter)).await;
-            match answer {
-                Ok(Ok(leader)) => controls.record(leader),
-                Ok(Err(error)) => log::debug!("join request to {instance} failed: {error}"),
-                Err(_) => log::debug!("join request to {instance} timed out"),
-            }
+        if !state.has_leader() {
+            let others = controls.list().into_iter();
+            let others = others.filter(|instance| *instance != voter.instance);
+            let requests = others.map(|instance| join_at(instance, &voter, &controls));
+            futures::future::join_all(requests).await;
         }
         tokio::time::sleep(JOIN_INTERVAL).await;
     }
 }
 
+async fn join_at(instance: InstanceId, voter: &VoterId, controls: &KnownControls) {
+    match tokio::time::timeout(JOIN_TIMEOUT, request_join(&instance, voter)).await {
+        Ok(Ok(leader)) => controls.record(leader),
+        Ok(Err(error)) => log::debug!("join request to {instance} failed: {error}"),
+        Err(_) => log::debug!("join request to {instance} timed out"),
+    }
+}
+
 async fn request_join(instance: &InstanceId, voter: &VoterId) -> eyre::Result<Option<InstanceId>> {
     let stream = transport::connect(instance.as_str().parse()?).await?;
     let client = ControlRpcClient::new(client::Config::default(), transport::framed(stream)).spawn();
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -210,6 +210,7 @@
                 kqr_telemetry::log_decision("catalog-applied", &[("version", version.to_string())]);
             }
             FleetOutput::RoleChanged(view) => {
+                self.state.set_has_leader(view.leader.is_some());
                 log_role(&view);
             }
             FleetOutput::MembersChanged { index, configuration } => {
--- a/kqr-runtime/src/control/driver_state.rs
+++ b/kqr-runtime/src/control/driver_state.rs
@@ -1,5 +1,5 @@
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
     time::Duration,
 };
 
@@ -17,12 +17,14 @@
 /// Value while the data folder is closed.
 const CLOSED: u64 = 1;
 
-/// Whether the thread of the replicated log can take calls. It can't while the disk does not complete a write,
-/// and while the data folder is closed after a failed one.
+/// Whether the thread of the replicated log can take calls, and whether it has a leader. It can't take calls while the disk does
+/// not complete a write, and while the data folder is closed after a failed one.
 #[derive(Debug, Default)]
 pub(super) struct DriverState {
     /// Start of the current write in microseconds of the [`BootClock`], [`NOT_WRITING`] or [`CLOSED`].
     write_started: AtomicU64,
+    /// Whether this instance leads or hears a leader.
+    has_leader: AtomicBool,
 }
 
 impl DriverState {
@@ -42,6 +44,16 @@
         self.write_started.store(CLOSED, Ordering::Relaxed);
     }
 
+    /// Records whether this instance leads or hears a leader.
+    pub(super) fn set_has_leader(&self, has_leader: bool) {
+        self.has_leader.store(has_leader, Ordering::Relaxed);
+    }
+
+    /// Returns whether this instance leads or hears a leader.
+    pub(super) fn has_leader(&self) -> bool {
+        self.has_leader.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the driver can't take calls.
     pub(super) fn is_blocked(&self) -> bool {
         match self.write_started.load(Ordering::Relaxed) {
--- a/kqr-runtime/src/control/replicated_log.rs
+++ b/kqr-runtime/src/control/replicated_log.rs
@@ -89,11 +89,10 @@
             let voters = folder.founding.voters.iter();
             let founders = voters.map(|voter| voter.instance.clone());
             self.discovery.set_founders(founders.collect());
-        } else {
-            let controls = Arc::clone(&self.controls);
-            self.runtime
-                .spawn(daemon::send_join_requests(folder.voter.clone(), controls));
         }
+        let (controls, state) = (Arc::clone(&self.controls), Arc::clone(&self.state));
+        self.runtime
+            .spawn(daemon::send_join_requests(folder.voter.clone(), controls, state));
         Ok(folder)
     }
 
