--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -2,7 +2,9 @@
 
 use eyre::{OptionExt, WrapErr};
 use kqr_dispatch::Input;
-use kqr_fleet::{CatalogReceiver, EntryInfo, SyncReply, SyncRequest, SyncView, TargetReport, ViewRevision};
+use kqr_fleet::{
+    CatalogPart, CatalogReceiver, EntryInfo, SyncReply, SyncRequest, SyncView, TargetReport, ViewRevision,
+};
 use kqr_types::InstanceId;
 use tarpc::{client, context};
 use tokio::time::Instant;
@@ -101,6 +103,7 @@
     async fn sync(&mut self) -> eyre::Result<()> {
         let instance = self.leader.take().or_else(|| self.next_instance());
         let instance = instance.ok_or_eyre("no control instance is known")?;
+        let sent_at = self.driver.clock().now();
         let request = self.create_request();
         let reply = match self.send_request(&instance, request).await {
             Ok(reply) => reply,
@@ -120,11 +123,7 @@
                 }
                 self.controls.set_leader(Some(instance.clone()));
                 self.leader = Some(instance);
-                if let Some(part) = catalog
-                    && let Some(catalog) = self.catalog.add(part).wrap_err("unpacking the catalog")?
-                {
-                    self.driver.apply_catalog(catalog);
-                }
+                self.receive_catalog(catalog, sent_at)?;
                 if let Some(view) = view {
                     self.apply_view(view);
                 }
@@ -137,6 +136,23 @@
         }
     }
 
+    /// Takes the part of the catalog in an answer to a request that was sent at `sent_at`. An answer without one confirms the
+    /// catalog in force.
+    fn receive_catalog(
+        &mut self,
+        part: Option<CatalogPart>,
+        sent_at: kqr_types::Instant,
+    ) -> eyre::Result<()> {
+        if let Some(part) = part {
+            let Some(catalog) = self.catalog.add(part).wrap_err("unpacking the catalog")? else {
+                return Ok(());
+            };
+            self.driver.apply_catalog(catalog);
+        }
+        self.driver.confirm_catalog(sent_at);
+        Ok(())
+    }
+
     /// Returns the next control instance, in round-robin order.
     fn next_instance(&mut self) -> Option<InstanceId> {
         let mut instances = self.controls.list();
--- a/kqr-runtime/src/entry/driver.rs
+++ b/kqr-runtime/src/entry/driver.rs
@@ -13,7 +13,7 @@
 };
 use kqr_fleet::{Catalog, EntryInfo, TargetReport};
 use kqr_telemetry::Metrics;
-use kqr_types::{InstanceId, JobKey};
+use kqr_types::{InstanceId, Instant, JobKey};
 use tokio::sync::{Notify, oneshot};
 
 use super::{TargetClient, decision_log, decision_metrics, job_guard::JobGuard, sibling_link::SiblingLink};
@@ -40,6 +40,8 @@
     catalog: ArcSwapOption<Catalog>,
     /// Notified when a catalog is applied.
     catalog_applied: Notify,
+    /// Time in microseconds at which no newer catalog was in force, as the leader confirmed later.
+    catalog_confirmed_at: AtomicU64,
     /// Number of calls that wait for the first catalog.
     waiting_calls: AtomicUsize,
     waiters: Mutex<Waiters>,
@@ -63,6 +65,7 @@
             clock: BootClock,
             catalog: ArcSwapOption::empty(),
             catalog_applied: Notify::new(),
+            catalog_confirmed_at: AtomicU64::new(0),
             waiting_calls: AtomicUsize::new(0),
             waiters: Mutex::default(),
             next_waiter_id: AtomicU64::new(0),
@@ -95,6 +98,17 @@
         self.catalog()
     }
 
+    /// Records that no newer catalog was in force at `at`.
+    pub(super) fn confirm_catalog(&self, at: Instant) {
+        self.catalog_confirmed_at.store(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the leader confirmed that no newer catalog was in force.
+    pub fn catalog_age(&self) -> Duration {
+        let confirmed_at = Instant(self.catalog_confirmed_at.load(Ordering::Relaxed));
+        self.clock.now().since(confirmed_at)
+    }
+
     /// Returns whether the entry accepts new callers.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.catalog.load().is_some()
