--- a/kqr-fleet/tests/instances/mod.rs
+++ b/kqr-fleet/tests/instances/mod.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Informs the process of an instance that it is about to end.
+    pub fn announce_end(&mut self, name: &str) {
+        self.input(name, FleetInput::HandOver);
+    }
+
     /// Removes an instance and its disk for good.
     pub fn remove(&mut self, name: &str) {
         self.by_name.remove(name);
@@ -144,6 +149,11 @@
         self.insert(name, voter(name, self.next_storage));
     }
 
+    /// As [`wipe`](Self::wipe), with the storage incarnation that a clock which was set gives it.
+    pub fn wipe_as(&mut self, name: &str, storage: u64) {
+        self.insert(name, voter(name, storage));
+    }
+
     /// Cuts an instance off from all others, or ends that.
     pub fn freeze(&mut self, name: &str, is_frozen: bool) {
         if let Some(instance) = self.by_name.get_mut(name) {
