fix(agreement): let a removed member that may have the only log campaign after a restart

If its log ends with its own removal and no other member has that, it granted the others no vote and did not campaign. It now campaigns if it is a voter in any configuration from the committed one on. Elections still need the majorities of the latest configuration in its log.

--- a/kqr-agreement/src/election.rs
+++ b/kqr-agreement/src/election.rs
@@ -125,14 +125,13 @@
         self.count_vote(now, &id, true, outputs);
     }
 
-    /// Returns whether this member is a voter in the latest or in the committed configuration.
+    /// Returns whether this member is a voter in the committed configuration or in a later one.
     ///
     /// A voter whose removal is not known to be committed may campaign, because its log may be the only one
-    /// that lets the others commit the removal.
+    /// that lets the others commit the removal. After a restart, the configuration known to be committed may precede the one
+    /// in which it became a voter.
     fn may_campaign(&self) -> bool {
-        let latest = self.log.configuration();
-        let committed = self.log.configuration_at(self.commit);
-        latest.is_voter(&self.id) || committed.is_voter(&self.id)
+        self.log.is_voter_since(self.commit, &self.id)
     }
 
     fn request_votes(&self, term: Term, body: &Body, outputs: &mut Vec<Output>) {
--- a/kqr-agreement/src/log.rs
+++ b/kqr-agreement/src/log.rs
@@ -101,6 +101,13 @@
             .map_or_else(|| self.base_configuration(), |(_, configuration)| configuration)
     }
 
+    /// Returns whether `id` votes in the configuration in force at `index` or in a later one.
+    pub(crate) fn is_voter_since(&self, index: Index, id: &VoterId) -> bool {
+        let mut later = self.configurations.iter().filter(|(at, _)| *at > index);
+        self.configuration_at(index).is_voter(id)
+            || later.any(|(_, configuration)| configuration.is_voter(id))
+    }
+
     /// Applies `record` in memory. The caller emits it to be persisted.
     pub(crate) fn apply(&mut self, record: Record) {
         let has_configurations = match &record {
