fix(fleet): add an instance whose clock was set back before it lost its disk again

Storage incarnations come from the time of day. An instance that lost its disk twice, with its clock set back in between, got a lower one than before. The leader took its requests for outdated ones and kept the vote of the storage that no longer existed, until it was given to another instance; without one, the next loss left no leader. A request is now outdated only while a message of the later storage has arrived within the contact window.

--- a/kqr-fleet/src/node/voter_planner.rs
+++ b/kqr-fleet/src/node/voter_planner.rs
@@ -11,8 +11,8 @@
 /// Time after which a join request that was not repeated is dropped. Several times the interval of
 /// repetitions.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time without a message after which a learner is not promoted. Several heartbeats.
-const LEARNER_CONTACT_WINDOW: Duration = Duration::from_millis(500);
+/// Time without a message after which a member does not count as heard. Several heartbeats.
+const CONTACT_WINDOW: Duration = Duration::from_millis(500);
 
 /// Plans the changes of voters and learners of the log at the leader.
 #[derive(Clone, Debug, Default)]
@@ -22,13 +22,17 @@
 }
 
 impl VoterPlanner {
-    /// Records a join request. A request of an earlier incarnation of the storage is outdated and ignored.
+    /// Records a join request. While a member of the same instance is heard whose storage is later, the request is outdated
+    /// and ignored. Without that, the order of the storages does not count: it comes from clocks, which may be set back.
     pub(super) fn record_join(&mut self, now: Instant, voter: VoterId, configuration: &Configuration) {
         let mut members = configuration.members();
-        if members.any(|member| member.instance == voter.instance && member.storage > voter.storage) {
-            return;
+        let is_outdated = members.any(|member| {
+            let is_later = member.instance == voter.instance && member.storage > voter.storage;
+            is_later && self.silence(now, member) < CONTACT_WINDOW
+        });
+        if !is_outdated {
+            self.joining.insert(voter.instance.clone(), (voter, now));
         }
-        self.joining.insert(voter.instance.clone(), (voter, now));
     }
 
     /// Records that a message of a member arrived.
@@ -64,7 +68,7 @@
         let ready: Vec<&VoterId> = configuration
             .learners
             .iter()
-            .filter(|learner| self.silence(now, learner) < LEARNER_CONTACT_WINDOW)
+            .filter(|learner| self.silence(now, learner) < CONTACT_WINDOW)
             .filter(|learner| machine.has_caught_up(learner))
             .collect();
         if configuration.voters.len() < options.voter_count
