--- a/kqr-fleet/tests/instances/mod.rs
+++ b/kqr-fleet/tests/instances/mod.rs
@@ -7,7 +7,10 @@
 };
 
 use kqr_agreement::{Configuration, DurableState, Machine, Message, Options, Role, VoterId};
-use kqr_fleet::{CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOptions, FleetOutput, Limits};
+use kqr_fleet::{
+    CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOptions, FleetOutput, Limits, SyncReply,
+    SyncRequest, SyncView,
+};
 use kqr_types::{Incarnation, Instant};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -240,6 +243,16 @@
         Some(leader.node.as_ref()?.state().catalog_version().0)
     }
 
+    /// Sends a request of an entry to the leader. Returns its view, if the entry's is not current.
+    pub fn sync(&mut self, request: &SyncRequest) -> Option<SyncView> {
+        let leader = self.leader()?;
+        let node = self.by_name.get_mut(&leader)?.node.as_mut()?;
+        match node.sync(self.now, request) {
+            SyncReply::Current { view, .. } => view,
+            SyncReply::NotLeader { .. } => None,
+        }
+    }
+
     fn is_cut_off(&self, name: &str) -> bool {
         let instance = self.by_name.get(name);
         instance.is_none_or(|instance| {
