fix(fleet): send entries a new view when the members of the log change

The revision of a view depended on the term, the applied commands and what entries and targets report. After a replacement without any of these, entries kept the names of instances that were gone and did not learn the successors', until the leader that told them was lost as well.

--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -328,6 +328,8 @@
                 outputs.push(FleetOutput::RoleChanged(view));
             }
             Output::VotersChanged { index, configuration } => {
+                // The views of entries name the members.
+                self.observed.change_count += 1;
                 outputs.push(FleetOutput::MembersChanged { index, configuration });
             }
         }
