--- a/kqr-fleet/tests/instances/mod.rs
+++ b/kqr-fleet/tests/instances/mod.rs
@@ -7,7 +7,10 @@
 };
 
 use kqr_agreement::{Configuration, DurableState, Machine, Message, Options, Role, VoterId};
-use kqr_fleet::{CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOptions, FleetOutput, Limits};
+use kqr_fleet::{
+    CallId, Catalog, CatalogVersion, FleetInput, FleetNode, FleetOptions, FleetOutput, Limits, SyncReply,
+    SyncRequest, SyncView,
+};
 use kqr_types::{Incarnation, Instant};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -133,6 +136,11 @@
         }
     }
 
+    /// Informs the process of an instance that it is about to end.
+    pub fn announce_end(&mut self, name: &str) {
+        self.input(name, FleetInput::HandOver);
+    }
+
     /// Removes an instance and its disk for good.
     pub fn remove(&mut self, name: &str) {
         self.by_name.remove(name);
@@ -144,6 +152,11 @@
         self.insert(name, voter(name, self.next_storage));
     }
 
+    /// As [`wipe`](Self::wipe), with the storage incarnation that a clock which was set gives it.
+    pub fn wipe_as(&mut self, name: &str, storage: u64) {
+        self.insert(name, voter(name, storage));
+    }
+
     /// Cuts an instance off from all others, or ends that.
     pub fn freeze(&mut self, name: &str, is_frozen: bool) {
         if let Some(instance) = self.by_name.get_mut(name) {
@@ -230,6 +243,16 @@
         Some(leader.node.as_ref()?.state().catalog_version().0)
     }
 
+    /// Sends a request of an entry to the leader. Returns its view, if the entry's is not current.
+    pub fn sync(&mut self, request: &SyncRequest) -> Option<SyncView> {
+        let leader = self.leader()?;
+        let node = self.by_name.get_mut(&leader)?.node.as_mut()?;
+        match node.sync(self.now, request) {
+            SyncReply::Current { view, .. } => view,
+            SyncReply::NotLeader { .. } => None,
+        }
+    }
+
     fn is_cut_off(&self, name: &str) -> bool {
         let instance = self.by_name.get(name);
         instance.is_none_or(|instance| {
