fix(fleet): give up the vote of an instance that ends, and don't begin the wait anew with each leader

Two orders of losses left no leader for good, with one instance lost at a time. A voter that ended as planned kept its vote for the whole timeout, also when its successor had caught up long before; the loss of another one in that time left one of three. And each new leader counted the silence of a lost voter from its own election, so that restarts of the leaders put off its replacement without end.

An instance that is about to end says so to the leader, which gives its vote to a learner at once. A voter that has not answered a new leader within 500 ms, several heartbeats, is replaced then: it was silent before. A learner is chosen only if it has answered this leader, and of equal logs the lead goes to the voter that answered last. An instance that opens its folder anew forgets that it heard a leader, and asks to join again if it lost its vote.

--- a/kqr-agreement/src/input.rs
+++ b/kqr-agreement/src/input.rs
@@ -35,6 +35,8 @@
     },
     /// Leadership, if this member holds it, is to be transferred to the voter with the most up-to-date log.
     HandOver,
+    /// This member is about to end, which the leader is told if it is another one.
+    AnnounceEnd,
     /// The application has taken a snapshot; entries up to its index are dropped.
     Compact {
         /// Index of the last entry that the snapshot contains.
--- a/kqr-agreement/src/leader.rs
+++ b/kqr-agreement/src/leader.rs
@@ -206,8 +206,8 @@
         self.send(to, body, outputs);
     }
 
-    /// Steps down and asks the voter with the most up-to-date log to campaign at once. The lease ends
-    /// immediately.
+    /// Steps down and asks the voter with the most up-to-date log, and of these the one that answered last, to campaign at
+    /// once. The lease ends immediately.
     pub(crate) fn transfer_leadership(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let Some(leader_state) = &self.leader_state else {
             return;
@@ -217,7 +217,7 @@
             .progress
             .iter()
             .filter(|(member, _)| configuration.is_voter(member) && **member != self.id);
-        let successor = others.max_by_key(|(_, progress)| progress.match_index);
+        let successor = others.max_by_key(|(_, progress)| (progress.match_index, progress.last_round));
         let successor = successor.map(|(member, _)| member.clone());
         self.step_down(now, outputs);
         if let Some(successor) = successor {
--- a/kqr-agreement/src/machine.rs
+++ b/kqr-agreement/src/machine.rs
@@ -67,6 +67,7 @@
             Input::Read { request } => self.read(now, request, outputs),
             Input::ChangeVoters { request, change } => self.change_voters(now, request, &change, outputs),
             Input::HandOver => self.transfer_leadership(now, outputs),
+            Input::AnnounceEnd => self.announce_end(outputs),
             Input::Compact { index, snapshot } => self.compact(index, snapshot, outputs),
         }
         self.report_role_change(outputs);
@@ -144,6 +145,12 @@
         }
     }
 
+    fn announce_end(&self, outputs: &mut Vec<Output>) {
+        if let Some(leader) = self.leader.as_ref().filter(|leader| **leader != self.id) {
+            self.send(leader, Body::Leave, outputs);
+        }
+    }
+
     pub(crate) fn not_leader(&self) -> ProposalResult {
         ProposalResult::Refused(Refusal::NotLeader {
             leader: self.leader.clone(),
--- a/kqr-agreement/src/message.rs
+++ b/kqr-agreement/src/message.rs
@@ -81,4 +81,6 @@
         /// Index from which the leader should retry: the logs may be equal up to it.
         hint: Index,
     },
+    /// Tells the leader that the sender is about to end, so that a learner may take its vote at once.
+    Leave,
 }
--- a/kqr-agreement/src/voter_change.rs
+++ b/kqr-agreement/src/voter_change.rs
@@ -51,13 +51,13 @@
         Ok(configuration)
     }
 
-    /// Returns whether this member leads and `learner` lacks so few entries that it may be promoted.
+    /// Returns whether this member leads, `learner` has answered it, and lacks so few entries that it may be promoted.
     pub fn has_caught_up(&self, learner: &VoterId) -> bool {
-        let matched = self
-            .leader_state
-            .as_ref()
-            .and_then(|leader_state| leader_state.progress.get(learner))
-            .map(|progress| progress.match_index);
-        matched.is_some_and(|index| index.0 + self.options.learner_lag >= self.log.last_index().0)
+        let leader_state = self.leader_state.as_ref();
+        let progress = leader_state.and_then(|leader_state| leader_state.progress.get(learner));
+        let answered = progress.filter(|progress| progress.last_round > 0);
+        answered.is_some_and(|progress| {
+            progress.match_index.0 + self.options.learner_lag >= self.log.last_index().0
+        })
     }
 }
--- a/kqr-fleet/src/node/input.rs
+++ b/kqr-fleet/src/node/input.rs
@@ -39,6 +39,6 @@
         /// The instance with the incarnation of its storage.
         voter: VoterId,
     },
-    /// The instance is about to stop and transfers leadership.
+    /// The instance is about to stop: it transfers leadership, and then its vote if an instance is there to take it.
     HandOver,
 }
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -29,6 +29,8 @@
     /// When this instance was elected, if it leads.
     elected_at: Option<Instant>,
     reachability: Reachability,
+    /// Whether the process is about to end.
+    is_ending: bool,
     applied: Index,
     compacted: Index,
     /// The catalog in the form that entries receive.
@@ -49,6 +51,7 @@
             voters: VoterPlanner::default(),
             elected_at: None,
             reachability: Reachability::default(),
+            is_ending: false,
             applied: Index(0),
             compacted: Index(0),
             packed: None,
@@ -76,11 +79,12 @@
         self.agreement.holds_lease(now)
     }
 
-    /// Returns the number of other voters without a message for the time after which they are replaced, as far as this
-    /// instance knows: only the leader hears from all of them.
-    pub fn silent_voter_count(&self, now: Instant) -> usize {
-        let timeout = self.options.voter_timeout;
-        self.voters.silent_voter_count(now, &self.agreement, timeout)
+    /// Returns the number of voters that wait to be replaced, at the leader.
+    pub fn lost_voter_count(&self, now: Instant) -> usize {
+        if !self.holds_lease(now) {
+            return 0;
+        }
+        self.voters.lost_voter_count(now, &self.agreement, &self.options)
     }
 
     /// Handles `input` at time `now` and appends the effects to `outputs`.
@@ -88,13 +92,16 @@
         match input {
             FleetInput::Tick => {
                 self.step_agreement(now, Input::Tick, outputs);
+                if self.is_ending {
+                    self.step_agreement(now, Input::AnnounceEnd, outputs);
+                }
                 self.tick_leader(now, outputs);
                 if let Some(detail) = self.pack_failure.take() {
                     outputs.push(FleetOutput::Decision { detail });
                 }
             }
             FleetInput::Message { from, message } => {
-                self.voters.record_message(now, &from);
+                self.voters.record_message(now, &from, &message);
                 self.step_agreement(now, Input::Message { from, message }, outputs);
             }
             FleetInput::Replace { call, catalog } => self.replace_catalog(now, call, catalog, outputs),
@@ -107,7 +114,11 @@
                 self.voters
                     .record_join(now, voter, self.agreement.configuration());
             }
-            FleetInput::HandOver => self.step_agreement(now, Input::HandOver, outputs),
+            FleetInput::HandOver => {
+                self.is_ending = true;
+                self.step_agreement(now, Input::HandOver, outputs);
+                self.step_agreement(now, Input::AnnounceEnd, outputs);
+            }
         }
         if self.applied.0 >= self.compacted.0 + self.options.compact_after_commands {
             self.compact(now, outputs);
--- a/kqr-fleet/src/node/options.rs
+++ b/kqr-fleet/src/node/options.rs
@@ -12,6 +12,9 @@
     /// Time without a message after which a learner replaces a voter. Together with an election before it and the join of the
     /// successor it stays below the shortest time, 4 s, after which another voter may be lost.
     pub voter_timeout: Duration,
+    /// Time after its election for which a leader waits for the first answer of a voter before a learner replaces it. Several
+    /// heartbeats.
+    pub answer_timeout: Duration,
     /// Time without a message after which a learner is removed.
     pub learner_timeout: Duration,
     /// Maximum number of targets of an entry per core, while other entries have capacity left. Polling a
@@ -31,6 +34,7 @@
             leader_grace: Duration::from_millis(1500),
             target_timeout: Duration::from_secs(6),
             voter_timeout: Duration::from_millis(1500),
+            answer_timeout: Duration::from_millis(500),
             learner_timeout: Duration::from_secs(60),
             max_targets_per_core: 80,
             voter_count: 3,
--- a/kqr-fleet/src/node/voter_planner.rs
+++ b/kqr-fleet/src/node/voter_planner.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use kqr_agreement::{Configuration, Machine, VoterChange, VoterId};
+use kqr_agreement::{Body, Configuration, Machine, Message, VoterChange, VoterId};
 use kqr_types::{InstanceId, Instant};
 
 use super::FleetOptions;
@@ -19,6 +19,10 @@
 pub(super) struct VoterPlanner {
     joining: BTreeMap<InstanceId, (VoterId, Instant)>,
     last_messages: BTreeMap<VoterId, Instant>,
+    /// Members that have sent this leader a message.
+    answered: BTreeSet<VoterId>,
+    /// Voters that are about to end, and when they last said so.
+    ending: BTreeMap<VoterId, Instant>,
 }
 
 impl VoterPlanner {
@@ -36,13 +40,19 @@
     }
 
     /// Records that a message of a member arrived.
-    pub(super) fn record_message(&mut self, now: Instant, voter: &VoterId) {
+    pub(super) fn record_message(&mut self, now: Instant, voter: &VoterId, message: &Message) {
         self.last_messages.insert(voter.clone(), now);
+        self.answered.insert(voter.clone());
+        if message.body == Body::Leave {
+            self.ending.insert(voter.clone(), now);
+        }
     }
 
-    /// Resets the time of the last message of each member, so that a new leader waits for a full timeout.
+    /// Starts the silence of each member now, at a new leader.
     pub(super) fn reset(&mut self, now: Instant, configuration: &Configuration) {
         self.last_messages.clear();
+        self.answered.clear();
+        self.ending.clear();
         for voter in configuration.members() {
             self.last_messages.insert(voter.clone(), now);
         }
@@ -76,7 +86,7 @@
         {
             return Some(VoterChange::Promote((*learner).clone()));
         }
-        let lost = self.lost_voters(now, machine, options.voter_timeout);
+        let lost = self.lost_voters(now, machine, options);
         let count = lost.len().min(ready.len());
         if count > 0 {
             return Some(VoterChange::Replace {
@@ -98,9 +108,9 @@
         }
     }
 
-    /// Returns the number of other voters without a message for `timeout`.
-    pub(super) fn silent_voter_count(&self, now: Instant, machine: &Machine, timeout: Duration) -> usize {
-        self.lost_voters(now, machine, timeout).len()
+    /// Returns the number of other voters that a learner may replace.
+    pub(super) fn lost_voter_count(&self, now: Instant, machine: &Machine, options: &FleetOptions) -> usize {
+        self.lost_voters(now, machine, options).len()
     }
 
     /// Returns the change that a join request needs: the removal of the same instance with its former storage, then its
@@ -120,18 +130,36 @@
         None
     }
 
-    /// Returns the voters without a message for `timeout`, the one that has been silent for longest first.
-    fn lost_voters<'a>(&self, now: Instant, machine: &'a Machine, timeout: Duration) -> Vec<&'a VoterId> {
-        let voters: &BTreeSet<VoterId> = &machine.configuration().voters;
-        let others = voters.iter().filter(|voter| *voter != machine.id());
+    /// Returns the voters that a learner may replace, the one that has been silent for longest first.
+    fn lost_voters<'a>(
+        &self,
+        now: Instant,
+        machine: &'a Machine,
+        options: &FleetOptions,
+    ) -> Vec<&'a VoterId> {
+        let voters = machine.configuration().voters.iter();
+        let others = voters.filter(|voter| *voter != machine.id());
         let mut lost: Vec<_> = others
+            .filter(|voter| self.is_lost(now, voter, options))
             .map(|voter| (self.silence(now, voter), voter))
-            .filter(|(silence, _)| *silence >= timeout)
             .collect();
         lost.sort_by(|left, right| right.cmp(left));
         lost.into_iter().map(|(_, voter)| voter).collect()
     }
 
+    /// Returns whether `voter` is silent for too long, or is about to end. One that has not answered a new leader at all was
+    /// silent before, for a time that this leader does not know.
+    fn is_lost(&self, now: Instant, voter: &VoterId, options: &FleetOptions) -> bool {
+        let timeout = if self.answered.contains(voter) {
+            options.voter_timeout
+        } else {
+            options.answer_timeout
+        };
+        let ending = self.ending.get(voter);
+        let is_ending = ending.is_some_and(|said_at| now.since(*said_at) < options.voter_timeout);
+        is_ending || self.silence(now, voter) >= timeout
+    }
+
     /// Returns the time since the last message of `member`.
     fn silence(&self, now: Instant, member: &VoterId) -> Duration {
         let last_message = self.last_messages.get(member);
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -97,8 +97,8 @@
             if last_tick.elapsed() >= TICK_INTERVAL {
                 last_tick = std::time::Instant::now();
                 self.handle_input(FleetInput::Tick, &mut outputs);
-                let silent = self.node.silent_voter_count(self.clock.now());
-                self.metrics.set_gauge(GaugeMetric::SilentVoters, silent as u64);
+                let lost = self.node.lost_voter_count(self.clock.now());
+                self.metrics.set_gauge(GaugeMetric::LostVoters, lost as u64);
             }
             self.perform_outputs(outputs)?;
         }
--- a/kqr-runtime/src/control/replicated_log.rs
+++ b/kqr-runtime/src/control/replicated_log.rs
@@ -67,6 +67,7 @@
                 Err(error) => {
                     let fields = [("cause", format!("{error:#}"))];
                     self.state.mark_closed();
+                    self.state.set_has_leader(false);
                     kqr_telemetry::log_decision("log-reopened", &fields);
                     std::thread::sleep(REOPEN_DELAY);
                 }
--- a/kqr-telemetry/src/gauge_metric.rs
+++ b/kqr-telemetry/src/gauge_metric.rs
@@ -29,8 +29,8 @@
     LogVoters,
     /// Members of the replicated log that do not vote.
     LogLearners,
-    /// Voters that the leader has not heard from for so long that learners replace them.
-    SilentVoters,
+    /// Voters that the leader would replace by learners.
+    LostVoters,
 }
 
 impl GaugeMetric {
@@ -50,7 +50,7 @@
         Self::SettingsVersion,
         Self::LogVoters,
         Self::LogLearners,
-        Self::SilentVoters,
+        Self::LostVoters,
     ];
 
     /// Returns the name of the metric.
@@ -70,7 +70,7 @@
             Self::SettingsVersion => "kqr_settings_version",
             Self::LogVoters => "kqr_log_voters",
             Self::LogLearners => "kqr_log_learners",
-            Self::SilentVoters => "kqr_silent_voters",
+            Self::LostVoters => "kqr_lost_voters",
         }
     }
 
@@ -93,9 +93,7 @@
             Self::SettingsVersion => "Version of the settings in force",
             Self::LogVoters => "Voters of the replicated log in the last committed configuration",
             Self::LogLearners => "Learners of the replicated log in the last committed configuration",
-            Self::SilentVoters => {
-                "Voters that the leader has not heard from for the time after which they are replaced"
-            }
+            Self::LostVoters => "Voters that wait for a learner to replace them, at the leader",
         }
     }
 }
