test(soak): replace control instances in series

ReplaceControl kills an instance for good and starts its successor 1 s later; ReplaceControlPlanned starts the successor first. Both have a new address and an empty data folder. PlanOptions::replaces_controls (--replace-controls) draws them from a stream of their own as soon as the last successor has caught up; without it, all plans stay as they were.

--- a/kqr-soak/src/fault.rs
+++ b/kqr-soak/src/fault.rs
@@ -47,6 +47,11 @@
     PauseControl(usize),
     /// A control instance is shut down gracefully and started again.
     TermControl(usize),
+    /// A control instance is lost for good; later, its successor starts at another address without any data.
+    ReplaceControl(usize),
+    /// The successor of a control instance starts at another address without any data; later, the instance is
+    /// shut down gracefully for good.
+    ReplaceControlPlanned(usize),
     /// An entry is killed and started again.
     KillEntry(usize),
     /// An entry is suspended.
@@ -77,6 +82,7 @@
         matches!(
             self,
             Self::TermControl(_)
+                | Self::ReplaceControlPlanned(_)
                 | Self::TermEntry(_)
                 | Self::Reload
                 | Self::Change
--- a/kqr-soak/src/plan.rs
+++ b/kqr-soak/src/plan.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::{ClusterSize, Fault, LinkFault, TargetFault};
+use crate::{ClusterSize, Fault, LinkFault, PlanOptions, TargetFault};
 
 /// Interval between the starts of two faults, in milliseconds.
 const INTERVAL_MS: std::ops::Range<u64> = 150..900;
@@ -11,6 +11,16 @@
 const DURATION_MS: std::ops::Range<u64> = 200..3500;
 /// Time after its restart for which a control instance that lost its disk still counts as lost.
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
+/// Time between the loss of a control instance and the start of its successor, and, if the replacement is
+/// planned, between the start of the successor and the shutdown.
+pub const SUCCESSOR_DELAY: Duration = Duration::from_secs(1);
+/// Time after the start of its successor for which a replaced control instance still counts as lost, with the
+/// time that a process takes to start on a busy machine.
+const CATCH_UP_TIME: Duration = Duration::from_millis(4000 + 500);
+/// Stream of the seed that draws the faults of control instances in plans that replace them.
+const REPLACEMENT_STREAM: u64 = 1;
+/// Probability that such a fault is a replacement.
+const REPLACEMENT_PROBABILITY: f64 = 0.75;
 
 /// A fault with its start and duration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,37 +41,53 @@
 }
 
 impl Plan {
-    /// Draws the faults that start within `length`. They may overlap. Disks are lost one at a time, and not
-    /// while another control instance is down: the settings of a run tolerate no more.
-    pub fn draw(seed: u64, cluster_size: ClusterSize, length: Duration) -> Self {
+    /// Draws the faults that start within the length of the run. They may overlap. Disks are lost one at a time,
+    /// and not while another control instance is down: the settings of a run tolerate no more.
+    ///
+    /// If control instances are replaced, the next fault of a control instance starts as soon as none counts as
+    /// lost, and most of these faults are replacements.
+    pub fn draw(seed: u64, options: PlanOptions) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut control_rng = rng.clone();
+        control_rng.set_stream(REPLACEMENT_STREAM);
         let mut faults = Vec::new();
         let mut at = Duration::ZERO;
         let mut control_down_until = Duration::ZERO;
-        while at < length {
+        while at < options.length {
             let duration = Duration::from_millis(rng.random_range(DURATION_MS));
-            let mut fault = draw_fault(&mut rng, cluster_size);
+            let mut fault = draw_fault(&mut rng, options.cluster_size);
+            if options.replaces_controls && at >= control_down_until {
+                fault = draw_control_fault(&mut control_rng, options.cluster_size.controls);
+            }
             if at < control_down_until && disrupts_control(fault) {
                 fault = Fault::Change;
             }
             if disrupts_control(fault) {
-                let is_wiped = matches!(fault, Fault::WipeControl(_));
-                let recovered_at = at
-                    + duration
-                    + if is_wiped {
-                        RECOVERY_TIME
-                    } else {
-                        RECOVERY_TIME / 2
-                    };
-                control_down_until = control_down_until.max(recovered_at);
+                control_down_until = control_down_until.max(at + down_time(fault, duration));
             }
             faults.push(PlannedFault { at, duration, fault });
-            at += Duration::from_millis(rng.random_range(INTERVAL_MS));
+            let next = at + Duration::from_millis(rng.random_range(INTERVAL_MS));
+            let becomes_free = at < control_down_until && control_down_until < next;
+            at = if options.replaces_controls && becomes_free {
+                control_down_until
+            } else {
+                next
+            };
         }
         Self { faults }
     }
 }
 
+/// Returns the time from the start of a fault that disrupts control until the next one may start.
+fn down_time(fault: Fault, duration: Duration) -> Duration {
+    match fault {
+        Fault::ReplaceControl(_) => SUCCESSOR_DELAY + CATCH_UP_TIME,
+        Fault::ReplaceControlPlanned(_) => CATCH_UP_TIME,
+        Fault::WipeControl(_) => duration + RECOVERY_TIME,
+        _ => duration + RECOVERY_TIME / 2,
+    }
+}
+
 /// Returns whether the fault makes a control instance unavailable. No disk may be lost at that time.
 const fn disrupts_control(fault: Fault) -> bool {
     matches!(
@@ -71,6 +97,8 @@
             | Fault::KillControl(_)
             | Fault::PauseControl(_)
             | Fault::TermControl(_)
+            | Fault::ReplaceControl(_)
+            | Fault::ReplaceControlPlanned(_)
             | Fault::ControlLink(_, _)
     )
 }
@@ -102,6 +130,29 @@
     }
 }
 
+/// Draws a fault of one of the control instances, which mostly is a replacement.
+fn draw_control_fault<Random>(rng: &mut Random, controls: usize) -> Fault
+where
+    Random: Rng,
+{
+    let control = rng.random_range(0..controls);
+    if rng.random_bool(REPLACEMENT_PROBABILITY) {
+        return if rng.random_bool(0.5) {
+            Fault::ReplaceControl(control)
+        } else {
+            Fault::ReplaceControlPlanned(control)
+        };
+    }
+    match rng.random_range(0..6) {
+        0 => Fault::KillControl(control),
+        1 => Fault::WipeControl(control),
+        2 => Fault::TearControl(control),
+        3 => Fault::PauseControl(control),
+        4 => Fault::TermControl(control),
+        _ => Fault::ControlLink(control, draw_link_fault(rng)),
+    }
+}
+
 fn draw_link_fault<Random>(rng: &mut Random) -> LinkFault
 where
     Random: Rng,
--- a/kqr-soak/src/program.rs
+++ b/kqr-soak/src/program.rs
@@ -56,6 +56,16 @@
         self.folder.join(format!("{}.yaml", self.name))
     }
 
+    /// Writes the settings file, which a running process reads when it reloads its settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be written.
+    pub fn write_settings(&self, settings: &str) -> eyre::Result<()> {
+        fs::write(self.settings_path(), settings)
+            .wrap_err_with(|| format!("writing the settings of {}", self.name))
+    }
+
     /// Starts a process with `settings`.
     ///
     /// # Errors
@@ -65,7 +75,7 @@
         if self.child.is_some() {
             return Err(eyre!("{} is already running", self.name));
         }
-        fs::write(self.settings_path(), settings)?;
+        self.write_settings(settings)?;
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
