fix(runtime): pass on how long ago a control instance was heard of

Instances that were gone stayed in the lists of control instances for as long as instances told each other of them, each list marking all of its instances as heard of now.

The lists carry the time since each instance was heard of.

--- a/kqr-runtime/src/discovery/client.rs
+++ b/kqr-runtime/src/discovery/client.rs
@@ -28,7 +28,7 @@
         }));
     }
     while let Some(controls) = calls.next().await {
-        known.record(controls.into_iter().flatten());
+        known.merge(controls.into_iter().flatten());
     }
 }
 
--- a/kqr-runtime/src/discovery/known_controls.rs
+++ b/kqr-runtime/src/discovery/known_controls.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
@@ -11,20 +11,38 @@
 const MAX_CONTROLS: usize = 16;
 
 /// The control instances that an instance knows of, and their leader.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct KnownControls {
     /// When each control instance was last heard of.
     controls: Mutex<BTreeMap<InstanceId, Instant>>,
     leader: ArcSwapOption<InstanceId>,
+    created_at: Instant,
+}
+
+impl Default for KnownControls {
+    fn default() -> Self {
+        Self {
+            controls: Mutex::default(),
+            leader: ArcSwapOption::default(),
+            created_at: Instant::now(),
+        }
+    }
 }
 
 impl KnownControls {
     /// Returns the control instances, the one that was heard of last first.
     pub(crate) fn list(&self) -> Vec<InstanceId> {
+        let mut newest = self.ages();
+        newest.sort_by_key(|(_, age)| *age);
+        newest.into_iter().map(|(control, _)| control).collect()
+    }
+
+    /// Returns the control instances with the time since each was heard of.
+    pub(crate) fn ages(&self) -> Vec<(InstanceId, Duration)> {
         let controls = self.lock();
-        let mut newest: Vec<_> = controls.iter().collect();
-        newest.sort_by(|(_, left), (_, right)| right.cmp(left));
-        newest.into_iter().map(|(control, _)| control.clone()).collect()
+        let ages = controls.iter();
+        ages.map(|(control, heard_at)| (control.clone(), heard_at.elapsed()))
+            .collect()
     }
 
     /// Records control instances that were heard of now.
@@ -32,9 +50,21 @@
     where
         Controls: IntoIterator<Item = InstanceId>,
     {
+        self.merge(controls.into_iter().map(|control| (control, Duration::ZERO)));
+    }
+
+    /// Records control instances that another instance heard of, with the time since then. Otherwise one that is gone would
+    /// look alive for as long as instances tell each other of it.
+    pub(crate) fn merge<Controls>(&self, controls: Controls)
+    where
+        Controls: IntoIterator<Item = (InstanceId, Duration)>,
+    {
+        let now = Instant::now();
         let mut known = self.lock();
-        for control in controls {
-            known.insert(control, Instant::now());
+        for (control, age) in controls {
+            let heard_at = now.checked_sub(age).unwrap_or(self.created_at);
+            let latest = known.entry(control).or_insert(heard_at);
+            *latest = heard_at.max(*latest);
         }
         while known.len() > MAX_CONTROLS {
             let oldest = known.iter().min_by_key(|(_, heard_at)| **heard_at);
--- a/kqr-runtime/src/discovery/service.rs
+++ b/kqr-runtime/src/discovery/service.rs
@@ -1,4 +1,7 @@
-use std::sync::{Arc, OnceLock};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use futures::StreamExt;
 use kqr_agreement::{Message, VoterId};
@@ -39,9 +42,9 @@
 }
 
 impl DiscoveryRpc for DiscoveryService {
-    async fn announce(self, _: Context, control: Option<InstanceId>) -> Vec<InstanceId> {
+    async fn announce(self, _: Context, control: Option<InstanceId>) -> Vec<(InstanceId, Duration)> {
         self.controls.record(control);
-        self.controls.list()
+        self.controls.ages()
     }
 
     async fn deliver_founding(self, _: Context, from: VoterId, message: Message) {
--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -30,7 +30,7 @@
 {
     driver: Arc<EntryDriver<Client>>,
     controls: Arc<KnownControls>,
-    /// Number of requests that were sent without a known leader.
+    /// Number of requests that were sent without a known leader since the last answer of one.
     tries: usize,
     /// The leader, as far as it is known.
     leader: Option<InstanceId>,
@@ -118,6 +118,7 @@
                     self.is_lost = false;
                     self.regained_at = Some(Instant::now());
                 }
+                self.tries = 0;
                 self.controls.set_leader(Some(instance.clone()));
                 self.leader = Some(instance);
                 if let Some(part) = catalog
@@ -137,12 +138,11 @@
         }
     }
 
-    /// Returns the next control instance, in round-robin order.
+    /// Returns the next control instance, in round-robin order from the one that was heard of last.
     fn next_instance(&mut self) -> Option<InstanceId> {
         let mut instances = self.controls.list();
-        instances.sort_unstable();
-        self.tries = self.tries.wrapping_add(1);
         let position = self.tries.checked_rem(instances.len())?;
+        self.tries = self.tries.wrapping_add(1);
         Some(instances.swap_remove(position))
     }
 
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -1,5 +1,7 @@
 //! Remote procedure calls between the instances of a fleet, by tarpc.
 
+use std::time::Duration;
+
 use kqr_agreement::{Message, VoterId};
 use kqr_dispatch::{Delivery, OpenedSession, OrderId, ReceiverTime};
 use kqr_fleet::{CatalogVersion, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport};
@@ -29,8 +31,8 @@
 /// Calls that every instance serves, so that instances find control through the seeds.
 #[tarpc::service]
 pub(crate) trait DiscoveryRpc {
-    /// Announces a control instance, if one is given, and returns the known ones.
-    async fn announce(control: Option<InstanceId>) -> Vec<InstanceId>;
+    /// Announces a control instance, if one is given, and returns the known ones with the time since each was heard of.
+    async fn announce(control: Option<InstanceId>) -> Vec<(InstanceId, Duration)>;
     /// Delivers a message of the founding.
     async fn deliver_founding(from: VoterId, message: Message);
     /// Registers a control instance with an empty disk for the founding by at least `min_founders` instances. Returns the
