fix(runtime): ask all known control instances for the leader at the same time

Entries were out of contact with control for up to 4.3 s after the election of a leader, once ten instances had been replaced.

Cause: without a leader an entry tried one known instance after the other, 0.4 s for each that was gone.

--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -1,6 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
-use eyre::{OptionExt, WrapErr};
+use eyre::WrapErr;
+use futures::{StreamExt, stream::FuturesUnordered};
 use kqr_dispatch::Input;
 use kqr_fleet::{CatalogReceiver, EntryInfo, SyncReply, SyncRequest, SyncView, TargetReport, ViewRevision};
 use kqr_types::InstanceId;
@@ -19,7 +20,7 @@
 const SETTLING_TIME: Duration = Duration::from_secs(2);
 /// Timeout of an exchange: some round trips and one lost packet.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay before the next control instance is tried.
+/// Delay before the control instances are tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
 /// The link of an entry to the leading control instance.
@@ -30,8 +31,6 @@
 {
     driver: Arc<EntryDriver<Client>>,
     controls: Arc<KnownControls>,
-    /// Number of requests that were sent without a known leader since the last answer of one.
-    tries: usize,
     /// The leader, as far as it is known.
     leader: Option<InstanceId>,
     /// Open connection and the instance at its other end.
@@ -59,7 +58,6 @@
         Self {
             driver,
             controls,
-            tries: 0,
             leader: None,
             connection: None,
             view_revision: ViewRevision::default(),
@@ -97,17 +95,18 @@
         self.regained_at.is_some_and(|at| at.elapsed() < SETTLING_TIME)
     }
 
-    /// Exchanges state with the leader, or with the next instance if the leader is unknown.
+    /// Exchanges state with the leader, which is looked for among all known instances if it is unknown.
     async fn sync(&mut self) -> eyre::Result<()> {
-        let instance = self.leader.take().or_else(|| self.next_instance());
-        let instance = instance.ok_or_eyre("no control instance is known")?;
         let request = self.create_request();
-        let reply = match self.send_request(&instance, request).await {
-            Ok(reply) => reply,
-            Err(error) => {
-                self.connection = None;
-                return Err(error.wrap_err(format!("control instance {instance}")));
-            }
+        let (instance, reply) = match self.leader.take() {
+            Some(leader) => match self.send_request(&leader, request).await {
+                Ok(reply) => (leader, reply),
+                Err(error) => {
+                    self.connection = None;
+                    return Err(error.wrap_err(format!("control instance {leader}")));
+                }
+            },
+            None => self.send_to_all(request).await?,
         };
         match reply {
             SyncReply::Current { catalog, view } => {
@@ -118,7 +117,6 @@
                     self.is_lost = false;
                     self.regained_at = Some(Instant::now());
                 }
-                self.tries = 0;
                 self.controls.set_leader(Some(instance.clone()));
                 self.leader = Some(instance);
                 if let Some(part) = catalog
@@ -138,12 +136,32 @@
         }
     }
 
-    /// Returns the next control instance, in round-robin order from the one that was heard of last.
-    fn next_instance(&mut self) -> Option<InstanceId> {
-        let mut instances = self.controls.list();
-        let position = self.tries.checked_rem(instances.len())?;
-        self.tries = self.tries.wrapping_add(1);
-        Some(instances.swap_remove(position))
+    /// Sends a request to all known control instances at the same time, so that those that are gone delay no other. Returns the
+    /// first reply that leads to the leader.
+    async fn send_to_all(&mut self, request: SyncRequest) -> eyre::Result<(InstanceId, SyncReply)> {
+        let mut calls = FuturesUnordered::new();
+        for instance in self.controls.list() {
+            let request = request.clone();
+            calls.push(async move {
+                let client = connect(&instance).await?;
+                let reply = call(&client, request).await?;
+                eyre::Ok((instance, client, reply))
+            });
+        }
+        while let Some(result) = calls.next().await {
+            let Ok((instance, client, reply)) = result else {
+                continue;
+            };
+            match &reply {
+                SyncReply::NotLeader { leader: None } => {}
+                SyncReply::NotLeader { leader: Some(_) } => return Ok((instance, reply)),
+                SyncReply::Current { .. } => {
+                    self.connection = Some((instance.clone(), client));
+                    return Ok((instance, reply));
+                }
+            }
+        }
+        eyre::bail!("no known control instance knows the leader")
     }
 
     fn create_request(&mut self) -> SyncRequest {
@@ -170,15 +188,12 @@
         let client = match &self.connection {
             Some((peer, client)) if peer == instance => client.clone(),
             _ => {
-                let stream = transport::connect(instance.as_str().parse()?).await?;
-                let transport = transport::framed(stream);
-                let client = ControlRpcClient::new(client::Config::default(), transport).spawn();
+                let client = connect(instance).await?;
                 self.connection = Some((instance.clone(), client.clone()));
                 client
             }
         };
-        let call = client.sync(context::current(), request);
-        Ok(tokio::time::timeout(SYNC_TIMEOUT, call).await??)
+        call(&client, request).await
     }
 
     fn apply_view(&mut self, view: SyncView) {
@@ -200,3 +215,13 @@
         self.driver.update_sibling_links();
     }
 }
+
+async fn connect(instance: &InstanceId) -> eyre::Result<ControlRpcClient> {
+    let stream = transport::connect(instance.as_str().parse()?).await?;
+    Ok(ControlRpcClient::new(client::Config::default(), transport::framed(stream)).spawn())
+}
+
+async fn call(client: &ControlRpcClient, request: SyncRequest) -> eyre::Result<SyncReply> {
+    let call = client.sync(context::current(), request);
+    Ok(tokio::time::timeout(SYNC_TIMEOUT, call).await??)
+}
