--- a/kqr-fleet/src/node/voter_planner.rs
+++ b/kqr-fleet/src/node/voter_planner.rs
@@ -101,8 +101,10 @@
 
     /// Starts the silence of new members now, and forgets those that were removed.
     fn observe_members(&mut self, now: Instant, configuration: &Configuration) {
-        self.last_messages
-            .retain(|known, _| configuration.members().any(|member| member == known));
+        let is_member = |known: &VoterId| configuration.members().any(|member| member == known);
+        self.last_messages.retain(|known, _| is_member(known));
+        self.answered.retain(&is_member);
+        self.ending.retain(|known, _| is_member(known));
         for member in configuration.members() {
             self.last_messages.entry(member.clone()).or_insert(now);
         }
