--- a/kqr-fleet/tests/replaced_instances.rs
+++ b/kqr-fleet/tests/replaced_instances.rs
@@ -83,7 +83,7 @@
     }
 }
 
-/// An instance whose vote was given to another while it was cut off or down stayed outside the log.
+/// An instance whose vote was given to another while it was cut off gets one again when it asks to join.
 #[test]
 fn an_instance_that_lost_its_vote_while_it_was_away_becomes_a_member_again() {
     for seed in 0..SEED_COUNT {
