--- a/kqr-agreement/src/follower.rs
+++ b/kqr-agreement/src/follower.rs
@@ -121,6 +121,7 @@
             index,
             snapshot: state,
         });
+        self.report_voters(outputs);
         index
     }
 }
--- a/kqr-agreement/src/machine.rs
+++ b/kqr-agreement/src/machine.rs
@@ -126,12 +126,25 @@
         self.is_started = true;
         self.last_leader_contact = now;
         self.reset_election_deadline(now);
-        let Some(snapshot) = self.log.snapshot() else {
+        if let Some(snapshot) = self.log.snapshot() {
+            outputs.push(Output::Restore {
+                index: snapshot.index,
+                snapshot: snapshot.state.clone(),
+            });
+        }
+        self.report_voters(outputs);
+    }
+
+    /// Emits the configuration that the start of the log holds, unless this member has none yet.
+    pub(crate) fn report_voters(&self, outputs: &mut Vec<Output>) {
+        let index = self.log.base();
+        let configuration = self.log.configuration_at(index);
+        if configuration.voters.is_empty() {
             return;
-        };
-        outputs.push(Output::Restore {
-            index: snapshot.index,
-            snapshot: snapshot.state.clone(),
+        }
+        outputs.push(Output::VotersChanged {
+            index,
+            configuration: configuration.clone(),
         });
     }
 
--- a/kqr-agreement/src/output.rs
+++ b/kqr-agreement/src/output.rs
@@ -87,7 +87,7 @@
         /// The leader, if it is known.
         leader: Option<VoterId>,
     },
-    /// A configuration is committed.
+    /// A configuration is known to be committed: by an entry, or by the founding or snapshot with which the log begins.
     VotersChanged {
         /// Index in the log.
         index: Index,
--- a/kqr-fleet/src/node/output.rs
+++ b/kqr-fleet/src/node/output.rs
@@ -55,7 +55,7 @@
     },
     /// The role, the term or the known leader has changed.
     RoleChanged(RoleView),
-    /// A change of the voters and learners of the log is committed.
+    /// The voters and learners of the log are known: a change of them is committed, or the log begins with them.
     MembersChanged {
         /// Index in the log.
         index: Index,
