test(entry): tell an accepted identity by what the entry does, not by which message carries its answer

Cause: the test counted the messages in the reply to an accepted hello. Entry 0 queues its answer for entry 1, and the task that sends the queue to the real entry 1 may take it before the reply does. Nothing promises that the reply carries it. The test was wrong, not the entry.

Change: a hello carries a hybrid time ahead of the wall clock. An entry that accepts the sender's identity merges it, and its reply is later; one that refuses it does not. That holds for each of 100 hellos of either sender. As before, no reply to the false identity carries a message; at least one of the 100 to the true one does.

--- a/kqr-entry/tests/tls.rs
+++ b/kqr-entry/tests/tls.rs
@@ -5,7 +5,11 @@
 mod authority;
 mod support;
 
-use std::{path::Path, sync::Arc};
+use std::{
+    path::Path,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use authority::Authority;
 use kqr_agreement::VoterId;
@@ -14,7 +18,10 @@
 use kqr_telemetry::HybridTime;
 use kqr_tls::{TlsCredentials, TransportSecurity};
 use kqr_types::{Epoch, Incarnation, InstanceId};
-use kqr_wire::{entry_message::EntryMessage, siblings::SiblingClient};
+use kqr_wire::{
+    entry_message::EntryMessage,
+    siblings::{DeliveryReply, SiblingClient},
+};
 use support::System;
 use tarpc::{
     client, context, serde_transport,
@@ -22,6 +29,11 @@
     tokio_util::codec::{Framed, LengthDelimitedCodec},
 };
 
+/// Lead of the hybrid time of a hello over the wall clock. A receiver accepts up to a minute.
+const LEAD: Duration = Duration::from_secs(30);
+/// Number of hellos of one sender.
+const HELLO_COUNT: usize = 100;
+
 fn id(text: &str) -> InstanceId {
     text.parse().unwrap()
 }
@@ -50,9 +62,19 @@
     system
 }
 
-/// Sends entry 0 the `Hello` of an instance without a cell, with `name` as the sender. Returns the number of
-/// messages in the reply.
-async fn send_hello(system: &System, security: &TransportSecurity, name: &str) -> std::io::Result<usize> {
+/// Returns a hybrid time that no entry has reached.
+fn time_ahead() -> HybridTime {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap() + LEAD;
+    HybridTime::from_unix_us(u64::try_from(time.as_micros()).unwrap())
+}
+
+/// Sends entry 0 the `Hello` of an instance without a cell, with `name` as the sender, at the hybrid time `time`.
+async fn send_hello(
+    system: &System,
+    security: &TransportSecurity,
+    name: &str,
+    time: HybridTime,
+) -> std::io::Result<DeliveryReply> {
     let peer = &system.bootstrap.instances[0];
     let stream = security.connect(&peer.id, peer.peers).await?;
     let frames = Framed::new(stream, LengthDelimitedCodec::new());
@@ -70,10 +92,8 @@
         data_centre: "a".parse().unwrap(),
         message,
     };
-    let time = HybridTime::default();
     let reply = client.deliver(context::current(), id(name), Incarnation(1), time, vec![mail]);
-    let reply = reply.await.map_err(std::io::Error::other)?;
-    Ok(reply.mails.len())
+    reply.await.map_err(std::io::Error::other)
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -91,14 +111,25 @@
 
     let other = tempfile::tempdir().unwrap();
     let foreign = security(&Authority::new("other"), other.path(), "entry-1");
-    send_hello(&system, &foreign, "entry-1").await.unwrap_err();
-    send_hello(&system, &TransportSecurity::Plain, "entry-1")
+    let time = time_ahead();
+    send_hello(&system, &foreign, "entry-1", time).await.unwrap_err();
+    send_hello(&system, &TransportSecurity::Plain, "entry-1", time)
         .await
         .unwrap_err();
     let unknown = security(&authority, folder.path(), "entry-9");
-    send_hello(&system, &unknown, "entry-9").await.unwrap_err();
+    send_hello(&system, &unknown, "entry-9", time).await.unwrap_err();
 
     let member = system.securities[1].clone();
-    assert!(send_hello(&system, &member, "entry-1").await.unwrap() > 0);
-    assert_eq!(send_hello(&system, &member, "entry-2").await.unwrap(), 0);
+    for _ in 0..HELLO_COUNT {
+        let refused = send_hello(&system, &member, "entry-2", time).await.unwrap();
+        assert!(refused.mails.is_empty() && refused.time < time);
+    }
+    // The answer is in the reply, unless the sender of the messages to entry 1 has taken it before.
+    let mut answers = 0;
+    for _ in 0..HELLO_COUNT {
+        let accepted = send_hello(&system, &member, "entry-1", time).await.unwrap();
+        assert!(accepted.time > time);
+        answers += accepted.mails.len();
+    }
+    assert!(answers > 0);
 }
