--- a/kqr-agreement/tests/network/mod.rs
+++ b/kqr-agreement/tests/network/mod.rs
@@ -39,6 +39,8 @@
     /// Rate of the local clock, in thousandths of virtual time.
     clock_rate_per_mille: u64,
     next_tick: Instant,
+    /// End of the write in progress.
+    busy_until: Instant,
 }
 
 enum Event {
@@ -54,6 +56,8 @@
     pub blocked_links: BTreeSet<(VoterId, VoterId)>,
     pub duplicate_percent: u32,
     pub max_delay_micros: u64,
+    /// Duration of a write. A member handles nothing while it writes.
+    pub write_time: Duration,
     /// Mean number of inputs between crashes that happen partway through the outputs. Zero disables them.
     pub crash_one_in: u32,
     pub applied_log: Vec<u64>,
@@ -78,6 +82,7 @@
             blocked_links: BTreeSet::new(),
             duplicate_percent: 0,
             max_delay_micros: 2_000,
+            write_time: Duration::ZERO,
             crash_one_in: 0,
             applied_log: Vec::new(),
             results: BTreeMap::new(),
@@ -116,6 +121,7 @@
             options,
             clock_rate_per_mille: self.rng.random_range(990..=1010),
             next_tick: self.now,
+            busy_until: self.now,
         };
         self.nodes.insert(id, node);
     }
@@ -170,9 +176,16 @@
             let delivery = self.queue.keys().next().copied();
             if let Some(key) = delivery.filter(|(at, _)| *at <= tick && *at <= end) {
                 self.now = key.0;
-                if let Some(Event::Deliver(from, message)) = self.queue.remove(&key) {
-                    let to = message.to.clone();
-                    self.handle(&to, Input::Message { from, message });
+                let Some(Event::Deliver(from, message)) = self.queue.remove(&key) else {
+                    continue;
+                };
+                let to = message.to.clone();
+                match self.nodes.get(&to).map(|node| node.busy_until) {
+                    Some(busy_until) if busy_until > self.now => {
+                        self.queue
+                            .insert((busy_until, key.1), Event::Deliver(from, message));
+                    }
+                    _ => self.handle(&to, Input::Message { from, message }),
                 }
                 continue;
             }
@@ -180,8 +193,11 @@
                 break;
             }
             self.now = tick;
-            self.nodes.get_mut(&id).unwrap().next_tick = tick + TICK;
-            self.handle(&id, Input::Tick);
+            let node = self.nodes.get_mut(&id).unwrap();
+            node.next_tick = (tick + TICK).max(node.busy_until);
+            if node.busy_until <= tick {
+                self.handle(&id, Input::Tick);
+            }
         }
         self.now = end;
     }
@@ -226,6 +242,11 @@
             Instant(self.now.0 * node.clock_rate_per_mille / 1000 + node.clock_rate_per_mille * 7_000);
         let mut outputs = Vec::new();
         machine.handle(local, input, &mut outputs);
+        let started = self.now;
+        if outputs.iter().any(|output| matches!(output, Output::Persist(_))) {
+            self.now = started + self.write_time;
+            node.busy_until = self.now;
+        }
         let performed = if is_crashing {
             self.rng.random_range(0..=outputs.len())
         } else {
@@ -234,6 +255,7 @@
         for output in outputs.into_iter().take(performed) {
             self.perform(id, output);
         }
+        self.now = started;
         if is_crashing {
             self.crash(id);
         }
