fix(platform): send starts only to the incarnation of a target for which they were decided

Cause: a call names the target, which keeps its name when it restarts, and the next incarnation obeys any fencing token. The owner closes a target when its poll breaks, but a start decided before that, within a standstill of the owner or a round trip, opened a new connection and reached the next incarnation, whose labels, capacity or service may differ.

--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -91,6 +91,7 @@
     pub(super) fn endpoint(&self) -> TargetEndpoint {
         TargetEndpoint {
             target: self.record.id.clone(),
+            life: self.record.life,
             address: self.record.address,
             token: self.token,
         }
--- a/kqr-dispatch/src/target_call.rs
+++ b/kqr-dispatch/src/target_call.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use kqr_fleet::FencingToken;
-use kqr_types::TargetId;
+use kqr_types::{Incarnation, TargetId};
 
 use crate::{RunId, TargetTime};
 
@@ -14,6 +14,9 @@
 pub struct TargetEndpoint {
     /// Expected target; another target at the same address refuses the call.
     pub target: TargetId,
+    /// Incarnation for which the call was decided. A start must reach no other one, which may have other labels and another
+    /// capacity.
+    pub life: Incarnation,
     /// Address for calls.
     pub address: SocketAddr,
     /// Fencing token of the owner.
--- a/kqr-http/src/client.rs
+++ b/kqr-http/src/client.rs
@@ -187,7 +187,7 @@
 }
 
 /// Formats an error with the chain of its sources.
-fn format_error_chain(error: &dyn std::error::Error) -> String {
+pub(crate) fn format_error_chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
     while let Some(error) = cause {
