feat(dispatch): take back orders that wait while another owner has free capacity

Callers saw: jobs waited in the queue of a full owner while targets of other owners were idle.

Cause: an order stays at the owner where it was queued. Queues are chosen by the cores behind them, whatever the speed of the targets, so that some drain much earlier than others.

Change: a coordinator takes back orders that are known to wait when another owner has free capacity on a target that suits them, and places the task anew after the owner has confirmed that the order did not run. The new message TakeBack affects only orders that wait: the cancellation stops a run that has begun, which would start its task twice. A tick takes back at most 4 orders, and a free target is offered to about 3 coordinators at a time. Another data centre is used after a longer wait and for a gain above the cost of the link.

Evidence: in virtual time, 12 tasks at two owners with run times of 400 and 50 ms end within 650 ms; without the change the job was still running then. 24 tasks on targets of speeds 0.7 and 1.7 end within 620 ms. The tests fail without the decision (11 of 13), with the cancellation in place of TakeBack (2 runs were stopped) and without turns (19 orders for two places). All tests of kqr-dispatch pass.

--- a/kqr-dispatch/src/decision.rs
+++ b/kqr-dispatch/src/decision.rs
@@ -43,6 +43,19 @@
         /// Target that is expected to have free capacity.
         preferred_target: Option<TargetId>,
     },
+    /// A waiting order was taken back from its owner, because another owner has free capacity.
+    OrderTakenBack {
+        /// Ordered run.
+        run: RunId,
+        /// Owner at which the order waits.
+        owner: InstanceId,
+        /// Owner that has free capacity.
+        free_owner: InstanceId,
+        /// Time since the order was placed, in milliseconds.
+        waited_ms: u64,
+        /// Expected wait by the queue of the owner, in milliseconds.
+        expected_wait_ms: u64,
+    },
     /// An order ended without completing its task.
     OrderEnded {
         /// Ordered run.
--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -232,6 +232,7 @@
             self.jobs.refuse_impossible(now, &self.owners, outputs);
         }
         self.owned.tick(now, outputs);
+        self.rebalance(now, outputs);
         self.report_load(now, outputs);
     }
 
@@ -260,6 +261,11 @@
                     self.owned.cancel_order(now, sent_at, from, order_id, outputs);
                 }
             }
+            SiblingMessage::TakeBack(order_ids) => {
+                for order_id in order_ids {
+                    self.owned.give_back_order(from, order_id);
+                }
+            }
             SiblingMessage::Begun(order_ids) => self.jobs.handle_begun(&order_ids),
             SiblingMessage::Ended {
                 order_id,
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -5,7 +5,7 @@
 use kqr_types::{InstanceId, Instant, JobKey, TargetId};
 
 use super::Dispatcher;
-use crate::{OrderId, Output, RunEnd, RunOrder, SiblingMessage, jobs::Placement};
+use crate::{OrderId, Output, RunEnd, RunOrder, SiblingMessage, jobs::Placement, owners::Turns};
 
 impl Dispatcher {
     pub(super) fn end_order(
@@ -42,6 +42,7 @@
     pub(super) fn process_ready(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         loop {
             self.send_cancellations(now, outputs);
+            self.send_taken_back(outputs);
             self.owned.start_waiting_orders(now, outputs);
             self.forward_order_progress(now, outputs);
             let ready = self.jobs.ready_jobs(now);
@@ -69,6 +70,34 @@
         }
     }
 
+    /// Takes back waiting orders for which another owner has free capacity.
+    pub(super) fn rebalance(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if !self.jobs.may_have_waiting_orders(now) {
+            return;
+        }
+        self.refresh_own_load(now);
+        let (mut near, mut all) = (1, 1);
+        for sibling in self.siblings.iter() {
+            all += 1;
+            near += u64::from(sibling.info.data_centre == self.own.data_centre);
+        }
+        self.jobs
+            .rebalance(now, &self.owners, Turns { near, all }, &self.losses, outputs);
+    }
+
+    fn send_taken_back(&mut self, outputs: &mut Vec<Output>) {
+        for (owner, order_ids) in self.jobs.take_taken_back() {
+            if owner != self.own.id {
+                let message = SiblingMessage::TakeBack(order_ids);
+                outputs.push(Output::Send { to: owner, message });
+                continue;
+            }
+            for order_id in order_ids {
+                self.owned.give_back_order(&owner, order_id);
+            }
+        }
+    }
+
     /// Notifies coordinators of orders that have begun or ended.
     fn forward_order_progress(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.report_target_losses(now, outputs);
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -2,7 +2,9 @@
 
 mod job;
 mod orders;
+mod rebalance;
 mod step;
+mod take_back;
 mod task;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -16,6 +18,7 @@
 use job::{Job, estimated_duration};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
+pub(crate) use rebalance::FreePlace;
 
 /// Shortest suggested delay before a caller retries; the longest is five times as long.
 const RETRY_AFTER_MS: u64 = 1000;
@@ -34,6 +37,8 @@
     tasks: u64,
     /// Orders to be cancelled, by owner.
     cancelled: BTreeMap<InstanceId, Vec<OrderId>>,
+    /// Waiting orders to be taken back, by owner.
+    taken_back: BTreeMap<InstanceId, Vec<OrderId>>,
     /// When all jobs are given up, if the entry is shutting down.
     leave_deadline: Option<Instant>,
     /// When the tasks of new jobs may be placed.
@@ -50,6 +55,7 @@
             last_order_id,
             tasks: 0,
             cancelled: BTreeMap::new(),
+            taken_back: BTreeMap::new(),
             leave_deadline: None,
             held_until: Instant(0),
         }
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -19,11 +19,16 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct OpenOrder {
     pub(super) owner: InstanceId,
-    job: JobKey,
-    step: u32,
-    index: u32,
+    pub(super) job: JobKey,
+    pub(super) step: u32,
+    pub(super) index: u32,
+    pub(super) placed_at: Instant,
+    /// Whether the owner has sent the start to a target.
+    pub(super) has_begun: bool,
+    /// When the owner was asked to give the order back if it still waits.
+    pub(super) taken_back_at: Option<Instant>,
     /// When the run has certainly ended, if contact with its owner was lost.
-    ends_by: Option<Instant>,
+    pub(super) ends_by: Option<Instant>,
 }
 
 /// An order and the owner to send it to.
@@ -82,6 +87,9 @@
                 job: key.clone(),
                 step: step as u32,
                 index: index as u32,
+                placed_at: now,
+                has_begun: false,
+                taken_back_at: None,
                 ends_by: None,
             };
             self.orders.insert(order_id, open);
@@ -93,8 +101,11 @@
     /// Records orders whose start was sent to a target.
     pub(crate) fn handle_begun(&mut self, order_ids: &[OrderId]) {
         for order_id in order_ids {
-            let order = self.orders.get(order_id);
-            if let Some(job) = order.and_then(|order| self.live.get_mut(&order.job)) {
+            let Some(order) = self.orders.get_mut(order_id) else {
+                continue;
+            };
+            order.has_begun = true;
+            if let Some(job) = self.live.get_mut(&order.job) {
                 job.has_begun = true;
             }
         }
@@ -162,6 +173,7 @@
                 self.give_up(now, &key, outputs);
                 return;
             }
+            RunEnd::NotRun(NotRun::Cancelled) if order.taken_back_at.is_some() => {}
             RunEnd::NotRun(_) => task.state = TaskState::Ready(now + REORDER_DELAY),
         }
         if self.live.get(&key).is_some_and(Job::is_complete) {
@@ -217,7 +229,7 @@
 }
 
 /// Returns the next order for a task.
-fn new_order(
+pub(super) fn new_order(
     now: Instant,
     job: &Job,
     order_id: OrderId,
--- a/kqr-dispatch/src/jobs/task.rs
+++ b/kqr-dispatch/src/jobs/task.rs
@@ -21,6 +21,8 @@
     pub(super) attempt: u32,
     /// Number of failed runs.
     pub(super) failures: u32,
+    /// Number of times that a waiting order was taken back.
+    pub(super) moves: u32,
     /// Targets on which a run did not complete.
     pub(super) avoided_targets: Vec<TargetId>,
 }
@@ -31,6 +33,7 @@
             state: TaskState::Ready(place_from),
             attempt: 0,
             failures: 0,
+            moves: 0,
             avoided_targets: Vec::new(),
         }
     }
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -84,6 +84,15 @@
         self.stop_runs_where(now, since, "cancelled", is_selected, outputs);
     }
 
+    /// Ends an order that its coordinator takes back if it still waits. An order that has begun is not affected: a stop
+    /// would discard its progress and start the task again.
+    pub(crate) fn give_back_order(&mut self, coordinator: &InstanceId, order_id: OrderId) {
+        if self.waiting.remove_order(coordinator, order_id) {
+            let end = RunEnd::NotRun(NotRun::Cancelled);
+            self.end_order(coordinator.clone(), order_id, end, None);
+        }
+    }
+
     /// Drops the orders of a lost coordinator and stops their runs: no caller waits for them any more, and
     /// the callers may submit their jobs to another entry. The time for that began at `since`.
     pub(crate) fn drop_orders_of(
--- a/kqr-dispatch/src/owners/mod.rs
+++ b/kqr-dispatch/src/owners/mod.rs
@@ -4,6 +4,7 @@
 mod free_index;
 mod owner_load;
 mod placement;
+mod spare;
 
 use std::{
     collections::BTreeMap,
@@ -20,6 +21,7 @@
 use distance::Distance;
 use free_index::{FreeIndex, FreeKey};
 use owner_load::OwnerLoad;
+pub(crate) use spare::{SpareCapacity, Turns};
 
 /// The known owners, with their free capacity. Each placed order is deducted until a load of its owner includes it.
 ///
@@ -66,6 +68,7 @@
             return false;
         };
         known.number = update.number;
+        known.last_order = update.last_order;
         let included = known.end_reservations(update.last_order);
         known.set_queued(update.queued);
         for position in included {
--- a/kqr-dispatch/src/owners/owner_load.rs
+++ b/kqr-dispatch/src/owners/owner_load.rs
@@ -45,12 +45,14 @@
 pub(super) struct OwnerLoad {
     /// Number of the owner in the index.
     pub(super) index_number: u32,
-    distance: Distance,
+    pub(super) distance: Distance,
     /// Rank of the owner among equal ones, which differs between coordinators.
     pub(super) spread: u32,
     pub(super) is_leaving: bool,
     /// Number of the last load that the owner sent.
     pub(super) number: u64,
+    /// Last order of this entry that the load includes.
+    pub(super) last_order: OrderId,
     /// Targets with the last loads that the owner sent.
     pub(super) targets: Vec<TargetLoad>,
     /// Free resources of the targets after the deduction of reservations.
@@ -83,6 +85,7 @@
             spread,
             is_leaving: false,
             number: 0,
+            last_order: OrderId::default(),
             free: targets.iter().map(|target| target.free).collect(),
             targets,
             spreads,
--- a/kqr-dispatch/src/owners/placement.rs
+++ b/kqr-dispatch/src/owners/placement.rs
@@ -135,7 +135,7 @@
     }
 }
 
-fn may_run(target: &TargetLoad, order: &RunOrder) -> bool {
+pub(super) fn may_run(target: &TargetLoad, order: &RunOrder) -> bool {
     let has_label = order
         .label
         .as_ref()
--- a/kqr-dispatch/src/sibling_message.rs
+++ b/kqr-dispatch/src/sibling_message.rs
@@ -36,4 +36,6 @@
     },
     /// Runs whose targets went down, whichever entry coordinates them.
     TargetsLost(Vec<LostRun>),
+    /// Orders that the sender, as coordinator, takes back if they still wait. Those that have begun are not affected.
+    TakeBack(Vec<OrderId>),
 }
--- a/kqr-dispatch/tests/simulation/entry.rs
+++ b/kqr-dispatch/tests/simulation/entry.rs
@@ -2,7 +2,7 @@
 
 use kqr_dispatch::{Dispatcher, Options, Sessions};
 use kqr_fleet::EntryInfo;
-use kqr_types::Incarnation;
+use kqr_types::{DataCentre, Incarnation};
 
 use super::{Event, id, links::Link};
 
@@ -21,10 +21,19 @@
 
 impl Entry {
     pub(super) fn new(number: usize, incarnation: u64, options: &Options) -> Self {
+        Self::new_in("uppsala".parse().unwrap(), number, incarnation, options)
+    }
+
+    pub(super) fn new_in(
+        data_centre: DataCentre,
+        number: usize,
+        incarnation: u64,
+        options: &Options,
+    ) -> Self {
         let info = EntryInfo {
             id: id(number),
             incarnation: Incarnation(incarnation),
-            data_centre: "uppsala".parse().unwrap(),
+            data_centre,
             siblings: format!("127.0.0.1:{}", 7000 + number).parse().unwrap(),
             reports: format!("127.0.0.1:{}", 7100 + number).parse().unwrap(),
             weight: 250,
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -151,6 +151,20 @@
         sim
     }
 
+    /// Adds a target, which is granted by [`Self::grant_target`].
+    pub fn add_target(&mut self, number: usize, behaviour: TaskBehaviour) {
+        let record = record(number);
+        self.targets
+            .insert(record.id.clone(), Target::new(record, behaviour));
+    }
+
+    /// Restarts an entry in another data centre. The others are notified by [`Self::publish_views`].
+    pub fn place_entry(&mut self, entry: usize, data_centre: &str) {
+        let incarnation = self.entries[entry].info.incarnation.0 + 1;
+        let data_centre = data_centre.parse().unwrap();
+        self.entries[entry] = Entry::new_in(data_centre, entry, incarnation, &self.options);
+    }
+
     /// Grants a target to an entry under a new token. Entries are notified by [`Self::publish_views`].
     pub fn grant_target(&mut self, target: usize, entry: usize) {
         self.last_token += 1;
--- a/kqr-runtime/src/entry/decision_log.rs
+++ b/kqr-runtime/src/entry/decision_log.rs
@@ -57,6 +57,22 @@
                 ("target", text_or_empty(preferred_target.as_ref())),
             ],
         ),
+        Decision::OrderTakenBack {
+            run,
+            owner,
+            free_owner,
+            waited_ms,
+            expected_wait_ms,
+        } => write_event(
+            "order-taken-back",
+            &[
+                ("run", run.to_string()),
+                ("owner", owner.to_string()),
+                ("free_owner", free_owner.to_string()),
+                ("waited_ms", waited_ms.to_string()),
+                ("expected_wait_ms", expected_wait_ms.to_string()),
+            ],
+        ),
         Decision::OrderEnded { run, end, target } => write_event(
             "order-ended",
             &[
