feat(dispatch): let tasks wait for the rack of their data while that pays

Callers saw: tasks took any free target although a target on the rack of their data was free soon, and ran 1.5 or 3 times as long there.

Cause: the factor of a remote run was fixed at 1.5, and no task waited for its rack. Each order that names a rack compared all targets.

Change: a decision without I/O says how long a wait for the rack pays. Targets of named racks have an index of their own. At the owner a waiting order takes only targets on its rack until its limit, holds up no others, and takes any target afterwards. Work stealing moves it to its rack at another owner, and elsewhere when the wait no longer pays. New: the counters kqr_rack_tasks and kqr_taken_back_orders, and data_place of run-started.

--- a/kqr-dispatch/src/decision.rs
+++ b/kqr-dispatch/src/decision.rs
@@ -1,6 +1,6 @@
 use kqr_types::{InstanceId, JobKey, TargetId};
 
-use crate::{EndKind, JobEnd, NotRun, RunEnd, RunId};
+use crate::{DataPlace, EndKind, JobEnd, NotRun, RunEnd, RunId};
 
 /// A decision to be logged, with the inputs that led to it.
 #[derive(Clone, Debug, PartialEq)]
@@ -77,6 +77,8 @@
         estimate_ms: u64,
         /// Learned ratio of run time to estimate on the target, in thousandths.
         slowness_milli: u64,
+        /// Where the target is in relation to the data of the task.
+        data_place: DataPlace,
     },
     /// A target listed the end of a run that did not complete.
     RunEnded {
--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -58,7 +58,7 @@
     pub fn new(own: EntryInfo, options: Options) -> Self {
         let last_order_id = OrderId::before(own.incarnation);
         Self {
-            owners: Owners::new(&own.id),
+            owners: Owners::new(&own.id, &options),
             own,
             owned: OwnedTargets::new(options.clone()),
             jobs: Jobs::new(options.clone(), last_order_id),
@@ -254,7 +254,7 @@
             SiblingMessage::Load(update) => self.apply_load(from, update, outputs),
             SiblingMessage::LoadRequest => self.accept_load_request(now, from),
             SiblingMessage::Run { spec, orders } => {
-                self.accept_orders(sent_at, from, &spec, orders, outputs);
+                self.accept_orders(now, sent_at, from, &spec, orders, outputs);
             }
             SiblingMessage::Cancel(order_ids) => {
                 for order_id in order_ids {
@@ -323,6 +323,7 @@
     /// silence would not be noticed.
     fn accept_orders(
         &mut self,
+        now: Instant,
         sent_at: Instant,
         from: &InstanceId,
         spec: &Arc<str>,
@@ -337,7 +338,7 @@
         }
         for order in orders {
             self.owned
-                .accept_order(sent_at, from.clone(), Arc::clone(spec), order, outputs);
+                .accept_order(now, sent_at, from.clone(), Arc::clone(spec), order, outputs);
         }
     }
 }
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -137,7 +137,7 @@
         for Placement { owner, order } in self.jobs.place(now, key, &mut self.owners, &self.losses, outputs) {
             if owner == self.own.id {
                 self.owned
-                    .accept_order(now, owner, Arc::clone(&spec), order, outputs);
+                    .accept_order(now, now, owner, Arc::clone(&spec), order, outputs);
                 continue;
             }
             remote.entry(owner).or_default().push(order);
--- a/kqr-dispatch/src/jobs/rebalance.rs
+++ b/kqr-dispatch/src/jobs/rebalance.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::{Options, locality::RackChoice};
+
 /// Shortest wait of an order that is taken back: above the round trip of an order and its start. In addition, a load of the
 /// owner must include the order, which takes up to an interval of reports.
 pub(super) const MIN_WAIT: Duration = Duration::from_millis(10);
@@ -46,6 +48,20 @@
     pub(crate) moves: u32,
 }
 
+impl QueuedOrder {
+    /// Returns what the order may expect on its rack and on free targets elsewhere.
+    pub(super) fn rack_choice(&self, options: &Options) -> RackChoice {
+        RackChoice {
+            rack_wait: self.queue_wait.max(self.waited),
+            elsewhere_wait: NEAR_COST,
+            run_time: self.estimate,
+            slowdown: options.remote_slowdown,
+            on_time_left: self.on_time_left,
+            max_wait: options.max_rack_wait,
+        }
+    }
+}
+
 /// Free capacity at another owner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct FreePlace {
--- a/kqr-dispatch/src/jobs/take_back.rs
+++ b/kqr-dispatch/src/jobs/take_back.rs
@@ -116,7 +116,8 @@
             return false;
         }
         let pays = |place: FreePlace| does_move_pay(&queued, place);
-        let Some(to) = spare.reserve(&order, &open.owner, pays) else {
+        let may_leave_rack = !queued.rack_choice(&self.options).does_wait_pay();
+        let Some(to) = spare.reserve(&order, &open.owner, may_leave_rack, pays) else {
             return false;
         };
         task.moves += 1;
--- a/kqr-dispatch/src/lib.rs
+++ b/kqr-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 
 mod contact;
+mod data_place;
 mod decision;
 mod delivery;
 mod dispatcher;
@@ -17,6 +18,7 @@
 mod jobs;
 mod load_report;
 mod load_update;
+mod locality;
 mod lost_run;
 mod opened_session;
 mod options;
@@ -44,6 +46,7 @@
 mod target_time;
 mod task_id;
 
+pub use data_place::DataPlace;
 pub use decision::Decision;
 pub use delivery::Delivery;
 pub use dispatcher::Dispatcher;
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -1,5 +1,10 @@
 use std::time::Duration;
 
+/// Factor on the run time on a rack that does not hold the input data, if none is given.
+const DEFAULT_REMOTE_SLOWDOWN: f32 = 1.5;
+/// Largest factor that is accepted. A larger one is taken for a mistake.
+const MAX_REMOTE_SLOWDOWN: f64 = 1000.0;
+
 /// Timeouts and limits of the [`Dispatcher`](crate::Dispatcher).
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -49,9 +54,21 @@
     pub max_tasks: u64,
     /// Run time assumed for a step without an estimate.
     pub default_estimate: Duration,
+    /// Factor on the run time of a task on a rack that does not hold its data; at least 1.
+    pub remote_slowdown: f32,
+    /// Longest time that a task waits for a target on the rack of its data.
+    pub max_rack_wait: Duration,
 }
 
 impl Options {
+    /// Returns the factor on the run time elsewhere for the one that was given. The default applies if there is none, or if it
+    /// is out of range.
+    #[must_use]
+    pub fn remote_slowdown_or_default(given: Option<f64>) -> f32 {
+        let usable = given.filter(|factor| (1.0..=MAX_REMOTE_SLOWDOWN).contains(factor));
+        usable.map_or(DEFAULT_REMOTE_SLOWDOWN, |factor| factor as f32)
+    }
+
     /// Returns the longest time that a lease lasts on the clock of an entry, if it is not extended.
     pub(crate) fn max_lease_duration(&self) -> Duration {
         let slowest = 1000_u32.saturating_sub(self.max_drift_per_mille).max(1);
@@ -82,6 +99,8 @@
             max_target_losses: 2,
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
+            remote_slowdown: DEFAULT_REMOTE_SLOWDOWN,
+            max_rack_wait: Duration::from_millis(500),
         }
     }
 }
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -1,6 +1,7 @@
 //! The owner role: targets that this entry owns, their runs, and orders that wait for capacity.
 
 mod answers;
+mod full_racks;
 mod hanging;
 mod health;
 mod next_poll;
@@ -9,6 +10,7 @@
 mod phase;
 mod polling;
 mod probe;
+mod rack_waits;
 mod run;
 mod target;
 mod waiting_order;
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -6,6 +6,7 @@
 
 use super::{
     OwnedTargets,
+    full_racks::FullRacks,
     open_call::OpenCall,
     phase::Phase,
     run::{Run, RunState},
@@ -13,7 +14,7 @@
     waiting_order::WaitingOrder,
 };
 use crate::{
-    Decision, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, StartCall, StopCall, TargetCall,
+    DataPlace, Decision, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, StartCall, StopCall, TargetCall,
     suitability::Suitability,
 };
 
@@ -25,6 +26,7 @@
     /// Queues an order that was sent at `sent_at` until a target has free capacity, or refuses it if no target can run it.
     pub(crate) fn accept_order(
         &mut self,
+        now: Instant,
         sent_at: Instant,
         coordinator: InstanceId,
         spec: Arc<str>,
@@ -36,10 +38,12 @@
             self.refuse_order(coordinator, &order, NotRun::NoTarget, outputs);
             return;
         }
+        let rack_wait = self.rack_wait(now, sent_at, &order);
         self.waiting.push(WaitingOrder {
             coordinator,
             spec,
             sent_at,
+            rack_wait,
             until: sent_at + order.time_left,
             order,
         });
@@ -48,6 +52,7 @@
     /// Starts the waiting orders for which a target has free capacity, by priority and arrival.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut passed_over = 0;
+        let mut full_racks = FullRacks::default();
         for place in self.waiting.places() {
             if passed_over == MAX_PASSED_OVER {
                 break;
@@ -55,12 +60,18 @@
             let Some(waiting) = self.waiting.get(place) else {
                 continue;
             };
+            let is_bound = waiting.is_bound_to_rack(now);
+            if is_bound && full_racks.contains(&waiting.order) {
+                continue;
+            }
             match self.pick_target(now, waiting) {
                 Some(target) => {
                     if let Some(waiting) = self.waiting.remove(place) {
                         self.start_run(now, &target, &waiting, outputs);
                     }
                 }
+                // An order that waits for its rack says nothing about the orders behind it.
+                None if is_bound => full_racks.insert(&waiting.order),
                 None => passed_over += 1,
             }
         }
@@ -238,7 +249,16 @@
             .is_suspect()
             .then(|| self.pick_target_where(now, waiting, |target| target.runs.is_empty()))
             .flatten();
-        idle.or_else(|| self.pick_target_where(now, waiting, |_| true))
+        if idle.is_some() {
+            return idle;
+        }
+        if let Some(rack) = waiting.order.data_rack.as_deref() {
+            let on_rack = self.pick_target_where(now, waiting, |target| target.record.has_label(rack));
+            if on_rack.is_some() || waiting.is_bound_to_rack(now) {
+                return on_rack;
+            }
+        }
+        self.pick_target_where(now, waiting, |_| true)
     }
 
     fn pick_target_where<Filter>(
@@ -269,7 +289,12 @@
                 .data_rack
                 .as_ref()
                 .is_some_and(|rack| !target.record.has_label(rack));
-            let suitability = Suitability::of(order, waited, target.health.slowness(), is_data_remote, true);
+            let slowdown = if is_data_remote {
+                self.options.remote_slowdown
+            } else {
+                1.0
+            };
+            let suitability = Suitability::of(order, waited, target.health.slowness(), slowdown, true);
             if best.is_none_or(|(least, _)| suitability.is_better(least)) {
                 best = Some((suitability, id));
             }
@@ -324,13 +349,27 @@
             waited_ms: now.since(waiting.sent_at).as_millis() as u64,
             estimate_ms: order.estimate.as_millis() as u64,
             slowness_milli,
+            data_place: data_place(now, target, waiting),
         }));
         self.send_call(open, TargetCall::Start(call), outputs);
     }
 }
 
+/// Returns where the target is in relation to the data of the order.
+fn data_place(now: Instant, target: &Target, waiting: &WaitingOrder) -> DataPlace {
+    let Some(rack) = waiting.order.data_rack.as_deref() else {
+        return DataPlace::NoRack;
+    };
+    let has_waited = waiting.rack_wait.is_some_and(|wait| wait.since < now);
+    if target.record.has_label(rack) {
+        DataPlace::OnRack { has_waited }
+    } else {
+        DataPlace::Elsewhere { has_waited }
+    }
+}
+
 /// Returns whether the target could run the order, regardless of its free capacity.
-fn may_run(target: &Target, order: &RunOrder) -> bool {
+pub(super) fn may_run(target: &Target, order: &RunOrder) -> bool {
     let is_granted = matches!(target.phase, Phase::Attaching | Phase::Attached);
     let is_usable = is_granted && !target.is_leaving && !target.must_release;
     let has_label = order
--- a/kqr-dispatch/src/owners/mod.rs
+++ b/kqr-dispatch/src/owners/mod.rs
@@ -2,8 +2,10 @@
 
 mod distance;
 mod free_index;
+mod free_targets;
 mod owner_load;
 mod placement;
+mod racks;
 mod spare;
 
 use std::{
@@ -12,14 +14,15 @@
     time::Duration,
 };
 
-use kqr_types::{InstanceId, ServiceName};
+use kqr_types::InstanceId;
 
 use crate::{
-    JobRequest, LoadChange, LoadTargets, LoadUpdate, StepSpec, TargetLoad,
+    JobRequest, LoadChange, LoadTargets, LoadUpdate, Options, StepSpec, TargetLoad,
     load_report::{LoadReport, RANKS},
 };
 use distance::Distance;
-use free_index::{FreeIndex, FreeKey};
+use free_index::FreeKey;
+use free_targets::FreeTargets;
 use owner_load::OwnerLoad;
 pub(crate) use spare::{SpareCapacity, Turns};
 
@@ -32,17 +35,23 @@
     /// Owners by their number in the index.
     numbers: BTreeMap<u32, InstanceId>,
     last_number: u32,
-    /// Targets that accept runs, by service.
-    free: BTreeMap<ServiceName, FreeIndex>,
+    /// Targets that accept runs.
+    free: FreeTargets,
     /// Distinguishes the order in which coordinators prefer equal targets.
     seed: u64,
+    /// Factor on the run time of a task on a rack that does not hold its data.
+    remote_slowdown: f32,
+    /// Longest wait for a target on the rack of the data.
+    max_rack_wait: Duration,
 }
 
 impl Owners {
     /// Creates the empty set of owners known to `coordinator`.
-    pub(crate) fn new(coordinator: &InstanceId) -> Self {
+    pub(crate) fn new(coordinator: &InstanceId, options: &Options) -> Self {
         Self {
             seed: hash_of(&coordinator),
+            remote_slowdown: options.remote_slowdown,
+            max_rack_wait: options.max_rack_wait,
             ..Self::default()
         }
     }
@@ -141,7 +150,7 @@
     /// Returns how long the tasks of a job are expected to wait for capacity. Returns zero if no target accepts runs
     /// at present, because this is assumed to be a short interruption.
     pub(crate) fn expected_wait(&self, request: &JobRequest) -> Duration {
-        let Some(index) = self.free.get(&request.service) else {
+        let Some(index) = self.free.of(&request.service) else {
             return Duration::ZERO;
         };
         let capacity = index.open_cpu_milli();
@@ -234,12 +243,11 @@
         if before == after {
             return;
         }
-        let index = self.free.entry(target.service.clone()).or_default();
         if let Some(key) = before {
-            index.remove(&key, target.capacity.cpu_milli);
+            self.free.remove(target, &key);
         }
         if let Some(key) = after {
-            index.insert(key, target.capacity.cpu_milli);
+            self.free.insert(target, key);
         }
     }
 
@@ -248,8 +256,7 @@
             return;
         };
         if let (Some(key), Some(target)) = (known.key(position), known.targets.get(position)) {
-            let index = self.free.entry(target.service.clone()).or_default();
-            index.insert(key, target.capacity.cpu_milli);
+            self.free.insert(target, key);
         }
     }
 
@@ -257,15 +264,18 @@
         let Some(known) = self.loads.get(owner) else {
             return;
         };
-        if let (Some(key), Some(target)) = (known.key(position), known.targets.get(position))
-            && let Some(index) = self.free.get_mut(&target.service)
-        {
-            index.remove(&key, target.capacity.cpu_milli);
+        if let (Some(key), Some(target)) = (known.key(position), known.targets.get(position)) {
+            self.free.remove(target, &key);
         }
     }
 
     fn owner_at(&self, key: &FreeKey) -> Option<&OwnerLoad> {
-        self.loads.get(self.numbers.get(&key.owner)?)
+        self.owner_numbered(key.owner).map(|(_, owner)| owner)
+    }
+
+    fn owner_numbered(&self, number: u32) -> Option<(&InstanceId, &OwnerLoad)> {
+        let id = self.numbers.get(&number)?;
+        Some((id, self.loads.get(id)?))
     }
 
     fn target_at(&self, key: &FreeKey) -> Option<&TargetLoad> {
--- a/kqr-dispatch/src/owners/placement.rs
+++ b/kqr-dispatch/src/owners/placement.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Owners,
-    free_index::FreeKey,
+    free_index::{FreeIndex, FreeKey},
     owner_load::{OwnerLoad, Reservation},
 };
 use crate::{
@@ -25,12 +25,23 @@
         let is_idle = |target: &TargetLoad, owner: &OwnerLoad, position: usize| {
             owner.free_of(position) == Some(target.capacity)
         };
-        let idle = order
-            .is_suspect()
-            .then(|| self.scan(order, is_idle))
-            .flatten()
-            .or_else(|| self.most_suitable(order));
-        let Some((owner, position)) = idle else {
+        let mut free = order.is_suspect().then(|| self.scan(order, is_idle)).flatten();
+        let rack = order.data_rack.as_deref();
+        if free.is_none()
+            && let Some(rack) = rack
+        {
+            free = self.free_on_rack(order, rack);
+        }
+        if free.is_none() {
+            free = self.most_suitable(order);
+            if let Some(rack) = rack
+                && !self.is_on_rack(free.as_ref(), rack)
+                && let Some(owner) = self.pick_rack_queue(order, rack, free.is_some())
+            {
+                return Some((owner, None));
+            }
+        }
+        let Some((owner, position)) = free else {
             return self.pick_shortest_queue(order).map(|owner| (owner, None));
         };
         let target = self.loads.get(&owner)?.targets.get(position)?.id.clone();
@@ -43,13 +54,22 @@
     /// Returns the owner and the position of the target with free capacity that suits `order` best: the slowest one of
     /// the own data centre on which the run ends on time, then the slowest such one elsewhere, then the fastest one. Of
     /// targets of the same speed this entry prefers its own.
+    ///
+    /// An order that names a rack takes longer on these targets, unless one happens to be there.
     fn most_suitable(&self, order: &RunOrder) -> Option<(InstanceId, usize)> {
-        if order.data_rack.is_some() {
-            return self.scan(order, |_, _, _| true);
-        }
-        let index = self.free.get(&order.service)?;
+        let slowdown = order.data_rack.as_ref().map_or(1.0, |_| self.remote_slowdown);
+        self.most_suitable_in(self.free.of(&order.service)?, order, slowdown)
+    }
+
+    /// Returns the most suitable target of an index, on which runs of the order take `slowdown` times as long.
+    pub(super) fn most_suitable_in(
+        &self,
+        index: &FreeIndex,
+        order: &RunOrder,
+        slowdown: f32,
+    ) -> Option<(InstanceId, usize)> {
         let budget = on_time_budget(order, Duration::ZERO) * on_time_fraction(index.utilisation());
-        let max_slowness = budget / order.estimate.as_secs_f32().max(f32::MIN_POSITIVE);
+        let max_slowness = budget / (order.estimate.as_secs_f32() * slowdown).max(f32::MIN_POSITIVE);
         let fits = |key: &FreeKey| self.can_take(key, order);
         let cpu = order.needs.cpu_milli;
         let found = index
@@ -59,6 +79,17 @@
         Some((self.numbers.get(&found.owner)?.clone(), found.position as usize))
     }
 
+    fn is_on_rack(&self, place: Option<&(InstanceId, usize)>, rack: &str) -> bool {
+        let Some((owner, position)) = place else {
+            return false;
+        };
+        let target = self
+            .loads
+            .get(owner)
+            .and_then(|owner| owner.targets.get(*position));
+        target.is_some_and(|target| target.labels.iter().any(|label| label == rack))
+    }
+
     /// Compares all targets, for the rare orders whose best target depends on more than its speed.
     fn scan<Filter>(&self, order: &RunOrder, is_eligible: Filter) -> Option<(InstanceId, usize)>
     where
@@ -79,13 +110,9 @@
                     .data_rack
                     .as_ref()
                     .is_some_and(|rack| !target.labels.contains(rack));
-                let suitability = Suitability::of(
-                    order,
-                    Duration::ZERO,
-                    target.slowness,
-                    is_data_remote,
-                    owner.is_near(),
-                );
+                let slowdown = if is_data_remote { self.remote_slowdown } else { 1.0 };
+                let suitability =
+                    Suitability::of(order, Duration::ZERO, target.slowness, slowdown, owner.is_near());
                 if best.is_none_or(|(least, ..)| suitability.is_better(least)) {
                     best = Some((suitability, id, position));
                 }
--- a/kqr-dispatch/src/owners/spare.rs
+++ b/kqr-dispatch/src/owners/spare.rs
@@ -93,21 +93,22 @@
     }
 
     /// Finds a free target of another owner than `from` for which `pays` holds, and deducts the order from it for the rest of
-    /// this pass. An order that names a rack is moved only to a target there.
+    /// this pass. An order that names a rack is moved to a target elsewhere only if it `may_leave_rack`.
     pub(crate) fn reserve<Pays>(
         &mut self,
         order: &RunOrder,
         from: &InstanceId,
+        may_leave_rack: bool,
         pays: Pays,
     ) -> Option<SparePlace>
     where
         Pays: Fn(FreePlace) -> bool,
     {
-        let index = self.owners.free.get(&order.service)?;
+        let index = self.owners.free.of(&order.service)?;
         let budget = on_time_budget(order, Duration::ZERO) * on_time_fraction(index.utilisation());
         let max_slowness = budget / order.estimate.as_secs_f32().max(f32::MIN_POSITIVE);
         let cpu = order.needs.cpu_milli;
-        let accept = |key: &FreeKey| self.is_suitable(key, order, from, &pays);
+        let accept = |key: &FreeKey| self.is_suitable(key, order, from, may_leave_rack, &pays);
         let found = index
             .slowest_below(false, max_slowness, cpu, accept)
             .or_else(|| index.slowest_below(true, max_slowness, cpu, accept))
@@ -122,7 +123,14 @@
         Some(place)
     }
 
-    fn is_suitable<Pays>(&self, key: &FreeKey, order: &RunOrder, from: &InstanceId, pays: &Pays) -> bool
+    fn is_suitable<Pays>(
+        &self,
+        key: &FreeKey,
+        order: &RunOrder,
+        from: &InstanceId,
+        may_leave_rack: bool,
+        pays: &Pays,
+    ) -> bool
     where
         Pays: Fn(FreePlace) -> bool,
     {
@@ -132,12 +140,18 @@
         let Some(target) = self.owners.target_at(key) else {
             return false;
         };
+        let is_on_rack = is_on_rack(target, order);
+        let slowdown = if is_on_rack {
+            1.0
+        } else {
+            self.owners.remote_slowdown
+        };
         let place = FreePlace {
             is_near: !key.is_far,
-            slowness: target.slowness,
+            slowness: target.slowness * slowdown,
         };
         may_run(target, order)
-            && is_on_rack(target, order)
+            && (is_on_rack || may_leave_rack)
             && self.free_at(key).is_some_and(|free| free.can_fit(&order.needs))
             && pays(place)
     }
--- a/kqr-dispatch/src/suitability.rs
+++ b/kqr-dispatch/src/suitability.rs
@@ -2,8 +2,6 @@
 
 use crate::RunOrder;
 
-/// Factor on the run time on a rack that does not hold the input data.
-const REMOTE_DATA_FACTOR: f32 = 1.5;
 /// Fraction of the remaining on-time budget that a run may be expected to take; concurrent runs slow it down.
 const ON_TIME_FRACTION: f32 = 0.88;
 /// The same fraction while many targets are free. Estimates of callers are wrong by half, so that a run which just fits
@@ -44,16 +42,15 @@
 
 impl Suitability {
     /// Returns how well a target on which runs take `slowness` times their estimate suits `order`, which has
-    /// waited for `waited`.
+    /// waited for `waited`. `slowdown` is the factor on the run time for the distance to the data.
     pub(crate) fn of(
         order: &RunOrder,
         waited: Duration,
         slowness: f32,
-        is_data_remote: bool,
+        slowdown: f32,
         is_near_owner: bool,
     ) -> Self {
-        let factor = if is_data_remote { REMOTE_DATA_FACTOR } else { 1.0 };
-        let expected = order.estimate.as_secs_f32() * slowness * factor;
+        let expected = order.estimate.as_secs_f32() * slowness * slowdown;
         if expected > on_time_budget(order, waited) * ON_TIME_FRACTION {
             return Self {
                 class: 1,
--- a/kqr-dispatch/tests/simulation/target.rs
+++ b/kqr-dispatch/tests/simulation/target.rs
@@ -12,6 +12,9 @@
 
 /// Payload of a task that crashes each target that starts it.
 pub const CRASHING: &str = "crashing";
+/// Start of the payload of a task that takes [`Target::remote_slowdown`] times as long without the label that follows, and its
+/// run time there in milliseconds after a space.
+pub const DATA_ON: &str = "data-on ";
 /// Time from the start of such a task to the crash, and from the crash to the next incarnation.
 const CRASH_DELAY_MS: u64 = 10;
 const DOWN_MS: u64 = 3_000;
@@ -44,6 +47,8 @@
 pub struct Target {
     pub record: TargetRecord,
     pub behaviour: TaskBehaviour,
+    /// Factor on the run time of tasks whose data is on another rack.
+    pub remote_slowdown: f64,
     pub is_up: bool,
     /// Number of crashes.
     pub crashes: usize,
@@ -68,6 +73,7 @@
         Self {
             record,
             behaviour,
+            remote_slowdown: 1.0,
             is_up: true,
             crashes: 0,
             crashes_at: None,
@@ -118,6 +124,7 @@
             acknowledged,
             starts,
             crashes: self.crashes,
+            remote_slowdown: self.remote_slowdown,
             ..Self::new(record, self.behaviour)
         };
     }
@@ -148,7 +155,8 @@
                 } else if start.lease_until.0 <= now {
                     return Err(CallFailure::Refused(Refusal::Late));
                 } else {
-                    let TaskBehaviour { run_ms, end, hangs } = self.behaviour;
+                    let TaskBehaviour { end, hangs, .. } = self.behaviour;
+                    let run_ms = self.run_ms(&start.spec);
                     let (began, ends) = (now, now + run_ms);
                     self.running.insert(
                         start.run.clone(),
@@ -194,6 +202,20 @@
         Ok(self.answer(now))
     }
 
+    /// Returns the run time of a task with the given payload.
+    fn run_ms(&self, spec: &str) -> u64 {
+        let named = spec.strip_prefix(DATA_ON).and_then(|rest| rest.split_once(' '));
+        let Some((rack, run_ms)) = named else {
+            return self.behaviour.run_ms;
+        };
+        let run_ms: f64 = run_ms.parse().unwrap();
+        if rack == "any" || self.record.has_label(rack) {
+            run_ms as u64
+        } else {
+            (run_ms * self.remote_slowdown) as u64
+        }
+    }
+
     fn answer(&self, now: u64) -> PollAnswer {
         let mut running = Vec::new();
         for (run, work) in &self.running {
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -47,7 +47,11 @@
     /// # Errors
     ///
     /// Fails if the settings are inconsistent, or the listener can't be opened.
-    pub async fn start(settings: &EntrySettings, client: Client) -> eyre::Result<Self> {
+    pub async fn start(
+        settings: &EntrySettings,
+        client: Client,
+        remote_slowdown: Option<f64>,
+    ) -> eyre::Result<Self> {
         settings.check()?;
         let siblings = settings.sibling_address();
         let listen_address = settings.listen_address(siblings);
@@ -64,6 +68,7 @@
         };
         let options = Options {
             lease: Duration::from_millis(settings.max_lease_ms).mul_f64(LEASE_FRACTION),
+            remote_slowdown: Options::remote_slowdown_or_default(remote_slowdown),
             ..Options::default()
         };
         let fields = [("incarnation", own.incarnation.to_string())];
--- a/kqr-runtime/src/entry/decision_log.rs
+++ b/kqr-runtime/src/entry/decision_log.rs
@@ -1,6 +1,6 @@
 //! Event log of the dispatcher's decisions.
 
-use kqr_dispatch::{Decision, JobEnd};
+use kqr_dispatch::{DataPlace, Decision, JobEnd};
 use kqr_telemetry::log_decision as write_event;
 
 /// Writes a decision to the event log.
@@ -87,6 +87,7 @@
             waited_ms,
             estimate_ms,
             slowness_milli,
+            data_place,
         } => write_event(
             "run-started",
             &[
@@ -95,6 +96,7 @@
                 ("waited_ms", waited_ms.to_string()),
                 ("estimate_ms", estimate_ms.to_string()),
                 ("slowness_milli", slowness_milli.to_string()),
+                ("data_place", describe_place(*data_place).to_owned()),
             ],
         ),
         Decision::RunEnded {
@@ -141,6 +143,16 @@
     }
 }
 
+const fn describe_place(place: DataPlace) -> &'static str {
+    match place {
+        DataPlace::NoRack => "",
+        DataPlace::OnRack { has_waited: false } => "on-rack",
+        DataPlace::OnRack { has_waited: true } => "on-rack-after-wait",
+        DataPlace::Elsewhere { has_waited: false } => "elsewhere",
+        DataPlace::Elsewhere { has_waited: true } => "elsewhere-after-wait",
+    }
+}
+
 /// Writes a change in the observed state of a target or a sibling.
 fn write_state_change(decision: &Decision) {
     match decision {
--- a/kqr-runtime/src/entry/decision_metrics.rs
+++ b/kqr-runtime/src/entry/decision_metrics.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use kqr_dispatch::{Decision, JobEnd, NotRun, RunEnd};
-use kqr_telemetry::{AnswerClass, GaugeMetric, Metrics, TaskLength, WastedMessage, WorkKind};
+use kqr_dispatch::{DataPlace, Decision, JobEnd, NotRun, RunEnd};
+use kqr_telemetry::{AnswerClass, GaugeMetric, Metrics, RackPlace, TaskLength, WastedMessage, WorkKind};
 
 /// Updates the counters for a decision.
 pub(super) fn count(metrics: &Metrics, decision: &Decision) {
@@ -11,18 +11,32 @@
         Decision::JobEnded { end, after_ms, .. } => {
             metrics.record_answer(WorkKind::Job, answer_class(end), Duration::from_millis(*after_ms));
         }
-        Decision::RunStarted { waited_ms, .. } => {
+        Decision::RunStarted {
+            waited_ms,
+            data_place,
+            ..
+        } => {
             metrics.record_task_start(TaskLength::Short, Duration::from_millis(*waited_ms));
+            count_rack_task(metrics, *data_place);
         }
         Decision::OrderEnded {
             end: RunEnd::NotRun(NotRun::Refused | NotRun::Superseded),
             ..
         } => metrics.count_wasted_message(WastedMessage::Refusal),
+        Decision::OrderTakenBack { .. } => metrics.count_taken_back_order(),
         Decision::SiblingChanged { state: "lost", .. } => metrics.count_suspicion(),
         _ => {}
     }
 }
 
+fn count_rack_task(metrics: &Metrics, place: DataPlace) {
+    match place {
+        DataPlace::NoRack => {}
+        DataPlace::OnRack { has_waited } => metrics.count_rack_task(RackPlace::OnRack, has_waited),
+        DataPlace::Elsewhere { has_waited } => metrics.count_rack_task(RackPlace::Elsewhere, has_waited),
+    }
+}
+
 /// Sets the gauges of an entry.
 pub(super) fn set_gauges(
     metrics: &Metrics,
--- a/kqr-telemetry/src/labels.rs
+++ b/kqr-telemetry/src/labels.rs
@@ -66,6 +66,25 @@
     }
 }
 
+/// Where a task that names the rack of its data started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RackPlace {
+    /// On that rack.
+    OnRack,
+    /// On another one.
+    Elsewhere,
+}
+
+impl RackPlace {
+    /// Returns the label value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OnRack => "on-rack",
+            Self::Elsewhere => "elsewhere",
+        }
+    }
+}
+
 /// A message in excess of the one start and one answer that a task needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WastedMessage {
--- a/kqr-telemetry/src/lib.rs
+++ b/kqr-telemetry/src/lib.rs
@@ -22,7 +22,7 @@
 pub use gauge_metric::GaugeMetric;
 pub use hybrid_clock::HybridClock;
 pub use hybrid_time::HybridTime;
-pub use labels::{AnswerClass, TaskLength, WastedMessage, WorkKind};
+pub use labels::{AnswerClass, RackPlace, TaskLength, WastedMessage, WorkKind};
 pub use logging::{init_bounded_logging, init_logging};
 pub use metrics::Metrics;
 pub use rotating_file::RotationOptions;
--- a/kqr-telemetry/src/metrics.rs
+++ b/kqr-telemetry/src/metrics.rs
@@ -8,7 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::{AnswerClass, GaugeMetric, TaskLength, WastedMessage, WorkKind};
+use crate::{AnswerClass, GaugeMetric, RackPlace, TaskLength, WastedMessage, WorkKind};
 
 /// Histogram bucket bounds for durations, in seconds.
 const DURATION_BOUNDS_S: [f64; 15] = [
@@ -30,6 +30,8 @@
     settings_delay: Histogram<f64>,
     answers: Counter<u64>,
     starts: Counter<u64>,
+    rack_tasks: Counter<u64>,
+    taken_back: Counter<u64>,
     wasted: Counter<u64>,
     sibling_bytes: Counter<u64>,
     suspicions: Counter<u64>,
@@ -95,6 +97,16 @@
             ),
             answers: counter(&meter, "kqr_answers", "Answers and refusals to callers"),
             starts: counter(&meter, "kqr_task_starts", "Task starts sent to targets"),
+            rack_tasks: counter(
+                &meter,
+                "kqr_rack_tasks",
+                "Starts of tasks that name the rack of their data",
+            ),
+            taken_back: counter(
+                &meter,
+                "kqr_taken_back_orders",
+                "Waiting orders taken back for an owner with free capacity",
+            ),
             wasted: counter(
                 &meter,
                 "kqr_wasted_messages",
@@ -144,6 +156,18 @@
         self.queue_wait.record(wait.as_secs_f64(), &[length]);
     }
 
+    /// Counts the start of a task that names the rack of its data, and whether it waited for a target there.
+    pub fn count_rack_task(&self, place: RackPlace, has_waited: bool) {
+        let place = KeyValue::new("place", place.as_str());
+        self.rack_tasks
+            .add(1, &[place, KeyValue::new("waited", has_waited)]);
+    }
+
+    /// Counts a waiting order that was taken back from its owner.
+    pub fn count_taken_back_order(&self) {
+        self.taken_back.add(1, &[]);
+    }
+
     /// Counts a message in excess of the one start and one answer that a task needs.
     pub fn count_wasted_message(&self, message: WastedMessage) {
         self.wasted.add(1, &[KeyValue::new("message", message.as_str())]);
