--- a/kqr-fleet/src/lib.rs
+++ b/kqr-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs)]
 
 mod catalog;
+pub mod catalog_check;
 mod catalog_error;
 mod catalog_part;
 mod catalog_receiver;
