feat(http): limit the connections of clients and the memory of their requests

Callers could keep any number of connections open, send heads of up to 400 KB and any number of bodies of legal size, so that a few hundred of them took several times the memory of a machine: a server limited nothing but the size of one body.

A server now runs within a share of a budget that follows from the memory and descriptors of the machine. When a share is used up, the connection without progress for longest is given up, never one whose request was read completely: with 503 and Retry-After if the head of its request was read, else by closing it. Idle connections make room for new ones first. Bodies reserve memory as they arrive, whatever length they declare.

--- a/kqr-entry/src/callers/problem.rs
+++ b/kqr-entry/src/callers/problem.rs
@@ -89,6 +89,7 @@
             BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             BodyError::TimedOut(_) => StatusCode::REQUEST_TIMEOUT,
             BodyError::Incomplete(_) | BodyError::Malformed(_) => StatusCode::BAD_REQUEST,
+            BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         };
         Self::new(status, "bad-body", Some("body"), error.to_string())
     }
--- a/kqr-http/src/body.rs
+++ b/kqr-http/src/body.rs
@@ -1,10 +1,12 @@
 use std::{fmt, pin::pin, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Response, StatusCode, body::Body, header};
+use hyper::{Request, Response, StatusCode, body::Body, header};
 use serde::{Serialize, de::DeserializeOwned};
 
+use crate::{RequestScope, Reservation};
+
 /// Limits of a body that is read into memory.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyLimits {
@@ -25,6 +27,8 @@
     Incomplete(String),
     /// The body is not JSON of the expected type.
     Malformed(String),
+    /// There is no memory for the body.
+    NoMemory,
 }
 
 impl fmt::Display for BodyError {
@@ -34,12 +38,15 @@
             Self::TimedOut(limit) => write!(f, "the body did not arrive within {limit:?}"),
             Self::Incomplete(cause) => write!(f, "the body ended early: {cause}"),
             Self::Malformed(cause) => write!(f, "the body is not the expected JSON: {cause}"),
+            Self::NoMemory => f.write_str("there is no memory for the body at present"),
         }
     }
 }
 
 impl std::error::Error for BodyError {}
 
+/// Capacity that is allocated for the first bytes of a body.
+const FIRST_CAPACITY: usize = 4 << 10;
 /// Maximum number of bytes beyond the limit that are read and discarded, so that a sender that is still transmitting
 /// receives the error response instead of a connection reset.
 const MAX_DRAINED_BYTES: usize = 64 << 20;
@@ -54,34 +61,90 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match tokio::time::timeout(limits.timeout, collect(body, limits.max_bytes)).await {
+    let reading = collect(body, limits.max_bytes, |_| true);
+    match tokio::time::timeout(limits.timeout, reading).await {
         Ok(result) => result,
         Err(_) => Err(BodyError::TimedOut(limits.timeout)),
     }
 }
 
-async fn collect<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyError>
+/// Reads the whole body of `req` into memory, which counts against the share of its connection. The reservation is held while
+/// the body or what was decoded from it is in use.
+///
+/// # Errors
+///
+/// Fails if the body exceeds a limit, ends early, or there is no memory for it.
+pub async fn read_request_body<B>(
+    req: Request<B>,
+    limits: BodyLimits,
+) -> Result<(Bytes, Option<Reservation>), BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let Some(scope) = req.extensions().get::<RequestScope>().cloned() else {
+        return Ok((read_body(req.into_body(), limits).await?, None));
+    };
+    let mut reservation = scope.reserve(0).ok_or(BodyError::NoMemory)?;
+    let unread = scope.begin_body();
+    let reading = async {
+        let reading = collect(req.into_body(), limits.max_bytes, |bytes| reservation.grow(bytes));
+        tokio::select! {
+            biased;
+            () = unread.stopped() => Err(BodyError::NoMemory),
+            result = reading => result,
+        }
+    };
+    let result = match tokio::time::timeout(limits.timeout, reading).await {
+        Ok(result) => result,
+        Err(_) => Err(BodyError::TimedOut(limits.timeout)),
+    };
+    drop(unread);
+    Ok((result?, Some(reservation)))
+}
+
+/// Collects a body, for which `reserve` is asked before memory is allocated.
+async fn collect<B, Reserve>(body: B, max_bytes: usize, mut reserve: Reserve) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    Reserve: FnMut(usize) -> bool,
 {
     let mut body = pin!(body);
-    let mut collected = BytesMut::new();
+    let mut collected = Vec::new();
     let mut received = 0_usize;
+    let mut has_memory = true;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Incomplete(error.into().to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
         received = received.saturating_add(data.len());
-        if received <= max_bytes {
-            collected.extend_from_slice(&data);
-        } else if received > max_bytes.saturating_add(MAX_DRAINED_BYTES) {
+        if received > max_bytes.saturating_add(MAX_DRAINED_BYTES) {
             break;
         }
+        if received > max_bytes || !has_memory {
+            collected = Vec::new();
+            continue;
+        }
+        if received > collected.capacity() {
+            // The length that a client declares is no reason to allocate.
+            let doubled = (2 * collected.capacity()).max(FIRST_CAPACITY).min(max_bytes);
+            let capacity = doubled.max(received);
+            if !reserve(capacity - collected.capacity()) {
+                has_memory = false;
+                collected = Vec::new();
+                continue;
+            }
+            collected.reserve_exact(capacity - collected.len());
+        }
+        collected.extend_from_slice(&data);
     }
     if received > max_bytes {
         return Err(BodyError::TooLarge(max_bytes));
     }
-    Ok(collected.freeze())
+    if !has_memory {
+        return Err(BodyError::NoMemory);
+    }
+    Ok(Bytes::from(collected))
 }
 
 /// Reads a JSON body.
--- a/kqr-http/src/server.rs
+++ b/kqr-http/src/server.rs
@@ -1,18 +1,25 @@
 use std::{convert::Infallible, future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use http_body_util::{Either, Full};
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::{Body, Incoming},
+    header::{self, HeaderValue},
     service::service_fn,
 };
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
+use crate::{
+    ClientBudget, ClientLimits, HEAD_BYTES, RequestScope, Share, text_response, tracked_body::TrackedBody,
+    tracked_io::TrackedIo,
+};
+
 /// Options of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerOptions {
@@ -44,8 +51,21 @@
 
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Interval between checks of the time limits of connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Memory that an open request counts with, besides its body: its head, its handler, and a stream of HTTP/2.
+const REQUEST_BYTES: usize = 4 << 10;
+/// Maximum number of open requests of an HTTP/2 connection.
+const MAX_STREAMS: u32 = 100;
+/// Flow-control windows of HTTP/2 in bytes: what a connection buffers before a handler reads it.
+const WINDOW_BYTES: u32 = 65_535;
+/// Maximum number of bytes of responses that an HTTP/2 stream buffers.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+/// Delay after which a refused client tries again, in seconds.
+const RETRY_AFTER_S: u64 = 1;
 
-/// Serves connections of `listener` until `shutdown` is cancelled and the open requests have ended.
+/// Serves connections of `listener` until `shutdown` is cancelled and the open requests have ended. The limits on clients are
+/// those of a machine of which nothing is known.
 ///
 /// Returns whether all open requests ended within the grace time.
 pub async fn serve<H, F, B>(
@@ -57,19 +77,40 @@
 where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(options.head_timeout);
-    builder.http2().timer(TokioTimer::new());
+    let budget = ClientBudget::new(ClientLimits::default());
+    serve_within(listener, options, (budget, Share::Callers), shutdown, handler).await
+}
+
+/// Serves connections of `listener` within a share of a budget until `shutdown` is cancelled and the open requests have ended.
+///
+/// Returns whether all open requests ended within the grace time.
+pub async fn serve_within<H, F, B>(
+    listener: TcpListener,
+    options: ServerOptions,
+    (budget, share): (ClientBudget, Share),
+    shutdown: CancellationToken,
+    handler: H,
+) -> bool
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let builder = builder(options);
     let graceful = GracefulShutdown::new();
+    let mut sweeps = tokio::time::interval(SWEEP_INTERVAL);
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            _ = sweeps.tick() => {
+                budget.sweep();
+                continue;
+            }
             () = shutdown.cancelled() => break,
         };
         let (stream, peer) = match accepted {
@@ -80,24 +121,88 @@
                 continue;
             }
         };
+        let ticket = budget.admit(share);
+        // A connection that was closed for this one gives back its descriptor before the next one is accepted.
+        tokio::task::yield_now().await;
+        let Some(ticket) = ticket else { continue };
         let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |req| {
-            let response = handler(req, peer);
-            async move { Ok::<_, Infallible>(response.await) }
+        let service = service_fn({
+            let (handler, ticket) = (handler.clone(), ticket.clone());
+            move |req| respond(handler.clone(), req, peer, ticket.begin_request())
         });
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
-        let connection = graceful.watch(connection);
+        let io = TokioIo::new(TrackedIo::new(stream, ticket.clone()));
+        let connection = graceful.watch(builder.serve_connection(io, service).into_owned());
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection from {peer} failed: {error}");
+            tokio::select! {
+                result = connection => {
+                    if let Err(error) = result {
+                        log::debug!("connection from {peer} failed: {error}");
+                    }
+                }
+                () = ticket.closed() => log::debug!("connection from {peer} was given up"),
             }
         });
     }
     drop(listener);
-    tokio::time::timeout(options.grace, graceful.shutdown())
-        .await
-        .is_ok()
+    let closing = graceful.shutdown();
+    tokio::pin!(closing);
+    let deadline = tokio::time::sleep(options.grace);
+    tokio::pin!(deadline);
+    loop {
+        tokio::select! {
+            () = &mut closing => return true,
+            () = &mut deadline => return false,
+            _ = sweeps.tick() => budget.sweep(),
+        }
+    }
+}
+
+fn builder(options: ServerOptions) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.head_timeout)
+        .max_buf_size(HEAD_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_header_list_size(HEAD_BYTES as u32)
+        .max_send_buf_size(SEND_BUFFER_BYTES);
+    builder
+}
+
+/// Handles a request, or refuses it if there is no memory for it.
+async fn respond<H, F, B>(
+    handler: H,
+    mut req: Request<Incoming>,
+    peer: SocketAddr,
+    scope: RequestScope,
+) -> Result<Response<Either<TrackedBody<B>, Full<Bytes>>>, Infallible>
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F,
+    F: Future<Output = Response<B>>,
+    B: Body<Data = Bytes>,
+{
+    let Some(reservation) = scope.reserve(REQUEST_BYTES) else {
+        return Ok(refusal().map(Either::Right));
+    };
+    req.extensions_mut().insert(scope.clone());
+    let response = handler(req, peer).await;
+    drop(reservation);
+    Ok(response.map(|body| Either::Left(TrackedBody::new(body, scope))))
+}
+
+/// Returns the response to a request for which there is no memory.
+pub fn refusal() -> Response<Full<Bytes>> {
+    let mut response = text_response(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "there is no memory for the request at present",
+    );
+    let retry_after = HeaderValue::from(RETRY_AFTER_S);
+    response.headers_mut().insert(header::RETRY_AFTER, retry_after);
+    response
 }
