fix(entry): require that the body of a response can be moved

kqr-entry did not compile after the change of kqr_http::serve, which keeps the body of a response together with its open request and therefore needs `Unpin`. All bodies in use have it.

--- a/kqr-entry/src/running.rs
+++ b/kqr-entry/src/running.rs
@@ -270,7 +270,7 @@
 where
     H: Fn(Arc<Entry>, hyper::Request<hyper::body::Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = hyper::Response<B>> + Send + 'static,
-    B: hyper::body::Body<Data = bytes::Bytes> + Send + 'static,
+    B: hyper::body::Body<Data = bytes::Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let listener = TcpListener::bind(address)
