fix(http): apply the time of a head to HTTP/1 connections only

The time of a head and the count of its bytes now apply to HTTP/1 only; the HTTP/2 library limits heads itself. Evidence: tests/client_budget.rs, an_http2_connection_outlives_the_time_of_a_head.

--- a/kqr-http/src/client_budget.rs
+++ b/kqr-http/src/client_budget.rs
@@ -63,6 +63,8 @@
     open_requests: usize,
     /// Open requests whose body is being read.
     unread_bodies: usize,
+    /// Whether the connection carries several requests at a time, so that bytes outside of requests are not those of a head.
+    is_multiplexed: bool,
     /// Whether an answer is being sent and the client does not take it.
     is_write_blocked: bool,
     /// Closes the connection.
@@ -148,6 +150,7 @@
             reserved_bytes: 0,
             open_requests: 0,
             unread_bodies: 0,
+            is_multiplexed: false,
             is_write_blocked: false,
             close: close.clone(),
             stop_bodies: CancellationToken::new(),
@@ -185,6 +188,12 @@
         table.log();
     }
 
+    pub(crate) fn record_multiplexed(&self, id: u64) {
+        if let Some(connection) = self.lock().connections.get_mut(&id) {
+            connection.is_multiplexed = true;
+        }
+    }
+
     pub(crate) fn record_read(&self, id: u64, bytes: usize) {
         let mut table = self.lock();
         let Some(connection) = table.connections.get_mut(&id) else {
@@ -192,7 +201,7 @@
         };
         let now = Instant::now();
         connection.progressed_at = now;
-        if connection.open_requests > 0 {
+        if connection.open_requests > 0 || connection.is_multiplexed {
             return;
         }
         connection.head_begun_at.get_or_insert(now);
--- a/kqr-http/src/connection_ticket.rs
+++ b/kqr-http/src/connection_ticket.rs
@@ -41,6 +41,11 @@
         self.shared.close.cancelled().await;
     }
 
+    /// Records that the connection carries several requests at a time.
+    pub fn record_multiplexed(&self) {
+        self.shared.budget.record_multiplexed(self.shared.id);
+    }
+
     /// Records that bytes were received.
     pub fn record_read(&self, bytes: usize) {
         self.shared.budget.record_read(self.shared.id, bytes);
--- a/kqr-http/src/tracked_io.rs
+++ b/kqr-http/src/tracked_io.rs
@@ -17,14 +17,20 @@
     stream: TcpStream,
     ticket: ConnectionTicket,
     is_write_blocked: bool,
+    /// Whether nothing was received yet.
+    is_new: bool,
 }
 
+/// Beginning of the first bytes of an HTTP/2 connection.
+const HTTP2_PREFACE: &[u8] = b"PRI ";
+
 impl TrackedIo {
     pub(crate) const fn new(stream: TcpStream, ticket: ConnectionTicket) -> Self {
         Self {
             stream,
             ticket,
             is_write_blocked: false,
+            is_new: true,
         }
     }
 
@@ -46,9 +52,13 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let bytes = buf.filled().len() - filled;
-        if bytes > 0 {
-            self.ticket.record_read(bytes);
+        let received = &buf.filled()[filled..];
+        if !received.is_empty() {
+            if self.is_new && received.starts_with(HTTP2_PREFACE) {
+                self.ticket.record_multiplexed();
+            }
+            self.is_new = false;
+            self.ticket.record_read(received.len());
         }
         Poll::Ready(Ok(()))
     }
--- a/kqr-http/tests/client_budget.rs
+++ b/kqr-http/tests/client_budget.rs
@@ -165,3 +165,34 @@
     let answer = read_to_end(&mut stream).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+/// Frames between requests of an HTTP/2 connection are no head, so that it is not closed as one that is late.
+#[tokio::test]
+async fn an_http2_connection_outlives_the_time_of_a_head() {
+    let (address, budget) = start(Share::Callers).await;
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = hyper::client::conn::http2::handshake(
+        hyper_util::rt::TokioExecutor::new(),
+        hyper_util::rt::TokioIo::new(stream),
+    )
+    .await
+    .unwrap();
+    tokio::spawn(connection);
+    for _ in 0..2 {
+        let body = http_body_util::Full::new(bytes::Bytes::from_static(b"body"));
+        let req = Request::post(format!("http://{address}/")).body(body).unwrap();
+        let answer = timeout(STEP_TIMEOUT, sender.send_request(req)).await.unwrap();
+        assert_eq!(answer.unwrap().status(), StatusCode::OK);
+        tokio::time::sleep(budget.limits().head_time + Duration::from_millis(1_500)).await;
+    }
+}
+
+/// A head that does not end takes a connection and memory.
+#[tokio::test]
+async fn a_connection_is_closed_when_its_head_is_late() {
+    let (address, budget) = start(Share::Callers).await;
+    let mut stream = connect(address, b"GET / HTTP/1.1\r\nhost: ").await;
+    assert_eq!(read_to_end(&mut stream).await, "");
+    let limited = budget.usage(Share::Callers).limited;
+    assert_eq!(limited[kqr_http::LimitCause::HeadTime as usize], 1);
+}
