revert: fix(runtime): limit the connections of other instances, and wait after a failed accept

The listeners for siblings, other instances and discovery are therefore not limited yet, and still try again at once after a failed accept.

--- a/kqr-runtime/src/control/service.rs
+++ b/kqr-runtime/src/control/service.rs
@@ -11,12 +11,7 @@
 use tokio::net::TcpListener;
 
 use super::{ControlCallFailure, ControlHandle};
-use crate::{
-    discovery::KnownEntries, instance_listener::InstanceListener, rpc::ControlRpc, transport::framed,
-};
-
-/// Maximum number of connections: several for each instance of a large system.
-const MAX_CONNECTIONS: usize = 512;
+use crate::{discovery::KnownEntries, rpc::ControlRpc, transport::framed};
 
 /// RPC service of a control instance for other instances.
 #[derive(Clone, Debug)]
@@ -69,9 +64,14 @@
 
 /// Serves other instances on `listener`.
 pub(super) async fn serve(listener: TcpListener, handle: ControlHandle, entries: Arc<KnownEntries>) {
-    let listener = InstanceListener::new(listener, "other instances", MAX_CONNECTIONS);
     loop {
-        let (stream, permit) = listener.accept().await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting a connection of another instance: {error}");
+                continue;
+            }
+        };
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("disabling Nagle's algorithm for a connection of another instance: {error}");
         }
@@ -83,9 +83,6 @@
         let calls = channel.execute(service.serve()).for_each(|call| async move {
             tokio::spawn(call);
         });
-        tokio::spawn(async move {
-            calls.await;
-            drop(permit);
-        });
+        tokio::spawn(calls);
     }
 }
--- a/kqr-runtime/src/discovery/service.rs
+++ b/kqr-runtime/src/discovery/service.rs
@@ -13,12 +13,7 @@
 use tokio::net::TcpListener;
 
 use super::{FoundingMember, KnownControls};
-use crate::{instance_listener::InstanceListener, rpc::DiscoveryRpc, transport::framed};
-
-/// Maximum number of connections: several for each instance of a large system. Each carries one call.
-const MAX_CONNECTIONS: usize = 256;
-/// Time after which a connection is closed; callers wait for 400 ms.
-const MAX_CONNECTION_TIME: Duration = Duration::from_secs(5);
+use crate::{rpc::DiscoveryRpc, transport::framed};
 
 /// RPC service through which instances find each other.
 #[derive(Clone, Debug)]
@@ -73,20 +68,20 @@
 
 /// Serves other instances on `listener`.
 pub(crate) async fn serve(listener: TcpListener, service: DiscoveryService) {
-    let listener = InstanceListener::new(listener, "discovery", MAX_CONNECTIONS);
     loop {
-        let (stream, permit) = listener.accept().await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting a connection for discovery: {error}");
+                continue;
+            }
+        };
         let channel = BaseChannel::with_defaults(framed(stream));
         let calls = channel
             .execute(service.clone().serve())
             .for_each(|call| async move {
                 tokio::spawn(call);
             });
-        tokio::spawn(async move {
-            if tokio::time::timeout(MAX_CONNECTION_TIME, calls).await.is_err() {
-                log::debug!("a connection for discovery was closed after {MAX_CONNECTION_TIME:?}");
-            }
-            drop(permit);
-        });
+        tokio::spawn(calls);
     }
 }
--- a/kqr-runtime/src/entry/sibling_service.rs
+++ b/kqr-runtime/src/entry/sibling_service.rs
@@ -10,10 +10,7 @@
 use tokio::net::TcpListener;
 
 use super::{EntryDriver, TargetClient};
-use crate::{instance_listener::InstanceListener, rpc::SiblingRpc, transport::framed};
-
-/// Maximum number of connections: several for each instance of a large system.
-const MAX_SIBLING_CONNECTIONS: usize = 512;
+use crate::{rpc::SiblingRpc, transport::framed};
 
 /// RPC service of an entry for its siblings.
 #[derive(Debug)]
@@ -110,18 +107,20 @@
         driver,
         sessions: Arc::default(),
     };
-    let listener = InstanceListener::new(listener, "siblings", MAX_SIBLING_CONNECTIONS);
     loop {
-        let (stream, permit) = listener.accept().await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting a connection of a sibling: {error}");
+                continue;
+            }
+        };
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("disabling Nagle's algorithm for a connection of a sibling: {error}");
         }
         let channel = BaseChannel::with_defaults(framed(stream));
         // Messages must be handled in order, so the calls of a connection are served one at a time.
         let calls = channel.execute(service.clone().serve()).for_each(|call| call);
-        tokio::spawn(async move {
-            calls.await;
-            drop(permit);
-        });
+        tokio::spawn(calls);
     }
 }
--- a/kqr-runtime/src/lib.rs
+++ b/kqr-runtime/src/lib.rs
@@ -11,7 +11,6 @@
 mod control_api;
 mod discovery;
 pub mod entry;
-mod instance_listener;
 mod leader_client;
 mod rpc;
 mod settings_file;
