feat(dispatch): count the bytes that pass an entry's link by type of message

Nothing told what fills a slow link, so timeouts on one could not be explained.

The dispatcher estimates the bytes that it sends and receives by type of message. The entry exports them as kqr_link_bytes and logs a line link-usage once a second.

--- a/kqr-dispatch/src/decision.rs
+++ b/kqr-dispatch/src/decision.rs
@@ -1,6 +1,6 @@
 use kqr_types::{InstanceId, JobKey, TargetId};
 
-use crate::{EndKind, JobEnd, NotRun, RunEnd, RunId};
+use crate::{EndKind, JobEnd, LinkUsage, NotRun, RunEnd, RunId};
 
 /// A decision to be logged, with the inputs that led to it.
 #[derive(Clone, Debug, PartialEq)]
@@ -119,4 +119,11 @@
         /// New state.
         state: &'static str,
     },
+    /// Bytes that passed the link since the last such decision.
+    LinkUsed {
+        /// Bytes by type of message.
+        usage: Box<LinkUsage>,
+        /// Time since the last such decision, in milliseconds.
+        period_ms: u64,
+    },
 }
--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -1,5 +1,6 @@
 mod loads;
 mod orders;
+mod traffic;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,7 +12,7 @@
 use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
 
 use crate::{
-    Decision, GiveUp, Input, Options, OrderId, Output, RunOrder, SiblingMessage, contact::Contact,
+    Decision, GiveUp, Input, LinkUsage, Options, OrderId, Output, RunOrder, SiblingMessage, contact::Contact,
     jobs::Jobs, own_load::OwnLoad, owned::OwnedTargets, owners::Owners, received_orders::ReceivedOrders,
     siblings::Siblings, survey::Survey, target_losses::TargetLosses,
 };
@@ -51,6 +52,10 @@
     /// Received and dropped orders by coordinator.
     received_orders: BTreeMap<InstanceId, ReceivedOrders>,
     losses: TargetLosses,
+    usage: LinkUsage,
+    /// Bytes since the last log line.
+    recent_usage: LinkUsage,
+    usage_logged_at: Instant,
 }
 
 impl Dispatcher {
@@ -76,11 +81,16 @@
             contact: Contact::default(),
             received_orders: BTreeMap::new(),
             losses: TargetLosses::default(),
+            usage: LinkUsage::default(),
+            recent_usage: LinkUsage::default(),
+            usage_logged_at: Instant(0),
         }
     }
 
     /// Handles one input and appends the resulting actions to `outputs`.
     pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
+        let before = outputs.len();
+        self.record_input(&input);
         if input == Input::Tick || now.since(self.siblings_checked_at) >= MAX_CHECK_INTERVAL {
             self.expire_siblings(now, outputs);
         }
@@ -134,6 +144,7 @@
             }
         }
         self.process_ready(now, outputs);
+        self.record_outputs(outputs.get(before..).unwrap_or_default());
     }
 
     /// Returns whether there are no jobs, runs or waiting orders.
@@ -233,6 +244,7 @@
         }
         self.owned.tick(now, outputs);
         self.report_load(now, outputs);
+        self.log_usage(now, outputs);
     }
 
     fn handle_message(
--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -2,7 +2,7 @@
 
 use eyre::WrapErr;
 use futures::{StreamExt, stream::FuturesUnordered};
-use kqr_dispatch::Input;
+use kqr_dispatch::{Input, Traffic, encoded_bytes};
 use kqr_fleet::{
     CatalogPart, CatalogReceiver, EntryInfo, SyncReply, SyncRequest, SyncView, TargetReport, ViewRevision,
 };
@@ -106,6 +106,7 @@
     async fn sync(&mut self) -> eyre::Result<()> {
         let sent_at = self.driver.clock().now();
         let request = self.create_request();
+        let sent_bytes = encoded_bytes(&request);
         let (instance, reply) = match self.leader.take() {
             Some(leader) => match self.send_request(&leader, request).await {
                 Ok(reply) => (leader, reply),
@@ -116,6 +117,9 @@
             },
             None => self.send_to_all(request).await?,
         };
+        self.driver
+            .dispatcher()
+            .record_traffic(Traffic::Control, sent_bytes, encoded_bytes(&reply));
         match reply {
             SyncReply::Current { catalog, view } => {
                 self.pending_reports.clear();
--- a/kqr-runtime/src/entry/decision_log.rs
+++ b/kqr-runtime/src/entry/decision_log.rs
@@ -1,6 +1,6 @@
 //! Event log of the dispatcher's decisions.
 
-use kqr_dispatch::{Decision, JobEnd};
+use kqr_dispatch::{Decision, JobEnd, LinkUsage, Traffic};
 use kqr_telemetry::log_decision as write_event;
 
 /// Writes a decision to the event log.
@@ -140,6 +140,16 @@
             "sibling-changed",
             &[("sibling", sibling.to_string()), ("belief", (*state).to_owned())],
         ),
+        Decision::LinkUsed { usage, period_ms } => write_event(
+            "link-usage",
+            &[
+                ("period_ms", period_ms.to_string()),
+                ("sent_bytes", usage.total_sent().to_string()),
+                ("received_bytes", usage.total_received().to_string()),
+                ("sent", describe_usage(usage, LinkUsage::sent)),
+                ("received", describe_usage(usage, LinkUsage::received)),
+            ],
+        ),
         other => log::error!("decision has no event format: {other:?}"),
     }
 }
@@ -153,6 +163,18 @@
     }
 }
 
+/// Returns the types of messages with bytes, as `orders=1200 polls=350`.
+fn describe_usage(usage: &LinkUsage, bytes: fn(&LinkUsage, Traffic) -> u64) -> String {
+    let mut texts = Vec::new();
+    for traffic in Traffic::ALL {
+        let bytes = bytes(usage, traffic);
+        if bytes > 0 {
+            texts.push(format!("{traffic}={bytes}"));
+        }
+    }
+    texts.join(" ")
+}
+
 fn text_or_empty<Value>(value: Option<&Value>) -> String
 where
     Value: ToString,
--- a/kqr-runtime/src/entry/decision_metrics.rs
+++ b/kqr-runtime/src/entry/decision_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kqr_dispatch::{Decision, JobEnd, NotRun, RunEnd};
+use kqr_dispatch::{Decision, JobEnd, NotRun, RunEnd, Traffic};
 use kqr_telemetry::{AnswerClass, GaugeMetric, Metrics, TaskLength, WastedMessage, WorkKind};
 
 /// Updates the counters for a decision.
@@ -19,6 +19,11 @@
             ..
         } => metrics.count_wasted_message(WastedMessage::Refusal),
         Decision::SiblingChanged { state: "lost", .. } => metrics.count_suspicion(),
+        Decision::LinkUsed { usage, .. } => {
+            for traffic in Traffic::ALL {
+                metrics.count_link_bytes(traffic.as_str(), usage.sent(traffic), usage.received(traffic));
+            }
+        }
         _ => {}
     }
 }
--- a/kqr-telemetry/src/metrics.rs
+++ b/kqr-telemetry/src/metrics.rs
@@ -32,6 +32,7 @@
     starts: Counter<u64>,
     wasted: Counter<u64>,
     sibling_bytes: Counter<u64>,
+    link_bytes: Counter<u64>,
     suspicions: Counter<u64>,
     refused_reports: Counter<u64>,
     dropped_events: Gauge<u64>,
@@ -105,6 +106,11 @@
                 "kqr_sibling_bytes",
                 "Bytes of membership and directory messages sent",
             ),
+            link_bytes: counter(
+                &meter,
+                "kqr_link_bytes",
+                "Estimated bytes sent and received by type of message",
+            ),
             suspicions: counter(
                 &meter,
                 "kqr_suspicions",
@@ -159,6 +165,19 @@
         self.sibling_bytes.add(bytes, &[]);
     }
 
+    /// Adds to the bytes that messages of type `message` have sent and received.
+    pub fn count_link_bytes(&self, message: &'static str, sent: u64, received: u64) {
+        for (direction, bytes) in [("sent", sent), ("received", received)] {
+            if bytes > 0 {
+                let labels = [
+                    KeyValue::new("direction", direction),
+                    KeyValue::new("message", message),
+                ];
+                self.link_bytes.add(bytes, &labels);
+            }
+        }
+    }
+
     /// Counts a newly suspected member.
     pub fn count_suspicion(&self) {
         self.suspicions.add(1, &[]);
