feat(dispatch): pace messages to the rate of the machine's link

Callers of a fleet with links of 2 Mbit/s got 504 for most jobs, from the first second on: entries sent more than their links carry, heartbeats and answers waited behind starts, siblings counted each other as lost, and starts that were still queued timed out and were ordered again.

It holds orders and starts while the modelled queue exceeds 10 ms, makes polls and loads rarer as the utilisation rises, replaces loads by messages without content within the silence that siblings accept, and extends timeouts by the expected wait. A job whose messages can't pass within its on-time limit is refused as link-busy before anything is sent; owners whose starts wait report their targets as closed, and return orders after 200 ms.

The links of the simulation now count bytes to the microsecond and include envelopes and answers of deliveries; they rounded each message up to a millisecond before. Calls to targets share them where a test asks for it.

--- a/kqr-dispatch/src/dispatcher/loads.rs
+++ b/kqr-dispatch/src/dispatcher/loads.rs
@@ -1,6 +1,6 @@
 //! The exchange of loads with siblings, and which siblings take part in it.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use kqr_types::{InstanceId, Instant};
 
@@ -10,6 +10,11 @@
 /// Number of ticks over which the reports to all siblings are spread; together they are below the interval of reports.
 const TICKS_PER_ROUND: usize = 5;
 
+/// The same at the full pressure of the link: reports sent together would fill its queue.
+const MAX_BUSY_TICKS_PER_ROUND: usize = 20;
+/// Time that the starts that wait for the link take, above which coordinators are to use other owners.
+const MAX_HELD_STARTS: Duration = Duration::from_millis(50);
+
 impl Dispatcher {
     /// Applies the load of a sibling, and requests the loads of all its targets if the update does not continue the
     /// known load.
@@ -114,13 +119,17 @@
     ///
     /// Reports are spread over several ticks: sent all at once, they would delay the orders behind them.
     pub(super) fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let held_starts = self.owned.held_bytes();
+        self.owned.is_link_full = held_starts > 0 && self.link.bulk_time(held_starts) > MAX_HELD_STARTS;
         let is_changed = self.refresh_reported_load(now);
         let is_owner = !self.own_load.is_empty();
         if is_owner {
             self.assign_siblings();
         }
+        let options = self.paced_options();
         let served = self.owned.coordinators();
-        let mut early_reports = self.related_siblings / TICKS_PER_ROUND + 1;
+        let busy_ticks = (self.link.pressure() * MAX_BUSY_TICKS_PER_ROUND as f64) as usize;
+        let mut early_reports = self.related_siblings / TICKS_PER_ROUND.max(busy_ticks) + 1;
         self.related_siblings = 0;
         for sibling in self.siblings.iter_mut() {
             sibling.is_outdated |= is_changed;
@@ -129,13 +138,17 @@
             let is_told = sibling.is_assigned || now < sibling.requested_until;
             let is_related = (is_owner && is_told) || self.owners.has_targets(id) || served.contains(id);
             self.related_siblings += usize::from(is_related);
-            if !is_related || !sibling.may_report(now, is_near, &self.options) {
+            if !is_related {
                 continue;
             }
-            if !sibling.must_report(now, &self.options) {
-                if early_reports == 0 {
-                    continue;
+            let is_due = sibling.must_report(now, &options);
+            if !is_due && (!sibling.may_report(now, is_near, &options) || early_reports == 0) {
+                if self.link.is_limited() && now.since(sibling.last_message_at) >= options.max_silence {
+                    outputs.push(heartbeat(id));
                 }
+                continue;
+            }
+            if !is_due {
                 early_reports -= 1;
             }
             let received = self.received_orders.get(id).copied().unwrap_or_default();
@@ -150,3 +163,11 @@
         }
     }
 }
+
+/// Returns a message without content, which takes less of the link than a load.
+fn heartbeat(sibling: &InstanceId) -> Output {
+    Output::Send {
+        to: sibling.clone(),
+        message: SiblingMessage::Begun(Vec::new()),
+    }
+}
--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -1,3 +1,4 @@
+mod link;
 mod loads;
 mod orders;
 mod traffic;
@@ -12,9 +13,16 @@
 use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
 
 use crate::{
-    Decision, GiveUp, Input, LinkUsage, Options, OrderId, Output, RunOrder, SiblingMessage, contact::Contact,
-    jobs::Jobs, own_load::OwnLoad, owned::OwnedTargets, owners::Owners, received_orders::ReceivedOrders,
-    siblings::Siblings, survey::Survey, target_losses::TargetLosses,
+    Decision, GiveUp, Input, Link, LinkUsage, Options, OrderId, Output, RunOrder, SiblingMessage,
+    contact::Contact,
+    jobs::{Admission, Jobs},
+    own_load::OwnLoad,
+    owned::OwnedTargets,
+    owners::Owners,
+    received_orders::ReceivedOrders,
+    siblings::Siblings,
+    survey::Survey,
+    target_losses::TargetLosses,
 };
 
 /// Longest time between checks of the siblings' timeouts, above the interval of ticks. Together with the timeout it is part
@@ -52,6 +60,7 @@
     /// Received and dropped orders by coordinator.
     received_orders: BTreeMap<InstanceId, ReceivedOrders>,
     losses: TargetLosses,
+    link: Link,
     usage: LinkUsage,
     /// Bytes since the last log line.
     recent_usage: LinkUsage,
@@ -68,6 +77,7 @@
             owned: OwnedTargets::new(options.clone()),
             jobs: Jobs::new(options.clone(), last_order_id),
             siblings: Siblings::default(),
+            link: Link::new(options.link_rate),
             options,
             own_load: OwnLoad::default(),
             placed_list: 0,
@@ -90,7 +100,8 @@
     /// Handles one input and appends the resulting actions to `outputs`.
     pub fn handle(&mut self, now: Instant, input: Input, outputs: &mut Vec<Output>) {
         let before = outputs.len();
-        self.record_input(&input);
+        self.record_input(now, &input);
+        self.pace(now);
         if input == Input::Tick || now.since(self.siblings_checked_at) >= MAX_CHECK_INTERVAL {
             self.expire_siblings(now, outputs);
         }
@@ -101,10 +112,13 @@
             Input::Submit(request) => {
                 let key = request.key.clone();
                 self.refresh_own_load(now);
-                let is_pending = self.survey_owners(now, &request, outputs);
+                let admission = Admission {
+                    is_survey_pending: self.survey_owners(now, &request, outputs),
+                    link_time: self.expected_link_time(now, &request),
+                };
                 if self
                     .jobs
-                    .submit(now, request, &self.owners, is_pending, &self.losses, outputs)
+                    .submit(now, request, &self.owners, admission, &self.losses, outputs)
                 {
                     self.place_tasks(now, &key, outputs);
                 }
@@ -144,7 +158,7 @@
             }
         }
         self.process_ready(now, outputs);
-        self.record_outputs(outputs.get(before..).unwrap_or_default());
+        self.record_outputs(now, outputs.get(before..).unwrap_or_default());
     }
 
     /// Returns whether there are no jobs, runs or waiting orders.
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -45,7 +45,7 @@
             self.owned.start_waiting_orders(now, outputs);
             self.forward_order_progress(now, outputs);
             let ready = self.jobs.ready_jobs(now);
-            if ready.is_empty() {
+            if ready.is_empty() || !self.owned.bulk.has_room() {
                 break;
             }
             self.refresh_own_load(now);
@@ -101,6 +101,9 @@
     }
 
     pub(super) fn place_tasks(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
+        if !self.owned.bulk.has_room() {
+            return;
+        }
         let Some(spec) = self.jobs.spec_of(key) else {
             return;
         };
@@ -116,6 +119,7 @@
         for (to, orders) in remote {
             let spec = Arc::clone(&spec);
             let message = SiblingMessage::Run { spec, orders };
+            self.owned.bulk.spend(|| message.link_bytes());
             outputs.push(Output::Send { to, message });
         }
     }
--- a/kqr-dispatch/src/dispatcher/traffic.rs
+++ b/kqr-dispatch/src/dispatcher/traffic.rs
@@ -20,12 +20,13 @@
     }
 
     /// Records bytes that were sent and received outside of the inputs and outputs of the dispatcher.
-    pub fn record_traffic(&mut self, traffic: Traffic, sent: u64, received: u64) {
+    pub fn record_traffic(&mut self, now: Instant, traffic: Traffic, sent: u64, received: u64) {
+        self.link.send(now, traffic, sent);
         self.usage.add(traffic, sent, received);
         self.recent_usage.add(traffic, sent, received);
     }
 
-    pub(super) fn record_input(&mut self, input: &Input) {
+    pub(super) fn record_input(&mut self, now: Instant, input: &Input) {
         let (traffic, sent, received) = match input {
             Input::Submit(request) => (Traffic::Callers, 0, request.link_bytes()),
             Input::TargetReported(_) => (Traffic::Reports, REPORT_ANSWER_BYTES, REPORT_BYTES),
@@ -39,20 +40,23 @@
             } => (Traffic::Polls, 0, answer.link_bytes()),
             _ => return,
         };
-        self.record_traffic(traffic, sent, received);
+        self.record_traffic(now, traffic, sent, received);
     }
 
-    pub(super) fn record_outputs(&mut self, outputs: &[Output]) {
+    pub(super) fn record_outputs(&mut self, now: Instant, outputs: &[Output]) {
         for output in outputs {
             match output {
                 Output::Call { endpoint, call, .. } => {
-                    self.record_traffic(call.traffic(), call.link_bytes(endpoint), 0);
+                    self.record_traffic(now, call.traffic(), call.link_bytes(endpoint), 0);
                 }
-                Output::Send { message, .. } => {
+                Output::Send { to, message } => {
+                    if let Some(sibling) = self.siblings.get_mut(to) {
+                        sibling.last_message_at = now;
+                    }
                     let (sent, received) = (message.link_bytes(), DELIVERY_ANSWER_BYTES);
-                    self.record_traffic(message.traffic(), sent, received);
+                    self.record_traffic(now, message.traffic(), sent, received);
                 }
-                Output::JobEnded { .. } => self.record_traffic(Traffic::Callers, JOB_ANSWER_BYTES, 0),
+                Output::JobEnded { .. } => self.record_traffic(now, Traffic::Callers, JOB_ANSWER_BYTES, 0),
                 Output::ResetLink { .. } | Output::Decision(_) => {}
             }
         }
@@ -60,6 +64,9 @@
 
     /// Logs the bytes since the last log line, if it was long enough ago.
     pub(super) fn log_usage(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        if self.usage_logged_at == Instant(0) {
+            self.usage_logged_at = now;
+        }
         let period_ms = now.since(self.usage_logged_at).as_millis() as u64;
         if period_ms < USAGE_LOG_INTERVAL_MS {
             return;
--- a/kqr-dispatch/src/job_end.rs
+++ b/kqr-dispatch/src/job_end.rs
@@ -35,6 +35,8 @@
     TooManyTasks,
     /// The entry shuts down before the job could complete.
     Leaving,
+    /// The messages of the job would not pass the link in time.
+    LinkBusy,
 }
 
 impl RefusalCause {
@@ -47,6 +49,7 @@
             Self::Expired => "expired",
             Self::TooManyTasks => "too-many-tasks",
             Self::Leaving => "leaving",
+            Self::LinkBusy => "link-busy",
         }
     }
 }
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -16,6 +16,9 @@
 /// Largest multiple of the ideal response time that counts as on time.
 const MAX_SLACK_FACTOR: f64 = 1000.0;
 
+/// Least time that the messages of a job may take, whatever its estimate.
+const MIN_LINK_TIME: Duration = Duration::from_millis(50);
+
 /// A job that this entry coordinates.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Job {
@@ -130,3 +133,22 @@
 pub(super) fn estimated_duration(request: &JobRequest) -> Duration {
     request.steps.iter().map(|step| step.estimate).sum()
 }
+
+/// Returns the time that the messages of a job may take so that its answer is on time.
+pub(super) fn max_link_time(request: &JobRequest, options: &Options) -> Duration {
+    let steps = request.steps.iter();
+    let duration: Duration = steps
+        .map(|step| {
+            if step.estimate.is_zero() {
+                options.default_estimate
+            } else {
+                step.estimate
+            }
+        })
+        .sum();
+    let on_time = duration.mul_f64(slack_factor(request)) + request.objective;
+    on_time
+        .min(request.time_left)
+        .saturating_sub(duration)
+        .max(MIN_LINK_TIME)
+}
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! The coordinator role: jobs of callers, and the orders placed for their tasks.
 
+mod admission;
 mod job;
 mod orders;
 mod step;
@@ -13,7 +14,8 @@
     Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause, owners::Owners,
     target_losses::TargetLosses,
 };
-use job::{Job, estimated_duration};
+pub(crate) use admission::Admission;
+use job::{Job, estimated_duration, max_link_time};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
 
@@ -77,7 +79,7 @@
         now: Instant,
         request: JobRequest,
         owners: &Owners,
-        is_survey_pending: bool,
+        admission: Admission,
         losses: &TargetLosses,
         outputs: &mut Vec<Output>,
     ) -> bool {
@@ -102,11 +104,16 @@
         }
         let wait = owners.expected_wait(&request);
         let wait_ms = wait.as_millis() as u64;
-        let is_impossible = !is_survey_pending && owners.is_impossible(&request);
+        let is_impossible = !admission.is_survey_pending && owners.is_impossible(&request);
         if let Some(cause) = self.refusal_cause(now, &request, wait_ms, is_impossible) {
             refuse(outputs, job, cause, wait_ms);
             return false;
         }
+        let link_time = admission.link_time;
+        if !link_time.is_zero() && link_time > max_link_time(&request, &self.options) {
+            refuse(outputs, job, RefusalCause::LinkBusy, link_time.as_millis() as u64);
+            return false;
+        }
         outputs.push(Output::Decision(Decision::JobAdmitted {
             job: job.clone(),
             tasks,
@@ -120,6 +127,13 @@
         true
     }
 
+    /// Returns the estimated size of the orders that may be placed now.
+    pub(crate) fn held_bytes(&self, now: Instant) -> u64 {
+        let ready = self.live.values();
+        let ready = ready.filter(|job| !job.is_ending && job.ready_tasks(now).next().is_some());
+        ready.map(|job| job.request.order_bytes(u64::MAX)).sum()
+    }
+
     /// Returns the payload of a job.
     pub(crate) fn spec_of(&self, key: &JobKey) -> Option<Arc<str>> {
         self.live.get(key).map(|job| Arc::clone(&job.request.spec))
--- a/kqr-dispatch/src/lib.rs
+++ b/kqr-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod bulk_budget;
 mod contact;
 mod decision;
 mod delivery;
@@ -15,6 +16,8 @@
 mod job_end;
 mod job_request;
 mod jobs;
+mod link;
+mod link_rate;
 mod link_usage;
 mod load_report;
 mod load_update;
@@ -53,6 +56,8 @@
 pub use input::Input;
 pub use job_end::{GiveUp, JobEnd, RefusalCause};
 pub use job_request::JobRequest;
+pub use link::Link;
+pub use link_rate::LinkRate;
 pub use link_usage::LinkUsage;
 pub use load_report::TargetLoad;
 pub use load_update::{LoadChange, LoadTargets, LoadUpdate};
--- a/kqr-dispatch/src/message_size.rs
+++ b/kqr-dispatch/src/message_size.rs
@@ -16,6 +16,10 @@
 const POLL_BODY_BYTES: u64 = 80;
 /// Answer of a target with its clock.
 pub(crate) const CALL_ANSWER_BYTES: u64 = 140;
+/// Start of a run without the payload.
+pub(crate) const START_BYTES: u64 = CALL_HEAD_BYTES + START_BODY_BYTES + 20;
+/// Order for a task.
+const ORDER_BYTES: u64 = 220;
 /// Row in the list of runs of a target.
 const LISTED_RUN_BYTES: u64 = 45;
 /// Head of the request of a caller, and the fields of its body without steps and payload.
@@ -87,4 +91,11 @@
     pub(crate) fn link_bytes(&self) -> u64 {
         JOB_HEAD_BYTES + STEP_BYTES * self.steps.len() as u64 + self.spec.len() as u64
     }
+
+    /// Returns the estimated size of the orders for all tasks, which go to at most `owners` siblings.
+    pub(crate) fn order_bytes(&self, owners: u64) -> u64 {
+        let tasks = self.task_count();
+        let messages = tasks.min(owners);
+        tasks * ORDER_BYTES + messages * (DELIVERY_BYTES + self.spec.len() as u64)
+    }
 }
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::LinkRate;
+
 /// Timeouts and limits of the [`Dispatcher`](crate::Dispatcher).
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -49,6 +51,17 @@
     pub max_tasks: u64,
     /// Run time assumed for a step without an estimate.
     pub default_estimate: Duration,
+    /// Rate of the link of this entry; without one it counts as unlimited.
+    pub link_rate: Option<LinkRate>,
+    /// Longest wait of a poll on a busy link. With the timeout of a call it is below `target_timeout`.
+    pub max_busy_poll_wait: Duration,
+    /// Shortest time between two load reports to a sibling on a busy link.
+    pub min_busy_report_interval: Duration,
+    /// Longest time between two load reports on a busy link.
+    pub max_busy_report_interval: Duration,
+    /// Time without a message to a sibling after which it gets one without content, on a link with a rate. Two of these
+    /// are below `sibling_timeout`.
+    pub max_silence: Duration,
 }
 
 impl Options {
@@ -82,6 +95,11 @@
             max_target_losses: 2,
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
+            link_rate: None,
+            max_busy_poll_wait: Duration::from_millis(250),
+            min_busy_report_interval: Duration::from_millis(300),
+            max_busy_report_interval: Duration::from_millis(400),
+            max_silence: Duration::from_millis(165),
         }
     }
 }
--- a/kqr-dispatch/src/outbox.rs
+++ b/kqr-dispatch/src/outbox.rs
@@ -19,25 +19,53 @@
     sending: usize,
     /// Number of times that the link was lost.
     losses: u64,
+    /// Whether control messages overtake orders.
+    has_priorities: bool,
 }
 
 impl Outbox {
+    /// Creates an empty outbox in which control messages overtake waiting orders, as on a link with a rate.
+    pub fn with_priorities() -> Self {
+        Self {
+            has_priorities: true,
+            ..Self::default()
+        }
+    }
+
     /// Adds a message. Consecutive loads are merged.
     pub fn push(&mut self, message: SiblingMessage) {
-        let is_waiting = self.messages.len() > self.sending;
-        match message {
-            SiblingMessage::Load(later) if is_waiting => match self.messages.pop_back() {
-                Some(SiblingMessage::Load(earlier)) => {
-                    let merged = earlier.followed_by(later);
-                    self.messages.push_back(SiblingMessage::Load(merged));
-                }
-                last => {
-                    self.messages.extend(last);
-                    self.messages.push_back(SiblingMessage::Load(later));
-                }
-            },
-            message => self.messages.push_back(message),
+        let position = self.position_of(&message);
+        let before = position
+            .checked_sub(1)
+            .filter(|before| *before >= self.sending)
+            .and_then(|before| self.messages.get_mut(before));
+        match (before, message) {
+            (Some(SiblingMessage::Load(earlier)), SiblingMessage::Load(later)) => {
+                *earlier = earlier.clone().followed_by(later);
+            }
+            (_, message) => self.messages.insert(position, message),
+        }
+    }
+
+    /// Returns the position at which a message is added: at the end, or before the waiting orders that it may overtake. A
+    /// cancellation never overtakes an order that it names.
+    fn position_of(&self, message: &SiblingMessage) -> usize {
+        let mut position = self.messages.len();
+        if !self.has_priorities || matches!(message, SiblingMessage::Run { .. }) {
+            return position;
+        }
+        while position > self.sending {
+            let Some(SiblingMessage::Run { orders, .. }) = self.messages.get(position - 1) else {
+                break;
+            };
+            if let SiblingMessage::Cancel(cancelled) = message
+                && orders.iter().any(|order| cancelled.contains(&order.id))
+            {
+                break;
+            }
+            position -= 1;
         }
+        position
     }
 
     /// Returns up to `max_messages` messages to deliver. They are kept until they are acknowledged or the
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -14,14 +14,19 @@
 mod waiting_order;
 mod waiting_orders;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use kqr_fleet::{FencingToken, TargetGrant, TargetRecord, TargetReport};
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
     CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
+    bulk_budget::BulkBudget,
     load_report::{LoadReport, RANKS},
+    message_size::START_BYTES,
 };
 use open_call::OpenCall;
 use phase::Phase;
@@ -57,11 +62,20 @@
     reports: Vec<TargetReport>,
     /// Runs whose targets went down.
     lost_runs: Vec<LostRun>,
+    /// Bulk messages that may be sent while the current input is handled.
+    pub(crate) bulk: BulkBudget,
+    /// Whether the budget kept waiting orders from being started.
+    are_starts_held: bool,
+    /// Whether so many starts wait for the link that siblings are told that no target accepts runs.
+    pub(crate) is_link_full: bool,
+    /// Wait of periodic polls.
+    pub(crate) poll_wait: Duration,
 }
 
 impl OwnedTargets {
     pub(crate) fn new(options: Options) -> Self {
         Self {
+            poll_wait: options.max_poll_wait,
             options,
             targets: BTreeMap::new(),
             former: Vec::new(),
@@ -74,6 +88,9 @@
             begun: BTreeMap::new(),
             reports: Vec::new(),
             lost_runs: Vec::new(),
+            bulk: BulkBudget::default(),
+            are_starts_held: false,
+            is_link_full: false,
         }
     }
 
@@ -108,6 +125,17 @@
         self.waiting.is_empty() && self.targets.values().all(|target| target.runs.is_empty())
     }
 
+    /// Returns the estimated size of the starts that wait for the link.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        if !self.are_starts_held {
+            return 0;
+        }
+        let waiting = self.waiting.iter();
+        waiting
+            .map(|(_, order)| START_BYTES + order.spec.len() as u64)
+            .sum()
+    }
+
     /// Returns the number of owned targets.
     pub(crate) fn target_count(&self) -> usize {
         self.targets.len()
@@ -232,7 +260,7 @@
                 capacity: target.record.capacity,
                 free: target.free(),
                 slowness: target.health.slowness(),
-                is_open: self.is_open(now, target),
+                is_open: !self.is_link_full && self.is_open(now, target),
             });
         }
         report
@@ -245,7 +273,7 @@
             position: position as u32,
             free: target.free(),
             slowness: target.health.slowness(),
-            is_open: self.is_open(now, target),
+            is_open: !self.is_link_full && self.is_open(now, target),
         })
     }
 
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -1,6 +1,6 @@
 //! Orders from coordinators: queueing them, and starting and stopping their runs.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use kqr_types::{InstanceId, Instant, TargetId};
 
@@ -14,13 +14,17 @@
 };
 use crate::{
     Decision, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, StartCall, StopCall, TargetCall,
-    suitability::Suitability,
+    message_size::START_BYTES, suitability::Suitability,
 };
 
 /// Maximum number of waiting orders skipped in one pass because they fit on no target; the rest is unlikely
 /// to fit either.
 const MAX_PASSED_OVER: usize = 24;
 
+/// Time after which an order whose start waits for the link is returned, so that its coordinator can use another owner. It
+/// is longer than the coordinators need to learn that the link is full.
+const MAX_LINK_WAIT: Duration = Duration::from_millis(200);
+
 impl OwnedTargets {
     /// Queues an order that was sent at `sent_at` until a target has free capacity, or refuses it if no target can run it.
     pub(crate) fn accept_order(
@@ -48,10 +52,15 @@
     /// Starts the waiting orders for which a target has free capacity, by priority and arrival.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut passed_over = 0;
+        self.are_starts_held = false;
         for place in self.waiting.places() {
             if passed_over == MAX_PASSED_OVER {
                 break;
             }
+            if !self.bulk.has_room() {
+                self.are_starts_held = true;
+                break;
+            }
             let Some(waiting) = self.waiting.get(place) else {
                 continue;
             };
@@ -113,6 +122,8 @@
                 expired.push((place, NotRun::NoTarget));
             } else if waiting.until <= now {
                 expired.push((place, NotRun::Expired));
+            } else if self.are_starts_held && now.since(waiting.sent_at) >= MAX_LINK_WAIT {
+                expired.push((place, NotRun::Refused));
             } else if !self
                 .targets
                 .values()
@@ -316,6 +327,7 @@
             estimate_ms: order.estimate.as_millis() as u64,
             slowness_milli,
         }));
+        self.bulk.spend(|| START_BYTES + call.spec.len() as u64);
         self.send_call(open, TargetCall::Start(call), outputs);
     }
 }
--- a/kqr-dispatch/src/owned/polling.rs
+++ b/kqr-dispatch/src/owned/polling.rs
@@ -98,11 +98,7 @@
             None
         };
         let is_first = target.phase == Phase::Attaching || target.missed_polls > 0;
-        let wait = if is_first {
-            Duration::ZERO
-        } else {
-            options.max_poll_wait
-        };
+        let wait = if is_first { Duration::ZERO } else { self.poll_wait };
         target.next_poll = NextPoll::AfterAnswer;
         let call = PollCall {
             lease_until,
--- a/kqr-dispatch/src/siblings.rs
+++ b/kqr-dispatch/src/siblings.rs
@@ -22,6 +22,8 @@
     pub(crate) last_sent_at: Option<Instant>,
     /// When the load of this entry was last sent to the sibling.
     pub(crate) last_report_at: Instant,
+    /// When any message was last sent to the sibling.
+    pub(crate) last_message_at: Instant,
     /// Whether the load of this entry has changed since.
     pub(crate) is_outdated: bool,
     /// Whether this entry as an owner reports to the sibling, which is in another data centre.
@@ -38,6 +40,7 @@
             info,
             last_sent_at: None,
             last_report_at: Instant(0),
+            last_message_at: Instant(0),
             is_outdated: true,
             is_assigned: false,
             requested_until: Instant(0),
--- a/kqr-dispatch/tests/outbox.rs
+++ b/kqr-dispatch/tests/outbox.rs
@@ -1,7 +1,10 @@
 //! Delivery of messages to a sibling, and which of them survive the loss of the link.
 
+use std::{sync::Arc, time::Duration};
+
 use kqr_dispatch::{
-    LoadChange, LoadTargets, LoadUpdate, OrderId, Outbox, RunEnd, SiblingMessage, TargetLoad,
+    LoadChange, LoadTargets, LoadUpdate, OrderId, Outbox, RunEnd, RunId, RunOrder, SiblingMessage,
+    TargetLoad, TaskId,
 };
 use kqr_fleet::Resources;
 
@@ -137,3 +140,98 @@
     outbox.acknowledge_batch();
     assert_eq!(outbox.next_batch(9), [end(1), end(2)]);
 }
+
+fn orders(order_id: u64) -> SiblingMessage {
+    let order = RunOrder {
+        id: OrderId(order_id),
+        run: RunId {
+            task: TaskId {
+                job: "job".parse().unwrap(),
+                occurrence: 0,
+                step: 0,
+                index: 0,
+            },
+            attempt: 1,
+        },
+        service: "press".parse().unwrap(),
+        needs: Resources::default(),
+        estimate: Duration::ZERO,
+        label: None,
+        data_rack: None,
+        max_per_target: None,
+        priority: 0,
+        time_left: Duration::from_secs(1),
+        on_time_left: Duration::from_secs(1),
+        preferred_target: None,
+        avoided_targets: Vec::new(),
+        failures: 0,
+        target_losses: 0,
+    };
+    SiblingMessage::Run {
+        spec: Arc::from("payload"),
+        orders: vec![order],
+    }
+}
+
+fn cancellation(order_id: u64) -> SiblingMessage {
+    SiblingMessage::Cancel(vec![OrderId(order_id)])
+}
+
+/// Heartbeats behind orders with large payloads arrived after the sibling had counted this entry as lost.
+#[test]
+fn control_messages_overtake_waiting_orders_on_links_with_a_rate() {
+    let mut outbox = Outbox::with_priorities();
+    for message in [orders(1), end(7), orders(2), load(1), load(2), end(8)] {
+        outbox.push(message);
+    }
+    let batch = outbox.next_batch(10);
+    assert_eq!(batch, [end(7), load(2), end(8), orders(1), orders(2)]);
+}
+
+/// A cancellation that arrives before its order would leave the order in force.
+#[test]
+fn cancellations_do_not_overtake_their_orders() {
+    let mut outbox = Outbox::with_priorities();
+    for message in [
+        orders(1),
+        orders(2),
+        cancellation(1),
+        end(7),
+        orders(3),
+        cancellation(2),
+    ] {
+        outbox.push(message);
+    }
+    let batch = outbox.next_batch(10);
+    let expected = [
+        orders(1),
+        cancellation(1),
+        end(7),
+        orders(2),
+        cancellation(2),
+        orders(3),
+    ];
+    assert_eq!(batch, expected);
+}
+
+/// The messages of a batch in flight have numbers; one that is inserted among them would be lost or repeated.
+#[test]
+fn control_messages_do_not_enter_the_batch_in_flight() {
+    let mut outbox = Outbox::with_priorities();
+    outbox.push(orders(1));
+    outbox.push(orders(2));
+    assert_eq!(outbox.next_batch(1), [orders(1)]);
+    outbox.push(load(1));
+    outbox.acknowledge_batch();
+    assert_eq!(outbox.next_batch(10), [load(1), orders(2)]);
+}
+
+/// Without a rate of the link nothing changes.
+#[test]
+fn messages_keep_their_order_on_links_without_a_rate() {
+    let mut outbox = Outbox::default();
+    for message in [orders(1), end(7), cancellation(1)] {
+        outbox.push(message);
+    }
+    assert_eq!(outbox.next_batch(10), [orders(1), end(7), cancellation(1)]);
+}
--- a/kqr-dispatch/tests/simulation/calls.rs
+++ b/kqr-dispatch/tests/simulation/calls.rs
@@ -17,6 +17,63 @@
 }
 
 impl Simulation {
+    /// Sends a call to a target over the link of the entry, which gives the call up after its timeout.
+    pub(super) fn send_call(
+        &mut self,
+        entry: usize,
+        id: kqr_dispatch::CallId,
+        endpoint: TargetEndpoint,
+        call: TargetCall,
+    ) {
+        let (mut id, mut delay) = (id, LATENCY_MS);
+        if self.do_calls_share_links {
+            delay += self.sending_time(entry, call.link_bytes(&endpoint));
+            let wait = match &call {
+                TargetCall::Poll(poll) => poll.wait,
+                TargetCall::Start(_) | TargetCall::Stop(_) => Duration::ZERO,
+            };
+            let extension = self.entries[entry].dispatcher.link().timeout_extension();
+            let limit = CALL_TIMEOUT_MS + (wait + extension).as_millis() as u64;
+            if delay >= limit {
+                self.schedule_answer(limit, entry, id, &call, no_answer());
+                id = NO_CALLER;
+            } else {
+                self.call_limits.insert((entry, id), self.now + limit);
+            }
+        }
+        self.schedule(
+            delay,
+            Event::Call {
+                entry,
+                id,
+                endpoint,
+                call,
+            },
+        );
+    }
+
+    /// Returns the delay of an answer and what the caller gets: nothing if the answer passes the link too late.
+    fn receive(
+        &mut self,
+        millis: u64,
+        entry: usize,
+        call: kqr_dispatch::CallId,
+        answer: Result<PollAnswer, CallFailure>,
+    ) -> (u64, Result<PollAnswer, CallFailure>) {
+        let (Some(rate), Some(limit)) = (self.link_bytes_per_ms, self.call_limits.remove(&(entry, call)))
+        else {
+            return (millis, answer);
+        };
+        let bytes = answer.as_ref().map_or(0, PollAnswer::link_bytes);
+        let free_at = self.receiving_free_at.entry(entry).or_default();
+        *free_at = (*free_at).max((self.now + millis) * 1000) + bytes * 1000 / rate;
+        let arrives_at = (*free_at).div_ceil(1000);
+        if arrives_at > limit {
+            return (limit.saturating_sub(self.now), no_answer());
+        }
+        (arrives_at - self.now, answer)
+    }
+
     pub(super) fn call(
         &mut self,
         entry: usize,
@@ -95,6 +152,7 @@
         kind: &TargetCall,
         answer: Result<PollAnswer, CallFailure>,
     ) {
+        let (millis, answer) = self.receive(millis, entry, call, answer);
         let input = match kind {
             TargetCall::Start(_) => Input::StartAnswered {
                 call,
--- a/kqr-dispatch/tests/simulation/links.rs
+++ b/kqr-dispatch/tests/simulation/links.rs
@@ -11,6 +11,9 @@
 const DELIVERY_TIMEOUT_MS: u64 = 250;
 /// Delay after a failed delivery.
 const RETRY_DELAY_MS: u64 = 30;
+/// Size of a delivery without its messages, and of its answer, which passes the link of the receiver.
+const DELIVERY_BYTES: u64 = 130;
+const ANSWER_BYTES: u64 = 40;
 /// Maximum number of messages in one delivery.
 const MAX_BATCH_MESSAGES: usize = 256;
 
@@ -79,7 +82,13 @@
         };
         let link = self.entries[from].links.entry(to).or_default();
         if link.sibling_incarnation != sibling.incarnation {
+            let outbox = if self.options.link_rate.is_some() {
+                Outbox::with_priorities()
+            } else {
+                Outbox::default()
+            };
             *link = Link {
+                outbox,
                 sibling_incarnation: sibling.incarnation,
                 request: link.request + 1,
                 ..Link::default()
@@ -97,7 +106,7 @@
                         || (matches!(answer, LinkAnswer::Delivered(_))
                             && self.lost_answers.contains(&(from, to)));
                     if !is_lost {
-                        let delay = self.delay(to, from);
+                        let delay = self.sending_time(to, ANSWER_BYTES) + self.delay(to, from);
                         self.schedule_link(delay, from, to, number, LinkEvent::Answer(answer));
                     }
                 }
@@ -263,13 +272,24 @@
 
     /// Returns the time until `from` has sent a request over its own link, behind earlier ones, if that has a rate.
     fn transmission_time(&mut self, from: usize, request: &LinkRequest) -> u64 {
-        let (Some(rate), LinkRequest::Deliver(delivery)) = (self.link_bytes_per_ms, request) else {
+        let LinkRequest::Deliver(delivery) = request else {
+            return 0;
+        };
+        if self.link_bytes_per_ms.is_none() {
+            return 0;
+        }
+        let bytes = DELIVERY_BYTES + bincode::serialized_size(&delivery.messages).unwrap();
+        self.sending_time(from, bytes)
+    }
+
+    /// Returns the time until `from` has sent `bytes` over its own link, behind earlier ones, if that has a rate.
+    pub(super) fn sending_time(&mut self, from: usize, bytes: u64) -> u64 {
+        let Some(rate) = self.link_bytes_per_ms else {
             return 0;
         };
-        let bytes = bincode::serialized_size(&delivery.messages).unwrap();
         let free_at = self.link_free_at.entry(from).or_default();
-        *free_at = (*free_at).max(self.now) + bytes.div_ceil(rate);
-        *free_at - self.now
+        *free_at = (*free_at).max(self.now * 1000) + bytes * 1000 / rate;
+        (*free_at).div_ceil(1000) - self.now
     }
 
     fn delay(&self, from: usize, to: usize) -> u64 {
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -86,8 +86,14 @@
     pub delays: BTreeMap<(usize, usize), u64>,
     /// Rate of the link of each entry to its siblings, in bytes a millisecond; unlimited if there is none.
     pub link_bytes_per_ms: Option<u64>,
-    /// When the links of entries have sent what is queued.
+    /// Whether calls to targets and their answers pass the links of the entries too.
+    pub do_calls_share_links: bool,
+    /// When the links of entries have sent what is queued, in microseconds.
     link_free_at: BTreeMap<usize, u64>,
+    /// When the links of entries have received what is queued, in microseconds.
+    receiving_free_at: BTreeMap<usize, u64>,
+    /// Times at which callers give up calls on links with a rate.
+    call_limits: BTreeMap<(usize, CallId), u64>,
     /// Pairs of entry and target with a cut link.
     pub cut_target_links: Vec<(usize, TargetId)>,
     /// Targets that leave, as far as control knows.
@@ -110,7 +116,11 @@
 impl Simulation {
     /// Creates `entries` entries, and grants target N to entry N modulo `entries`.
     pub fn new(entries: usize, targets: usize, behaviour: TaskBehaviour) -> Self {
-        let options = Options::default();
+        Self::with_options(entries, targets, behaviour, Options::default())
+    }
+
+    /// Creates a fleet whose entries have the given options.
+    pub fn with_options(entries: usize, targets: usize, behaviour: TaskBehaviour, options: Options) -> Self {
         let mut all = Vec::new();
         for number in 0..entries {
             all.push(Entry::new(number, 1, &options));
@@ -129,7 +139,10 @@
             lost_answers: Vec::new(),
             delays: BTreeMap::new(),
             link_bytes_per_ms: None,
+            do_calls_share_links: false,
             link_free_at: BTreeMap::new(),
+            receiving_free_at: BTreeMap::new(),
+            call_limits: BTreeMap::new(),
             cut_target_links: Vec::new(),
             leaving: BTreeSet::new(),
             call_fault: Box::new(|_| CallFault::Normal),
@@ -339,16 +352,7 @@
     fn output(&mut self, number: usize, output: Output) {
         match output {
             Output::Call { id, endpoint, call } => {
-                let entry = number;
-                self.schedule(
-                    LATENCY_MS,
-                    Event::Call {
-                        entry,
-                        id,
-                        endpoint,
-                        call,
-                    },
-                );
+                self.send_call(number, id, endpoint, call);
             }
             Output::Send { to, message } => self.send(number, &to, message),
             Output::ResetLink { sibling } => {
--- a/kqr-runtime/src/entry/control_link.rs
+++ b/kqr-runtime/src/entry/control_link.rs
@@ -119,7 +119,7 @@
         };
         self.driver
             .dispatcher()
-            .record_traffic(Traffic::Control, sent_bytes, encoded_bytes(&reply));
+            .record_traffic(sent_at, Traffic::Control, sent_bytes, encoded_bytes(&reply));
         match reply {
             SyncReply::Current { catalog, view } => {
                 self.pending_reports.clear();
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use eyre::WrapErr;
-use kqr_dispatch::{Input, Options};
+use kqr_dispatch::{Input, LinkRate, Options};
 use kqr_fleet::EntryInfo;
 use kqr_telemetry::Metrics;
 use kqr_types::Incarnation;
@@ -42,12 +42,17 @@
 where
     Client: TargetClient,
 {
-    /// Opens the listener for siblings and starts the exchanges with control.
+    /// Opens the listener for siblings and starts the exchanges with control. Without a rate, the link of the machine counts as
+    /// unlimited.
     ///
     /// # Errors
     ///
     /// Fails if the settings are inconsistent, or the listener can't be opened.
-    pub async fn start(settings: &EntrySettings, client: Client) -> eyre::Result<Self> {
+    pub async fn start(
+        settings: &EntrySettings,
+        client: Client,
+        link_rate: Option<LinkRate>,
+    ) -> eyre::Result<Self> {
         settings.check()?;
         let siblings = settings.sibling_address();
         let listen_address = settings.listen_address(siblings);
@@ -64,6 +69,7 @@
         };
         let options = Options {
             lease: Duration::from_millis(settings.max_lease_ms).mul_f64(LEASE_FRACTION),
+            link_rate,
             ..Options::default()
         };
         let fields = [("incarnation", own.incarnation.to_string())];
--- a/kqr-runtime/src/entry/driver.rs
+++ b/kqr-runtime/src/entry/driver.rs
@@ -36,6 +36,7 @@
     client: Client,
     clock: BootClock,
     sibling_timeout: Duration,
+    is_link_limited: bool,
     dispatcher: Mutex<Dispatcher>,
     catalog: ArcSwapOption<Catalog>,
     /// Notified when a catalog is applied.
@@ -59,6 +60,7 @@
     pub(super) fn new(own: EntryInfo, options: Options, client: Client, metrics: Metrics) -> Self {
         Self {
             sibling_timeout: options.sibling_timeout,
+            is_link_limited: options.link_rate.is_some(),
             dispatcher: Mutex::new(Dispatcher::new(own.clone(), options)),
             own,
             client,
@@ -224,8 +226,9 @@
         let mut outputs = Vec::new();
         let mut dispatcher = self.dispatcher();
         dispatcher.handle(self.clock.now(), input, &mut outputs);
+        let link_wait = dispatcher.link().timeout_extension();
         for output in outputs {
-            self.perform_output(output);
+            self.perform_output(output, link_wait);
         }
     }
 
@@ -239,6 +242,11 @@
         self.sibling_timeout
     }
 
+    /// Returns whether the link of the machine has a known rate.
+    pub(super) const fn is_link_limited(&self) -> bool {
+        self.is_link_limited
+    }
+
     pub(super) const fn clock(&self) -> BootClock {
         self.clock
     }
@@ -258,10 +266,11 @@
         }
     }
 
-    fn perform_output(self: &Arc<Self>, output: Output) {
+    /// Performs an output. Timeouts of calls are extended by `link_wait`.
+    fn perform_output(self: &Arc<Self>, output: Output, link_wait: Duration) {
         match output {
             Output::Call { id, endpoint, call } => {
-                tokio::spawn(Arc::clone(self).call_target(id, endpoint, call));
+                tokio::spawn(Arc::clone(self).call_target(id, endpoint, call, link_wait));
             }
             Output::Send { to, message } => {
                 if let Some(link) = lock(&self.sibling_links).get(&to) {
@@ -288,19 +297,25 @@
     }
 
     /// Sends a call to a target and handles its answer as an input.
-    async fn call_target(self: Arc<Self>, call: CallId, endpoint: TargetEndpoint, target_call: TargetCall) {
+    async fn call_target(
+        self: Arc<Self>,
+        call: CallId,
+        endpoint: TargetEndpoint,
+        target_call: TargetCall,
+        link_wait: Duration,
+    ) {
         let input = match target_call {
             TargetCall::Start(start) => Input::StartAnswered {
                 call,
-                answer: self.client.start(endpoint, start).await,
+                answer: self.client.start(endpoint, start, link_wait).await,
             },
             TargetCall::Stop(stop) => Input::StopAnswered {
                 call,
-                answer: self.client.stop(endpoint, stop).await,
+                answer: self.client.stop(endpoint, stop, link_wait).await,
             },
             TargetCall::Poll(poll) => Input::PollAnswered {
                 call,
-                answer: self.client.poll(endpoint, poll).await,
+                answer: self.client.poll(endpoint, poll, link_wait).await,
             },
         };
         self.handle_input(input);
--- a/kqr-runtime/src/entry/sibling_link.rs
+++ b/kqr-runtime/src/entry/sibling_link.rs
@@ -26,7 +26,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(30);
 
 /// Queue of messages for a sibling.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Queue {
     outbox: Mutex<Outbox>,
     message_added: Notify,
@@ -56,7 +56,15 @@
     where
         Client: TargetClient,
     {
-        let queue = Arc::new(Queue::default());
+        let outbox = if driver.is_link_limited() {
+            Outbox::with_priorities()
+        } else {
+            Outbox::default()
+        };
+        let queue = Arc::new(Queue {
+            outbox: Mutex::new(outbox),
+            message_added: Notify::new(),
+        });
         let sender = LinkSender {
             driver: Arc::downgrade(driver),
             own: driver.own.id.clone(),
@@ -211,7 +219,7 @@
                 .ok_or_else(|| eyre::eyre!("the entry has ended"))?;
             let dropped = driver.dispatcher().last_dropped_order(&self.sibling);
             let call = rpc.open(context::current(), self.own.clone(), self.incarnation, dropped);
-            let opened = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+            let opened = tokio::time::timeout(self.delivery_timeout(), call).await??;
             self.receiver_clock.record(BootClock.now(), opened.time);
             self.next_message = 0;
             *self.session.insert(opened.number)
@@ -227,13 +235,20 @@
             messages: batch.to_vec(),
         };
         let call = rpc.deliver(context::current(), self.own.clone(), delivery);
-        let answer = tokio::time::timeout(DELIVERY_TIMEOUT, call).await??;
+        let answer = tokio::time::timeout(self.delivery_timeout(), call).await??;
         if let Some(time) = answer {
             self.receiver_clock.record(BootClock.now(), time);
         }
         Ok(answer.is_some())
     }
 
+    /// Returns the timeout of a delivery, extended by the expected wait for the link of the machine.
+    fn delivery_timeout(&self) -> Duration {
+        let driver = self.driver.upgrade();
+        let extension = driver.map(|driver| driver.dispatcher().link().timeout_extension());
+        DELIVERY_TIMEOUT + extension.unwrap_or_default()
+    }
+
     /// Reports the loss of the link, which resets it. Returns whether the entry is still running.
     fn report_link_loss(&self) -> bool {
         let Some(driver) = self.driver.upgrade() else {
--- a/kqr-runtime/src/entry/target_client.rs
+++ b/kqr-runtime/src/entry/target_client.rs
@@ -1,14 +1,16 @@
-use std::future::Future;
+use std::{future::Future, time::Duration};
 
 use kqr_dispatch::{CallFailure, PollAnswer, PollCall, StartCall, StopCall, TargetEndpoint, TargetTime};
 
-/// Client for the protocol of the targets. Each call is sent at most once.
+/// Client for the protocol of the targets. Each call is sent at most once. Its timeout is extended by `link_wait`, the
+/// expected wait for the link of this entry.
 pub trait TargetClient: Clone + Send + Sync + 'static {
     /// Starts a task. Returns the clock of the target.
     fn start(
         &self,
         endpoint: TargetEndpoint,
         call: StartCall,
+        link_wait: Duration,
     ) -> impl Future<Output = Result<TargetTime, CallFailure>> + Send;
 
     /// Stops a run. Returns the clock of the target.
@@ -16,6 +18,7 @@
         &self,
         endpoint: TargetEndpoint,
         call: StopCall,
+        link_wait: Duration,
     ) -> impl Future<Output = Result<TargetTime, CallFailure>> + Send;
 
     /// Reads the state of the runs and extends their lease.
@@ -23,5 +26,6 @@
         &self,
         endpoint: TargetEndpoint,
         call: PollCall,
+        link_wait: Duration,
     ) -> impl Future<Output = Result<PollAnswer, CallFailure>> + Send;
 }
