fix(dispatch): tell orders that wait for capacity from those that wait for the link

On a link of 25 Mbit/s a burst of starts could exhaust the budget of one pass. All orders behind it, most of which wait for capacity, then counted as waiting for the link: jobs could be refused as link-busy, the targets reported as closed, and orders returned.

Starts count as held by the link only after 20 ms without a pass in which all that fit could be sent. Found by reading, not by a test. The tests of slow links also check that no task runs twice.

--- a/kqr-dispatch/src/dispatcher/link.rs
+++ b/kqr-dispatch/src/dispatcher/link.rs
@@ -47,7 +47,7 @@
             return Duration::ZERO;
         }
         let held_orders = self.jobs.held_bytes(now);
-        let held_starts = self.owned.held_bytes();
+        let held_starts = self.owned.held_bytes(now);
         let owners = self.siblings.iter().count() as u64;
         let orders = self
             .link
--- a/kqr-dispatch/src/dispatcher/loads.rs
+++ b/kqr-dispatch/src/dispatcher/loads.rs
@@ -119,7 +119,7 @@
     ///
     /// Reports are spread over several ticks: sent all at once, they would delay the orders behind them.
     pub(super) fn report_load(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let held_starts = self.owned.held_bytes();
+        let held_starts = self.owned.held_bytes(now);
         self.owned.is_link_full = held_starts > 0 && self.link.bulk_time(held_starts) > MAX_HELD_STARTS;
         let is_changed = self.refresh_reported_load(now);
         let is_owner = !self.own_load.is_empty();
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -34,6 +34,10 @@
 use target::Target;
 use waiting_orders::WaitingOrders;
 
+/// Time for which the budget must keep orders from being started before the link counts as their limit. A burst on a link
+/// that is fast enough passes sooner, and the orders behind it may wait for capacity only.
+const MIN_HOLD: Duration = Duration::from_millis(20);
+
 /// End of an order, to be sent to its coordinator.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct EndedOrder {
@@ -64,8 +68,8 @@
     lost_runs: Vec<LostRun>,
     /// Bulk messages that may be sent while the current input is handled.
     pub(crate) bulk: BulkBudget,
-    /// Whether the budget kept waiting orders from being started.
-    are_starts_held: bool,
+    /// Since when the budget has kept waiting orders from being started.
+    starts_held_since: Option<Instant>,
     /// Whether so many starts wait for the link that siblings are told that no target accepts runs.
     pub(crate) is_link_full: bool,
     /// Wait of periodic polls.
@@ -89,7 +93,7 @@
             reports: Vec::new(),
             lost_runs: Vec::new(),
             bulk: BulkBudget::default(),
-            are_starts_held: false,
+            starts_held_since: None,
             is_link_full: false,
         }
     }
@@ -125,9 +129,15 @@
         self.waiting.is_empty() && self.targets.values().all(|target| target.runs.is_empty())
     }
 
+    /// Returns whether starts wait for the link, and not only for capacity.
+    fn are_starts_held(&self, now: Instant) -> bool {
+        let since = self.starts_held_since;
+        since.is_some_and(|since| now.since(since) >= MIN_HOLD)
+    }
+
     /// Returns the estimated size of the starts that wait for the link.
-    pub(crate) fn held_bytes(&self) -> u64 {
-        if !self.are_starts_held {
+    pub(crate) fn held_bytes(&self, now: Instant) -> u64 {
+        if !self.are_starts_held(now) {
             return 0;
         }
         let waiting = self.waiting.iter();
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -52,13 +52,13 @@
     /// Starts the waiting orders for which a target has free capacity, by priority and arrival.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut passed_over = 0;
-        self.are_starts_held = false;
+        let mut is_held = false;
         for place in self.waiting.places() {
             if passed_over == MAX_PASSED_OVER {
                 break;
             }
             if !self.bulk.has_room() {
-                self.are_starts_held = true;
+                is_held = true;
                 break;
             }
             let Some(waiting) = self.waiting.get(place) else {
@@ -73,6 +73,11 @@
                 None => passed_over += 1,
             }
         }
+        self.starts_held_since = if is_held {
+            self.starts_held_since.or(Some(now))
+        } else {
+            None
+        };
     }
 
     /// Cancels an order, and stops its run if it was started. The time for that began at `since`.
@@ -122,7 +127,7 @@
                 expired.push((place, NotRun::NoTarget));
             } else if waiting.until <= now {
                 expired.push((place, NotRun::Expired));
-            } else if self.are_starts_held && now.since(waiting.sent_at) >= MAX_LINK_WAIT {
+            } else if self.are_starts_held(now) && now.since(waiting.sent_at) >= MAX_LINK_WAIT {
                 expired.push((place, NotRun::Refused));
             } else if !self
                 .targets
--- a/kqr-dispatch/tests/slow_links.rs
+++ b/kqr-dispatch/tests/slow_links.rs
@@ -72,6 +72,7 @@
         sim.run_for(1);
     }
     sim.run_for(END_MS);
+    assert!(sim.duplicate_runs.is_empty(), "tasks that ran twice");
     let answers = count(&sim, arrivals.len());
     println!("{mbit} Mbit/s, assumed {assumed_mbit:?}: {answers:?}");
     answers
