--- a/kqr-dispatch/src/lib.rs
+++ b/kqr-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod bulk_budget;
 mod contact;
 mod decision;
 mod delivery;
@@ -15,9 +16,13 @@
 mod job_end;
 mod job_request;
 mod jobs;
+mod link;
+mod link_rate;
+mod link_usage;
 mod load_report;
 mod load_update;
 mod lost_run;
+mod message_size;
 mod opened_session;
 mod options;
 mod order_id;
@@ -43,6 +48,7 @@
 mod target_losses;
 mod target_time;
 mod task_id;
+mod traffic;
 
 pub use decision::Decision;
 pub use delivery::Delivery;
@@ -50,9 +56,13 @@
 pub use input::Input;
 pub use job_end::{GiveUp, JobEnd, RefusalCause};
 pub use job_request::JobRequest;
+pub use link::Link;
+pub use link_rate::LinkRate;
+pub use link_usage::LinkUsage;
 pub use load_report::TargetLoad;
 pub use load_update::{LoadChange, LoadTargets, LoadUpdate};
 pub use lost_run::LostRun;
+pub use message_size::encoded_bytes;
 pub use opened_session::OpenedSession;
 pub use options::Options;
 pub use order_id::OrderId;
@@ -69,3 +79,4 @@
 pub use target_call::{CallId, PollCall, StartCall, StopCall, TargetCall, TargetEndpoint};
 pub use target_time::TargetTime;
 pub use task_id::{RunId, TaskId};
+pub use traffic::Traffic;
