fix(dispatch): let orders that fit nowhere hide no others

Callers saw tasks wait beside free targets at peak load. A pass over the queue of an owner ended at the 24th order that fitted on no target, for example for its size or its label, whatever was queued behind it.

A pass now remembers for each service and label the smallest needs that did not fit, and skips equal and larger ones without a search. A pass is omitted while the free capacity, the runs and the arrivals are those after the last one, so that a long queue costs no more than before.

--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -1,11 +1,13 @@
 //! The owner role: targets that this entry owns, their runs, and orders that wait for capacity.
 
 mod answers;
+mod blocked_queue;
 mod hanging;
 mod health;
 mod next_poll;
 mod open_call;
 mod orders;
+mod pass_inputs;
 mod phase;
 mod polling;
 mod probe;
@@ -24,6 +26,7 @@
     load_report::{LoadReport, RANKS},
 };
 use open_call::OpenCall;
+use pass_inputs::PassInputs;
 use phase::Phase;
 use run::Run;
 use target::Target;
@@ -48,6 +51,8 @@
     /// Number of times that targets were added, removed or resized.
     list_number: u64,
     waiting: WaitingOrders,
+    /// State after the last pass over the waiting orders.
+    last_pass: PassInputs,
     calls: BTreeMap<CallId, OpenCall>,
     next_call: u64,
     is_leaving: bool,
@@ -67,6 +72,7 @@
             former: Vec::new(),
             list_number: 0,
             waiting: WaitingOrders::default(),
+            last_pass: PassInputs::default(),
             calls: BTreeMap::new(),
             next_call: 0,
             is_leaving: false,
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -6,7 +6,9 @@
 
 use super::{
     OwnedTargets,
+    blocked_queue::Misfits,
     open_call::OpenCall,
+    pass_inputs::PassInputs,
     phase::Phase,
     run::{Run, RunState},
     target::Target,
@@ -17,10 +19,6 @@
     suitability::Suitability,
 };
 
-/// Maximum number of waiting orders skipped in one pass because they fit on no target; the rest is unlikely
-/// to fit either.
-const MAX_PASSED_OVER: usize = 24;
-
 impl OwnedTargets {
     /// Queues an order that was sent at `sent_at` until a target has free capacity, or refuses it if no target can run it.
     pub(crate) fn accept_order(
@@ -45,25 +43,45 @@
         });
     }
 
-    /// Starts the waiting orders for which a target has free capacity, by priority and arrival.
+    /// Starts the waiting orders for which a target has free capacity, by priority and arrival. Orders that fit nowhere
+    /// don't hold up those behind them.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let mut passed_over = 0;
+        if self.waiting.is_empty() || self.pass_inputs(now) == self.last_pass {
+            return;
+        }
+        let mut misfits = Misfits::default();
         for place in self.waiting.places() {
-            if passed_over == MAX_PASSED_OVER {
-                break;
-            }
             let Some(waiting) = self.waiting.get(place) else {
                 continue;
             };
+            if misfits.covers(&waiting.order) {
+                continue;
+            }
             match self.pick_target(now, waiting) {
                 Some(target) => {
                     if let Some(waiting) = self.waiting.remove(place) {
                         self.start_run(now, &target, &waiting, outputs);
                     }
                 }
-                None => passed_over += 1,
+                None => misfits.record(&waiting.order),
             }
         }
+        self.last_pass = self.pass_inputs(now);
+    }
+
+    /// Returns what decides whether a waiting order can start.
+    fn pass_inputs(&self, now: Instant) -> PassInputs {
+        let mut open = Vec::new();
+        for (position, target) in self.targets.values().enumerate() {
+            if self.is_open(now, target) {
+                open.push((position, target.free(), target.runs.len()));
+            }
+        }
+        PassInputs {
+            arrivals: self.waiting.arrivals(),
+            list_number: self.list_number,
+            open,
+        }
     }
 
     /// Cancels an order, and stops its run if it was started. The time for that began at `since`.
--- a/kqr-dispatch/src/owned/waiting_orders.rs
+++ b/kqr-dispatch/src/owned/waiting_orders.rs
@@ -75,6 +75,11 @@
         self.work
     }
 
+    /// Returns the number of orders that were ever added.
+    pub(super) const fn arrivals(&self) -> u64 {
+        self.last_arrival
+    }
+
     pub(super) fn len(&self) -> usize {
         self.orders.len()
     }
