feat(dispatch): refuse what can't be of use, by a wait that counts places, speeds and packing

At peak load callers waited for answers that could not come in time. The expected wait was zero while one target had room for one task, however many the job had; otherwise it ignored the speeds of targets and the processors that large tasks can't use. It was compared with the whole deadline, without the run. A job that waited was refused when its deadline had passed, not when its run could no longer be of use.

The expected wait counts the places for all tasks of the first steps, and divides the work ahead by the rate at which targets of these speeds work off tasks of this size. A job is refused if wait and run exceed the use of its answer, or if the work ahead takes longer than its on-time limit; without work ahead it never is. A job that has not begun is refused as not run when its run could no longer be of use, after all its orders have ended. Work for a label does not count for jobs without one. Options::load_shedding AtDeadline keeps the earlier rule.

Waiting orders have a place in the queue with their latest start. Options::queue_order selects the order of service; the default is still the arrival.

--- a/kqr-dispatch/examples/submit_cost.rs
+++ b/kqr-dispatch/examples/submit_cost.rs
@@ -5,8 +5,8 @@
 use std::{sync::Arc, time::Duration};
 
 use kqr_dispatch::{
-    Dispatcher, Input, JobRequest, LoadTargets, LoadUpdate, Options, OrderId, SiblingMessage, StepSpec,
-    TargetLoad,
+    Dispatcher, Input, JobRequest, LoadTargets, LoadUpdate, Options, OrderId, QueuedWork, SiblingMessage,
+    StepSpec, TargetLoad,
 };
 use kqr_fleet::{EntryInfo, Resources};
 use kqr_types::{Incarnation, Instant};
@@ -57,7 +57,7 @@
         let message = SiblingMessage::Load(LoadUpdate {
             number: 1,
             targets: LoadTargets::All(loads),
-            queued: [0; 4],
+            queued: QueuedWork::default(),
             is_leaving: false,
             last_order: OrderId(0),
         });
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -3,10 +3,11 @@
 use kqr_types::Instant;
 
 use super::{
+    excess_load::max_first_wait,
     step::Step,
     task::{Task, TaskState},
 };
-use crate::{JobRequest, Options, OrderId};
+use crate::{JobRequest, LoadShedding, Options, OrderId};
 
 /// Multiple of the on-time response time after which an answer is of no use.
 const USEFUL_TIME_FACTOR: u32 = 3;
@@ -28,6 +29,10 @@
     /// Whether the job is over and only waits for the ends of its cancelled orders.
     pub(super) is_ending: bool,
     pub(super) steps: Vec<Step>,
+    /// Time after the arrival until which the result is on time.
+    on_time_limit: Duration,
+    /// Estimated run times of the longest chains of steps that depend on each step.
+    later_chains: Vec<Duration>,
     /// Number of orders placed.
     pub(super) orders: u64,
     /// Whether a run may have begun.
@@ -38,18 +43,20 @@
     /// Creates a job that arrived at `now`, whose tasks may be placed from `place_from` on.
     pub(super) fn new(now: Instant, place_from: Instant, mut request: JobRequest, options: &Options) -> Self {
         let mut steps = Vec::new();
-        for step in &mut request.steps {
-            if step.estimate.is_zero() {
-                step.estimate = options.default_estimate;
-            }
+        set_missing_estimates(&mut request, options);
+        for step in &request.steps {
             steps.push(Step::new(step.count as usize, place_from));
         }
+        let limit = request.time_left.min(max_useful_time(&request));
+        let max_wait = max_first_wait(options.load_shedding, limit, longest_chain(&request));
         let mut job = Self {
             arrived: now,
-            deadline: now + request.time_left.min(max_useful_time(&request)),
+            deadline: now + max_wait,
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
             is_ending: false,
             steps,
+            on_time_limit: on_time_limit(&request),
+            later_chains: later_chains(&request),
             orders: 0,
             has_begun: false,
             request,
@@ -81,6 +88,25 @@
         }
     }
 
+    /// Returns when an order that is placed now must have begun. A job that has begun is continued until it is given up:
+    /// its caller would submit it again, which costs more than its remaining tasks.
+    pub(super) fn start_deadline(&self, options: &Options) -> Instant {
+        let is_limited = !self.has_begun && options.load_shedding == LoadShedding::WhenUseless;
+        if is_limited {
+            self.deadline
+        } else {
+            self.give_up_at
+        }
+    }
+
+    /// Returns the time left until the latest start with which a task of `step` is expected to end on time, and so the
+    /// steps that depend on it, if it takes `run`.
+    pub(super) fn start_left(&self, now: Instant, step: usize, run: Duration) -> Duration {
+        let later = self.later_chains.get(step).copied().unwrap_or_default();
+        let latest = self.on_time_limit.saturating_sub(later + run);
+        (self.arrived + latest).since(now)
+    }
+
     /// Returns the identifiers of the orders that have not ended.
     pub(super) fn open_order_ids(&self) -> Vec<OrderId> {
         let mut order_ids = Vec::new();
@@ -114,6 +140,61 @@
     }
 }
 
+/// Sets the estimates that the caller did not give.
+pub(super) fn set_missing_estimates(request: &mut JobRequest, options: &Options) {
+    for step in &mut request.steps {
+        if step.estimate.is_zero() {
+            step.estimate = options.default_estimate;
+        }
+    }
+}
+
+/// Returns the estimated run time of the longest chain of steps that depend on each other.
+pub(super) fn longest_chain(request: &JobRequest) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(request.steps.len());
+    for step in &request.steps {
+        let earlier = step.depends_on.iter();
+        let earlier = earlier.filter_map(|number| ends.get(*number as usize));
+        let begin = earlier.max().copied().unwrap_or_default();
+        let run = if step.count == 0 {
+            Duration::ZERO
+        } else {
+            step.estimate
+        };
+        ends.push(begin.saturating_add(run));
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
+/// Returns the estimated run times of the longest chains of steps that depend on each step.
+fn later_chains(request: &JobRequest) -> Vec<Duration> {
+    let mut later = vec![Duration::ZERO; request.steps.len()];
+    for (number, step) in request.steps.iter().enumerate().rev() {
+        let run = if step.count == 0 {
+            Duration::ZERO
+        } else {
+            step.estimate
+        };
+        let chain = later.get(number).map_or(run, |later| later.saturating_add(run));
+        for earlier in &step.depends_on {
+            if let Some(later) = later.get_mut(*earlier as usize) {
+                *later = chain.max(*later);
+            }
+        }
+    }
+    later
+}
+
+/// Returns the time after the arrival of a job until which its result is on time.
+pub(super) fn on_time_limit(request: &JobRequest) -> Duration {
+    longest_chain(request).mul_f64(slack_factor(request)) + request.objective
+}
+
+/// Returns the time after the arrival of a job until which its result is of some use, if its estimates are right.
+pub(super) fn useful_limit(request: &JobRequest) -> Duration {
+    on_time_limit(request) * USEFUL_TIME_FACTOR
+}
+
 /// Returns the time after the arrival of a job beyond which its result is of no use, with a margin for wrong
 /// estimates.
 fn max_useful_time(request: &JobRequest) -> Duration {
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! The coordinator role: jobs of callers, and the orders placed for their tasks.
 
+mod excess_load;
 mod job;
 mod orders;
 mod step;
@@ -10,10 +11,11 @@
 use kqr_types::{InstanceId, Instant, JobKey};
 
 use crate::{
-    Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause, owners::Owners,
-    target_losses::TargetLosses,
+    Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause,
+    expected_wait::ExpectedWait, owners::Owners, target_losses::TargetLosses,
 };
-use job::{Job, estimated_duration};
+use excess_load::TimeLimits;
+use job::{Job, estimated_duration, set_missing_estimates};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
 
@@ -75,7 +77,7 @@
     pub(crate) fn submit(
         &mut self,
         now: Instant,
-        request: JobRequest,
+        mut request: JobRequest,
         owners: &Owners,
         is_survey_pending: bool,
         losses: &TargetLosses,
@@ -100,10 +102,11 @@
             outputs.push(Output::JobEnded { job, end });
             return false;
         }
+        set_missing_estimates(&mut request, &self.options);
         let wait = owners.expected_wait(&request);
-        let wait_ms = wait.as_millis() as u64;
+        let wait_ms = wait.total().as_millis() as u64;
         let is_impossible = !is_survey_pending && owners.is_impossible(&request);
-        if let Some(cause) = self.refusal_cause(now, &request, wait_ms, is_impossible) {
+        if let Some(cause) = self.refusal_cause(now, &request, wait, is_impossible) {
             refuse(outputs, job, cause, wait_ms);
             return false;
         }
@@ -251,7 +254,7 @@
         &self,
         now: Instant,
         request: &JobRequest,
-        wait_ms: u64,
+        wait: ExpectedWait,
         is_impossible: bool,
     ) -> Option<RefusalCause> {
         let needed = estimated_duration(request) * LEAVING_RUN_TIME_FACTOR;
@@ -270,8 +273,9 @@
         if self.tasks + request.task_count() > self.options.max_tasks {
             return Some(RefusalCause::TooManyTasks);
         }
-        let max_wait_ms = request.time_left.as_millis() as u64;
-        (wait_ms > max_wait_ms).then_some(RefusalCause::Overload)
+        let limits = TimeLimits::of(request);
+        let is_excess = limits.is_excess(self.options.load_shedding, wait, request.time_left);
+        is_excess.then_some(RefusalCause::Overload)
     }
 }
 
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -6,8 +6,8 @@
 
 use super::{Jobs, job::Job, task::TaskState};
 use crate::{
-    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId, owners::Owners,
-    target_losses::TargetLosses,
+    Decision, JobEnd, LostRun, NotRun, Options, OrderId, Output, RunEnd, RunId, RunOrder, TaskId,
+    owners::Owners, target_losses::TargetLosses,
 };
 
 /// Delay before a task whose order did not run is ordered again, which lets newer load reports arrive.
@@ -63,9 +63,10 @@
             return placed;
         };
         let ready: Vec<(usize, usize)> = job.ready_tasks(now).collect();
+        let slowness = owners.usual_slowness(&job.request.service);
         for (step, index) in ready {
             let order_id = OrderId(self.last_order_id.0 + 1);
-            let order = new_order(now, job, order_id, step, index, losses);
+            let order = new_order(now, job, order_id, step, index, losses, &self.options, slowness);
             let picked = order.and_then(|order| Some((owners.pick_owner(&order)?, order)));
             let Some(((owner, preferred_target), order)) = picked else {
                 clear_avoided_targets(now, job, step, index);
@@ -119,6 +120,7 @@
         };
         job.has_begun |= !matches!(end, RunEnd::NotRun(_));
         let (max_attempts, is_ending) = (job.request.max_attempts, job.is_ending);
+        let is_continued = job.has_begun && now < job.give_up_at;
         let Some(task) = job.task_mut(order.step, order.index) else {
             return;
         };
@@ -158,6 +160,10 @@
                 }
             }
             RunEnd::NotRun(NotRun::Superseded) => task.attempt *= ATTEMPT_FACTOR,
+            // Another task has begun since the order was placed, so the job is continued.
+            RunEnd::NotRun(NotRun::Expired) if is_continued => {
+                task.state = TaskState::Ready(now + REORDER_DELAY);
+            }
             RunEnd::NotRun(NotRun::Expired) => {
                 self.give_up(now, &key, outputs);
                 return;
@@ -224,6 +230,8 @@
     step: usize,
     index: usize,
     losses: &TargetLosses,
+    options: &Options,
+    slowness: f32,
 ) -> Option<RunOrder> {
     let spec = job.request.steps.get(step)?;
     let task = job.steps.get(step)?.tasks.get(index)?;
@@ -239,8 +247,10 @@
         data_rack: spec.data_rack.clone(),
         max_per_target: spec.max_per_target,
         priority: job.request.priority,
-        time_left: job.give_up_at.since(now),
+        time_left: job.start_deadline(options).since(now),
         on_time_left: job.on_time_left(now, spec.estimate),
+        start_left: job.start_left(now, step, spec.estimate.mul_f32(slowness)),
+        has_job_begun: job.has_begun,
         preferred_target: None,
         avoided_targets: task.avoided_targets.clone(),
         failures: task.failures,
--- a/kqr-dispatch/src/load_report.rs
+++ b/kqr-dispatch/src/load_report.rs
@@ -2,6 +2,8 @@
 use kqr_types::{ServiceName, TargetId};
 use serde::{Deserialize, Serialize};
 
+use crate::QueuedWork;
+
 /// Number of priorities with a separate queue length; all lower priorities share the last one.
 pub(crate) const RANKS: usize = 4;
 
@@ -10,8 +12,8 @@
 pub(crate) struct LoadReport {
     /// Targets of the owner.
     pub(crate) targets: Vec<TargetLoad>,
-    /// Work of waiting orders by priority, in core-milliseconds.
-    pub(crate) queued: [u64; RANKS],
+    /// Work of waiting orders.
+    pub(crate) queued: QueuedWork,
     /// Whether the owner is shutting down.
     pub(crate) is_leaving: bool,
 }
--- a/kqr-dispatch/src/load_update.rs
+++ b/kqr-dispatch/src/load_update.rs
@@ -1,7 +1,7 @@
 use kqr_fleet::Resources;
 use serde::{Deserialize, Serialize};
 
-use crate::{OrderId, TargetLoad, load_report::RANKS};
+use crate::{OrderId, QueuedWork, TargetLoad};
 
 /// Load of an owner as sent to one sibling; also serves as a heartbeat.
 ///
@@ -13,8 +13,8 @@
     pub number: u64,
     /// Loads of targets.
     pub targets: LoadTargets,
-    /// Work of waiting orders by priority, in core-milliseconds.
-    pub queued: [u64; RANKS],
+    /// Work of waiting orders.
+    pub queued: QueuedWork,
     /// Whether the owner is shutting down.
     pub is_leaving: bool,
     /// Last order of the receiver that the load includes.
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::{LoadShedding, QueueOrder};
+
 /// Timeouts and limits of the [`Dispatcher`](crate::Dispatcher).
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -49,6 +51,10 @@
     pub max_tasks: u64,
     /// Run time assumed for a step without an estimate.
     pub default_estimate: Duration,
+    /// When a job is refused for lack of capacity, and when it is given up while it waits.
+    pub load_shedding: LoadShedding,
+    /// Order in which waiting orders are served.
+    pub queue_order: QueueOrder,
 }
 
 impl Options {
@@ -82,6 +88,8 @@
             max_target_losses: 2,
             max_tasks: 20_000,
             default_estimate: Duration::from_millis(200),
+            load_shedding: LoadShedding::default(),
+            queue_order: QueueOrder::default(),
         }
     }
 }
--- a/kqr-dispatch/src/own_load.rs
+++ b/kqr-dispatch/src/own_load.rs
@@ -1,7 +1,4 @@
-use crate::{
-    LoadChange, LoadTargets, LoadUpdate, OrderId, TargetLoad,
-    load_report::{LoadReport, RANKS},
-};
+use crate::{LoadChange, LoadTargets, LoadUpdate, OrderId, QueuedWork, TargetLoad, load_report::LoadReport};
 
 /// Load of this entry as last reported, with the history that updates for siblings are made from.
 #[derive(Clone, Debug, Default)]
@@ -45,7 +42,7 @@
     }
 
     /// Updates the loads of the targets, which are those of the last list. Returns whether something differs.
-    pub(crate) fn refresh<Changes>(&mut self, changes: Changes, queued: [u64; RANKS]) -> bool
+    pub(crate) fn refresh<Changes>(&mut self, changes: Changes, queued: QueuedWork) -> bool
     where
         Changes: Iterator<Item = LoadChange>,
     {
--- a/kqr-dispatch/src/owned/blocked_queue.rs
+++ b/kqr-dispatch/src/owned/blocked_queue.rs
@@ -106,6 +106,8 @@
             priority: 0,
             time_left: Duration::from_secs(1),
             on_time_left: Duration::from_millis(140),
+            start_left: Duration::from_millis(90),
+            has_job_begun: false,
             preferred_target: None,
             avoided_targets: Vec::new(),
             failures: 0,
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -11,6 +11,7 @@
 mod phase;
 mod polling;
 mod probe;
+mod queue_place;
 mod run;
 mod target;
 mod waiting_order;
@@ -22,8 +23,8 @@
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
-    load_report::{LoadReport, RANKS},
+    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, QueuedWork, RunEnd, RunId, TargetCall,
+    TargetLoad, load_report::LoadReport,
 };
 use open_call::OpenCall;
 use pass_inputs::PassInputs;
@@ -66,12 +67,13 @@
 
 impl OwnedTargets {
     pub(crate) fn new(options: Options) -> Self {
+        let waiting = WaitingOrders::new(options.queue_order);
         Self {
             options,
             targets: BTreeMap::new(),
             former: Vec::new(),
             list_number: 0,
-            waiting: WaitingOrders::default(),
+            waiting,
             last_pass: PassInputs::default(),
             calls: BTreeMap::new(),
             next_call: 0,
@@ -255,8 +257,8 @@
         })
     }
 
-    /// Returns the work of the waiting orders by priority, in core-milliseconds.
-    pub(crate) const fn queued_work(&self) -> [u64; RANKS] {
+    /// Returns the work of the waiting orders.
+    pub(crate) const fn queued_work(&self) -> QueuedWork {
         self.waiting.work()
     }
 
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -43,10 +43,14 @@
         });
     }
 
-    /// Starts the waiting orders for which a target has free capacity, by priority and arrival. Orders that fit nowhere
+    /// Starts the waiting orders for which a target has free capacity, in the order of the queue. Orders that fit nowhere
     /// don't hold up those behind them.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        if self.waiting.is_empty() || self.pass_inputs(now) == self.last_pass {
+        if self.waiting.is_empty() {
+            return;
+        }
+        self.waiting.move_late_orders(now);
+        if self.pass_inputs(now) == self.last_pass {
             return;
         }
         let mut misfits = Misfits::default();
--- a/kqr-dispatch/src/owned/waiting_order.rs
+++ b/kqr-dispatch/src/owned/waiting_order.rs
@@ -16,3 +16,10 @@
     /// When the order expires.
     pub(super) until: Instant,
 }
+
+impl WaitingOrder {
+    /// Returns the latest start with which the run is expected to end on time.
+    pub(super) fn latest_start(&self) -> Instant {
+        self.sent_at + self.order.start_left
+    }
+}
--- a/kqr-dispatch/src/owned/waiting_orders.rs
+++ b/kqr-dispatch/src/owned/waiting_orders.rs
@@ -1,36 +1,61 @@
-use std::collections::BTreeMap;
+//! Orders that wait for capacity, in the order in which they are served.
 
-use kqr_types::InstanceId;
+use std::{collections::BTreeMap, ops::Bound};
 
-use super::waiting_order::WaitingOrder;
-use crate::{OrderId, load_report::RANKS};
+use kqr_types::{InstanceId, Instant};
 
-/// Place of an order in the queue: its priority and its arrival.
-pub(super) type QueuePlace = (u32, u64);
+use super::{queue_place::QueuePlace, waiting_order::WaitingOrder};
+use crate::{OrderId, QueueOrder, QueuedWork, load_report::RANKS, queued_work::QueuedKind};
 
 /// Orders that wait for capacity.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WaitingOrders {
+    order: QueueOrder,
     orders: BTreeMap<QueuePlace, WaitingOrder>,
     /// Places by order, so that a cancelled order is found without a search.
     places: BTreeMap<(InstanceId, OrderId), QueuePlace>,
-    /// Work by priority, in core-milliseconds.
-    work: [u64; RANKS],
+    work: QueuedWork,
     last_arrival: u64,
 }
 
 impl WaitingOrders {
-    /// Adds an order behind those of its priority.
+    pub(super) fn new(order: QueueOrder) -> Self {
+        Self {
+            order,
+            ..Self::default()
+        }
+    }
+
+    /// Adds an order that arrives.
     pub(super) fn push(&mut self, waiting: WaitingOrder) {
         self.last_arrival += 1;
-        let place = (waiting.order.priority, self.last_arrival);
-        self.work[rank_of(&waiting)] += waiting.order.work_core_ms();
-        self.places
-            .insert((waiting.coordinator.clone(), waiting.order.id), place);
-        self.orders.insert(place, waiting);
+        let place = QueuePlace::new(&waiting, self.order, self.last_arrival);
+        self.insert(place, waiting);
+    }
+
+    /// Moves the orders whose latest start has passed behind those that can still be on time. Each order is moved at
+    /// most once, and no other order is examined but the first of each priority.
+    pub(super) fn move_late_orders(&mut self, now: Instant) {
+        if self.order != QueueOrder::OnTimeFirst {
+            return;
+        }
+        let mut from = Bound::Included(QueuePlace::first(0));
+        while let Some((&place, _)) = self
+            .orders
+            .range((from, Bound::Excluded(QueuePlace::first_late())))
+            .next()
+        {
+            if place.latest_start >= now {
+                from = Bound::Excluded(place.last_of_standing());
+                continue;
+            }
+            if let Some(waiting) = self.remove(place) {
+                self.insert(place.into_late(&waiting), waiting);
+            }
+        }
     }
 
-    /// Returns the places of all orders, by priority and arrival.
+    /// Returns the places of all orders, in the order in which they are served.
     pub(super) fn places(&self) -> Vec<QueuePlace> {
         self.orders.keys().copied().collect()
     }
@@ -39,15 +64,16 @@
         self.orders.get(&place)
     }
 
-    /// Returns all orders with their places, by priority and arrival.
+    /// Returns all orders with their places, in the order in which they are served.
     pub(super) fn iter(&self) -> impl Iterator<Item = (QueuePlace, &WaitingOrder)> {
         self.orders.iter().map(|(place, waiting)| (*place, waiting))
     }
 
     pub(super) fn remove(&mut self, place: QueuePlace) -> Option<WaitingOrder> {
         let waiting = self.orders.remove(&place)?;
-        let work = &mut self.work[rank_of(&waiting)];
-        *work = work.saturating_sub(waiting.order.work_core_ms());
+        let work = waiting.order.work_core_ms();
+        let kind = QueuedKind::of(&waiting.order, place.is_late);
+        self.work.remove(kind, rank_of(place), work);
         self.places
             .remove(&(waiting.coordinator.clone(), waiting.order.id));
         Some(waiting)
@@ -70,8 +96,8 @@
         }
     }
 
-    /// Returns the work by priority, in core-milliseconds.
-    pub(super) const fn work(&self) -> [u64; RANKS] {
+    /// Returns the work of the orders.
+    pub(super) const fn work(&self) -> QueuedWork {
         self.work
     }
 
@@ -87,8 +113,131 @@
     pub(super) fn is_empty(&self) -> bool {
         self.orders.is_empty()
     }
+
+    fn insert(&mut self, place: QueuePlace, waiting: WaitingOrder) {
+        let work = waiting.order.work_core_ms();
+        let kind = QueuedKind::of(&waiting.order, place.is_late);
+        self.work.add(kind, rank_of(place), work);
+        self.places
+            .insert((waiting.coordinator.clone(), waiting.order.id), place);
+        self.orders.insert(place, waiting);
+    }
+}
+
+fn rank_of(place: QueuePlace) -> usize {
+    (place.priority as usize).min(RANKS - 1)
 }
 
-fn rank_of(waiting: &WaitingOrder) -> usize {
-    (waiting.order.priority as usize).min(RANKS - 1)
+#[cfg(test)]
+mod tests {
+    use std::{sync::Arc, time::Duration};
+
+    use kqr_fleet::Resources;
+
+    use super::*;
+    use crate::{RunId, RunOrder, TaskId};
+
+    /// Returns an order of `work` core-milliseconds that can start on time until `latest_ms`.
+    fn waiting(job: &str, id: u64, priority: u32, latest_ms: u64, work: u64) -> WaitingOrder {
+        let task = TaskId {
+            job: job.parse().unwrap(),
+            occurrence: 0,
+            step: 0,
+            index: id as u32,
+        };
+        WaitingOrder {
+            coordinator: "entry-0".parse().unwrap(),
+            spec: Arc::from(""),
+            sent_at: Instant(0),
+            until: Instant(1_500_000),
+            order: RunOrder {
+                id: OrderId(id),
+                run: RunId { task, attempt: 1 },
+                service: "press".parse().unwrap(),
+                needs: Resources {
+                    cpu_milli: 1_000,
+                    memory_mib: 64,
+                    accelerators: 0,
+                },
+                estimate: Duration::from_millis(work),
+                label: None,
+                data_rack: None,
+                max_per_target: None,
+                priority,
+                time_left: Duration::from_millis(1_500),
+                on_time_left: Duration::from_millis(latest_ms + work),
+                start_left: Duration::from_millis(latest_ms),
+                has_job_begun: false,
+                preferred_target: None,
+                avoided_targets: Vec::new(),
+                failures: 0,
+                target_losses: 0,
+            },
+        }
+    }
+
+    /// Returns the identifiers of the orders in the order in which they are served at `now_ms`.
+    fn served(orders: &mut WaitingOrders, now_ms: u64) -> Vec<u64> {
+        orders.move_late_orders(Instant(now_ms * 1000));
+        let mut ids = Vec::new();
+        for (_, waiting) in orders.iter() {
+            ids.push(waiting.order.id.0);
+        }
+        ids
+    }
+
+    fn queue(order: QueueOrder) -> WaitingOrders {
+        let mut orders = WaitingOrders::new(order);
+        orders.push(waiting("a", 1, 0, 100, 10));
+        orders.push(waiting("b", 2, 2, 500, 20));
+        orders.push(waiting("c", 3, 0, 50, 30));
+        orders.push(waiting("d", 4, 1, 200, 40));
+        orders
+    }
+
+    #[test]
+    fn orders_are_served_by_priority_and_arrival_if_so_configured() {
+        assert_eq!(served(&mut queue(QueueOrder::Arrival), 300), [1, 3, 4, 2]);
+    }
+
+    #[test]
+    fn orders_of_a_priority_are_served_by_their_latest_start() {
+        assert_eq!(served(&mut queue(QueueOrder::LatestStart), 300), [3, 1, 4, 2]);
+    }
+
+    /// At a peak the orders that were late already made all others late.
+    #[test]
+    fn late_orders_are_served_after_those_that_can_be_on_time() {
+        let mut orders = queue(QueueOrder::OnTimeFirst);
+        assert_eq!(served(&mut orders, 40), [3, 1, 4, 2]);
+        assert_eq!(served(&mut orders, 80), [1, 4, 2, 3]);
+        assert_eq!(served(&mut orders, 300), [2, 3, 1, 4]);
+        let work = orders.work();
+        assert_eq!(work.on_time, [0, 0, 20, 0]);
+        assert_eq!(work.late, [40, 40, 0, 0]);
+        assert_eq!((work.ahead(0, false), work.ahead_of_late(0)), (0, 60));
+        assert!(orders.remove_order(&"entry-0".parse().unwrap(), OrderId(3)));
+        assert_eq!(orders.work().late, [10, 40, 0, 0]);
+    }
+
+    #[test]
+    fn late_orders_of_jobs_that_have_begun_come_before_other_late_ones() {
+        let mut orders = queue(QueueOrder::OnTimeFirst);
+        let mut begun = waiting("begun", 5, 0, 120, 10);
+        begun.order.has_job_begun = true;
+        orders.push(begun);
+        assert_eq!(served(&mut orders, 110), [5, 4, 2, 3, 1]);
+        assert_eq!(served(&mut orders, 150), [4, 2, 5, 3, 1]);
+    }
+
+    /// Tasks of several jobs took turns, so that all jobs ended late in place of some.
+    #[test]
+    fn tasks_of_one_job_are_served_together() {
+        let mut orders = WaitingOrders::new(QueueOrder::OnTimeFirst);
+        for (id, job, latest_ms) in [(1, "a", 90), (2, "b", 91), (3, "a", 90), (4, "b", 91)] {
+            orders.push(waiting(job, id, 0, latest_ms, 10));
+        }
+        assert_eq!(served(&mut orders, 0), [1, 3, 2, 4]);
+        assert_eq!(served(&mut orders, 200), [1, 3, 2, 4]);
+    }
 }
--- a/kqr-dispatch/src/owners/free_index.rs
+++ b/kqr-dispatch/src/owners/free_index.rs
@@ -1,4 +1,7 @@
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 /// Width of the buckets of speeds: the difference of the natural logarithms of two ratios of run time to estimate.
 const SLOWNESS_BUCKET_WIDTH: f32 = 0.05;
@@ -54,6 +57,16 @@
     (slowness.ln() / SLOWNESS_BUCKET_WIDTH + NORMAL_SLOWNESS_BUCKET) as u16
 }
 
+/// Returns the ratio of run time to estimate at the centre of a bucket.
+fn bucket_slowness(bucket: u16) -> f32 {
+    ((f32::from(bucket) + 0.5 - NORMAL_SLOWNESS_BUCKET) * SLOWNESS_BUCKET_WIDTH).exp()
+}
+
+/// Returns the rate at which a target works, in thousandths of a core of normal speed.
+fn rate_of(key: &FreeKey, cpu_milli: u64) -> u64 {
+    (cpu_milli as f32 / bucket_slowness(key.slowness)) as u64
+}
+
 /// Returns the bucket of free processors, in thousandths of a core.
 pub(super) fn cpu_bucket(cpu_milli: u64) -> u32 {
     u32::try_from(cpu_milli / CPU_BUCKET_MILLI).unwrap_or(u32::MAX)
@@ -67,6 +80,8 @@
     cpu_milli: u64,
     /// Total of the buckets of free processors.
     free_buckets: u64,
+    /// Total rates of the targets by their processors, both in thousandths of a core.
+    rates: BTreeMap<u64, u64>,
 }
 
 impl FreeIndex {
@@ -74,6 +89,8 @@
         if self.keys.insert(key) {
             self.cpu_milli = self.cpu_milli.saturating_add(cpu_milli);
             self.free_buckets += u64::from(key.free.0);
+            let rate = self.rates.entry(cpu_milli).or_default();
+            *rate = rate.saturating_add(rate_of(&key, cpu_milli));
         }
     }
 
@@ -81,12 +98,37 @@
         if self.keys.remove(key) {
             self.cpu_milli = self.cpu_milli.saturating_sub(cpu_milli);
             self.free_buckets -= u64::from(key.free.0);
+            if let Some(rate) = self.rates.get_mut(&cpu_milli) {
+                *rate = rate.saturating_sub(rate_of(key, cpu_milli));
+            }
+            if self.rates.get(&cpu_milli) == Some(&0) {
+                self.rates.remove(&cpu_milli);
+            }
         }
     }
 
-    /// Returns the total processors of the targets, whether free or not.
-    pub(super) const fn open_cpu_milli(&self) -> u64 {
-        self.cpu_milli
+    /// Returns the ratio of run time to estimate on a target of the mean speed.
+    pub(super) fn usual_slowness(&self) -> f32 {
+        let rate: u64 = self.rates.values().sum();
+        if rate == 0 {
+            return 1.0;
+        }
+        self.cpu_milli as f32 / rate as f32
+    }
+
+    /// Returns the rate, in thousandths of a core of normal speed, at which the targets work off tasks of `cpu_milli`.
+    /// Processors of a target that no such task can use do not count.
+    pub(super) fn drain_rate(&self, cpu_milli: u64) -> u64 {
+        let mut total = 0_u64;
+        for (&capacity, &rate) in &self.rates {
+            let used = match capacity.checked_div(cpu_milli) {
+                Some(tasks) => tasks * cpu_milli,
+                None => capacity,
+            };
+            let share = u128::from(rate) * u128::from(used) / u128::from(capacity.max(1));
+            total = total.saturating_add(u64::try_from(share).unwrap_or(u64::MAX));
+        }
+        total
     }
 
     /// Returns the part of the processors that is in use.
--- a/kqr-dispatch/src/owners/mod.rs
+++ b/kqr-dispatch/src/owners/mod.rs
@@ -1,6 +1,7 @@
 //! Loads of all owners as known to a coordinator, with an index of the targets that accept runs.
 
 mod distance;
+mod expected_wait;
 mod free_index;
 mod owner_load;
 mod placement;
@@ -8,14 +9,13 @@
 use std::{
     collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
-    time::Duration,
 };
 
 use kqr_types::{InstanceId, ServiceName};
 
 use crate::{
-    JobRequest, LoadChange, LoadTargets, LoadUpdate, StepSpec, TargetLoad,
-    load_report::{LoadReport, RANKS},
+    JobRequest, LoadChange, LoadTargets, LoadUpdate, QueuedWork, StepSpec, TargetLoad,
+    load_report::LoadReport,
 };
 use distance::Distance;
 use free_index::{FreeIndex, FreeKey};
@@ -99,7 +99,7 @@
     }
 
     /// Updates the work of the orders that wait at this entry.
-    pub(crate) fn refresh_own_queue(&mut self, own: &InstanceId, queued: [u64; RANKS]) {
+    pub(crate) fn refresh_own_queue(&mut self, own: &InstanceId, queued: QueuedWork) {
         if let Some(known) = self.loads.get_mut(own) {
             known.set_queued(queued);
         }
@@ -135,27 +135,6 @@
         is_known && !steps.all(|step| self.targets().any(|target| fits_step(target, request, step)))
     }
 
-    /// Returns how long the tasks of a job are expected to wait for capacity. Returns zero if no target accepts runs
-    /// at present, because this is assumed to be a short interruption.
-    pub(crate) fn expected_wait(&self, request: &JobRequest) -> Duration {
-        let Some(index) = self.free.get(&request.service) else {
-            return Duration::ZERO;
-        };
-        let capacity = index.open_cpu_milli();
-        let mut steps = request.steps.iter();
-        let has_capacity = steps.any(|step| {
-            let mut fitting = index.all_with_cpu(step.needs.cpu_milli);
-            fitting.any(|key| self.free_at(key).is_some_and(|free| free.can_fit(&step.needs)))
-        });
-        if capacity == 0 || has_capacity {
-            return Duration::ZERO;
-        }
-        let rank = (request.priority as usize).min(RANKS - 1);
-        let accepting = self.loads.values().filter(|owner| !owner.is_leaving);
-        let queued: u64 = accepting.map(|owner| owner.queued_work(rank)).sum();
-        Duration::from_millis(queued * 1000 / capacity)
-    }
-
     /// Replaces the list of an owner's targets.
     fn list(&mut self, owner: &InstanceId, distance: Distance, targets: Vec<TargetLoad>) {
         let positions = self.loads.get(owner).map_or(0, |known| known.targets.len());
--- a/kqr-dispatch/src/owners/owner_load.rs
+++ b/kqr-dispatch/src/owners/owner_load.rs
@@ -7,7 +7,7 @@
     distance::Distance,
     free_index::{FreeKey, cpu_bucket, slowness_bucket},
 };
-use crate::{LoadChange, OrderId, RunOrder, TargetLoad, load_report::RANKS};
+use crate::{LoadChange, OrderId, QueuedWork, RunOrder, TargetLoad, queued_work::QueuedKind};
 
 /// Deduction for an order that the load of its owner does not include yet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,8 +18,15 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Place {
-    Target { position: usize, needs: Resources },
-    Queue { rank: usize, work: u64 },
+    Target {
+        position: usize,
+        needs: Resources,
+    },
+    Queue {
+        kind: QueuedKind,
+        rank: usize,
+        work: u64,
+    },
 }
 
 impl Reservation {
@@ -32,10 +39,10 @@
     }
 
     pub(super) const fn in_queue(order: &RunOrder, rank: usize) -> Self {
-        let work = order.work_core_ms();
+        let (kind, work) = (QueuedKind::of(order, false), order.work_core_ms());
         Self {
             order: order.id,
-            place: Place::Queue { rank, work },
+            place: Place::Queue { kind, rank, work },
         }
     }
 }
@@ -57,8 +64,8 @@
     free: Vec<Resources>,
     /// Ranks of the targets among equal ones, which differ between coordinators.
     spreads: Vec<u32>,
-    /// Work of waiting orders by priority, including reservations, in core-milliseconds.
-    queued: [u64; RANKS],
+    /// Work of waiting orders, including reservations.
+    queued: QueuedWork,
     reservations: Vec<Reservation>,
     /// Total processors of the targets by service.
     cpu_milli: BTreeMap<ServiceName, u64>,
@@ -86,7 +93,7 @@
             free: targets.iter().map(|target| target.free).collect(),
             targets,
             spreads,
-            queued: [0; RANKS],
+            queued: QueuedWork::default(),
             reservations: Vec::new(),
             cpu_milli,
         }
@@ -122,13 +129,15 @@
         self.cpu_milli.get(service).copied().unwrap_or_default()
     }
 
-    /// Returns the queued work ahead of an order of priority `rank`, in core-milliseconds.
-    pub(super) fn queued_work(&self, rank: usize) -> u64 {
+    /// Returns the work of waiting orders, including reservations.
+    pub(super) const fn queued(&self) -> QueuedWork {
         self.queued
-            .iter()
-            .take(rank + 1)
-            .copied()
-            .fold(0, u64::saturating_add)
+    }
+
+    /// Returns the queued work of at least the priority `rank`, in core-milliseconds.
+    pub(super) fn queued_work(&self, rank: usize) -> u64 {
+        let late: u64 = self.queued.late.iter().take(rank + 1).sum();
+        self.queued.ahead(rank, true).saturating_add(late)
     }
 
     /// Marks a target as closed, so that it leaves the index.
@@ -159,11 +168,11 @@
     }
 
     /// Replaces the queued work. Reservations remain added.
-    pub(super) fn set_queued(&mut self, queued: [u64; RANKS]) {
+    pub(super) fn set_queued(&mut self, queued: QueuedWork) {
         self.queued = queued;
         for reservation in &self.reservations {
-            if let Place::Queue { rank, work } = reservation.place {
-                add_work(&mut self.queued, rank, work);
+            if let Place::Queue { kind, rank, work } = reservation.place {
+                self.queued.add(kind, rank, work);
             }
         }
     }
@@ -176,7 +185,7 @@
                     *free -= needs;
                 }
             }
-            Place::Queue { rank, work } => add_work(&mut self.queued, rank, work),
+            Place::Queue { kind, rank, work } => self.queued.add(kind, rank, work),
         }
         self.reservations.push(reservation);
     }
@@ -199,9 +208,3 @@
         self.end_reservations(OrderId(u64::MAX))
     }
 }
-
-fn add_work(queued: &mut [u64; RANKS], rank: usize, work: u64) {
-    if let Some(queued) = queued.get_mut(rank) {
-        *queued = queued.saturating_add(work);
-    }
-}
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -33,6 +33,10 @@
     pub time_left: Duration,
     /// Time left until an end of the run counts as late, derived from the estimate.
     pub on_time_left: Duration,
+    /// Time left until the latest start with which the run is expected to end on time on a target of usual speed.
+    pub start_left: Duration,
+    /// Whether a run of the job may have begun when the order was placed.
+    pub has_job_begun: bool,
     /// Target that the coordinator expects to have free capacity.
     #[serde(rename = "preferred")]
     pub preferred_target: Option<TargetId>,
--- a/kqr-dispatch/src/step_spec.rs
+++ b/kqr-dispatch/src/step_spec.rs
@@ -23,3 +23,11 @@
     /// Maximum number of tasks of the step on one target.
     pub max_per_target: Option<u32>,
 }
+
+impl StepSpec {
+    /// Returns the estimated work of a task, in core-milliseconds.
+    pub(crate) const fn work_core_ms(&self) -> u64 {
+        let estimate_ms = self.estimate.as_millis() as u64;
+        self.needs.cpu_milli.saturating_mul(estimate_ms) / 1000
+    }
+}
--- a/kqr-dispatch/tests/capacity_changes.rs
+++ b/kqr-dispatch/tests/capacity_changes.rs
@@ -20,6 +20,8 @@
 fn job_of_one(number: usize) -> JobRequest {
     JobRequest {
         time_left: Duration::from_secs(20),
+        // All jobs of a test can be on time, although some wait for several runs.
+        objective: Duration::from_secs(20),
         ..job(&format!("job-{number}"), 1, 400)
     }
 }
