feat(dispatch): serve what can be on time first, by latest start, and jobs as a whole

At peak load nearly all answers were late. Orders were served by priority and arrival, so that those that were late already made all later ones late, and the tasks of many jobs took turns.

Orders that can still start on time are served by priority and latest start, the late ones after them. Late orders of a job that has begun come first, and ahead of their priority shortly before the job would be given up, since its runs would be lost. The coordinator of a job that had to wait notifies the owners of its other orders when it begins (JobBegun).

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -260,7 +260,8 @@
                     self.owned.cancel_order(now, sent_at, from, order_id, outputs);
                 }
             }
-            SiblingMessage::Begun(order_ids) => self.jobs.handle_begun(&order_ids),
+            SiblingMessage::Begun(order_ids) => self.record_begun(&order_ids, outputs),
+            SiblingMessage::JobBegun(order_ids) => self.owned.mark_orders_begun(from, &order_ids),
             SiblingMessage::Ended {
                 order_id,
                 end,
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -69,12 +69,24 @@
         }
     }
 
+    /// Records orders that have begun, and notifies the owners at which other orders of the same jobs wait.
+    pub(super) fn record_begun(&mut self, order_ids: &[OrderId], outputs: &mut Vec<Output>) {
+        for (owner, waiting) in self.jobs.handle_begun(order_ids) {
+            if owner == self.own.id {
+                self.owned.mark_orders_begun(&owner, &waiting);
+                continue;
+            }
+            let message = SiblingMessage::JobBegun(waiting);
+            outputs.push(Output::Send { to: owner, message });
+        }
+    }
+
     /// Notifies coordinators of orders that have begun or ended.
     fn forward_order_progress(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.report_target_losses(now, outputs);
         for (coordinator, order_ids) in self.owned.take_begun() {
             if coordinator == self.own.id {
-                self.jobs.handle_begun(&order_ids);
+                self.record_begun(&order_ids, outputs);
                 continue;
             }
             let message = SiblingMessage::Begun(order_ids);
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -22,6 +22,9 @@
 pub(super) struct Job {
     pub(super) request: JobRequest,
     pub(super) arrived: Instant,
+    load_shedding: LoadShedding,
+    /// Whether a wait was expected when the job was admitted.
+    pub(super) is_queued: bool,
     /// When the job is refused if none of its runs has begun.
     pub(super) deadline: Instant,
     /// When the job is given up in any case.
@@ -51,6 +54,8 @@
         let max_wait = max_first_wait(options.load_shedding, limit, longest_chain(&request));
         let mut job = Self {
             arrived: now,
+            load_shedding: options.load_shedding,
+            is_queued: false,
             deadline: now + max_wait,
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
             is_ending: false,
@@ -90,8 +95,8 @@
 
     /// Returns when an order that is placed now must have begun. A job that has begun is continued until it is given up:
     /// its caller would submit it again, which costs more than its remaining tasks.
-    pub(super) fn start_deadline(&self, options: &Options) -> Instant {
-        let is_limited = !self.has_begun && options.load_shedding == LoadShedding::WhenUseless;
+    pub(super) fn start_deadline(&self) -> Instant {
+        let is_limited = !self.has_begun && self.load_shedding == LoadShedding::WhenUseless;
         if is_limited {
             self.deadline
         } else {
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -118,8 +118,9 @@
         }));
         self.tasks += tasks;
         let place_from = now.max(self.held_until);
-        self.live
-            .insert(job, Job::new(now, place_from, request, &self.options));
+        let mut admitted = Job::new(now, place_from, request, &self.options);
+        admitted.is_queued = !wait.total().is_zero();
+        self.live.insert(job, admitted);
         true
     }
 
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -1,13 +1,13 @@
 //! Orders for the tasks of a job: placing them and handling their ends.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use kqr_types::{InstanceId, Instant, JobKey, TargetId};
 
 use super::{Jobs, job::Job, task::TaskState};
 use crate::{
-    Decision, JobEnd, LostRun, NotRun, Options, OrderId, Output, RunEnd, RunId, RunOrder, TaskId,
-    owners::Owners, target_losses::TargetLosses,
+    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId, owners::Owners,
+    target_losses::TargetLosses,
 };
 
 /// Delay before a task whose order did not run is ordered again, which lets newer load reports arrive.
@@ -66,7 +66,7 @@
         let slowness = owners.usual_slowness(&job.request.service);
         for (step, index) in ready {
             let order_id = OrderId(self.last_order_id.0 + 1);
-            let order = new_order(now, job, order_id, step, index, losses, &self.options, slowness);
+            let order = new_order(now, job, order_id, step, index, losses, slowness);
             let picked = order.and_then(|order| Some((owners.pick_owner(&order)?, order)));
             let Some(((owner, preferred_target), order)) = picked else {
                 clear_avoided_targets(now, job, step, index);
@@ -91,14 +91,27 @@
         placed
     }
 
-    /// Records orders whose start was sent to a target.
-    pub(crate) fn handle_begun(&mut self, order_ids: &[OrderId]) {
+    /// Records orders whose start was sent to a target. Returns the other orders of jobs that had to wait and have begun
+    /// with it, by owner.
+    pub(crate) fn handle_begun(&mut self, order_ids: &[OrderId]) -> BTreeMap<InstanceId, Vec<OrderId>> {
+        let mut waiting: BTreeMap<InstanceId, Vec<OrderId>> = BTreeMap::new();
         for order_id in order_ids {
             let order = self.orders.get(order_id);
-            if let Some(job) = order.and_then(|order| self.live.get_mut(&order.job)) {
-                job.has_begun = true;
+            let Some(job) = order.and_then(|order| self.live.get_mut(&order.job)) else {
+                continue;
+            };
+            let had_begun = std::mem::replace(&mut job.has_begun, true);
+            if had_begun || !job.is_queued {
+                continue;
+            }
+            for other in job.open_order_ids() {
+                let order = self.orders.get(&other).filter(|_| !order_ids.contains(&other));
+                if let Some(order) = order {
+                    waiting.entry(order.owner.clone()).or_default().push(other);
+                }
             }
         }
+        waiting
     }
 
     /// Handles the end of an order.
@@ -230,7 +243,6 @@
     step: usize,
     index: usize,
     losses: &TargetLosses,
-    options: &Options,
     slowness: f32,
 ) -> Option<RunOrder> {
     let spec = job.request.steps.get(step)?;
@@ -247,7 +259,7 @@
         data_rack: spec.data_rack.clone(),
         max_per_target: spec.max_per_target,
         priority: job.request.priority,
-        time_left: job.start_deadline(options).since(now),
+        time_left: job.start_deadline().since(now),
         on_time_left: job.on_time_left(now, spec.estimate),
         start_left: job.start_left(now, step, spec.estimate.mul_f32(slowness)),
         has_job_begun: job.has_begun,
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -50,26 +50,33 @@
             return;
         }
         self.waiting.move_late_orders(now);
+        if self.waiting.move_urgent_orders(now) {
+            self.last_pass = PassInputs::default();
+        }
         if self.pass_inputs(now) == self.last_pass {
             return;
         }
         let mut misfits = Misfits::default();
-        for place in self.waiting.places() {
-            let Some(waiting) = self.waiting.get(place) else {
-                continue;
-            };
+        let (mut last, mut has_moved) = (None, false);
+        while let Some((place, waiting)) = self.waiting.next_after(last) {
+            last = Some(place);
             if misfits.covers(&waiting.order) {
                 continue;
             }
             match self.pick_target(now, waiting) {
                 Some(target) => {
                     if let Some(waiting) = self.waiting.remove(place) {
+                        has_moved |= self.waiting.mark_job_begun(&waiting.order.run.task.job);
                         self.start_run(now, &target, &waiting, outputs);
                     }
                 }
                 None => misfits.record(&waiting.order),
             }
         }
+        if has_moved {
+            self.last_pass = PassInputs::default();
+            return;
+        }
         self.last_pass = self.pass_inputs(now);
     }
 
@@ -106,6 +113,13 @@
         self.stop_runs_where(now, since, "cancelled", is_selected, outputs);
     }
 
+    /// Records that the jobs of waiting orders have begun elsewhere.
+    pub(crate) fn mark_orders_begun(&mut self, coordinator: &InstanceId, order_ids: &[OrderId]) {
+        for order_id in order_ids {
+            self.waiting.mark_begun(coordinator, *order_id);
+        }
+    }
+
     /// Drops the orders of a lost coordinator and stops their runs: no caller waits for them any more, and
     /// the callers may submit their jobs to another entry. The time for that began at `since`.
     pub(crate) fn drop_orders_of(
--- a/kqr-dispatch/src/owned/queue_place.rs
+++ b/kqr-dispatch/src/owned/queue_place.rs
@@ -6,7 +6,7 @@
 /// Standing of an order among those of its priority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Standing {
-    /// The order can't be on time any more, and its job has begun.
+    /// The order can't be on time any more, and its job has begun. It is served before others of its class and priority.
     Begun,
     /// Any other order.
     Usual,
@@ -53,6 +53,15 @@
         }
     }
 
+    /// Returns the place of an order whose job would be given up soon, ahead of its priority.
+    pub(super) const fn into_urgent(self) -> Self {
+        Self {
+            is_late: false,
+            standing: Standing::Begun,
+            ..self
+        }
+    }
+
     /// Returns a place before all orders of a priority that can be on time.
     pub(super) const fn first(priority: u32) -> Self {
         Self {
@@ -64,11 +73,11 @@
         }
     }
 
-    /// Returns a place before all late orders.
-    pub(super) const fn first_late() -> Self {
+    /// Returns a place before all late orders of a priority.
+    pub(super) const fn first_late(priority: u32) -> Self {
         Self {
             is_late: true,
-            ..Self::first(0)
+            ..Self::first(priority)
         }
     }
 
--- a/kqr-dispatch/src/owned/waiting_orders.rs
+++ b/kqr-dispatch/src/owned/waiting_orders.rs
@@ -1,10 +1,16 @@
 //! Orders that wait for capacity, in the order in which they are served.
 
-use std::{collections::BTreeMap, ops::Bound};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
 
-use kqr_types::{InstanceId, Instant};
+use kqr_types::{InstanceId, Instant, JobKey};
 
-use super::{queue_place::QueuePlace, waiting_order::WaitingOrder};
+use super::{
+    queue_place::{QueuePlace, Standing},
+    waiting_order::WaitingOrder,
+};
 use crate::{OrderId, QueueOrder, QueuedWork, load_report::RANKS, queued_work::QueuedKind};
 
 /// Orders that wait for capacity.
@@ -14,6 +20,8 @@
     orders: BTreeMap<QueuePlace, WaitingOrder>,
     /// Places by order, so that a cancelled order is found without a search.
     places: BTreeMap<(InstanceId, OrderId), QueuePlace>,
+    /// Places by job, so that the orders of a job that begins are found without a search.
+    jobs: BTreeMap<JobKey, BTreeSet<QueuePlace>>,
     work: QueuedWork,
     last_arrival: u64,
 }
@@ -42,10 +50,10 @@
         let mut from = Bound::Included(QueuePlace::first(0));
         while let Some((&place, _)) = self
             .orders
-            .range((from, Bound::Excluded(QueuePlace::first_late())))
+            .range((from, Bound::Excluded(QueuePlace::first_late(0))))
             .next()
         {
-            if place.latest_start >= now {
+            if place.latest_start >= now || place.standing == Standing::Begun {
                 from = Bound::Excluded(place.last_of_standing());
                 continue;
             }
@@ -55,13 +63,60 @@
         }
     }
 
-    /// Returns the places of all orders, in the order in which they are served.
-    pub(super) fn places(&self) -> Vec<QueuePlace> {
-        self.orders.keys().copied().collect()
+    /// Moves late orders of jobs that have begun ahead of their priority, if their time ends soon: the runs of a job that is
+    /// given up are lost, and its caller submits it again. Of each priority the first order is examined.
+    /// Returns whether orders have moved.
+    pub(super) fn move_urgent_orders(&mut self, now: Instant) -> bool {
+        let mut has_moved = false;
+        let mut from = Bound::Included(QueuePlace::first_late(0));
+        while let Some((&place, waiting)) = self.orders.range((from, Bound::Unbounded)).next() {
+            if place.standing != Standing::Begun || !waiting.is_urgent(now) {
+                from = Bound::Excluded(place.last_of_standing());
+                continue;
+            }
+            if let Some(waiting) = self.remove(place) {
+                self.insert(place.into_urgent(), waiting);
+                has_moved = true;
+            }
+        }
+        has_moved
+    }
+
+    /// Records that the job of an order has begun. Returns whether orders have moved.
+    pub(super) fn mark_begun(&mut self, coordinator: &InstanceId, id: OrderId) -> bool {
+        let place = self.places.get(&(coordinator.clone(), id));
+        let waiting = place.and_then(|place| self.orders.get(place));
+        let job = waiting.map(|waiting| waiting.order.run.task.job.clone());
+        job.is_some_and(|job| self.mark_job_begun(&job))
+    }
+
+    /// Records that a job has begun. Its late orders move ahead of those of jobs that have not. Returns whether orders have
+    /// moved.
+    pub(super) fn mark_job_begun(&mut self, job: &JobKey) -> bool {
+        let Some(places) = self.jobs.get(job).cloned() else {
+            return false;
+        };
+        let mut has_moved = false;
+        for place in places {
+            let Some(waiting) = self.orders.get_mut(&place) else {
+                continue;
+            };
+            if std::mem::replace(&mut waiting.order.has_job_begun, true) || !place.is_late {
+                continue;
+            }
+            if let Some(waiting) = self.remove(place) {
+                self.insert(place.into_late(&waiting), waiting);
+                has_moved = true;
+            }
+        }
+        has_moved
     }
 
-    pub(super) fn get(&self, place: QueuePlace) -> Option<&WaitingOrder> {
-        self.orders.get(&place)
+    /// Returns the order that is served next after `place`, or the first one.
+    pub(super) fn next_after(&self, place: Option<QueuePlace>) -> Option<(QueuePlace, &WaitingOrder)> {
+        let from = place.map_or(Bound::Unbounded, Bound::Excluded);
+        let next = self.orders.range((from, Bound::Unbounded)).next();
+        next.map(|(place, waiting)| (*place, waiting))
     }
 
     /// Returns all orders with their places, in the order in which they are served.
@@ -76,6 +131,13 @@
         self.work.remove(kind, rank_of(place), work);
         self.places
             .remove(&(waiting.coordinator.clone(), waiting.order.id));
+        let job = &waiting.order.run.task.job;
+        if let Some(places) = self.jobs.get_mut(job) {
+            places.remove(&place);
+            if places.is_empty() {
+                self.jobs.remove(job);
+            }
+        }
         Some(waiting)
     }
 
@@ -120,6 +182,8 @@
         self.work.add(kind, rank_of(place), work);
         self.places
             .insert((waiting.coordinator.clone(), waiting.order.id), place);
+        let job = waiting.order.run.task.job.clone();
+        self.jobs.entry(job).or_default().insert(place);
         self.orders.insert(place, waiting);
     }
 }
@@ -221,13 +285,32 @@
     }
 
     #[test]
-    fn late_orders_of_jobs_that_have_begun_come_before_other_late_ones() {
+    fn late_orders_of_jobs_that_have_begun_come_first_and_ahead_of_all_in_the_end() {
         let mut orders = queue(QueueOrder::OnTimeFirst);
         let mut begun = waiting("begun", 5, 0, 120, 10);
         begun.order.has_job_begun = true;
         orders.push(begun);
         assert_eq!(served(&mut orders, 110), [5, 4, 2, 3, 1]);
         assert_eq!(served(&mut orders, 150), [4, 2, 5, 3, 1]);
+        orders.move_urgent_orders(Instant(1_400_000));
+        assert_eq!(served(&mut orders, 150), [4, 2, 5, 3, 1]);
+        orders.move_urgent_orders(Instant(1_471_000));
+        assert_eq!(served(&mut orders, 150), [5, 4, 2, 3, 1]);
+    }
+
+    /// Jobs of which some tasks had run were given up, because their other tasks waited behind those of later jobs.
+    #[test]
+    fn late_orders_move_ahead_when_their_job_begins() {
+        let mut orders = queue(QueueOrder::OnTimeFirst);
+        orders.push(waiting("d", 6, 1, 210, 10));
+        assert_eq!(served(&mut orders, 300), [2, 3, 1, 4, 6]);
+        assert!(orders.mark_begun(&"entry-0".parse().unwrap(), OrderId(1)));
+        assert!(orders.mark_job_begun(&"d".parse().unwrap()));
+        assert!(!orders.mark_job_begun(&"d".parse().unwrap()));
+        assert_eq!(served(&mut orders, 300), [2, 1, 3, 4, 6]);
+        assert_eq!(orders.work().late, [40, 50, 0, 0]);
+        assert!(!orders.mark_job_begun(&"b".parse().unwrap()));
+        assert_eq!(served(&mut orders, 600), [1, 3, 4, 6, 2]);
     }
 
     /// Tasks of several jobs took turns, so that all jobs ended late in place of some.
--- a/kqr-dispatch/src/sibling_message.rs
+++ b/kqr-dispatch/src/sibling_message.rs
@@ -36,4 +36,6 @@
     },
     /// Runs whose targets went down, whichever entry coordinates them.
     TargetsLost(Vec<LostRun>),
+    /// Orders that may wait and whose jobs have begun elsewhere, sent by the coordinator.
+    JobBegun(Vec<OrderId>),
 }
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -110,7 +110,11 @@
 impl Simulation {
     /// Creates `entries` entries, and grants target N to entry N modulo `entries`.
     pub fn new(entries: usize, targets: usize, behaviour: TaskBehaviour) -> Self {
-        let options = Options::default();
+        Self::with_options(entries, targets, behaviour, Options::default())
+    }
+
+    /// Like [`Self::new`], with other options.
+    pub fn with_options(entries: usize, targets: usize, behaviour: TaskBehaviour, options: Options) -> Self {
         let mut all = Vec::new();
         for number in 0..entries {
             all.push(Entry::new(number, 1, &options));
--- a/kqr-dispatch/tests/simulation/target.rs
+++ b/kqr-dispatch/tests/simulation/target.rs
@@ -16,6 +16,9 @@
 const CRASH_DELAY_MS: u64 = 10;
 const DOWN_MS: u64 = 3_000;
 
+/// Prefix of a payload that states the run time of its task on a target of normal speed, in milliseconds.
+pub const RUN_MS_PREFIX: &str = "run-ms=";
+
 /// An active run.
 #[derive(Clone, Debug)]
 pub struct ActiveRun {
@@ -44,6 +47,8 @@
 pub struct Target {
     pub record: TargetRecord,
     pub behaviour: TaskBehaviour,
+    /// Factor on the run times that payloads state.
+    pub slowness: f64,
     pub is_up: bool,
     /// Number of crashes.
     pub crashes: usize,
@@ -68,6 +73,7 @@
         Self {
             record,
             behaviour,
+            slowness: 1.0,
             is_up: true,
             crashes: 0,
             crashes_at: None,
@@ -149,6 +155,9 @@
                     return Err(CallFailure::Refused(Refusal::Late));
                 } else {
                     let TaskBehaviour { run_ms, end, hangs } = self.behaviour;
+                    let stated = start.spec.strip_prefix(RUN_MS_PREFIX);
+                    let stated = stated.and_then(|millis| millis.parse::<f64>().ok());
+                    let run_ms = stated.map_or(run_ms, |millis| (millis * self.slowness) as u64);
                     let (began, ends) = (now, now + run_ms);
                     self.running.insert(
                         start.run.clone(),
