feat(dispatch): learn run times for each kind of work

Estimates of callers are wrong by 40% for each job, and decided alone which jobs count as late and how long the queue is.

Owners report the run time of a completed task, divided by the slowness of its target, with its end. The coordinator keeps means, variance and covariance of the logarithms of run times and estimates for each service and priority, and counts an estimate in proportion to how well it predicts. The result is used for jobs that are expected to wait, so that an idle fleet places as before. The slowness of targets is measured against the callers' estimates, so that the two corrections don't feed back. Options::learns_run_times switches it off.

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -266,7 +266,9 @@
                 order_id,
                 end,
                 target,
+                run_time,
             } => {
+                self.jobs.record_run_time(order_id, run_time);
                 self.end_order(now, order_id, end, target, outputs);
             }
             SiblingMessage::TargetsLost(runs) => {
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -98,6 +98,7 @@
         for ended in self.owned.take_ended() {
             let (order_id, end, target) = (ended.order_id, ended.end, ended.target);
             if ended.coordinator == self.own.id {
+                self.jobs.record_run_time(order_id, ended.run_time);
                 self.end_order(now, order_id, end, target, outputs);
                 continue;
             }
@@ -107,6 +108,7 @@
                     order_id,
                     end,
                     target,
+                    run_time: ended.run_time,
                 },
             });
         }
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -32,6 +32,8 @@
     /// Whether the job is over and only waits for the ends of its cancelled orders.
     pub(super) is_ending: bool,
     pub(super) steps: Vec<Step>,
+    /// Run times by step that the caller estimated. Those of the request are corrected under load.
+    pub(super) stated_estimates: Vec<Duration>,
     /// Time after the arrival until which the result is on time.
     on_time_limit: Duration,
     /// Estimated run times of the longest chains of steps that depend on each step.
@@ -60,6 +62,7 @@
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
             is_ending: false,
             steps,
+            stated_estimates: request.steps.iter().map(|step| step.estimate).collect(),
             on_time_limit: on_time_limit(&request),
             later_chains: later_chains(&request),
             orders: 0,
@@ -104,6 +107,11 @@
         }
     }
 
+    /// Returns the run time of the tasks of a step that the caller estimated.
+    pub(super) fn stated_estimate(&self, step: usize) -> Duration {
+        self.stated_estimates.get(step).copied().unwrap_or_default()
+    }
+
     /// Returns the time left until the latest start with which a task of `step` is expected to end on time, and so the
     /// steps that depend on it, if it takes `run`.
     pub(super) fn start_left(&self, now: Instant, step: usize, run: Duration) -> Duration {
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod excess_load;
 mod job;
 mod orders;
+mod run_times;
 mod step;
 mod task;
 
@@ -18,6 +19,7 @@
 use job::{Job, estimated_duration, set_missing_estimates};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
+use run_times::RunTimes;
 
 /// Shortest suggested delay before a caller retries; the longest is five times as long.
 const RETRY_AFTER_MS: u64 = 1000;
@@ -40,6 +42,7 @@
     leave_deadline: Option<Instant>,
     /// When the tasks of new jobs may be placed.
     held_until: Instant,
+    run_times: RunTimes,
 }
 
 impl Jobs {
@@ -54,6 +57,7 @@
             cancelled: BTreeMap::new(),
             leave_deadline: None,
             held_until: Instant(0),
+            run_times: RunTimes::default(),
         }
     }
 
@@ -103,7 +107,12 @@
             return false;
         }
         set_missing_estimates(&mut request, &self.options);
-        let wait = owners.expected_wait(&request);
+        let stated: Vec<Duration> = request.steps.iter().map(|step| step.estimate).collect();
+        let mut wait = owners.expected_wait(&request);
+        if !wait.total().is_zero() && self.options.learns_run_times {
+            self.correct_estimates(&mut request);
+            wait = owners.expected_wait(&request);
+        }
         let wait_ms = wait.total().as_millis() as u64;
         let is_impossible = !is_survey_pending && owners.is_impossible(&request);
         if let Some(cause) = self.refusal_cause(now, &request, wait, is_impossible) {
@@ -119,6 +128,7 @@
         self.tasks += tasks;
         let place_from = now.max(self.held_until);
         let mut admitted = Job::new(now, place_from, request, &self.options);
+        admitted.stated_estimates = stated;
         admitted.is_queued = !wait.total().is_zero();
         self.live.insert(job, admitted);
         true
@@ -251,6 +261,15 @@
         Some(job)
     }
 
+    /// Corrects the estimates of the caller by the run times of the same kind of work.
+    fn correct_estimates(&self, request: &mut JobRequest) {
+        for step in &mut request.steps {
+            step.estimate = self
+                .run_times
+                .expected(&request.service, request.priority, step.estimate);
+        }
+    }
+
     fn refusal_cause(
         &self,
         now: Instant,
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -114,6 +114,19 @@
         waiting
     }
 
+    /// Records the run time of a completed order on a target of normal speed.
+    pub(crate) fn record_run_time(&mut self, order_id: OrderId, run_time: Option<Duration>) {
+        let (Some(order), Some(run_time)) = (self.orders.get(&order_id), run_time) else {
+            return;
+        };
+        let Some(job) = self.live.get(&order.job) else {
+            return;
+        };
+        let stated = job.stated_estimate(order.step as usize);
+        self.run_times
+            .record(&job.request.service, job.request.priority, run_time, stated);
+    }
+
     /// Handles the end of an order.
     pub(crate) fn handle_ended(
         &mut self,
@@ -255,6 +268,7 @@
         service: job.request.service.clone(),
         needs: spec.needs,
         estimate: spec.estimate,
+        stated_estimate: job.stated_estimate(step),
         label: spec.label.clone(),
         data_rack: spec.data_rack.clone(),
         max_per_target: spec.max_per_target,
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -55,6 +55,8 @@
     pub load_shedding: LoadShedding,
     /// Order in which waiting orders are served.
     pub queue_order: QueueOrder,
+    /// Whether the estimates of callers are corrected by the run times of the same kind of work, if a wait is expected.
+    pub learns_run_times: bool,
 }
 
 impl Options {
@@ -90,6 +92,7 @@
             default_estimate: Duration::from_millis(200),
             load_shedding: LoadShedding::default(),
             queue_order: QueueOrder::default(),
+            learns_run_times: true,
         }
     }
 }
--- a/kqr-dispatch/src/owned/answers.rs
+++ b/kqr-dispatch/src/owned/answers.rs
@@ -6,7 +6,7 @@
 use kqr_types::{Instant, TargetId};
 
 use super::{
-    OwnedTargets, log_target_change,
+    EndedOrder, OwnedTargets, log_target_change,
     next_poll::NextPoll,
     open_call::{OpenCall, PollKind},
     phase::Phase,
@@ -270,6 +270,7 @@
             return;
         };
         let elapsed = now.since(run.sent_at);
+        let run_time = target.health.normal_run_time(elapsed);
         match ended.kind {
             EndKind::Done => target.health.record_success(&self.options, elapsed, run.estimate),
             EndKind::Failed if run.failures == 0 => {
@@ -301,7 +302,13 @@
             }));
         }
         if let Some((coordinator, order_id)) = run.ordered_by {
-            self.end_order(coordinator, order_id, end, Some(id.clone()));
+            self.ended.push(EndedOrder {
+                coordinator,
+                order_id,
+                end,
+                target: Some(id.clone()),
+                run_time: (end == RunEnd::Done).then_some(run_time),
+            });
         }
     }
 
--- a/kqr-dispatch/src/owned/blocked_queue.rs
+++ b/kqr-dispatch/src/owned/blocked_queue.rs
@@ -100,6 +100,7 @@
                 accelerators: 0,
             },
             estimate: Duration::from_millis(50),
+            stated_estimate: Duration::from_millis(50),
             label: label.map(str::to_owned),
             data_rack: None,
             max_per_target: None,
--- a/kqr-dispatch/src/owned/health.rs
+++ b/kqr-dispatch/src/owned/health.rs
@@ -10,6 +10,8 @@
 const CALL_OVERHEAD: Duration = Duration::from_millis(4);
 /// Estimated run time from which a sample has its full weight.
 const FULL_WEIGHT_ESTIMATE: Duration = Duration::from_millis(200);
+/// Lowest ratio of run time to estimate by which a run time is corrected; the highest is its inverse.
+const MIN_SLOWNESS: f32 = 0.01;
 /// Shortest run time of a sample.
 const MIN_SAMPLE_RUN_TIME: Duration = Duration::from_millis(1);
 /// Consecutive failures of tasks of different jobs at which a target is quarantined.
@@ -46,6 +48,12 @@
         self.log_slowness.exp()
     }
 
+    /// Returns the run time that a run of `elapsed` on the target would have had on one of normal speed.
+    pub(super) fn normal_run_time(&self, elapsed: Duration) -> Duration {
+        let run_time = elapsed.saturating_sub(CALL_OVERHEAD).max(MIN_SAMPLE_RUN_TIME);
+        run_time.div_f32(self.slowness().clamp(MIN_SLOWNESS, 1.0 / MIN_SLOWNESS))
+    }
+
     /// Returns the maximum number of concurrent runs, or `None` without a limit.
     pub(super) fn max_runs(&self, now: Instant) -> Option<usize> {
         if now < self.quarantined_until {
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -17,7 +17,10 @@
 mod waiting_order;
 mod waiting_orders;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use kqr_fleet::{FencingToken, TargetGrant, TargetRecord, TargetReport};
 use kqr_types::{InstanceId, Instant, TargetId};
@@ -40,6 +43,8 @@
     pub(crate) order_id: OrderId,
     pub(crate) end: RunEnd,
     pub(crate) target: Option<TargetId>,
+    /// Run time of a completed run on a target of normal speed.
+    pub(crate) run_time: Option<Duration>,
 }
 
 /// The targets that this entry owns.
@@ -312,6 +317,7 @@
             order_id,
             end,
             target,
+            run_time: None,
         });
     }
 
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -316,7 +316,7 @@
         let run = Run {
             ordered_by: Some((waiting.coordinator.clone(), order.id)),
             needs: order.needs,
-            estimate: order.estimate,
+            estimate: order.stated_estimate,
             state: RunState::Starting,
             sent_at: now,
             state_since: now,
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -24,6 +24,7 @@
     /// Coordinator and order of the run; `None` if an earlier owner started it or its coordinator is lost.
     pub(super) ordered_by: Option<(InstanceId, OrderId)>,
     pub(super) needs: Resources,
+    /// Run time that the caller estimated.
     pub(super) estimate: Duration,
     pub(super) state: RunState,
     /// When the start was sent.
--- a/kqr-dispatch/src/owned/waiting_orders.rs
+++ b/kqr-dispatch/src/owned/waiting_orders.rs
@@ -224,6 +224,7 @@
                     accelerators: 0,
                 },
                 estimate: Duration::from_millis(work),
+                stated_estimate: Duration::from_millis(work),
                 label: None,
                 data_rack: None,
                 max_per_target: None,
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -18,8 +18,10 @@
     pub service: ServiceName,
     /// Resources that the task requires.
     pub needs: Resources,
-    /// Estimated run time; zero if unknown.
+    /// Estimated run time, corrected by what was learned; zero if unknown.
     pub estimate: Duration,
+    /// Run time that the caller estimates. The speed of targets is measured against it.
+    pub stated_estimate: Duration,
     /// Label required of the target.
     pub label: Option<String>,
     /// Rack that holds the input data; targets there are preferred.
--- a/kqr-dispatch/src/sibling_message.rs
+++ b/kqr-dispatch/src/sibling_message.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{LoadUpdate, LostRun, OrderId, RunEnd, RunOrder};
 use kqr_types::TargetId;
@@ -33,6 +33,8 @@
         end: RunEnd,
         /// Target to which the run was sent, if any.
         target: Option<TargetId>,
+        /// Run time of a completed run on a target of normal speed.
+        run_time: Option<Duration>,
     },
     /// Runs whose targets went down, whichever entry coordinates them.
     TargetsLost(Vec<LostRun>),
--- a/kqr-dispatch/tests/outbox.rs
+++ b/kqr-dispatch/tests/outbox.rs
@@ -10,6 +10,7 @@
         order_id: OrderId(order_id),
         end: RunEnd::Done,
         target: None,
+        run_time: None,
     }
 }
 
--- a/kqr-dispatch/tests/overload.rs
+++ b/kqr-dispatch/tests/overload.rs
@@ -190,6 +190,7 @@
     Options {
         load_shedding: LoadShedding::AtDeadline,
         queue_order: QueueOrder::Arrival,
+        learns_run_times: false,
         ..Options::default()
     }
 }
@@ -211,8 +212,13 @@
     println!("{name}: before   {before:?}");
     println!("{name}: shedding {:?}", play(shedding, factor, down));
     println!("{name}: order    {:?}", play(order, factor, down));
+    let stated = Options {
+        learns_run_times: false,
+        ..Options::default()
+    };
+    println!("{name}: both     {:?}", play(stated, factor, down));
     let after = play(Options::default(), factor, down);
-    println!("{name}: both     {after:?}");
+    println!("{name}: all      {after:?}");
     (before, after)
 }
 
