feat(dispatch): spread retries over the drain time of the queue

Callers that were refused together at a peak returned together after 1 s, and queued behind those that had arrived meanwhile.

Retry-After is the time in which the queue drains, at least 1 s and at most 5 s, or up to twice that by a hash of the job's key. The last 2,048 refused keys are remembered for 10 s, and orders of a job that returns come first in their class and priority (not with Options::queue_order Arrival).

Tests: unit tests of jobs/retry_delay.rs and owned/waiting_orders.rs.

--- a/kqr-dispatch/src/expected_wait.rs
+++ b/kqr-dispatch/src/expected_wait.rs
@@ -12,6 +12,11 @@
 }
 
 impl ExpectedWait {
+    /// Returns the time in which all work drains that is served before the job.
+    pub(crate) const fn drain(&self) -> Duration {
+        self.ahead.saturating_add(self.ahead_of_late)
+    }
+
     /// Returns the expected wait of the last task of the first steps.
     pub(crate) const fn total(&self) -> Duration {
         self.ahead.saturating_add(self.own)
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -7,7 +7,7 @@
     step::Step,
     task::{Task, TaskState},
 };
-use crate::{JobRequest, LoadShedding, Options, OrderId};
+use crate::{JobRequest, LoadShedding, Options, OrderId, expected_wait::ExpectedWait};
 
 /// Multiple of the on-time response time after which an answer is of no use.
 const USEFUL_TIME_FACTOR: u32 = 3;
@@ -23,8 +23,10 @@
     pub(super) request: JobRequest,
     pub(super) arrived: Instant,
     load_shedding: LoadShedding,
-    /// Whether a wait was expected when the job was admitted.
-    pub(super) is_queued: bool,
+    /// Wait that was expected when the job was admitted.
+    pub(super) expected_wait: ExpectedWait,
+    /// Whether the job was refused a short time before.
+    pub(super) is_returning: bool,
     /// When the job is refused if none of its runs has begun.
     pub(super) deadline: Instant,
     /// When the job is given up in any case.
@@ -57,7 +59,8 @@
         let mut job = Self {
             arrived: now,
             load_shedding: options.load_shedding,
-            is_queued: false,
+            expected_wait: ExpectedWait::default(),
+            is_returning: false,
             deadline: now + max_wait,
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
             is_ending: false,
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod excess_load;
 mod job;
 mod orders;
+mod retry_delay;
 mod run_times;
 mod step;
 mod task;
@@ -19,11 +20,9 @@
 use job::{Job, estimated_duration, set_missing_estimates};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
+use retry_delay::{RefusedJobs, retry_delay};
 use run_times::RunTimes;
 
-/// Shortest suggested delay before a caller retries; the longest is five times as long.
-const RETRY_AFTER_MS: u64 = 1000;
-
 /// Factor by which a job may exceed its estimate on a slow target; decides whether it can complete before the
 /// entry shuts down.
 const LEAVING_RUN_TIME_FACTOR: u32 = 3;
@@ -43,6 +42,7 @@
     /// When the tasks of new jobs may be placed.
     held_until: Instant,
     run_times: RunTimes,
+    refused: RefusedJobs,
 }
 
 impl Jobs {
@@ -58,6 +58,7 @@
             leave_deadline: None,
             held_until: Instant(0),
             run_times: RunTimes::default(),
+            refused: RefusedJobs::default(),
         }
     }
 
@@ -92,7 +93,7 @@
         }
         let (job, tasks) = (request.key.clone(), request.task_count());
         if !request.has_ordered_steps() {
-            refuse(outputs, job, RefusalCause::InvalidSteps, 0);
+            refuse(outputs, job, RefusalCause::InvalidSteps, Duration::ZERO);
             return false;
         }
         if losses.max_count(&job) >= self.options.max_target_losses {
@@ -116,7 +117,10 @@
         let wait_ms = wait.total().as_millis() as u64;
         let is_impossible = !is_survey_pending && owners.is_impossible(&request);
         if let Some(cause) = self.refusal_cause(now, &request, wait, is_impossible) {
-            refuse(outputs, job, cause, wait_ms);
+            if cause == RefusalCause::Overload {
+                self.refused.record(now, &job);
+            }
+            refuse(outputs, job, cause, wait.drain());
             return false;
         }
         outputs.push(Output::Decision(Decision::JobAdmitted {
@@ -129,7 +133,8 @@
         let place_from = now.max(self.held_until);
         let mut admitted = Job::new(now, place_from, request, &self.options);
         admitted.stated_estimates = stated;
-        admitted.is_queued = !wait.total().is_zero();
+        admitted.expected_wait = wait;
+        admitted.is_returning = self.refused.contains(now, &job);
         self.live.insert(job, admitted);
         true
     }
@@ -150,7 +155,7 @@
         for key in impossible {
             let end = JobEnd::Refused {
                 cause: RefusalCause::NoTarget,
-                retry_after: Duration::from_millis(RETRY_AFTER_MS),
+                retry_after: retry_delay(&key, Duration::ZERO),
             };
             self.finish(now, &key, end, outputs);
         }
@@ -229,9 +234,10 @@
             return;
         }
         let end = if job.is_certainly_not_run() {
+            self.refused.record(now, key);
             JobEnd::Refused {
                 cause: RefusalCause::Expired,
-                retry_after: Duration::from_millis(RETRY_AFTER_MS),
+                retry_after: retry_delay(key, job.expected_wait.drain()),
             }
         } else {
             JobEnd::GivenUp(GiveUp::Deadline)
@@ -299,11 +305,11 @@
     }
 }
 
-/// Refuses a job that was not admitted. `wait_ms` is the expected wait for capacity.
-fn refuse(outputs: &mut Vec<Output>, job: JobKey, cause: RefusalCause, wait_ms: u64) {
+/// Refuses a job that was not admitted. `drain` is the time in which the queue drains.
+fn refuse(outputs: &mut Vec<Output>, job: JobKey, cause: RefusalCause, drain: Duration) {
     let end = JobEnd::Refused {
         cause,
-        retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
+        retry_after: retry_delay(&job, drain),
     };
     log_job_end(outputs, &job, &end, 0, 0);
     outputs.push(Output::JobEnded { job, end });
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -101,7 +101,7 @@
                 continue;
             };
             let had_begun = std::mem::replace(&mut job.has_begun, true);
-            if had_begun || !job.is_queued {
+            if had_begun || job.expected_wait.total().is_zero() {
                 continue;
             }
             for other in job.open_order_ids() {
@@ -277,6 +277,7 @@
         on_time_left: job.on_time_left(now, spec.estimate),
         start_left: job.start_left(now, step, spec.estimate.mul_f32(slowness)),
         has_job_begun: job.has_begun,
+        is_returning: job.is_returning,
         preferred_target: None,
         avoided_targets: task.avoided_targets.clone(),
         failures: task.failures,
--- a/kqr-dispatch/src/owned/blocked_queue.rs
+++ b/kqr-dispatch/src/owned/blocked_queue.rs
@@ -109,6 +109,7 @@
             on_time_left: Duration::from_millis(140),
             start_left: Duration::from_millis(90),
             has_job_begun: false,
+            is_returning: false,
             preferred_target: None,
             avoided_targets: Vec::new(),
             failures: 0,
--- a/kqr-dispatch/src/owned/queue_place.rs
+++ b/kqr-dispatch/src/owned/queue_place.rs
@@ -8,6 +8,8 @@
 pub(super) enum Standing {
     /// The order can't be on time any more, and its job has begun. It is served before others of its class and priority.
     Begun,
+    /// The job was refused a short time before.
+    Returning,
     /// Any other order.
     Usual,
 }
@@ -30,10 +32,15 @@
             QueueOrder::Arrival => Instant(0),
             QueueOrder::LatestStart | QueueOrder::OnTimeFirst => waiting.latest_start(),
         };
+        let standing = if waiting.order.is_returning && order != QueueOrder::Arrival {
+            Standing::Returning
+        } else {
+            Standing::Usual
+        };
         Self {
             is_late: false,
             priority: waiting.order.priority,
-            standing: Standing::Usual,
+            standing,
             latest_start,
             arrival,
         }
@@ -44,7 +51,7 @@
         let standing = if waiting.order.has_job_begun {
             Standing::Begun
         } else {
-            Standing::Usual
+            self.standing
         };
         Self {
             is_late: true,
--- a/kqr-dispatch/src/owned/waiting_orders.rs
+++ b/kqr-dispatch/src/owned/waiting_orders.rs
@@ -233,6 +233,7 @@
                 on_time_left: Duration::from_millis(latest_ms + work),
                 start_left: Duration::from_millis(latest_ms),
                 has_job_begun: false,
+                is_returning: false,
                 preferred_target: None,
                 avoided_targets: Vec::new(),
                 failures: 0,
@@ -314,6 +315,18 @@
         assert_eq!(served(&mut orders, 600), [1, 3, 4, 6, 2]);
     }
 
+    /// A caller that had been refused was queued behind new ones again and again.
+    #[test]
+    fn orders_of_returning_callers_come_first_in_their_class() {
+        let mut orders = queue(QueueOrder::OnTimeFirst);
+        let mut returning = waiting("returning", 5, 0, 120, 10);
+        returning.order.is_returning = true;
+        orders.push(returning);
+        assert_eq!(served(&mut orders, 40), [5, 3, 1, 4, 2]);
+        assert_eq!(served(&mut orders, 80), [5, 1, 4, 2, 3]);
+        assert_eq!(served(&mut orders, 600), [5, 3, 1, 4, 2]);
+    }
+
     /// Tasks of several jobs took turns, so that all jobs ended late in place of some.
     #[test]
     fn tasks_of_one_job_are_served_together() {
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -39,6 +39,8 @@
     pub start_left: Duration,
     /// Whether a run of the job may have begun when the order was placed.
     pub has_job_begun: bool,
+    /// Whether the job was refused a short time before.
+    pub is_returning: bool,
     /// Target that the coordinator expects to have free capacity.
     #[serde(rename = "preferred")]
     pub preferred_target: Option<TargetId>,
