feat(dispatch): record expected and actual waits

Nothing showed how well the wait is predicted by which jobs are refused.

Orders carry the wait that was expected when their job was admitted. The event run-started lists it beside the actual one, and the histograms kqr_expected_wait_seconds and kqr_wait_error_seconds record both.

--- a/kqr-dispatch/src/decision.rs
+++ b/kqr-dispatch/src/decision.rs
@@ -60,6 +60,8 @@
         target: TargetId,
         /// Time that the order waited at the owner, in milliseconds.
         waited_ms: u64,
+        /// Wait that the coordinator expected when it admitted the job, in milliseconds.
+        expected_wait_ms: u64,
         /// Estimated run time, in milliseconds.
         estimate_ms: u64,
         /// Learned ratio of run time to estimate on the target, in thousandths.
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -278,6 +278,7 @@
         start_left: job.start_left(now, step, spec.estimate.mul_f32(slowness)),
         has_job_begun: job.has_begun,
         is_returning: job.is_returning,
+        expected_wait: job.expected_wait.total(),
         preferred_target: None,
         avoided_targets: task.avoided_targets.clone(),
         failures: task.failures,
--- a/kqr-dispatch/src/owned/blocked_queue.rs
+++ b/kqr-dispatch/src/owned/blocked_queue.rs
@@ -110,6 +110,7 @@
             start_left: Duration::from_millis(90),
             has_job_begun: false,
             is_returning: false,
+            expected_wait: Duration::ZERO,
             preferred_target: None,
             avoided_targets: Vec::new(),
             failures: 0,
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -349,6 +349,7 @@
             run: order.run.clone(),
             target: id.clone(),
             waited_ms: now.since(waiting.sent_at).as_millis() as u64,
+            expected_wait_ms: order.expected_wait.as_millis() as u64,
             estimate_ms: order.estimate.as_millis() as u64,
             slowness_milli,
         }));
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -41,6 +41,8 @@
     pub has_job_begun: bool,
     /// Whether the job was refused a short time before.
     pub is_returning: bool,
+    /// Wait that the coordinator expected when it admitted the job.
+    pub expected_wait: Duration,
     /// Target that the coordinator expects to have free capacity.
     #[serde(rename = "preferred")]
     pub preferred_target: Option<TargetId>,
--- a/kqr-runtime/src/entry/decision_log.rs
+++ b/kqr-runtime/src/entry/decision_log.rs
@@ -69,6 +69,7 @@
             run,
             target,
             waited_ms,
+            expected_wait_ms,
             estimate_ms,
             slowness_milli,
         } => write_event(
@@ -77,6 +78,7 @@
                 ("run", run.to_string()),
                 ("target", target.to_string()),
                 ("waited_ms", waited_ms.to_string()),
+                ("expected_wait_ms", expected_wait_ms.to_string()),
                 ("estimate_ms", estimate_ms.to_string()),
                 ("slowness_milli", slowness_milli.to_string()),
             ],
--- a/kqr-runtime/src/entry/decision_metrics.rs
+++ b/kqr-runtime/src/entry/decision_metrics.rs
@@ -11,8 +11,14 @@
         Decision::JobEnded { end, after_ms, .. } => {
             metrics.record_answer(WorkKind::Job, answer_class(end), Duration::from_millis(*after_ms));
         }
-        Decision::RunStarted { waited_ms, .. } => {
-            metrics.record_task_start(TaskLength::Short, Duration::from_millis(*waited_ms));
+        Decision::RunStarted {
+            waited_ms,
+            expected_wait_ms,
+            ..
+        } => {
+            let waited = Duration::from_millis(*waited_ms);
+            metrics.record_task_start(TaskLength::Short, waited);
+            metrics.record_expected_wait(Duration::from_millis(*expected_wait_ms), waited);
         }
         Decision::OrderEnded {
             end: RunEnd::NotRun(NotRun::Refused | NotRun::Superseded),
--- a/kqr-telemetry/src/metrics.rs
+++ b/kqr-telemetry/src/metrics.rs
@@ -25,6 +25,8 @@
     response: Histogram<f64>,
     over_ideal: Histogram<f64>,
     queue_wait: Histogram<f64>,
+    expected_wait: Histogram<f64>,
+    wait_error: Histogram<f64>,
     forward: Histogram<f64>,
     sync: Histogram<f64>,
     settings_delay: Histogram<f64>,
@@ -75,6 +77,18 @@
                 "Wait of a task for a slot",
                 &DURATION_BOUNDS_S,
             ),
+            expected_wait: histogram(
+                &meter,
+                "kqr_expected_wait_seconds",
+                "Wait that was expected for a task when its job was admitted",
+                &DURATION_BOUNDS_S,
+            ),
+            wait_error: histogram(
+                &meter,
+                "kqr_wait_error_seconds",
+                "Difference of the actual from the expected wait of a task",
+                &DURATION_BOUNDS_S,
+            ),
             forward: histogram(
                 &meter,
                 "kqr_forward_seconds",
@@ -144,6 +158,20 @@
         self.queue_wait.record(wait.as_secs_f64(), &[length]);
     }
 
+    /// Records the wait that was expected for a task, and by how much the actual one was longer or shorter. Tasks that neither
+    /// waited nor were expected to are not recorded.
+    pub fn record_expected_wait(&self, expected: Duration, actual: Duration) {
+        if expected.is_zero() && actual.is_zero() {
+            return;
+        }
+        let actual_is = if actual > expected { "longer" } else { "shorter" };
+        self.expected_wait.record(expected.as_secs_f64(), &[]);
+        self.wait_error.record(
+            actual.abs_diff(expected).as_secs_f64(),
+            &[KeyValue::new("actual", actual_is)],
+        );
+    }
+
     /// Counts a message in excess of the one start and one answer that a task needs.
     pub fn count_wasted_message(&self, message: WastedMessage) {
         self.wasted.add(1, &[KeyValue::new("message", message.as_str())]);
