test(dispatch): an idle fleet decides as before

Replays an idle fleet with the earlier options and the default ones, and compares all logged decisions. KQR_SEED selects another seed for the replays of tests/overload.rs; without it they use the fixed one.

--- a/kqr-dispatch/tests/overload.rs
+++ b/kqr-dispatch/tests/overload.rs
@@ -95,6 +95,14 @@
 
 /// Plays a load that is `factor` times the usual one of each kind at each time.
 fn play<Load>(options: Options, factor: Load, down: usize) -> Outcome
+where
+    Load: Fn(u64, usize) -> f64,
+{
+    let (sim, sent) = replay(options, factor, down);
+    outcome(&sim, &sent)
+}
+
+fn replay<Load>(options: Options, factor: Load, down: usize) -> (Simulation, Vec<Sent>)
 where
     Load: Fn(u64, usize) -> f64,
 {
@@ -103,7 +111,7 @@
         end: EndKind::Done,
         hangs: false,
     };
-    let mut rng = ChaCha8Rng::seed_from_u64(17);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed());
     let mut sim = Simulation::with_options(ENTRIES, TARGETS, usual, options);
     for number in 0..TARGETS {
         let target = sim.targets.get_mut(&target_id(number)).unwrap();
@@ -149,7 +157,7 @@
         });
     }
     assert!(open.is_empty(), "{} callers have no answer", open.len());
-    outcome(&sim, &sent)
+    (sim, sent)
 }
 
 fn outcome(sim: &Simulation, sent: &[Sent]) -> Outcome {
@@ -222,6 +230,14 @@
     (before, after)
 }
 
+/// While no job has to wait, the options make no difference to any decision.
+#[test]
+fn an_idle_fleet_decides_as_before() {
+    let (before, _) = replay(earlier(), |_, _| 0.15, 0);
+    let (after, _) = replay(Options::default(), |_, _| 0.15, 0);
+    assert_eq!(before.decisions, after.decisions);
+}
+
 /// Late orders were served before those that could still be on time, so that nearly all answers were late.
 #[test]
 fn a_peak_of_all_kinds_leaves_more_on_time() {
@@ -257,3 +273,10 @@
     assert!(after.served > 0.98, "{after:?}");
     assert_eq!(after.given_up, 0, "{after:?}");
 }
+
+fn seed() -> u64 {
+    std::env::var("KQR_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(17)
+}
