--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -1,8 +1,11 @@
 //! The coordinator role: jobs of callers, and the orders placed for their tasks.
 
 mod admission;
+mod excess_load;
 mod job;
 mod orders;
+mod retry_delay;
+mod run_times;
 mod step;
 mod task;
 
@@ -11,16 +14,16 @@
 use kqr_types::{InstanceId, Instant, JobKey};
 
 use crate::{
-    Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause, owners::Owners,
-    target_losses::TargetLosses,
+    Decision, GiveUp, JobEnd, JobRequest, Options, OrderId, Output, RefusalCause,
+    expected_wait::ExpectedWait, owners::Owners, target_losses::TargetLosses,
 };
 pub(crate) use admission::Admission;
-use job::{Job, estimated_duration, max_link_time};
+use excess_load::TimeLimits;
+use job::{Job, estimated_duration, max_link_time, set_missing_estimates};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
-
-/// Shortest suggested delay before a caller retries; the longest is five times as long.
-const RETRY_AFTER_MS: u64 = 1000;
+use retry_delay::{RefusedJobs, retry_delay};
+use run_times::RunTimes;
 
 /// Factor by which a job may exceed its estimate on a slow target; decides whether it can complete before the
 /// entry shuts down.
@@ -40,6 +43,8 @@
     leave_deadline: Option<Instant>,
     /// When the tasks of new jobs may be placed.
     held_until: Instant,
+    run_times: RunTimes,
+    refused: RefusedJobs,
 }
 
 impl Jobs {
@@ -54,6 +59,8 @@
             cancelled: BTreeMap::new(),
             leave_deadline: None,
             held_until: Instant(0),
+            run_times: RunTimes::default(),
+            refused: RefusedJobs::default(),
         }
     }
 
@@ -77,7 +84,7 @@
     pub(crate) fn submit(
         &mut self,
         now: Instant,
-        request: JobRequest,
+        mut request: JobRequest,
         owners: &Owners,
         admission: Admission,
         losses: &TargetLosses,
@@ -88,7 +95,7 @@
         }
         let (job, tasks) = (request.key.clone(), request.task_count());
         if !request.has_ordered_steps() {
-            refuse(outputs, job, RefusalCause::InvalidSteps, 0);
+            refuse(outputs, job, RefusalCause::InvalidSteps, Duration::ZERO);
             return false;
         }
         if losses.max_count(&job) >= self.options.max_target_losses {
@@ -102,16 +109,25 @@
             outputs.push(Output::JobEnded { job, end });
             return false;
         }
-        let wait = owners.expected_wait(&request);
-        let wait_ms = wait.as_millis() as u64;
+        set_missing_estimates(&mut request, &self.options);
+        let stated: Vec<Duration> = request.steps.iter().map(|step| step.estimate).collect();
+        let mut wait = owners.expected_wait(&request);
+        if !wait.total().is_zero() && self.options.learns_run_times {
+            self.correct_estimates(&mut request);
+            wait = owners.expected_wait(&request);
+        }
+        let wait_ms = wait.total().as_millis() as u64;
         let is_impossible = !admission.is_survey_pending && owners.is_impossible(&request);
-        if let Some(cause) = self.refusal_cause(now, &request, wait_ms, is_impossible) {
-            refuse(outputs, job, cause, wait_ms);
+        if let Some(cause) = self.refusal_cause(now, &request, wait, is_impossible) {
+            if cause == RefusalCause::Overload {
+                self.refused.record(now, &job);
+            }
+            refuse(outputs, job, cause, wait.drain());
             return false;
         }
         let link_time = admission.link_time;
         if !link_time.is_zero() && link_time > max_link_time(&request, &self.options) {
-            refuse(outputs, job, RefusalCause::LinkBusy, link_time.as_millis() as u64);
+            refuse(outputs, job, RefusalCause::LinkBusy, link_time);
             return false;
         }
         outputs.push(Output::Decision(Decision::JobAdmitted {
@@ -122,8 +138,11 @@
         }));
         self.tasks += tasks;
         let place_from = now.max(self.held_until);
-        self.live
-            .insert(job, Job::new(now, place_from, request, &self.options));
+        let mut admitted = Job::new(now, place_from, request, &self.options);
+        admitted.stated_estimates = stated;
+        admitted.expected_wait = wait;
+        admitted.is_returning = self.refused.contains(now, &job);
+        self.live.insert(job, admitted);
         true
     }
 
@@ -150,7 +169,7 @@
         for key in impossible {
             let end = JobEnd::Refused {
                 cause: RefusalCause::NoTarget,
-                retry_after: Duration::from_millis(RETRY_AFTER_MS),
+                retry_after: retry_delay(&key, Duration::ZERO),
             };
             self.finish(now, &key, end, outputs);
         }
@@ -229,9 +248,10 @@
             return;
         }
         let end = if job.is_certainly_not_run() {
+            self.refused.record(now, key);
             JobEnd::Refused {
                 cause: RefusalCause::Expired,
-                retry_after: Duration::from_millis(RETRY_AFTER_MS),
+                retry_after: retry_delay(key, job.expected_wait.drain()),
             }
         } else {
             JobEnd::GivenUp(GiveUp::Deadline)
@@ -261,11 +281,20 @@
         Some(job)
     }
 
+    /// Corrects the estimates of the caller by the run times of the same kind of work.
+    fn correct_estimates(&self, request: &mut JobRequest) {
+        for step in &mut request.steps {
+            step.estimate = self
+                .run_times
+                .expected(&request.service, request.priority, step.estimate);
+        }
+    }
+
     fn refusal_cause(
         &self,
         now: Instant,
         request: &JobRequest,
-        wait_ms: u64,
+        wait: ExpectedWait,
         is_impossible: bool,
     ) -> Option<RefusalCause> {
         let needed = estimated_duration(request) * LEAVING_RUN_TIME_FACTOR;
@@ -284,16 +313,17 @@
         if self.tasks + request.task_count() > self.options.max_tasks {
             return Some(RefusalCause::TooManyTasks);
         }
-        let max_wait_ms = request.time_left.as_millis() as u64;
-        (wait_ms > max_wait_ms).then_some(RefusalCause::Overload)
+        let limits = TimeLimits::of(request);
+        let is_excess = limits.is_excess(self.options.load_shedding, wait, request.time_left);
+        is_excess.then_some(RefusalCause::Overload)
     }
 }
 
-/// Refuses a job that was not admitted. `wait_ms` is the expected wait for capacity.
-fn refuse(outputs: &mut Vec<Output>, job: JobKey, cause: RefusalCause, wait_ms: u64) {
+/// Refuses a job that was not admitted. `drain` is the time in which the queue drains.
+fn refuse(outputs: &mut Vec<Output>, job: JobKey, cause: RefusalCause, drain: Duration) {
     let end = JobEnd::Refused {
         cause,
-        retry_after: Duration::from_millis(RETRY_AFTER_MS.max(wait_ms.min(RETRY_AFTER_MS * 5))),
+        retry_after: retry_delay(&job, drain),
     };
     log_job_end(outputs, &job, &end, 0, 0);
     outputs.push(Output::JobEnded { job, end });
--- a/kqr-dispatch/src/message_size.rs
+++ b/kqr-dispatch/src/message_size.rs
@@ -48,7 +48,9 @@
             Self::Run { .. } => Traffic::Orders,
             Self::Cancel(_) => Traffic::Cancellations,
             Self::Ended { .. } => Traffic::Ends,
-            Self::LoadRequest | Self::Begun(_) | Self::TargetsLost(_) => Traffic::OtherSiblings,
+            Self::LoadRequest | Self::Begun(_) | Self::TargetsLost(_) | Self::JobBegun(_) => {
+                Traffic::OtherSiblings
+            }
         }
     }
 
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::LinkRate;
+use crate::{LinkRate, LoadShedding, QueueOrder};
 
 /// Timeouts and limits of the [`Dispatcher`](crate::Dispatcher).
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +62,12 @@
     /// Time without a message to a sibling after which it gets one without content, on a link with a rate. Two of these
     /// are below `sibling_timeout`.
     pub max_silence: Duration,
+    /// When a job is refused for lack of capacity, and when it is given up while it waits.
+    pub load_shedding: LoadShedding,
+    /// Order in which waiting orders are served.
+    pub queue_order: QueueOrder,
+    /// Whether the estimates of callers are corrected by the run times of the same kind of work, if a wait is expected.
+    pub learns_run_times: bool,
 }
 
 impl Options {
@@ -100,6 +106,9 @@
             min_busy_report_interval: Duration::from_millis(300),
             max_busy_report_interval: Duration::from_millis(400),
             max_silence: Duration::from_millis(165),
+            load_shedding: LoadShedding::default(),
+            queue_order: QueueOrder::default(),
+            learns_run_times: true,
         }
     }
 }
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -1,14 +1,17 @@
 //! The owner role: targets that this entry owns, their runs, and orders that wait for capacity.
 
 mod answers;
+mod blocked_queue;
 mod hanging;
 mod health;
 mod next_poll;
 mod open_call;
 mod orders;
+mod pass_inputs;
 mod phase;
 mod polling;
 mod probe;
+mod queue_place;
 mod run;
 mod target;
 mod waiting_order;
@@ -23,12 +26,11 @@
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
-    bulk_budget::BulkBudget,
-    load_report::{LoadReport, RANKS},
-    message_size::START_BYTES,
+    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, QueuedWork, RunEnd, RunId, TargetCall,
+    TargetLoad, bulk_budget::BulkBudget, load_report::LoadReport, message_size::START_BYTES,
 };
 use open_call::OpenCall;
+use pass_inputs::PassInputs;
 use phase::Phase;
 use run::Run;
 use target::Target;
@@ -45,6 +47,8 @@
     pub(crate) order_id: OrderId,
     pub(crate) end: RunEnd,
     pub(crate) target: Option<TargetId>,
+    /// Run time of a completed run on a target of normal speed.
+    pub(crate) run_time: Option<Duration>,
 }
 
 /// The targets that this entry owns.
@@ -57,6 +61,8 @@
     /// Number of times that targets were added, removed or resized.
     list_number: u64,
     waiting: WaitingOrders,
+    /// State after the last pass over the waiting orders.
+    last_pass: PassInputs,
     calls: BTreeMap<CallId, OpenCall>,
     next_call: u64,
     is_leaving: bool,
@@ -78,13 +84,15 @@
 
 impl OwnedTargets {
     pub(crate) fn new(options: Options) -> Self {
+        let waiting = WaitingOrders::new(options.queue_order);
         Self {
             poll_wait: options.max_poll_wait,
             options,
             targets: BTreeMap::new(),
             former: Vec::new(),
             list_number: 0,
-            waiting: WaitingOrders::default(),
+            waiting,
+            last_pass: PassInputs::default(),
             calls: BTreeMap::new(),
             next_call: 0,
             is_leaving: false,
@@ -287,8 +295,8 @@
         })
     }
 
-    /// Returns the work of the waiting orders by priority, in core-milliseconds.
-    pub(crate) const fn queued_work(&self) -> [u64; RANKS] {
+    /// Returns the work of the waiting orders.
+    pub(crate) const fn queued_work(&self) -> QueuedWork {
         self.waiting.work()
     }
 
@@ -342,6 +350,7 @@
             order_id,
             end,
             target,
+            run_time: None,
         });
     }
 
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -6,7 +6,9 @@
 
 use super::{
     OwnedTargets,
+    blocked_queue::Misfits,
     open_call::OpenCall,
+    pass_inputs::PassInputs,
     phase::Phase,
     run::{Run, RunState},
     target::Target,
@@ -17,10 +19,6 @@
     message_size::START_BYTES, suitability::Suitability,
 };
 
-/// Maximum number of waiting orders skipped in one pass because they fit on no target; the rest is unlikely
-/// to fit either.
-const MAX_PASSED_OVER: usize = 24;
-
 /// Time after which an order whose start waits for the link is returned, so that its coordinator can use another owner. It
 /// is longer than the coordinators need to learn that the link is full.
 const MAX_LINK_WAIT: Duration = Duration::from_millis(200);
@@ -49,28 +47,39 @@
         });
     }
 
-    /// Starts the waiting orders for which a target has free capacity, by priority and arrival.
+    /// Starts the waiting orders for which a target has free capacity, in the order of the queue. Orders that fit nowhere
+    /// don't hold up those behind them.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let mut passed_over = 0;
-        let mut is_held = false;
-        for place in self.waiting.places() {
-            if passed_over == MAX_PASSED_OVER {
-                break;
-            }
+        if self.waiting.is_empty() {
+            self.starts_held_since = None;
+            return;
+        }
+        self.waiting.move_late_orders(now);
+        if self.waiting.move_urgent_orders(now) {
+            self.last_pass = PassInputs::default();
+        }
+        if self.pass_inputs(now) == self.last_pass {
+            return;
+        }
+        let mut misfits = Misfits::default();
+        let (mut last, mut has_moved, mut is_held) = (None, false, false);
+        while let Some((place, waiting)) = self.waiting.next_after(last) {
             if !self.bulk.has_room() {
                 is_held = true;
                 break;
             }
-            let Some(waiting) = self.waiting.get(place) else {
+            last = Some(place);
+            if misfits.covers(&waiting.order) {
                 continue;
-            };
+            }
             match self.pick_target(now, waiting) {
                 Some(target) => {
                     if let Some(waiting) = self.waiting.remove(place) {
+                        has_moved |= self.waiting.mark_job_begun(&waiting.order.run.task.job);
                         self.start_run(now, &target, &waiting, outputs);
                     }
                 }
-                None => passed_over += 1,
+                None => misfits.record(&waiting.order),
             }
         }
         self.starts_held_since = if is_held {
@@ -78,6 +87,26 @@
         } else {
             None
         };
+        if has_moved || is_held {
+            self.last_pass = PassInputs::default();
+            return;
+        }
+        self.last_pass = self.pass_inputs(now);
+    }
+
+    /// Returns what decides whether a waiting order can start.
+    fn pass_inputs(&self, now: Instant) -> PassInputs {
+        let mut open = Vec::new();
+        for (position, target) in self.targets.values().enumerate() {
+            if self.is_open(now, target) {
+                open.push((position, target.free(), target.runs.len()));
+            }
+        }
+        PassInputs {
+            arrivals: self.waiting.arrivals(),
+            list_number: self.list_number,
+            open,
+        }
     }
 
     /// Cancels an order, and stops its run if it was started. The time for that began at `since`.
@@ -98,6 +127,13 @@
         self.stop_runs_where(now, since, "cancelled", is_selected, outputs);
     }
 
+    /// Records that the jobs of waiting orders have begun elsewhere.
+    pub(crate) fn mark_orders_begun(&mut self, coordinator: &InstanceId, order_ids: &[OrderId]) {
+        for order_id in order_ids {
+            self.waiting.mark_begun(coordinator, *order_id);
+        }
+    }
+
     /// Drops the orders of a lost coordinator and stops their runs: no caller waits for them any more, and
     /// the callers may submit their jobs to another entry. The time for that began at `since`.
     pub(crate) fn drop_orders_of(
@@ -296,7 +332,7 @@
         let run = Run {
             ordered_by: Some((waiting.coordinator.clone(), order.id)),
             needs: order.needs,
-            estimate: order.estimate,
+            estimate: order.stated_estimate,
             state: RunState::Starting,
             sent_at: now,
             state_since: now,
@@ -329,6 +365,7 @@
             run: order.run.clone(),
             target: id.clone(),
             waited_ms: now.since(waiting.sent_at).as_millis() as u64,
+            expected_wait_ms: order.expected_wait.as_millis() as u64,
             estimate_ms: order.estimate.as_millis() as u64,
             slowness_milli,
         }));
--- a/kqr-dispatch/tests/outbox.rs
+++ b/kqr-dispatch/tests/outbox.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use kqr_dispatch::{
-    LoadChange, LoadTargets, LoadUpdate, OrderId, Outbox, RunEnd, RunId, RunOrder, SiblingMessage,
-    TargetLoad, TaskId,
+    LoadChange, LoadTargets, LoadUpdate, OrderId, Outbox, QueuedWork, RunEnd, RunId, RunOrder,
+    SiblingMessage, TargetLoad, TaskId,
 };
 use kqr_fleet::Resources;
 
@@ -13,6 +13,7 @@
         order_id: OrderId(order_id),
         end: RunEnd::Done,
         target: None,
+        run_time: None,
     }
 }
 
@@ -24,7 +25,10 @@
     SiblingMessage::Load(LoadUpdate {
         number,
         targets,
-        queued: [number; 4],
+        queued: QueuedWork {
+            on_time: [number; 4],
+            ..QueuedWork::default()
+        },
         is_leaving: false,
         last_order: OrderId(number),
     })
@@ -156,12 +160,17 @@
         service: "press".parse().unwrap(),
         needs: Resources::default(),
         estimate: Duration::ZERO,
+        stated_estimate: Duration::ZERO,
         label: None,
         data_rack: None,
         max_per_target: None,
         priority: 0,
         time_left: Duration::from_secs(1),
         on_time_left: Duration::from_secs(1),
+        start_left: Duration::from_secs(1),
+        has_job_begun: false,
+        is_returning: false,
+        expected_wait: Duration::ZERO,
         preferred_target: None,
         avoided_targets: Vec::new(),
         failures: 0,
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -119,7 +119,7 @@
         Self::with_options(entries, targets, behaviour, Options::default())
     }
 
-    /// Creates a fleet whose entries have the given options.
+    /// Like [`Self::new`], with other options.
     pub fn with_options(entries: usize, targets: usize, behaviour: TaskBehaviour, options: Options) -> Self {
         let mut all = Vec::new();
         for number in 0..entries {
