feat(fleet): record evacuations of data centres in the log

Operators had no way to keep tasks out of a data centre: targets leave one by one, and only by themselves.

Each grant tells the owner of a target whether its data centre is evacuated. A change is always proposed, also one that seems to be in force: a pending command may reverse it, so that only the order of the log decides. Instances forward calls to the leader like those that replace the catalog, and a call that was given up before the leader read it has no effect.

A grant has a new field, so entries and control instances of an earlier version can't decode each other's views, and an earlier control instance stops at the new command.

--- a/kqr-dispatch/tests/load_updates.rs
+++ b/kqr-dispatch/tests/load_updates.rs
@@ -42,6 +42,7 @@
             record: record(number),
             token: FencingToken(1),
             is_leaving: false,
+            is_evacuated: false,
             must_release: false,
         });
         entry.input(Input::ViewChanged {
--- a/kqr-dispatch/tests/relations.rs
+++ b/kqr-dispatch/tests/relations.rs
@@ -95,6 +95,7 @@
         record: record(number),
         token: FencingToken(1),
         is_leaving: false,
+        is_evacuated: false,
         must_release: false,
     }];
     dispatcher.handle(now, Input::ViewChanged { entries, owned }, &mut Vec::new());
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -22,7 +22,7 @@
     CallId, Dispatcher, Input, JobEnd, JobRequest, Options, Output, TargetCall, TargetEndpoint, TaskId,
 };
 use kqr_fleet::{FencingToken, TargetGrant, TargetReport};
-use kqr_types::{Instant, TargetId};
+use kqr_types::{DataCentre, Instant, TargetId};
 use links::LinkEvent;
 pub use target::{Target, TaskBehaviour};
 
@@ -92,6 +92,8 @@
     pub cut_target_links: Vec<(usize, TargetId)>,
     /// Targets that leave, as far as control knows.
     pub leaving: BTreeSet<TargetId>,
+    /// Evacuated data centres. Entries are notified by [`Self::publish_views`].
+    pub evacuated: BTreeSet<DataCentre>,
     /// Returns the fault of each call.
     pub call_fault: Box<dyn FnMut(&TargetCall) -> CallFault>,
     /// Tasks that ran twice at the same time.
@@ -132,6 +134,7 @@
             link_free_at: BTreeMap::new(),
             cut_target_links: Vec::new(),
             leaving: BTreeSet::new(),
+            evacuated: BTreeSet::new(),
             call_fault: Box::new(|_| CallFault::Normal),
             duplicate_runs: BTreeSet::new(),
             duplicates_of_one_payload: BTreeSet::new(),
@@ -141,9 +144,7 @@
             options,
         };
         for number in 0..targets {
-            let record = record(number);
-            sim.targets
-                .insert(record.id.clone(), Target::new(record, behaviour));
+            sim.add_target(number, behaviour);
             sim.grant_target(number, number % entries);
         }
         sim.publish_views();
@@ -151,6 +152,13 @@
         sim
     }
 
+    /// Adds a target without an owner.
+    pub fn add_target(&mut self, number: usize, behaviour: TaskBehaviour) {
+        let record = record(number);
+        self.targets
+            .insert(record.id.clone(), Target::new(record, behaviour));
+    }
+
     /// Grants a target to an entry under a new token. Entries are notified by [`Self::publish_views`].
     pub fn grant_target(&mut self, target: usize, entry: usize) {
         self.last_token += 1;
@@ -184,6 +192,7 @@
                     record: self.targets[target].record.clone(),
                     token: *token,
                     is_leaving: self.leaving.contains(target),
+                    is_evacuated: self.evacuated.contains(&self.targets[target].record.data_centre),
                     must_release: false,
                 });
             }
--- a/kqr-fleet/src/command.rs
+++ b/kqr-fleet/src/command.rs
@@ -1,7 +1,7 @@
 use kqr_types::{Incarnation, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Catalog, Owner, TargetRecord};
+use crate::{Catalog, Evacuation, Owner, TargetRecord};
 
 /// Assignment of a target to an owner. Each handover issues a higher fencing token.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,4 +25,6 @@
     Update(Vec<TargetRecord>),
     /// Records that an incarnation of a target is about to leave.
     Leave(TargetId, Incarnation),
+    /// Begins or finishes the evacuation of a data centre.
+    Evacuate(Evacuation),
 }
--- a/kqr-fleet/src/node/input.rs
+++ b/kqr-fleet/src/node/input.rs
@@ -1,7 +1,7 @@
 use kqr_agreement::{Message, VoterId};
 
 use super::CallId;
-use crate::{Catalog, TargetReport};
+use crate::{Catalog, Evacuation, TargetReport};
 
 /// Input of the [`FleetNode`](super::FleetNode).
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +27,13 @@
         /// Call that waits for the answer.
         call: CallId,
     },
+    /// An operator begins or finishes the evacuation of a data centre.
+    Evacuate {
+        /// Call that waits for the answer.
+        call: CallId,
+        /// The change.
+        evacuation: Evacuation,
+    },
     /// A target reports. If it is about to leave, the answer waits until that is replicated.
     Report {
         /// Call that waits for the answer.
--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -11,7 +11,7 @@
     reachability::Reachability,
     voter_planner::VoterPlanner,
 };
-use crate::{Catalog, Command, FleetState, PackedCatalog, ReportReceipt, TargetReport};
+use crate::{Catalog, Command, Evacuation, FleetState, PackedCatalog, ReportReceipt, TargetReport};
 
 /// State machine of a control instance: a member of the replicated log that assigns targets to entries.
 #[derive(Clone, Debug)]
@@ -105,6 +105,7 @@
                 let request = self.requests.register(Purpose::Read(call));
                 self.step_agreement(now, Input::Read { request }, outputs);
             }
+            FleetInput::Evacuate { call, evacuation } => self.evacuate(now, call, evacuation, outputs),
             FleetInput::Report { call, report } => self.handle_report(now, call, *report, outputs),
             FleetInput::Join { voter } => {
                 self.voters
@@ -191,6 +192,28 @@
         self.propose(now, Purpose::Replace(call), &Command::Replace(catalog), outputs);
     }
 
+    /// Proposes the change of an evacuation, also one that is in force: a pending command may be about to reverse it, and only
+    /// the order of the log tells which of two changes is the last.
+    fn evacuate(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        evacuation: Evacuation,
+        outputs: &mut Vec<FleetOutput>,
+    ) {
+        if self.holds_lease(now) {
+            let detail = match &evacuation {
+                Evacuation::Begin(data_centre) => format!("evacuating data centre {data_centre}"),
+                Evacuation::Finish(data_centre) => {
+                    format!("finishing the evacuation of data centre {data_centre}")
+                }
+            };
+            outputs.push(FleetOutput::Decision { detail });
+        }
+        let command = Command::Evacuate(evacuation);
+        self.propose(now, Purpose::Evacuate(call), &command, outputs);
+    }
+
     fn propose(&mut self, now: Instant, purpose: Purpose, command: &Command, outputs: &mut Vec<FleetOutput>) {
         match serde_json::to_vec(command) {
             Ok(command) => {
@@ -287,6 +310,7 @@
                 let version = self.state.catalog_version();
                 (call, FleetOutput::Accepted { call, version })
             }
+            Some(Purpose::Evacuate(call)) => (call, FleetOutput::EvacuationRecorded { call }),
             Some(Purpose::Leave(call, target)) => {
                 let receipt = self.receipt(&target);
                 (call, FleetOutput::Reported { call, receipt })
--- a/kqr-fleet/src/node/machine/views.rs
+++ b/kqr-fleet/src/node/machine/views.rs
@@ -77,6 +77,7 @@
                 token: target.token,
                 is_leaving: self.state.is_leaving(&target.record)
                     || known.is_some_and(|known| known.is_leaving),
+                is_evacuated: self.state.evacuated().contains(&target.record.data_centre),
                 must_release: self.observed.pending_moves.contains(id),
             });
         }
--- a/kqr-fleet/src/node/output.rs
+++ b/kqr-fleet/src/node/output.rs
@@ -32,6 +32,11 @@
         /// The catalog in force, or `None` if none was ever accepted.
         catalog: Option<Arc<Catalog>>,
     },
+    /// The change of an evacuation is committed.
+    EvacuationRecorded {
+        /// The call.
+        call: CallId,
+    },
     /// A report of a target is recorded.
     Reported {
         /// The call.
@@ -45,7 +50,7 @@
         call: CallId,
         /// The leader, if it is known.
         leader: Option<InstanceId>,
-        /// Whether the outcome is unknown: the catalog may have been accepted, or may be later.
+        /// Whether the outcome is unknown: the change may have been accepted, or may be later.
         is_unknown: bool,
     },
     /// This instance applied a catalog.
--- a/kqr-fleet/src/node/pending_requests.rs
+++ b/kqr-fleet/src/node/pending_requests.rs
@@ -13,6 +13,8 @@
     Replace(CallId),
     /// Reads the catalog, so that the result reflects all accepted ones.
     Read(CallId),
+    /// Begins or finishes the evacuation of a data centre.
+    Evacuate(CallId),
     /// Records that a target is about to leave.
     Leave(CallId, TargetId),
     /// Assigns owners to targets or removes targets.
--- a/kqr-fleet/src/state.rs
+++ b/kqr-fleet/src/state.rs
@@ -1,9 +1,12 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use kqr_types::{Incarnation, InstanceId, TargetId};
+use kqr_types::{DataCentre, Incarnation, InstanceId, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Catalog, CatalogVersion, Command, FencingToken, Handover, TargetRecord};
+use crate::{Catalog, CatalogVersion, Command, Evacuation, FencingToken, Handover, TargetRecord};
 
 /// One incarnation of an entry that owns targets.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -33,6 +36,9 @@
     /// Targets that are about to leave, with or without an owner. A later incarnation does not leave.
     #[serde(default)]
     leaving: BTreeMap<TargetId, Incarnation>,
+    /// Data centres in which nothing is started, with or without known targets.
+    #[serde(default)]
+    evacuated: BTreeSet<DataCentre>,
     last_token: FencingToken,
 }
 
@@ -66,6 +72,11 @@
             .is_some_and(|life| *life >= record.life)
     }
 
+    /// Returns the data centres in which nothing is started.
+    pub const fn evacuated(&self) -> &BTreeSet<DataCentre> {
+        &self.evacuated
+    }
+
     /// Applies `command`.
     pub fn apply(&mut self, command: Command) {
         match command {
@@ -90,6 +101,7 @@
                 let known = self.leaving.entry(target).or_default();
                 *known = life.max(*known);
             }
+            Command::Evacuate(evacuation) => self.evacuate(evacuation),
         }
     }
 
@@ -124,6 +136,17 @@
         }
     }
 
+    fn evacuate(&mut self, evacuation: Evacuation) {
+        match evacuation {
+            Evacuation::Begin(data_centre) => {
+                self.evacuated.insert(data_centre);
+            }
+            Evacuation::Finish(data_centre) => {
+                self.evacuated.remove(&data_centre);
+            }
+        }
+    }
+
     /// Replaces the record of a target, unless another incarnation owns the identity by now.
     fn update_record(&mut self, record: TargetRecord) {
         if let Some(owned) = self.targets.get_mut(&record.id)
--- a/kqr-fleet/src/sync.rs
+++ b/kqr-fleet/src/sync.rs
@@ -44,6 +44,8 @@
     pub token: FencingToken,
     /// Whether the target has reported that it is about to leave.
     pub is_leaving: bool,
+    /// Whether the data centre of the target is evacuated, so that nothing is started there.
+    pub is_evacuated: bool,
     /// Whether the owner must release the target as soon as no task runs there.
     pub must_release: bool,
 }
--- a/kqr-fleet/tests/control/mod.rs
+++ b/kqr-fleet/tests/control/mod.rs
@@ -64,6 +64,12 @@
         self.run(2_000);
     }
 
+    /// Restarts the instance from what was synced, so that it leads no more. Returns before it is elected again.
+    pub fn lose_leadership(&mut self) {
+        self.node = new_node(self.durable.clone());
+        self.input(FleetInput::Tick);
+    }
+
     pub fn run(&mut self, millis: u64) {
         for _ in 0..millis / 20 {
             self.now = self.now + Duration::from_millis(20);
--- a/kqr-runtime/src/control/driver.rs
+++ b/kqr-runtime/src/control/driver.rs
@@ -26,6 +26,7 @@
 enum PendingReply {
     Replace(oneshot::Sender<Result<CatalogVersion, ControlCallFailure>>),
     Read(oneshot::Sender<Result<Option<Arc<Catalog>>, ControlCallFailure>>),
+    Evacuate(oneshot::Sender<Result<(), ControlCallFailure>>),
     Report(oneshot::Sender<Result<ReportReceipt, ControlCallFailure>>),
 }
 
@@ -134,6 +135,13 @@
                 let call = self.register_call(PendingReply::Read(reply));
                 self.handle_input(FleetInput::Read { call }, outputs);
             }
+            Request::Evacuate { evacuation, reply } => {
+                // The operator of a call that was given up may have reversed it at another instance meanwhile.
+                if !reply.is_closed() {
+                    let call = self.register_call(PendingReply::Evacuate(reply));
+                    self.handle_input(FleetInput::Evacuate { call, evacuation }, outputs);
+                }
+            }
             Request::Sync { request, reply } => drop(reply.send(self.node.sync(now, &request))),
             Request::Report { report, reply } => {
                 let call = self.register_call(PendingReply::Report(reply));
@@ -192,6 +200,11 @@
                     drop(reply.send(Ok(catalog)));
                 }
             }
+            FleetOutput::EvacuationRecorded { call } => {
+                if let Some(PendingReply::Evacuate(reply)) = self.pending_replies.remove(&call) {
+                    drop(reply.send(Ok(())));
+                }
+            }
             FleetOutput::Reported { call, receipt } => {
                 if let Some(PendingReply::Report(reply)) = self.pending_replies.remove(&call) {
                     drop(reply.send(Ok(receipt)));
@@ -230,6 +243,7 @@
         match self.pending_replies.remove(&call) {
             Some(PendingReply::Replace(reply)) => drop(reply.send(Err(failure))),
             Some(PendingReply::Read(reply)) => drop(reply.send(Err(failure))),
+            Some(PendingReply::Evacuate(reply)) => drop(reply.send(Err(failure))),
             Some(PendingReply::Report(reply)) => drop(reply.send(Err(failure))),
             None => {}
         }
--- a/kqr-runtime/src/control/handle.rs
+++ b/kqr-runtime/src/control/handle.rs
@@ -4,7 +4,7 @@
 };
 
 use kqr_agreement::{Message, VoterId};
-use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, Evacuation, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_telemetry::Metrics;
 use kqr_types::InstanceId;
 use tokio::sync::oneshot;
@@ -75,6 +75,13 @@
             .unwrap_or_else(|| Err(ControlCallFailure::no_answer()))
     }
 
+    pub(super) async fn evacuate_locally(&self, evacuation: Evacuation) -> Result<(), ControlCallFailure> {
+        let (reply, rx) = oneshot::channel();
+        self.call(Request::Evacuate { evacuation, reply }, rx, ANSWER_TIMEOUT)
+            .await
+            .unwrap_or_else(|| Err(ControlCallFailure::no_answer()))
+    }
+
     pub(super) async fn report_locally(
         &self,
         report: TargetReport,
@@ -153,6 +160,14 @@
         }
     }
 
+    async fn evacuate(&self, evacuation: Evacuation) -> Result<(), ControlCallFailure> {
+        let arrived = Instant::now();
+        match self.evacuate_locally(evacuation.clone()).await {
+            Ok(()) => Ok(()),
+            Err(failure) => self.leader_after(failure, arrived)?.evacuate(evacuation).await,
+        }
+    }
+
     fn count_refused_report(&self) {
         self.metrics.count_refused_report();
     }
--- a/kqr-runtime/src/control/request.rs
+++ b/kqr-runtime/src/control/request.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use kqr_agreement::{Message, VoterId};
-use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, Evacuation, ReportReceipt, SyncReply, SyncRequest, TargetReport};
 use kqr_types::InstanceId;
 use tokio::sync::oneshot;
 
@@ -21,6 +21,10 @@
     Read {
         reply: oneshot::Sender<Result<Option<Arc<Catalog>>, ControlCallFailure>>,
     },
+    Evacuate {
+        evacuation: Evacuation,
+        reply: oneshot::Sender<Result<(), ControlCallFailure>>,
+    },
     Sync {
         request: Box<SyncRequest>,
         reply: oneshot::Sender<SyncReply>,
--- a/kqr-runtime/src/control/service.rs
+++ b/kqr-runtime/src/control/service.rs
@@ -2,7 +2,9 @@
 
 use futures::StreamExt;
 use kqr_agreement::{Message, VoterId};
-use kqr_fleet::{CatalogVersion, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{
+    CatalogVersion, Evacuation, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport,
+};
 use kqr_types::InstanceId;
 use tarpc::{
     context::Context,
@@ -60,6 +62,10 @@
     async fn report(self, _: Context, report: TargetReport) -> Result<ReportReceipt, ControlCallFailure> {
         self.handle.report_locally(report).await
     }
+
+    async fn evacuate(self, _: Context, evacuation: Evacuation) -> Result<(), ControlCallFailure> {
+        self.handle.evacuate_locally(evacuation).await
+    }
 }
 
 /// Serves other instances on `listener`.
--- a/kqr-runtime/src/control_api.rs
+++ b/kqr-runtime/src/control_api.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, Evacuation, ReportReceipt, TargetReport};
 
 use kqr_types::InstanceId;
 
@@ -26,6 +26,14 @@
     fn newest_catalog(&self)
     -> impl Future<Output = Result<Option<Arc<Catalog>>, ControlCallFailure>> + Send;
 
+    /// Begins or finishes the evacuation of a data centre.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance can't confirm that the change is recorded.
+    fn evacuate(&self, evacuation: Evacuation)
+    -> impl Future<Output = Result<(), ControlCallFailure>> + Send;
+
     /// Counts a report of a target that was refused because it can't be decoded or is out of range.
     fn count_refused_report(&self);
 
--- a/kqr-runtime/src/entry/control_access.rs
+++ b/kqr-runtime/src/entry/control_access.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use kqr_fleet::{Catalog, CatalogVersion, ReportReceipt, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, Evacuation, ReportReceipt, TargetReport};
 
 use kqr_types::InstanceId;
 
@@ -64,6 +64,10 @@
         Ok(self.leader()?.newest_catalog().await?.map(Arc::new))
     }
 
+    async fn evacuate(&self, evacuation: Evacuation) -> Result<(), ControlCallFailure> {
+        self.leader()?.evacuate(evacuation).await
+    }
+
     fn count_refused_report(&self) {
         self.driver.count_refused_report();
     }
--- a/kqr-runtime/src/leader_client.rs
+++ b/kqr-runtime/src/leader_client.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use kqr_fleet::{Catalog, CatalogVersion, PackedCatalog, ReportReceipt, TargetReport};
+use kqr_fleet::{Catalog, CatalogVersion, Evacuation, PackedCatalog, ReportReceipt, TargetReport};
 use kqr_types::InstanceId;
 use tarpc::{client, context};
 
@@ -81,6 +81,19 @@
         .await
     }
 
+    /// Begins or finishes the evacuation of a data centre.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader confirms that the change is recorded.
+    pub(crate) async fn evacuate(self, evacuation: Evacuation) -> Result<(), ControlCallFailure> {
+        self.forward("evacuate", |client| {
+            let evacuation = evacuation.clone();
+            async move { client.evacuate(context::current(), evacuation).await }
+        })
+        .await
+    }
+
     /// Makes `call` at the leader, and at the one that it names if it does not lead any more.
     async fn forward<Answer, Call, Answered>(
         self,
--- a/kqr-runtime/src/rpc.rs
+++ b/kqr-runtime/src/rpc.rs
@@ -4,7 +4,9 @@
 
 use kqr_agreement::{Message, VoterId};
 use kqr_dispatch::{Delivery, OpenedSession, OrderId, ReceiverTime};
-use kqr_fleet::{CatalogVersion, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport};
+use kqr_fleet::{
+    CatalogVersion, Evacuation, PackedCatalog, ReportReceipt, SyncReply, SyncRequest, TargetReport,
+};
 use kqr_types::{Incarnation, InstanceId};
 
 use crate::control::ControlCallFailure;
@@ -26,6 +28,9 @@
     /// Handles the report of a target. An instance that is not the leader returns the leader instead, if it
     /// is known.
     async fn report(report: TargetReport) -> Result<ReportReceipt, ControlCallFailure>;
+    /// Begins or finishes the evacuation of a data centre. An instance that is not the leader returns the leader instead, if
+    /// it is known.
+    async fn evacuate(evacuation: Evacuation) -> Result<(), ControlCallFailure>;
 }
 
 /// Calls that every instance serves, so that instances find control through the seeds.
