feat(dispatch): start nothing on targets of evacuated data centres

A target whose grant says that its data centre is evacuated accepts no new runs, and keeps its owner and the runs that have begun. Orders that wait for such targets only are refused as not run, and their coordinators place them elsewhere.

The load of an evacuated target offers no capacity. Coordinators otherwise queue orders at an owner whose targets are all evacuated, and repeat that after each refusal; and a job that fits nowhere else waits until its caller gives up, where it is now refused at once.

--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -141,7 +141,9 @@
         }
         for grant in grants {
             if let Some(target) = kept.get_mut(&grant.record.id) {
+                let was_evacuated = target.is_evacuated;
                 target.update(grant);
+                log_evacuation(outputs, target, was_evacuated);
             }
         }
         let lost = std::mem::replace(&mut self.targets, kept);
@@ -225,12 +227,13 @@
             is_leaving: self.is_leaving,
         };
         for target in self.targets.values() {
+            let (capacity, free) = target.offer();
             report.targets.push(TargetLoad {
                 id: target.record.id.clone(),
                 service: target.record.service.clone(),
                 labels: target.record.labels.clone(),
-                capacity: target.record.capacity,
-                free: target.free(),
+                capacity,
+                free,
                 slowness: target.health.slowness(),
                 is_open: self.is_open(now, target),
             });
@@ -243,7 +246,7 @@
         let targets = self.targets.values().enumerate();
         targets.map(move |(position, target)| LoadChange {
             position: position as u32,
-            free: target.free(),
+            free: target.offer().1,
             slowness: target.health.slowness(),
             is_open: self.is_open(now, target),
         })
@@ -362,9 +365,24 @@
 fn new_target(now: Instant, grant: &TargetGrant, outputs: &mut Vec<Output>) -> Target {
     let target = Target::new(now, grant);
     log_target_change(outputs, &target, "owned", format!("token {}", grant.token));
+    log_evacuation(outputs, &target, false);
     target
 }
 
+/// Logs whether the data centre of a target is evacuated, if that has changed.
+fn log_evacuation(outputs: &mut Vec<Output>, target: &Target, was_evacuated: bool) {
+    if target.is_evacuated == was_evacuated {
+        return;
+    }
+    let state = if target.is_evacuated {
+        "evacuated"
+    } else {
+        "readmitted"
+    };
+    let cause = format!("data centre {}", target.record.data_centre);
+    log_target_change(outputs, target, state, cause);
+}
+
 /// Logs a change of the assumed state of a target.
 fn log_target_change(outputs: &mut Vec<Output>, target: &Target, state: &'static str, cause: String) {
     outputs.push(Output::Decision(Decision::TargetChanged {
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -323,7 +323,7 @@
 /// Returns whether the target could run the order, regardless of its free capacity.
 fn may_run(target: &Target, order: &RunOrder) -> bool {
     let is_granted = matches!(target.phase, Phase::Attaching | Phase::Attached);
-    let is_usable = is_granted && !target.is_leaving && !target.must_release;
+    let is_usable = is_granted && !target.is_leaving && !target.is_evacuated && !target.must_release;
     let has_label = order
         .label
         .as_ref()
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -20,6 +20,8 @@
     granted: TargetGrant,
     pub(super) token: FencingToken,
     pub(super) is_leaving: bool,
+    /// Whether the data centre of the target is evacuated.
+    pub(super) is_evacuated: bool,
     pub(super) must_release: bool,
     pub(super) phase: Phase,
     /// Sequence number of the last report to this entry since it became the owner, if there was one.
@@ -53,6 +55,7 @@
             granted: grant.clone(),
             token: grant.token,
             is_leaving: grant.is_leaving,
+            is_evacuated: grant.is_evacuated,
             must_release: grant.must_release,
             phase: Phase::Attaching,
             last_report: None,
@@ -79,6 +82,7 @@
         if self.record.is_resized_to(&grant.record) {
             self.record.capacity = grant.record.capacity;
         }
+        self.is_evacuated = grant.is_evacuated;
         self.must_release = grant.must_release;
         self.granted = grant.clone();
     }
@@ -107,10 +111,20 @@
         free
     }
 
+    /// Returns the capacity and the free resources that coordinators may place tasks on. While the data centre is evacuated there
+    /// are none, so that no orders are queued for the target.
+    pub(super) fn offer(&self) -> (Resources, Resources) {
+        if self.is_evacuated {
+            return Default::default();
+        }
+        (self.record.capacity, self.free())
+    }
+
     /// Returns whether the target accepts new runs. A start would extend the lease of a run that must end.
     pub(super) fn is_open(&self, now: Instant, options: &Options) -> bool {
         let is_usable = self.phase == Phase::Attached
             && !self.is_leaving
+            && !self.is_evacuated
             && !self.must_release
             && self.missed_polls == 0
             && !self.runs.values().any(Run::is_end_unconfirmed)
