test(dispatch): place tasks without needs during an evacuation

Tasks without needs fit on a target that offers no capacity. Only the flag that the target accepts no runs keeps orders for them away, and no test failed without it. Now one does.

--- a/kqr-dispatch/tests/evacuations.rs
+++ b/kqr-dispatch/tests/evacuations.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kqr_dispatch::{EndKind, JobEnd, JobRequest, RefusalCause};
+use kqr_fleet::Resources;
 use kqr_types::DataCentre;
 use simulation::{Simulation, TaskBehaviour, job, target_id};
 
@@ -153,7 +154,12 @@
     sim.run_for(500);
     let refused = sim.decisions.len();
     for number in 0..4 * SLOTS {
-        sim.submit(number % ENTRIES, patient_job(&format!("job-{number}"), 1, 900));
+        let mut request = patient_job(&format!("job-{number}"), 1, 900);
+        // Tasks without needs fit on a target that offers no capacity.
+        if number % 2 == 1 {
+            request.steps[0].needs = Resources::default();
+        }
+        sim.submit(number % ENTRIES, request);
         sim.run_for(10);
     }
     sim.run_for(5_000);
