--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -1,14 +1,17 @@
 //! The owner role: targets that this entry owns, their runs, and orders that wait for capacity.
 
 mod answers;
+mod blocked_queue;
 mod hanging;
 mod health;
 mod next_poll;
 mod open_call;
 mod orders;
+mod pass_inputs;
 mod phase;
 mod polling;
 mod probe;
+mod queue_place;
 mod run;
 mod target;
 mod waiting_order;
@@ -20,10 +23,11 @@
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
-    load_report::{LoadReport, RANKS},
+    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, QueuedWork, RunEnd, RunId, TargetCall,
+    TargetLoad, load_report::LoadReport,
 };
 use open_call::OpenCall;
+use pass_inputs::PassInputs;
 use phase::Phase;
 use run::Run;
 use target::Target;
@@ -48,6 +52,8 @@
     /// Number of times that targets were added, removed or resized.
     list_number: u64,
     waiting: WaitingOrders,
+    /// State after the last pass over the waiting orders.
+    last_pass: PassInputs,
     calls: BTreeMap<CallId, OpenCall>,
     next_call: u64,
     is_leaving: bool,
@@ -61,12 +67,14 @@
 
 impl OwnedTargets {
     pub(crate) fn new(options: Options) -> Self {
+        let waiting = WaitingOrders::new(options.queue_order);
         Self {
             options,
             targets: BTreeMap::new(),
             former: Vec::new(),
             list_number: 0,
-            waiting: WaitingOrders::default(),
+            waiting,
+            last_pass: PassInputs::default(),
             calls: BTreeMap::new(),
             next_call: 0,
             is_leaving: false,
@@ -249,8 +257,8 @@
         })
     }
 
-    /// Returns the work of the waiting orders by priority, in core-milliseconds.
-    pub(crate) const fn queued_work(&self) -> [u64; RANKS] {
+    /// Returns the work of the waiting orders.
+    pub(crate) const fn queued_work(&self) -> QueuedWork {
         self.waiting.work()
     }
 
