--- a/kqr-dispatch/src/jobs/take_back.rs
+++ b/kqr-dispatch/src/jobs/take_back.rs
@@ -52,7 +52,7 @@
             if moved == max_orders {
                 break;
             }
-            moved += usize::from(self.take_back(now, order_id, &mut spare, losses, outputs));
+            moved += usize::from(self.take_back(now, order_id, owners, &mut spare, losses, outputs));
         }
     }
 
@@ -84,6 +84,7 @@
         &mut self,
         now: Instant,
         order_id: OrderId,
+        owners: &Owners,
         spare: &mut SpareCapacity<'_>,
         losses: &TargetLosses,
         outputs: &mut Vec<Output>,
@@ -95,7 +96,9 @@
             return false;
         };
         let (step, index) = (open.step as usize, open.index as usize);
-        let Some(order) = new_order(now, job, order_id, step, index, losses) else {
+        let slowness = owners.usual_slowness(&job.request.service);
+        let order = new_order(now, job, order_id, step, index, losses, &self.options, slowness);
+        let Some(order) = order else {
             return false;
         };
         let Some(task) = job.task_mut(open.step, open.index) else {
