--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -22,6 +22,9 @@
 pub(super) struct Job {
     pub(super) request: JobRequest,
     pub(super) arrived: Instant,
+    load_shedding: LoadShedding,
+    /// Whether a wait was expected when the job was admitted.
+    pub(super) is_queued: bool,
     /// When the job is refused if none of its runs has begun.
     pub(super) deadline: Instant,
     /// When the job is given up in any case.
@@ -29,6 +32,8 @@
     /// Whether the job is over and only waits for the ends of its cancelled orders.
     pub(super) is_ending: bool,
     pub(super) steps: Vec<Step>,
+    /// Run times by step that the caller estimated. Those of the request are corrected under load.
+    pub(super) stated_estimates: Vec<Duration>,
     /// Time after the arrival until which the result is on time.
     on_time_limit: Duration,
     /// Estimated run times of the longest chains of steps that depend on each step.
@@ -51,10 +56,13 @@
         let max_wait = max_first_wait(options.load_shedding, limit, longest_chain(&request));
         let mut job = Self {
             arrived: now,
+            load_shedding: options.load_shedding,
+            is_queued: false,
             deadline: now + max_wait,
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
             is_ending: false,
             steps,
+            stated_estimates: request.steps.iter().map(|step| step.estimate).collect(),
             on_time_limit: on_time_limit(&request),
             later_chains: later_chains(&request),
             orders: 0,
@@ -90,8 +98,8 @@
 
     /// Returns when an order that is placed now must have begun. A job that has begun is continued until it is given up:
     /// its caller would submit it again, which costs more than its remaining tasks.
-    pub(super) fn start_deadline(&self, options: &Options) -> Instant {
-        let is_limited = !self.has_begun && options.load_shedding == LoadShedding::WhenUseless;
+    pub(super) fn start_deadline(&self) -> Instant {
+        let is_limited = !self.has_begun && self.load_shedding == LoadShedding::WhenUseless;
         if is_limited {
             self.deadline
         } else {
@@ -99,6 +107,11 @@
         }
     }
 
+    /// Returns the run time of the tasks of a step that the caller estimated.
+    pub(super) fn stated_estimate(&self, step: usize) -> Duration {
+        self.stated_estimates.get(step).copied().unwrap_or_default()
+    }
+
     /// Returns the time left until the latest start with which a task of `step` is expected to end on time, and so the
     /// steps that depend on it, if it takes `run`.
     pub(super) fn start_left(&self, now: Instant, step: usize, run: Duration) -> Duration {
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod job;
 mod orders;
 mod rebalance;
+mod run_times;
 mod step;
 mod take_back;
 mod task;
@@ -21,6 +22,7 @@
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
 pub(crate) use rebalance::FreePlace;
+use run_times::RunTimes;
 
 /// Shortest suggested delay before a caller retries; the longest is five times as long.
 const RETRY_AFTER_MS: u64 = 1000;
@@ -45,6 +47,7 @@
     leave_deadline: Option<Instant>,
     /// When the tasks of new jobs may be placed.
     held_until: Instant,
+    run_times: RunTimes,
 }
 
 impl Jobs {
@@ -60,6 +63,7 @@
             taken_back: BTreeMap::new(),
             leave_deadline: None,
             held_until: Instant(0),
+            run_times: RunTimes::default(),
         }
     }
 
@@ -109,7 +113,12 @@
             return false;
         }
         set_missing_estimates(&mut request, &self.options);
-        let wait = owners.expected_wait(&request);
+        let stated: Vec<Duration> = request.steps.iter().map(|step| step.estimate).collect();
+        let mut wait = owners.expected_wait(&request);
+        if !wait.total().is_zero() && self.options.learns_run_times {
+            self.correct_estimates(&mut request);
+            wait = owners.expected_wait(&request);
+        }
         let wait_ms = wait.total().as_millis() as u64;
         let is_impossible = !is_survey_pending && owners.is_impossible(&request);
         if let Some(cause) = self.refusal_cause(now, &request, wait, is_impossible) {
@@ -124,8 +133,10 @@
         }));
         self.tasks += tasks;
         let place_from = now.max(self.held_until);
-        self.live
-            .insert(job, Job::new(now, place_from, request, &self.options));
+        let mut admitted = Job::new(now, place_from, request, &self.options);
+        admitted.stated_estimates = stated;
+        admitted.is_queued = !wait.total().is_zero();
+        self.live.insert(job, admitted);
         true
     }
 
@@ -256,6 +267,15 @@
         Some(job)
     }
 
+    /// Corrects the estimates of the caller by the run times of the same kind of work.
+    fn correct_estimates(&self, request: &mut JobRequest) {
+        for step in &mut request.steps {
+            step.estimate = self
+                .run_times
+                .expected(&request.service, request.priority, step.estimate);
+        }
+    }
+
     fn refusal_cause(
         &self,
         now: Instant,
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -1,13 +1,13 @@
 //! Orders for the tasks of a job: placing them and handling their ends.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use kqr_types::{InstanceId, Instant, JobKey, TargetId};
 
 use super::{Jobs, job::Job, task::TaskState};
 use crate::{
-    Decision, JobEnd, LostRun, NotRun, Options, OrderId, Output, RunEnd, RunId, RunOrder, TaskId,
-    owners::Owners, target_losses::TargetLosses,
+    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId, owners::Owners,
+    target_losses::TargetLosses,
 };
 
 /// Delay before a task whose order did not run is ordered again, which lets newer load reports arrive.
@@ -71,7 +71,7 @@
         let slowness = owners.usual_slowness(&job.request.service);
         for (step, index) in ready {
             let order_id = OrderId(self.last_order_id.0 + 1);
-            let order = new_order(now, job, order_id, step, index, losses, &self.options, slowness);
+            let order = new_order(now, job, order_id, step, index, losses, slowness);
             let picked = order.and_then(|order| Some((owners.pick_owner(&order)?, order)));
             let Some(((owner, preferred_target), order)) = picked else {
                 clear_avoided_targets(now, job, step, index);
@@ -99,17 +99,43 @@
         placed
     }
 
-    /// Records orders whose start was sent to a target.
-    pub(crate) fn handle_begun(&mut self, order_ids: &[OrderId]) {
+    /// Records orders whose start was sent to a target. Returns the other orders of jobs that had to wait and have begun
+    /// with it, by owner.
+    pub(crate) fn handle_begun(&mut self, order_ids: &[OrderId]) -> BTreeMap<InstanceId, Vec<OrderId>> {
+        let mut waiting: BTreeMap<InstanceId, Vec<OrderId>> = BTreeMap::new();
         for order_id in order_ids {
             let Some(order) = self.orders.get_mut(order_id) else {
                 continue;
             };
             order.has_begun = true;
-            if let Some(job) = self.live.get_mut(&order.job) {
-                job.has_begun = true;
+            let Some(job) = self.live.get_mut(&order.job) else {
+                continue;
+            };
+            let had_begun = std::mem::replace(&mut job.has_begun, true);
+            if had_begun || !job.is_queued {
+                continue;
+            }
+            for other in job.open_order_ids() {
+                let order = self.orders.get(&other).filter(|_| !order_ids.contains(&other));
+                if let Some(order) = order {
+                    waiting.entry(order.owner.clone()).or_default().push(other);
+                }
             }
         }
+        waiting
+    }
+
+    /// Records the run time of a completed order on a target of normal speed.
+    pub(crate) fn record_run_time(&mut self, order_id: OrderId, run_time: Option<Duration>) {
+        let (Some(order), Some(run_time)) = (self.orders.get(&order_id), run_time) else {
+            return;
+        };
+        let Some(job) = self.live.get(&order.job) else {
+            return;
+        };
+        let stated = job.stated_estimate(order.step as usize);
+        self.run_times
+            .record(&job.request.service, job.request.priority, run_time, stated);
     }
 
     /// Handles the end of an order.
@@ -242,7 +268,6 @@
     step: usize,
     index: usize,
     losses: &TargetLosses,
-    options: &Options,
     slowness: f32,
 ) -> Option<RunOrder> {
     let spec = job.request.steps.get(step)?;
@@ -255,11 +280,12 @@
         service: job.request.service.clone(),
         needs: spec.needs,
         estimate: spec.estimate,
+        stated_estimate: job.stated_estimate(step),
         label: spec.label.clone(),
         data_rack: spec.data_rack.clone(),
         max_per_target: spec.max_per_target,
         priority: job.request.priority,
-        time_left: job.start_deadline(options).since(now),
+        time_left: job.start_deadline().since(now),
         on_time_left: job.on_time_left(now, spec.estimate),
         start_left: job.start_left(now, step, spec.estimate.mul_f32(slowness)),
         has_job_begun: job.has_begun,
--- a/kqr-dispatch/src/jobs/take_back.rs
+++ b/kqr-dispatch/src/jobs/take_back.rs
@@ -97,7 +97,7 @@
         };
         let (step, index) = (open.step as usize, open.index as usize);
         let slowness = owners.usual_slowness(&job.request.service);
-        let order = new_order(now, job, order_id, step, index, losses, &self.options, slowness);
+        let order = new_order(now, job, order_id, step, index, losses, slowness);
         let Some(order) = order else {
             return false;
         };
