--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -4,9 +4,11 @@
 mod excess_load;
 mod job;
 mod orders;
+mod rebalance;
 mod retry_delay;
 mod run_times;
 mod step;
+mod take_back;
 mod task;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -22,6 +24,7 @@
 use job::{Job, estimated_duration, max_link_time, set_missing_estimates};
 use orders::OpenOrder;
 pub(crate) use orders::Placement;
+pub(crate) use rebalance::FreePlace;
 use retry_delay::{RefusedJobs, retry_delay};
 use run_times::RunTimes;
 
@@ -39,6 +42,8 @@
     tasks: u64,
     /// Orders to be cancelled, by owner.
     cancelled: BTreeMap<InstanceId, Vec<OrderId>>,
+    /// Waiting orders to be taken back, by owner.
+    taken_back: BTreeMap<InstanceId, Vec<OrderId>>,
     /// When all jobs are given up, if the entry is shutting down.
     leave_deadline: Option<Instant>,
     /// When the tasks of new jobs may be placed.
@@ -57,6 +62,7 @@
             last_order_id,
             tasks: 0,
             cancelled: BTreeMap::new(),
+            taken_back: BTreeMap::new(),
             leave_deadline: None,
             held_until: Instant(0),
             run_times: RunTimes::default(),
--- a/kqr-dispatch/src/message_size.rs
+++ b/kqr-dispatch/src/message_size.rs
@@ -46,7 +46,7 @@
         match self {
             Self::Load(_) => Traffic::Loads,
             Self::Run { .. } => Traffic::Orders,
-            Self::Cancel(_) => Traffic::Cancellations,
+            Self::Cancel(_) | Self::TakeBack(_) => Traffic::Cancellations,
             Self::Ended { .. } => Traffic::Ends,
             Self::LoadRequest | Self::Begun(_) | Self::TargetsLost(_) | Self::JobBegun(_) => {
                 Traffic::OtherSiblings
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -55,7 +55,7 @@
             return;
         }
         self.waiting.move_late_orders(now);
-        if self.waiting.move_urgent_orders(now) {
+        if self.waiting.move_begun_orders() {
             self.last_pass = PassInputs::default();
         }
         if self.pass_inputs(now) == self.last_pass {
@@ -127,6 +127,15 @@
         self.stop_runs_where(now, since, "cancelled", is_selected, outputs);
     }
 
+    /// Ends an order that its coordinator takes back if it still waits. An order that has begun is not affected: a stop
+    /// would discard its progress and start the task again.
+    pub(crate) fn give_back_order(&mut self, coordinator: &InstanceId, order_id: OrderId) {
+        if self.waiting.remove_order(coordinator, order_id) {
+            let end = RunEnd::NotRun(NotRun::Cancelled);
+            self.end_order(coordinator.clone(), order_id, end, None);
+        }
+    }
+
     /// Records that the jobs of waiting orders have begun elsewhere.
     pub(crate) fn mark_orders_begun(&mut self, coordinator: &InstanceId, order_ids: &[OrderId]) {
         for order_id in order_ids {
--- a/kqr-dispatch/src/owned/queue_place.rs
+++ b/kqr-dispatch/src/owned/queue_place.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Returns the place of an order whose job would be given up soon, ahead of its priority.
-    pub(super) const fn into_urgent(self) -> Self {
+    /// Returns the place of a late order whose job has begun, ahead of its priority.
+    pub(super) const fn into_first_of_priority(self) -> Self {
         Self {
             is_late: false,
             standing: Standing::Begun,
--- a/kqr-dispatch/src/sibling_message.rs
+++ b/kqr-dispatch/src/sibling_message.rs
@@ -38,6 +38,8 @@
     },
     /// Runs whose targets went down, whichever entry coordinates them.
     TargetsLost(Vec<LostRun>),
+    /// Orders that the sender, as coordinator, takes back if they still wait. Those that have begun are not affected.
+    TakeBack(Vec<OrderId>),
     /// Orders that may wait and whose jobs have begun elsewhere, sent by the coordinator.
     JobBegun(Vec<OrderId>),
 }
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -165,6 +165,13 @@
         sim
     }
 
+    /// Restarts an entry in another data centre. The others are notified by [`Self::publish_views`].
+    pub fn place_entry(&mut self, entry: usize, data_centre: &str) {
+        let incarnation = self.entries[entry].info.incarnation.0 + 1;
+        let data_centre = data_centre.parse().unwrap();
+        self.entries[entry] = Entry::new_in(data_centre, entry, incarnation, &self.options);
+    }
+
     /// Adds a target without an owner.
     pub fn add_target(&mut self, number: usize, behaviour: TaskBehaviour) {
         let record = record(number);
