--- a/kqr-dispatch/src/decision.rs
+++ b/kqr-dispatch/src/decision.rs
@@ -1,6 +1,6 @@
 use kqr_types::{InstanceId, JobKey, TargetId};
 
-use crate::{DataPlace, EndKind, JobEnd, NotRun, RunEnd, RunId};
+use crate::{DataPlace, EndKind, JobEnd, LinkUsage, NotRun, RunEnd, RunId};
 
 /// A decision to be logged, with the inputs that led to it.
 #[derive(Clone, Debug, PartialEq)]
@@ -73,6 +73,8 @@
         target: TargetId,
         /// Time that the order waited at the owner, in milliseconds.
         waited_ms: u64,
+        /// Wait that the coordinator expected when it admitted the job, in milliseconds.
+        expected_wait_ms: u64,
         /// Estimated run time, in milliseconds.
         estimate_ms: u64,
         /// Learned ratio of run time to estimate on the target, in thousandths.
@@ -134,4 +136,11 @@
         /// New state.
         state: &'static str,
     },
+    /// Bytes that passed the link since the last such decision.
+    LinkUsed {
+        /// Bytes by type of message.
+        usage: Box<LinkUsage>,
+        /// Time since the last such decision, in milliseconds.
+        period_ms: u64,
+    },
 }
--- a/kqr-dispatch/src/dispatcher/orders.rs
+++ b/kqr-dispatch/src/dispatcher/orders.rs
@@ -46,7 +46,7 @@
             self.owned.start_waiting_orders(now, outputs);
             self.forward_order_progress(now, outputs);
             let ready = self.jobs.ready_jobs(now);
-            if ready.is_empty() {
+            if ready.is_empty() || !self.owned.bulk.has_room() {
                 break;
             }
             self.refresh_own_load(now);
@@ -70,9 +70,10 @@
         }
     }
 
-    /// Takes back waiting orders for which another owner has free capacity.
+    /// Takes back waiting orders for which another owner has free capacity. On a busy link an order waits for the link and not
+    /// for its owner, and would need the link once more.
     pub(super) fn rebalance(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        if !self.jobs.may_have_waiting_orders(now) {
+        if self.link.pressure() > 0.0 || !self.jobs.may_have_waiting_orders(now) {
             return;
         }
         self.refresh_own_load(now);
@@ -98,12 +99,24 @@
         }
     }
 
+    /// Records orders that have begun, and notifies the owners at which other orders of the same jobs wait.
+    pub(super) fn record_begun(&mut self, order_ids: &[OrderId], outputs: &mut Vec<Output>) {
+        for (owner, waiting) in self.jobs.handle_begun(order_ids) {
+            if owner == self.own.id {
+                self.owned.mark_orders_begun(&owner, &waiting);
+                continue;
+            }
+            let message = SiblingMessage::JobBegun(waiting);
+            outputs.push(Output::Send { to: owner, message });
+        }
+    }
+
     /// Notifies coordinators of orders that have begun or ended.
     fn forward_order_progress(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.report_target_losses(now, outputs);
         for (coordinator, order_ids) in self.owned.take_begun() {
             if coordinator == self.own.id {
-                self.jobs.handle_begun(&order_ids);
+                self.record_begun(&order_ids, outputs);
                 continue;
             }
             let message = SiblingMessage::Begun(order_ids);
@@ -115,6 +128,7 @@
         for ended in self.owned.take_ended() {
             let (order_id, end, target) = (ended.order_id, ended.end, ended.target);
             if ended.coordinator == self.own.id {
+                self.jobs.record_run_time(order_id, ended.run_time);
                 self.end_order(now, order_id, end, target, outputs);
                 continue;
             }
@@ -124,12 +138,16 @@
                     order_id,
                     end,
                     target,
+                    run_time: ended.run_time,
                 },
             });
         }
     }
 
     pub(super) fn place_tasks(&mut self, now: Instant, key: &JobKey, outputs: &mut Vec<Output>) {
+        if !self.owned.bulk.has_room() {
+            return;
+        }
         let Some(spec) = self.jobs.spec_of(key) else {
             return;
         };
@@ -145,6 +163,7 @@
         for (to, orders) in remote {
             let spec = Arc::clone(&spec);
             let message = SiblingMessage::Run { spec, orders };
+            self.owned.bulk.spend(|| message.link_bytes());
             outputs.push(Output::Send { to, message });
         }
     }
--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -3,10 +3,11 @@
 use kqr_types::Instant;
 
 use super::{
+    excess_load::max_first_wait,
     step::Step,
     task::{Task, TaskState},
 };
-use crate::{JobRequest, Options, OrderId};
+use crate::{JobRequest, LoadShedding, Options, OrderId, expected_wait::ExpectedWait};
 
 /// Multiple of the on-time response time after which an answer is of no use.
 const USEFUL_TIME_FACTOR: u32 = 3;
@@ -16,11 +17,19 @@
 /// Largest multiple of the ideal response time that counts as on time.
 const MAX_SLACK_FACTOR: f64 = 1000.0;
 
+/// Least time that the messages of a job may take, whatever its estimate.
+const MIN_LINK_TIME: Duration = Duration::from_millis(50);
+
 /// A job that this entry coordinates.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Job {
     pub(super) request: JobRequest,
     pub(super) arrived: Instant,
+    load_shedding: LoadShedding,
+    /// Wait that was expected when the job was admitted.
+    pub(super) expected_wait: ExpectedWait,
+    /// Whether the job was refused a short time before.
+    pub(super) is_returning: bool,
     /// When the job is refused if none of its runs has begun.
     pub(super) deadline: Instant,
     /// When the job is given up in any case.
@@ -28,6 +37,12 @@
     /// Whether the job is over and only waits for the ends of its cancelled orders.
     pub(super) is_ending: bool,
     pub(super) steps: Vec<Step>,
+    /// Run times by step that the caller estimated. Those of the request are corrected under load.
+    pub(super) stated_estimates: Vec<Duration>,
+    /// Time after the arrival until which the result is on time.
+    on_time_limit: Duration,
+    /// Estimated run times of the longest chains of steps that depend on each step.
+    later_chains: Vec<Duration>,
     /// Number of orders placed.
     pub(super) orders: u64,
     /// Whether a run may have begun.
@@ -38,18 +53,24 @@
     /// Creates a job that arrived at `now`, whose tasks may be placed from `place_from` on.
     pub(super) fn new(now: Instant, place_from: Instant, mut request: JobRequest, options: &Options) -> Self {
         let mut steps = Vec::new();
-        for step in &mut request.steps {
-            if step.estimate.is_zero() {
-                step.estimate = options.default_estimate;
-            }
+        set_missing_estimates(&mut request, options);
+        for step in &request.steps {
             steps.push(Step::new(step.count as usize, place_from));
         }
+        let limit = request.time_left.min(max_useful_time(&request));
+        let max_wait = max_first_wait(options.load_shedding, limit, longest_chain(&request));
         let mut job = Self {
             arrived: now,
-            deadline: now + request.time_left.min(max_useful_time(&request)),
+            load_shedding: options.load_shedding,
+            expected_wait: ExpectedWait::default(),
+            is_returning: false,
+            deadline: now + max_wait,
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
             is_ending: false,
             steps,
+            stated_estimates: request.steps.iter().map(|step| step.estimate).collect(),
+            on_time_limit: on_time_limit(&request),
+            later_chains: later_chains(&request),
             orders: 0,
             has_begun: false,
             request,
@@ -81,6 +102,30 @@
         }
     }
 
+    /// Returns when an order that is placed now must have begun. A job that has begun is continued until it is given up:
+    /// its caller would submit it again, which costs more than its remaining tasks.
+    pub(super) fn start_deadline(&self) -> Instant {
+        let is_limited = !self.has_begun && self.load_shedding == LoadShedding::WhenUseless;
+        if is_limited {
+            self.deadline
+        } else {
+            self.give_up_at
+        }
+    }
+
+    /// Returns the run time of the tasks of a step that the caller estimated.
+    pub(super) fn stated_estimate(&self, step: usize) -> Duration {
+        self.stated_estimates.get(step).copied().unwrap_or_default()
+    }
+
+    /// Returns the time left until the latest start with which a task of `step` is expected to end on time, and so the
+    /// steps that depend on it, if it takes `run`.
+    pub(super) fn start_left(&self, now: Instant, step: usize, run: Duration) -> Duration {
+        let later = self.later_chains.get(step).copied().unwrap_or_default();
+        let latest = self.on_time_limit.saturating_sub(later + run);
+        (self.arrived + latest).since(now)
+    }
+
     /// Returns the identifiers of the orders that have not ended.
     pub(super) fn open_order_ids(&self) -> Vec<OrderId> {
         let mut order_ids = Vec::new();
@@ -114,6 +159,61 @@
     }
 }
 
+/// Sets the estimates that the caller did not give.
+pub(super) fn set_missing_estimates(request: &mut JobRequest, options: &Options) {
+    for step in &mut request.steps {
+        if step.estimate.is_zero() {
+            step.estimate = options.default_estimate;
+        }
+    }
+}
+
+/// Returns the estimated run time of the longest chain of steps that depend on each other.
+pub(super) fn longest_chain(request: &JobRequest) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(request.steps.len());
+    for step in &request.steps {
+        let earlier = step.depends_on.iter();
+        let earlier = earlier.filter_map(|number| ends.get(*number as usize));
+        let begin = earlier.max().copied().unwrap_or_default();
+        let run = if step.count == 0 {
+            Duration::ZERO
+        } else {
+            step.estimate
+        };
+        ends.push(begin.saturating_add(run));
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
+/// Returns the estimated run times of the longest chains of steps that depend on each step.
+fn later_chains(request: &JobRequest) -> Vec<Duration> {
+    let mut later = vec![Duration::ZERO; request.steps.len()];
+    for (number, step) in request.steps.iter().enumerate().rev() {
+        let run = if step.count == 0 {
+            Duration::ZERO
+        } else {
+            step.estimate
+        };
+        let chain = later.get(number).map_or(run, |later| later.saturating_add(run));
+        for earlier in &step.depends_on {
+            if let Some(later) = later.get_mut(*earlier as usize) {
+                *later = chain.max(*later);
+            }
+        }
+    }
+    later
+}
+
+/// Returns the time after the arrival of a job until which its result is on time.
+pub(super) fn on_time_limit(request: &JobRequest) -> Duration {
+    longest_chain(request).mul_f64(slack_factor(request)) + request.objective
+}
+
+/// Returns the time after the arrival of a job until which its result is of some use, if its estimates are right.
+pub(super) fn useful_limit(request: &JobRequest) -> Duration {
+    on_time_limit(request) * USEFUL_TIME_FACTOR
+}
+
 /// Returns the time after the arrival of a job beyond which its result is of no use, with a margin for wrong
 /// estimates.
 fn max_useful_time(request: &JobRequest) -> Duration {
@@ -130,3 +230,22 @@
 pub(super) fn estimated_duration(request: &JobRequest) -> Duration {
     request.steps.iter().map(|step| step.estimate).sum()
 }
+
+/// Returns the time that the messages of a job may take so that its answer is on time.
+pub(super) fn max_link_time(request: &JobRequest, options: &Options) -> Duration {
+    let steps = request.steps.iter();
+    let duration: Duration = steps
+        .map(|step| {
+            if step.estimate.is_zero() {
+                options.default_estimate
+            } else {
+                step.estimate
+            }
+        })
+        .sum();
+    let on_time = duration.mul_f64(slack_factor(request)) + request.objective;
+    on_time
+        .min(request.time_left)
+        .saturating_sub(duration)
+        .max(MIN_LINK_TIME)
+}
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::{LinkRate, LoadShedding, QueueOrder};
+
 /// Factor on the run time on a rack that does not hold the input data, if none is given.
 const DEFAULT_REMOTE_SLOWDOWN: f32 = 1.5;
 /// Largest factor that is accepted. A larger one is taken for a mistake.
@@ -58,6 +60,23 @@
     pub remote_slowdown: f32,
     /// Longest time that a task waits for a target on the rack of its data.
     pub max_rack_wait: Duration,
+    /// Rate of the link of this entry; without one it counts as unlimited.
+    pub link_rate: Option<LinkRate>,
+    /// Longest wait of a poll on a busy link. With the timeout of a call it is below `target_timeout`.
+    pub max_busy_poll_wait: Duration,
+    /// Shortest time between two load reports to a sibling on a busy link.
+    pub min_busy_report_interval: Duration,
+    /// Longest time between two load reports on a busy link.
+    pub max_busy_report_interval: Duration,
+    /// Time without a message to a sibling after which it gets one without content, on a link with a rate. Two of these
+    /// are below `sibling_timeout`.
+    pub max_silence: Duration,
+    /// When a job is refused for lack of capacity, and when it is given up while it waits.
+    pub load_shedding: LoadShedding,
+    /// Order in which waiting orders are served.
+    pub queue_order: QueueOrder,
+    /// Whether the estimates of callers are corrected by the run times of the same kind of work, if a wait is expected.
+    pub learns_run_times: bool,
 }
 
 impl Options {
@@ -101,6 +120,14 @@
             default_estimate: Duration::from_millis(200),
             remote_slowdown: DEFAULT_REMOTE_SLOWDOWN,
             max_rack_wait: Duration::from_millis(500),
+            link_rate: None,
+            max_busy_poll_wait: Duration::from_millis(250),
+            min_busy_report_interval: Duration::from_millis(300),
+            max_busy_report_interval: Duration::from_millis(400),
+            max_silence: Duration::from_millis(165),
+            load_shedding: LoadShedding::default(),
+            queue_order: QueueOrder::default(),
+            learns_run_times: true,
         }
     }
 }
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -1,36 +1,47 @@
 //! The owner role: targets that this entry owns, their runs, and orders that wait for capacity.
 
 mod answers;
+mod blocked_queue;
 mod full_racks;
 mod hanging;
 mod health;
 mod next_poll;
 mod open_call;
 mod orders;
+mod pass_inputs;
 mod phase;
 mod polling;
 mod probe;
+mod queue_place;
 mod rack_waits;
 mod run;
 mod target;
 mod waiting_order;
 mod waiting_orders;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use kqr_fleet::{FencingToken, TargetGrant, TargetRecord, TargetReport};
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, TargetLoad,
-    load_report::{LoadReport, RANKS},
+    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, QueuedWork, RunEnd, RunId, TargetCall,
+    TargetLoad, bulk_budget::BulkBudget, load_report::LoadReport, message_size::START_BYTES,
 };
 use open_call::OpenCall;
+use pass_inputs::PassInputs;
 use phase::Phase;
 use run::Run;
 use target::Target;
 use waiting_orders::WaitingOrders;
 
+/// Time for which the budget must keep orders from being started before the link counts as their limit. A burst on a link
+/// that is fast enough passes sooner, and the orders behind it may wait for capacity only.
+const MIN_HOLD: Duration = Duration::from_millis(20);
+
 /// End of an order, to be sent to its coordinator.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct EndedOrder {
@@ -38,6 +49,8 @@
     pub(crate) order_id: OrderId,
     pub(crate) end: RunEnd,
     pub(crate) target: Option<TargetId>,
+    /// Run time of a completed run on a target of normal speed.
+    pub(crate) run_time: Option<Duration>,
 }
 
 /// The targets that this entry owns.
@@ -50,6 +63,10 @@
     /// Number of times that targets were added, removed or resized.
     list_number: u64,
     waiting: WaitingOrders,
+    /// State after the last pass over the waiting orders.
+    last_pass: PassInputs,
+    /// When the first of the orders that waited for their rack in that pass takes any target.
+    rack_wait_ends_at: Option<Instant>,
     calls: BTreeMap<CallId, OpenCall>,
     next_call: u64,
     is_leaving: bool,
@@ -59,16 +76,28 @@
     reports: Vec<TargetReport>,
     /// Runs whose targets went down.
     lost_runs: Vec<LostRun>,
+    /// Bulk messages that may be sent while the current input is handled.
+    pub(crate) bulk: BulkBudget,
+    /// Since when the budget has kept waiting orders from being started.
+    starts_held_since: Option<Instant>,
+    /// Whether so many starts wait for the link that siblings are told that no target accepts runs.
+    pub(crate) is_link_full: bool,
+    /// Wait of periodic polls.
+    pub(crate) poll_wait: Duration,
 }
 
 impl OwnedTargets {
     pub(crate) fn new(options: Options) -> Self {
+        let waiting = WaitingOrders::new(options.queue_order);
         Self {
+            poll_wait: options.max_poll_wait,
             options,
             targets: BTreeMap::new(),
             former: Vec::new(),
             list_number: 0,
-            waiting: WaitingOrders::default(),
+            waiting,
+            last_pass: PassInputs::default(),
+            rack_wait_ends_at: None,
             calls: BTreeMap::new(),
             next_call: 0,
             is_leaving: false,
@@ -76,6 +105,9 @@
             begun: BTreeMap::new(),
             reports: Vec::new(),
             lost_runs: Vec::new(),
+            bulk: BulkBudget::default(),
+            starts_held_since: None,
+            is_link_full: false,
         }
     }
 
@@ -110,6 +142,23 @@
         self.waiting.is_empty() && self.targets.values().all(|target| target.runs.is_empty())
     }
 
+    /// Returns whether starts wait for the link, and not only for capacity.
+    fn are_starts_held(&self, now: Instant) -> bool {
+        let since = self.starts_held_since;
+        since.is_some_and(|since| now.since(since) >= MIN_HOLD)
+    }
+
+    /// Returns the estimated size of the starts that wait for the link.
+    pub(crate) fn held_bytes(&self, now: Instant) -> u64 {
+        if !self.are_starts_held(now) {
+            return 0;
+        }
+        let waiting = self.waiting.iter();
+        waiting
+            .map(|(_, order)| START_BYTES + order.spec.len() as u64)
+            .sum()
+    }
+
     /// Returns the number of owned targets.
     pub(crate) fn target_count(&self) -> usize {
         self.targets.len()
@@ -143,7 +192,9 @@
         }
         for grant in grants {
             if let Some(target) = kept.get_mut(&grant.record.id) {
+                let was_evacuated = target.is_evacuated;
                 target.update(grant);
+                log_evacuation(outputs, target, was_evacuated);
             }
         }
         let lost = std::mem::replace(&mut self.targets, kept);
@@ -227,14 +278,15 @@
             is_leaving: self.is_leaving,
         };
         for target in self.targets.values() {
+            let (capacity, free) = target.offer();
             report.targets.push(TargetLoad {
                 id: target.record.id.clone(),
                 service: target.record.service.clone(),
                 labels: target.record.labels.clone(),
-                capacity: target.record.capacity,
-                free: target.free(),
+                capacity,
+                free,
                 slowness: target.health.slowness(),
-                is_open: self.is_open(now, target),
+                is_open: !self.is_link_full && self.is_open(now, target),
             });
         }
         report
@@ -245,14 +297,14 @@
         let targets = self.targets.values().enumerate();
         targets.map(move |(position, target)| LoadChange {
             position: position as u32,
-            free: target.free(),
+            free: target.offer().1,
             slowness: target.health.slowness(),
-            is_open: self.is_open(now, target),
+            is_open: !self.is_link_full && self.is_open(now, target),
         })
     }
 
-    /// Returns the work of the waiting orders by priority, in core-milliseconds.
-    pub(crate) const fn queued_work(&self) -> [u64; RANKS] {
+    /// Returns the work of the waiting orders.
+    pub(crate) const fn queued_work(&self) -> QueuedWork {
         self.waiting.work()
     }
 
@@ -306,6 +358,7 @@
             order_id,
             end,
             target,
+            run_time: None,
         });
     }
 
@@ -364,9 +417,24 @@
 fn new_target(now: Instant, grant: &TargetGrant, outputs: &mut Vec<Output>) -> Target {
     let target = Target::new(now, grant);
     log_target_change(outputs, &target, "owned", format!("token {}", grant.token));
+    log_evacuation(outputs, &target, false);
     target
 }
 
+/// Logs whether the data centre of a target is evacuated, if that has changed.
+fn log_evacuation(outputs: &mut Vec<Output>, target: &Target, was_evacuated: bool) {
+    if target.is_evacuated == was_evacuated {
+        return;
+    }
+    let state = if target.is_evacuated {
+        "evacuated"
+    } else {
+        "readmitted"
+    };
+    let cause = format!("data centre {}", target.record.data_centre);
+    log_target_change(outputs, target, state, cause);
+}
+
 /// Logs a change of the assumed state of a target.
 fn log_target_change(outputs: &mut Vec<Output>, target: &Target, state: &'static str, cause: String) {
     outputs.push(Output::Decision(Decision::TargetChanged {
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -1,13 +1,15 @@
 //! Orders from coordinators: queueing them, and starting and stopping their runs.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use super::{
     OwnedTargets,
+    blocked_queue::Misfits,
     full_racks::FullRacks,
     open_call::OpenCall,
+    pass_inputs::PassInputs,
     phase::Phase,
     run::{Run, RunState},
     target::Target,
@@ -15,12 +17,12 @@
 };
 use crate::{
     DataPlace, Decision, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, StartCall, StopCall, TargetCall,
-    suitability::Suitability,
+    message_size::START_BYTES, suitability::Suitability,
 };
 
-/// Maximum number of waiting orders skipped in one pass because they fit on no target; the rest is unlikely
-/// to fit either.
-const MAX_PASSED_OVER: usize = 24;
+/// Time after which an order whose start waits for the link is returned, so that its coordinator can use another owner. It
+/// is longer than the coordinators need to learn that the link is full.
+const MAX_LINK_WAIT: Duration = Duration::from_millis(200);
 
 impl OwnedTargets {
     /// Queues an order that was sent at `sent_at` until a target has free capacity, or refuses it if no target can run it.
@@ -49,32 +51,79 @@
         });
     }
 
-    /// Starts the waiting orders for which a target has free capacity, by priority and arrival.
+    /// Starts the waiting orders for which a target has free capacity, in the order of the queue. Orders that fit nowhere
+    /// don't hold up those behind them.
     pub(crate) fn start_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let mut passed_over = 0;
+        if self.waiting.is_empty() {
+            self.starts_held_since = None;
+            return;
+        }
+        self.waiting.move_late_orders(now);
+        if self.waiting.move_begun_orders() {
+            self.last_pass = PassInputs::default();
+        }
+        let has_rack_wait_ended = self.rack_wait_ends_at.is_some_and(|at| at <= now);
+        if !has_rack_wait_ended && self.pass_inputs(now) == self.last_pass {
+            return;
+        }
+        self.rack_wait_ends_at = None;
         let mut full_racks = FullRacks::default();
-        for place in self.waiting.places() {
-            if passed_over == MAX_PASSED_OVER {
+        let mut misfits = Misfits::default();
+        let (mut last, mut has_moved, mut is_held) = (None, false, false);
+        while let Some((place, waiting)) = self.waiting.next_after(last) {
+            if !self.bulk.has_room() {
+                is_held = true;
                 break;
             }
-            let Some(waiting) = self.waiting.get(place) else {
+            last = Some(place);
+            if misfits.covers(&waiting.order) {
                 continue;
-            };
-            let is_bound = waiting.is_bound_to_rack(now);
+            }
+            let rack_wait_end = waiting.rack_wait_end(now);
+            let is_bound = rack_wait_end.is_some();
+            if is_bound {
+                self.rack_wait_ends_at = earliest(self.rack_wait_ends_at, rack_wait_end);
+            }
             if is_bound && full_racks.contains(&waiting.order) {
                 continue;
             }
             match self.pick_target(now, waiting) {
                 Some(target) => {
                     if let Some(waiting) = self.waiting.remove(place) {
+                        has_moved |= self.waiting.mark_job_begun(&waiting.order.run.task.job);
                         self.start_run(now, &target, &waiting, outputs);
                     }
                 }
                 // An order that waits for its rack says nothing about the orders behind it.
                 None if is_bound => full_racks.insert(&waiting.order),
-                None => passed_over += 1,
+                None => misfits.record(&waiting.order),
             }
         }
+        self.starts_held_since = if is_held {
+            self.starts_held_since.or(Some(now))
+        } else {
+            None
+        };
+        if has_moved || is_held {
+            self.last_pass = PassInputs::default();
+            return;
+        }
+        self.last_pass = self.pass_inputs(now);
+    }
+
+    /// Returns what decides whether a waiting order can start.
+    fn pass_inputs(&self, now: Instant) -> PassInputs {
+        let mut open = Vec::new();
+        for (position, target) in self.targets.values().enumerate() {
+            if self.is_open(now, target) {
+                open.push((position, target.free(), target.runs.len()));
+            }
+        }
+        PassInputs {
+            arrivals: self.waiting.arrivals(),
+            list_number: self.list_number,
+            open,
+        }
     }
 
     /// Cancels an order, and stops its run if it was started. The time for that began at `since`.
@@ -104,6 +153,13 @@
         }
     }
 
+    /// Records that the jobs of waiting orders have begun elsewhere.
+    pub(crate) fn mark_orders_begun(&mut self, coordinator: &InstanceId, order_ids: &[OrderId]) {
+        for order_id in order_ids {
+            self.waiting.mark_begun(coordinator, *order_id);
+        }
+    }
+
     /// Drops the orders of a lost coordinator and stops their runs: no caller waits for them any more, and
     /// the callers may submit their jobs to another entry. The time for that began at `since`.
     pub(crate) fn drop_orders_of(
@@ -133,6 +189,8 @@
                 expired.push((place, NotRun::NoTarget));
             } else if waiting.until <= now {
                 expired.push((place, NotRun::Expired));
+            } else if self.are_starts_held(now) && now.since(waiting.sent_at) >= MAX_LINK_WAIT {
+                expired.push((place, NotRun::Refused));
             } else if !self
                 .targets
                 .values()
@@ -314,7 +372,7 @@
         let run = Run {
             ordered_by: Some((waiting.coordinator.clone(), order.id)),
             needs: order.needs,
-            estimate: order.estimate,
+            estimate: order.stated_estimate,
             state: RunState::Starting,
             sent_at: now,
             state_since: now,
@@ -347,14 +405,20 @@
             run: order.run.clone(),
             target: id.clone(),
             waited_ms: now.since(waiting.sent_at).as_millis() as u64,
+            expected_wait_ms: order.expected_wait.as_millis() as u64,
             estimate_ms: order.estimate.as_millis() as u64,
             slowness_milli,
             data_place: data_place(now, target, waiting),
         }));
+        self.bulk.spend(|| START_BYTES + call.spec.len() as u64);
         self.send_call(open, TargetCall::Start(call), outputs);
     }
 }
 
+fn earliest(first: Option<Instant>, second: Option<Instant>) -> Option<Instant> {
+    first.into_iter().chain(second).min()
+}
+
 /// Returns where the target is in relation to the data of the order.
 fn data_place(now: Instant, target: &Target, waiting: &WaitingOrder) -> DataPlace {
     let Some(rack) = waiting.order.data_rack.as_deref() else {
@@ -371,7 +435,7 @@
 /// Returns whether the target could run the order, regardless of its free capacity.
 pub(super) fn may_run(target: &Target, order: &RunOrder) -> bool {
     let is_granted = matches!(target.phase, Phase::Attaching | Phase::Attached);
-    let is_usable = is_granted && !target.is_leaving && !target.must_release;
+    let is_usable = is_granted && !target.is_leaving && !target.is_evacuated && !target.must_release;
     let has_label = order
         .label
         .as_ref()
--- a/kqr-dispatch/src/owned/rack_waits.rs
+++ b/kqr-dispatch/src/owned/rack_waits.rs
@@ -57,8 +57,8 @@
             }
             cpu += target.record.capacity.cpu_milli;
         }
-        let last = (order.priority as usize).min(RANKS - 1);
-        let queued: u64 = self.waiting.work().iter().take(last + 1).sum();
+        let rank = (order.priority as usize).min(RANKS - 1);
+        let queued = self.waiting.work().ahead(rank, order.label.is_some());
         Duration::from_millis(queued.saturating_mul(1000) / cpu.max(1))
     }
 }
--- a/kqr-dispatch/src/owned/waiting_order.rs
+++ b/kqr-dispatch/src/owned/waiting_order.rs
@@ -22,7 +22,13 @@
 impl WaitingOrder {
     /// Returns whether the order takes only targets on the rack of its data at `now`.
     pub(super) fn is_bound_to_rack(&self, now: Instant) -> bool {
-        self.rack_wait.is_some_and(|wait| now < wait.until)
+        self.rack_wait_end(now).is_some()
+    }
+
+    /// Returns when the order takes any target, if it takes only those on the rack of its data at `now`.
+    pub(super) fn rack_wait_end(&self, now: Instant) -> Option<Instant> {
+        let until = self.rack_wait.map(|wait| wait.until);
+        until.filter(|until| now < *until)
     }
 }
 
@@ -32,3 +38,10 @@
     pub(super) since: Instant,
     pub(super) until: Instant,
 }
+
+impl WaitingOrder {
+    /// Returns the latest start with which the run is expected to end on time.
+    pub(super) fn latest_start(&self) -> Instant {
+        self.sent_at + self.order.start_left
+    }
+}
--- a/kqr-dispatch/src/run_order.rs
+++ b/kqr-dispatch/src/run_order.rs
@@ -18,8 +18,10 @@
     pub service: ServiceName,
     /// Resources that the task requires.
     pub needs: Resources,
-    /// Estimated run time; zero if unknown.
+    /// Estimated run time, corrected by what was learned; zero if unknown.
     pub estimate: Duration,
+    /// Run time that the caller estimates. The speed of targets is measured against it.
+    pub stated_estimate: Duration,
     /// Label required of the target.
     pub label: Option<String>,
     /// Rack that holds the input data; targets there are preferred.
@@ -33,6 +35,14 @@
     pub time_left: Duration,
     /// Time left until an end of the run counts as late, derived from the estimate.
     pub on_time_left: Duration,
+    /// Time left until the latest start with which the run is expected to end on time on a target of usual speed.
+    pub start_left: Duration,
+    /// Whether a run of the job may have begun when the order was placed.
+    pub has_job_begun: bool,
+    /// Whether the job was refused a short time before.
+    pub is_returning: bool,
+    /// Wait that the coordinator expected when it admitted the job.
+    pub expected_wait: Duration,
     /// Target that the coordinator expects to have free capacity.
     #[serde(rename = "preferred")]
     pub preferred_target: Option<TargetId>,
--- a/kqr-fleet/src/lib.rs
+++ b/kqr-fleet/src/lib.rs
@@ -7,12 +7,14 @@
 #![deny(missing_docs)]
 
 mod catalog;
+pub mod catalog_check;
 mod catalog_error;
 mod catalog_part;
 mod catalog_receiver;
 mod catalog_version;
 mod command;
 mod entry_info;
+mod evacuation;
 mod fencing_token;
 mod founding;
 mod limits;
@@ -34,6 +36,7 @@
 pub use catalog_version::CatalogVersion;
 pub use command::{Command, Handover};
 pub use entry_info::EntryInfo;
+pub use evacuation::Evacuation;
 pub use fencing_token::FencingToken;
 pub use founding::{FoundingInput, FoundingNode, FoundingOutput};
 pub use limits::Limits;
--- a/kqr-runtime/src/entry/daemon.rs
+++ b/kqr-runtime/src/entry/daemon.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use eyre::WrapErr;
-use kqr_dispatch::{Input, Options};
+use kqr_dispatch::{Input, LinkRate, Options};
 use kqr_fleet::EntryInfo;
 use kqr_telemetry::Metrics;
 use kqr_types::Incarnation;
@@ -42,7 +42,8 @@
 where
     Client: TargetClient,
 {
-    /// Opens the listener for siblings and starts the exchanges with control.
+    /// Opens the listener for siblings and starts the exchanges with control. Without a rate, the link of the machine counts as
+    /// unlimited.
     ///
     /// # Errors
     ///
@@ -50,6 +51,7 @@
     pub async fn start(
         settings: &EntrySettings,
         client: Client,
+        link_rate: Option<LinkRate>,
         remote_slowdown: Option<f64>,
     ) -> eyre::Result<Self> {
         settings.check()?;
@@ -69,6 +71,7 @@
         let options = Options {
             lease: Duration::from_millis(settings.max_lease_ms).mul_f64(LEASE_FRACTION),
             remote_slowdown: Options::remote_slowdown_or_default(remote_slowdown),
+            link_rate,
             ..Options::default()
         };
         let fields = [("incarnation", own.incarnation.to_string())];
--- a/kqr-runtime/src/entry/decision_log.rs
+++ b/kqr-runtime/src/entry/decision_log.rs
@@ -1,6 +1,6 @@
 //! Event log of the dispatcher's decisions.
 
-use kqr_dispatch::{DataPlace, Decision, JobEnd};
+use kqr_dispatch::{DataPlace, Decision, JobEnd, LinkUsage, Traffic};
 use kqr_telemetry::log_decision as write_event;
 
 /// Writes a decision to the event log.
@@ -85,6 +85,7 @@
             run,
             target,
             waited_ms,
+            expected_wait_ms,
             estimate_ms,
             slowness_milli,
             data_place,
@@ -94,6 +95,7 @@
                 ("run", run.to_string()),
                 ("target", target.to_string()),
                 ("waited_ms", waited_ms.to_string()),
+                ("expected_wait_ms", expected_wait_ms.to_string()),
                 ("estimate_ms", estimate_ms.to_string()),
                 ("slowness_milli", slowness_milli.to_string()),
                 ("data_place", describe_place(*data_place).to_owned()),
@@ -168,6 +170,16 @@
             "sibling-changed",
             &[("sibling", sibling.to_string()), ("belief", (*state).to_owned())],
         ),
+        Decision::LinkUsed { usage, period_ms } => write_event(
+            "link-usage",
+            &[
+                ("period_ms", period_ms.to_string()),
+                ("sent_bytes", usage.total_sent().to_string()),
+                ("received_bytes", usage.total_received().to_string()),
+                ("sent", describe_usage(usage, LinkUsage::sent)),
+                ("received", describe_usage(usage, LinkUsage::received)),
+            ],
+        ),
         other => log::error!("decision has no event format: {other:?}"),
     }
 }
@@ -181,6 +193,18 @@
     }
 }
 
+/// Returns the types of messages with bytes, as `orders=1200 polls=350`.
+fn describe_usage(usage: &LinkUsage, bytes: fn(&LinkUsage, Traffic) -> u64) -> String {
+    let mut texts = Vec::new();
+    for traffic in Traffic::ALL {
+        let bytes = bytes(usage, traffic);
+        if bytes > 0 {
+            texts.push(format!("{traffic}={bytes}"));
+        }
+    }
+    texts.join(" ")
+}
+
 fn text_or_empty<Value>(value: Option<&Value>) -> String
 where
     Value: ToString,
--- a/kqr-runtime/src/entry/decision_metrics.rs
+++ b/kqr-runtime/src/entry/decision_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kqr_dispatch::{DataPlace, Decision, JobEnd, NotRun, RunEnd};
+use kqr_dispatch::{DataPlace, Decision, JobEnd, NotRun, RunEnd, Traffic};
 use kqr_telemetry::{AnswerClass, GaugeMetric, Metrics, RackPlace, TaskLength, WastedMessage, WorkKind};
 
 /// Updates the counters for a decision.
@@ -13,10 +13,13 @@
         }
         Decision::RunStarted {
             waited_ms,
+            expected_wait_ms,
             data_place,
             ..
         } => {
-            metrics.record_task_start(TaskLength::Short, Duration::from_millis(*waited_ms));
+            let waited = Duration::from_millis(*waited_ms);
+            metrics.record_task_start(TaskLength::Short, waited);
+            metrics.record_expected_wait(Duration::from_millis(*expected_wait_ms), waited);
             count_rack_task(metrics, *data_place);
         }
         Decision::OrderEnded {
@@ -25,6 +28,11 @@
         } => metrics.count_wasted_message(WastedMessage::Refusal),
         Decision::OrderTakenBack { .. } => metrics.count_taken_back_order(),
         Decision::SiblingChanged { state: "lost", .. } => metrics.count_suspicion(),
+        Decision::LinkUsed { usage, .. } => {
+            for traffic in Traffic::ALL {
+                metrics.count_link_bytes(traffic.as_str(), usage.sent(traffic), usage.received(traffic));
+            }
+        }
         _ => {}
     }
 }
--- a/kqr-telemetry/src/metrics.rs
+++ b/kqr-telemetry/src/metrics.rs
@@ -25,6 +25,8 @@
     response: Histogram<f64>,
     over_ideal: Histogram<f64>,
     queue_wait: Histogram<f64>,
+    expected_wait: Histogram<f64>,
+    wait_error: Histogram<f64>,
     forward: Histogram<f64>,
     sync: Histogram<f64>,
     settings_delay: Histogram<f64>,
@@ -34,6 +36,7 @@
     taken_back: Counter<u64>,
     wasted: Counter<u64>,
     sibling_bytes: Counter<u64>,
+    link_bytes: Counter<u64>,
     suspicions: Counter<u64>,
     refused_reports: Counter<u64>,
     dropped_events: Gauge<u64>,
@@ -59,11 +62,10 @@
         let gauges = GaugeMetric::ALL.map(|metric| gauge(&meter, metric.name(), metric.description()));
         Ok(Self {
             registry,
-            response: histogram(
+            response: seconds(
                 &meter,
                 "kqr_response_seconds",
                 "Response time from arrival to answer",
-                &DURATION_BOUNDS_S,
             ),
             over_ideal: histogram(
                 &meter,
@@ -71,29 +73,23 @@
                 "Response time over the longest run time of the job's tasks",
                 &RATIO_BOUNDS,
             ),
-            queue_wait: histogram(
+            queue_wait: seconds(&meter, "kqr_queue_wait_seconds", "Wait of a task for a slot"),
+            expected_wait: seconds(
                 &meter,
-                "kqr_queue_wait_seconds",
-                "Wait of a task for a slot",
-                &DURATION_BOUNDS_S,
+                "kqr_expected_wait_seconds",
+                "Wait that was expected for a task when its job was admitted",
             ),
-            forward: histogram(
+            wait_error: seconds(
                 &meter,
-                "kqr_forward_seconds",
-                "Round trip of a call to a sibling",
-                &DURATION_BOUNDS_S,
+                "kqr_wait_error_seconds",
+                "Difference of the actual from the expected wait of a task",
             ),
-            sync: histogram(
-                &meter,
-                "kqr_sync_seconds",
-                "Time of a synced write",
-                &DURATION_BOUNDS_S,
-            ),
-            settings_delay: histogram(
+            forward: seconds(&meter, "kqr_forward_seconds", "Round trip of a call to a sibling"),
+            sync: seconds(&meter, "kqr_sync_seconds", "Time of a synced write"),
+            settings_delay: seconds(
                 &meter,
                 "kqr_settings_delay_seconds",
                 "Time from the acceptance of a change to its application here",
-                &DURATION_BOUNDS_S,
             ),
             answers: counter(&meter, "kqr_answers", "Answers and refusals to callers"),
             starts: counter(&meter, "kqr_task_starts", "Task starts sent to targets"),
@@ -117,6 +113,11 @@
                 "kqr_sibling_bytes",
                 "Bytes of membership and directory messages sent",
             ),
+            link_bytes: counter(
+                &meter,
+                "kqr_link_bytes",
+                "Estimated bytes sent and received by type of message",
+            ),
             suspicions: counter(
                 &meter,
                 "kqr_suspicions",
@@ -168,6 +169,20 @@
         self.taken_back.add(1, &[]);
     }
 
+    /// Records the wait that was expected for a task, and by how much the actual one was longer or shorter. Tasks that neither
+    /// waited nor were expected to are not recorded.
+    pub fn record_expected_wait(&self, expected: Duration, actual: Duration) {
+        if expected.is_zero() && actual.is_zero() {
+            return;
+        }
+        let actual_is = if actual > expected { "longer" } else { "shorter" };
+        self.expected_wait.record(expected.as_secs_f64(), &[]);
+        self.wait_error.record(
+            actual.abs_diff(expected).as_secs_f64(),
+            &[KeyValue::new("actual", actual_is)],
+        );
+    }
+
     /// Counts a message in excess of the one start and one answer that a task needs.
     pub fn count_wasted_message(&self, message: WastedMessage) {
         self.wasted.add(1, &[KeyValue::new("message", message.as_str())]);
@@ -183,6 +198,19 @@
         self.sibling_bytes.add(bytes, &[]);
     }
 
+    /// Adds to the bytes that messages of type `message` have sent and received.
+    pub fn count_link_bytes(&self, message: &'static str, sent: u64, received: u64) {
+        for (direction, bytes) in [("sent", sent), ("received", received)] {
+            if bytes > 0 {
+                let labels = [
+                    KeyValue::new("direction", direction),
+                    KeyValue::new("message", message),
+                ];
+                self.link_bytes.add(bytes, &labels);
+            }
+        }
+    }
+
     /// Counts a newly suspected member.
     pub fn count_suspicion(&self) {
         self.suspicions.add(1, &[]);
@@ -235,6 +263,11 @@
     }
 }
 
+/// Creates a histogram of durations.
+fn seconds(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+    histogram(meter, name, description, &DURATION_BOUNDS_S)
+}
+
 fn histogram(meter: &Meter, name: &'static str, description: &'static str, bounds: &[f64]) -> Histogram<f64> {
     meter
         .f64_histogram(name)
