--- a/kqr-dispatch/src/owned/rack_waits.rs
+++ b/kqr-dispatch/src/owned/rack_waits.rs
@@ -57,8 +57,8 @@
             }
             cpu += target.record.capacity.cpu_milli;
         }
-        let rank = (order.priority as usize).min(RANKS - 1);
-        let queued = self.waiting.work().ahead(rank, order.label.is_some());
+        let priority = (order.priority as usize).min(RANKS - 1);
+        let queued = self.waiting.work().ahead(priority, order.label.is_some());
         Duration::from_millis(queued.saturating_mul(1000) / cpu.max(1))
     }
 }
