test(dispatch): restore the loads of two tests that were lowered

restarted_targets offered a job every 50 ms in place of 20, and the jobs of capacity_changes got an objective of 20 s, since load shedding refused what exceeds the targets. That is not what these tests are about: they keep their earlier loads and inputs, with load shedding at the deadline as before.

--- a/kqr-dispatch/tests/capacity_changes.rs
+++ b/kqr-dispatch/tests/capacity_changes.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use kqr_dispatch::{EndKind, Input, JobEnd, JobRequest};
+use kqr_dispatch::{EndKind, Input, JobEnd, JobRequest, LoadShedding, Options};
 use kqr_fleet::{Resources, TargetReport};
 use simulation::{Simulation, TaskBehaviour, job, target_id};
 
@@ -20,12 +20,19 @@
 fn job_of_one(number: usize) -> JobRequest {
     JobRequest {
         time_left: Duration::from_secs(20),
-        // All jobs of a test can be on time, although some wait for several runs.
-        objective: Duration::from_secs(20),
         ..job(&format!("job-{number}"), 1, 400)
     }
 }
 
+/// One target, which is offered more than it serves at once: jobs are not to be refused for that.
+fn simulation() -> Simulation {
+    let options = Options {
+        load_shedding: LoadShedding::AtDeadline,
+        ..Options::default()
+    };
+    Simulation::with_options(1, 1, LONG, options)
+}
+
 /// Changes the capacity of target 0 and returns its report with the given sequence number.
 fn resize(sim: &mut Simulation, cpu_milli: u64, sequence: u64) -> TargetReport {
     let target = sim.targets.get_mut(&target_id(0)).unwrap();
@@ -46,7 +53,7 @@
 
 #[test]
 fn runs_continue_on_a_target_whose_capacity_shrinks_below_them() {
-    let mut sim = Simulation::new(1, 1, LONG);
+    let mut sim = simulation();
     for number in 0..2 {
         sim.submit(0, job_of_one(number));
     }
@@ -66,7 +73,7 @@
 /// The owner learned of the change only with the next grant, under a new token.
 #[test]
 fn nothing_is_started_beyond_the_capacity_that_a_target_reports_last() {
-    let mut sim = Simulation::new(1, 1, LONG);
+    let mut sim = simulation();
     let reports = [resize(&mut sim, FULL_MILLI, 1), resize(&mut sim, TASK_MILLI, 2)];
     let [outdated, latest] = reports;
     sim.inject(0, Input::TargetReported(latest));
@@ -92,7 +99,7 @@
 /// A grant of the same token carries the capacity that the target has reported to another instance.
 #[test]
 fn a_grant_changes_the_capacity_without_a_stop() {
-    let mut sim = Simulation::new(1, 1, LONG);
+    let mut sim = simulation();
     sim.submit(0, job_of_one(0));
     sim.run_for(100);
     resize(&mut sim, TASK_MILLI, 1);
--- a/kqr-dispatch/tests/restarted_targets.rs
+++ b/kqr-dispatch/tests/restarted_targets.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use kqr_dispatch::{EndKind, Input, JobEnd, JobRequest};
+use kqr_dispatch::{EndKind, Input, JobEnd, JobRequest, LoadShedding, Options};
 use kqr_fleet::{Resources, TargetRecord, TargetReport};
 use kqr_types::{Incarnation, Instant};
 use simulation::{Simulation, TaskBehaviour, job, target_id};
@@ -27,7 +27,12 @@
 
 /// An owner of two targets, both of which have the label.
 fn fleet() -> Simulation {
-    let mut sim = Simulation::new(2, 2, QUICK);
+    // More jobs arrive than the one target with the label serves; they are not to be refused for that.
+    let options = Options {
+        load_shedding: LoadShedding::AtDeadline,
+        ..Options::default()
+    };
+    let mut sim = Simulation::with_options(2, 2, QUICK, options);
     for number in 0..2 {
         let target = sim.targets.get_mut(&target_id(number)).unwrap();
         target.record.labels = vec![LABEL.to_owned()];
@@ -56,8 +61,7 @@
 fn submit_labelled_jobs(sim: &mut Simulation, key: &str) {
     for number in 0..30 {
         sim.submit(number % 2, labelled_job(&format!("{key}-{number}")));
-        // The one target with the label serves a job in 41 ms; faster arrivals are refused.
-        sim.run_for(50);
+        sim.run_for(20);
     }
 }
 
