--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -5,6 +5,7 @@
 mod full_racks;
 mod hanging;
 mod health;
+mod loads;
 mod next_poll;
 mod open_call;
 mod orders;
@@ -15,6 +16,7 @@
 mod queue_place;
 mod rack_waits;
 mod run;
+mod starts;
 mod target;
 mod waiting_order;
 mod waiting_orders;
@@ -28,8 +30,7 @@
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use crate::{
-    CallId, Decision, LoadChange, LostRun, Options, OrderId, Output, QueuedWork, RunEnd, RunId, TargetCall,
-    TargetLoad, bulk_budget::BulkBudget, load_report::LoadReport, message_size::START_BYTES,
+    CallId, Decision, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, bulk_budget::BulkBudget,
 };
 use open_call::OpenCall;
 use pass_inputs::PassInputs;
@@ -38,10 +39,6 @@
 use target::Target;
 use waiting_orders::WaitingOrders;
 
-/// Time for which the budget must keep orders from being started before the link counts as their limit. A burst on a link
-/// that is fast enough passes sooner, and the orders behind it may wait for capacity only.
-const MIN_HOLD: Duration = Duration::from_millis(20);
-
 /// End of an order, to be sent to its coordinator.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct EndedOrder {
@@ -142,23 +139,6 @@
         self.waiting.is_empty() && self.targets.values().all(|target| target.runs.is_empty())
     }
 
-    /// Returns whether starts wait for the link, and not only for capacity.
-    fn are_starts_held(&self, now: Instant) -> bool {
-        let since = self.starts_held_since;
-        since.is_some_and(|since| now.since(since) >= MIN_HOLD)
-    }
-
-    /// Returns the estimated size of the starts that wait for the link.
-    pub(crate) fn held_bytes(&self, now: Instant) -> u64 {
-        if !self.are_starts_held(now) {
-            return 0;
-        }
-        let waiting = self.waiting.iter();
-        waiting
-            .map(|(_, order)| START_BYTES + order.spec.len() as u64)
-            .sum()
-    }
-
     /// Returns the number of owned targets.
     pub(crate) fn target_count(&self) -> usize {
         self.targets.len()
@@ -270,44 +250,6 @@
         unreachable
     }
 
-    /// Returns the load report for siblings.
-    pub(crate) fn load_report(&self, now: Instant) -> LoadReport {
-        let mut report = LoadReport {
-            targets: Vec::with_capacity(self.targets.len()),
-            queued: self.waiting.work(),
-            is_leaving: self.is_leaving,
-        };
-        for target in self.targets.values() {
-            let (capacity, free) = target.offer();
-            report.targets.push(TargetLoad {
-                id: target.record.id.clone(),
-                service: target.record.service.clone(),
-                labels: target.record.labels.clone(),
-                capacity,
-                free,
-                slowness: target.health.slowness(),
-                is_open: !self.is_link_full && self.is_open(now, target),
-            });
-        }
-        report
-    }
-
-    /// Returns the current loads of the targets, in the order of the load report.
-    pub(crate) fn loads(&self, now: Instant) -> impl Iterator<Item = LoadChange> {
-        let targets = self.targets.values().enumerate();
-        targets.map(move |(position, target)| LoadChange {
-            position: position as u32,
-            free: target.offer().1,
-            slowness: target.health.slowness(),
-            is_open: !self.is_link_full && self.is_open(now, target),
-        })
-    }
-
-    /// Returns the work of the waiting orders.
-    pub(crate) const fn queued_work(&self) -> QueuedWork {
-        self.waiting.work()
-    }
-
     /// Returns a number that increases when targets are added, removed or resized.
     pub(crate) const fn list_number(&self) -> u64 {
         self.list_number
