--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A job is cancelled at another daemon than the one that has it."""
+"""One job of a client that the system does not control: 4,294,967,295 tasks without any needs."""
 
 import os
 import sys
@@ -8,54 +8,88 @@
 from lab import *
 
 HOST, PREFIX, SERVICE = "nony24.example", "/lohu930/", "ordering"
-KEY = "5c0e7a21d94b36f8"
-# The bounds of the small site: cancel_ms and killGraceMs.
-CANCEL_S, KILL_GRACE_S = 3.0, 0.05
-# Lets the stand-in runner look at its clock.
-TOLERANCE_S = 0.05
+ENTRIES = (1, 2)
+# A daemon leaves the rotation after two misses, 2 s. Five times that counts as a hang.
+HANG_S = 10.0
+WATCHED_S = 40.0
+
+
+class Watch:
+    """The platform's readiness probes and an ordinary client at one entry, each once a second."""
+
+    def __init__(self, deployment, entry):
+        self.deployment, self.entry, self.answered, self.longest, self.jobs = deployment, entry, time.monotonic(), 0.0, []
+
+    def heard(self):
+        now = time.monotonic()
+        self.longest, self.answered = max(self.longest, now - self.answered), now
+
+    async def probe(self):
+        ip, port = self.deployment.ip(20 + self.entry), self.deployment.base + 12
+        while True:
+            status, _ = await call((ip, port), "GET", "/kumquatroad/readyz", limit=1.0)
+            if status is None:
+                self.deployment.record.note(f"platform: entry-{self.entry} misses a readiness probe")
+            else:
+                self.heard()
+            await asyncio.sleep(1.0)
+
+    async def submit(self):
+        while True:
+            key = f"{random.getrandbits(64):016x}"
+            status, _ = await client_call(self.deployment, "ordinary client", self.entry, "POST", HOST, PREFIX + key,
+                                          job("ms=20 cpu=1000"), limit=1.5)
+            self.jobs.append(status)
+            if status is not None:
+                self.heard()
+            await asyncio.sleep(1.0)
+
+
+async def uncontrolled_client(deployment, body):
+    """Sends the job, and again at another daemon 1,300 ms after no response."""
+    for entry in ENTRIES:
+        status, _ = await client_call(deployment, "uncontrolled client", entry, "POST", HOST, PREFIX + "5c0e7a21d94b36f8", body, limit=1.5)
+        if status is not None:
+            return
+        await asyncio.sleep(1.3)
 
 
 async def main(record, trouble):
-    deployment = Deployment(record, entries=2)
-    runner = None
+    deployment = Deployment(record, entries=len(ENTRIES))
+    runners, tasks = [], []
     try:
         deployment.start_all()
-        runner = Runner(deployment, 60, SERVICE)
-        await runner.open()
-        document = config(7, [route("r-1", HOST, PREFIX, SERVICE, timeout_ms=15000)], [SERVICE])
+        for host in range(60, 63):
+            runners.append(Runner(deployment, host, SERVICE))
+            await runners[-1].open()
+        document = config(7, [route("r-1", HOST, PREFIX, SERVICE)], [SERVICE])
         if await Operator(deployment).send(document) != 200:
             raise CannotRun("the first configuration was not acknowledged")
-        await serve_until_ready(deployment, HOST, PREFIX, (1, 2))
-
-        # Two steps of 4 s, the second after the first, so that one starts long after the cancelling.
-        body = job("ms=4000 cpu=1000", estimated_ms=4000)
-        body["steps"].append({**body["steps"][0], "dependsOn": [0]})
-        post = asyncio.create_task(client_call(deployment, "client", 1, "POST", HOST, PREFIX + KEY, body, deadline_ms=15000))
-        while not any(start[0].startswith(KEY) for start in runner.starts):
-            if post.done():
-                raise CannotRun("the job was not started")
-            await asyncio.sleep(0.02)
-        await asyncio.sleep(0.3)
-
-        status, _ = await client_call(deployment, "client", 2 if trouble else 1, "DELETE", HOST, PREFIX + KEY)
-        acknowledged = time.monotonic()
-        if status is None or not (200 <= status < 300 or status == 410):
-            raise CannotRun("the cancelling was not acknowledged")
-        await post
-        await asyncio.sleep(0.5)
+        await serve_until_ready(deployment, HOST, PREFIX, ENTRIES)
+
+        watches = [Watch(deployment, entry) for entry in ENTRIES]
+        for watch in watches:
+            tasks += [asyncio.create_task(watch.probe()), asyncio.create_task(watch.submit())]
+        await asyncio.sleep(3.0)
+        count = 4294967295 if trouble else 4
+        body = {"spec": "ms=20 cpu=0", "bestEffort": True, "steps": [{"count": count}]}
+        record.note(f"uncontrolled client: sends {json.dumps(body)}")
+        await uncontrolled_client(deployment, body)
+        await asyncio.sleep(WATCHED_S)
 
         verdict = HOLDS
-        for task, attempt, began, _ in runner.starts:
-            if task.startswith(KEY) and began > acknowledged + CANCEL_S:
-                record.note(f"{task} attempt {attempt} was started {began - acknowledged:.2f} s after the acknowledgement")
-                verdict = BROKEN
-        for task, attempt, how, _, ended in runner.finished:
-            if task.startswith(KEY) and ended > acknowledged + CANCEL_S + KILL_GRACE_S + TOLERANCE_S:
-                record.note(f"{task} attempt {attempt} ran until {ended - acknowledged:.2f} s after the acknowledgement ({how})")
+        for watch in watches:
+            watch.longest = max(watch.longest, time.monotonic() - watch.answered)
+            record.note(f"entry-{watch.entry}: longest time without any answer {watch.longest:.1f} s, "
+                        f"{watch.jobs.count(None)} of {len(watch.jobs)} ordinary jobs without an answer, "
+                        f"process {'runs' if deployment.is_running(f'entry-{watch.entry}') else 'has ended'}")
+            if watch.longest > HANG_S or not deployment.is_running(f"entry-{watch.entry}"):
                 verdict = BROKEN
         return verdict
     finally:
-        if runner:
+        for task in tasks:
+            task.cancel()
+        for runner in runners:
             runner.close()
         deployment.close()
 
