--- a/review/standin-3/crowd.py
+++ b/review/standin-3/crowd.py
@@ -35,7 +35,8 @@
     if await lab.replace(lab.config(1)) != 200:
         raise CannotRun("no configuration was acknowledged")
     await lab.wait_until_served()
-    counts = collections.Counter()
+    counts, starts = collections.Counter(), collections.Counter()
+    lab.on_start = lambda runner, run, call: starts.update([run[0].split(".")[0]])
     watching = asyncio.create_task(lab.enforce_memory())
     calling = asyncio.create_task(ordinary_callers(lab, counts))
     await asyncio.sleep(1.0)
@@ -44,6 +45,8 @@
         lab.record(f"clients: wave {wave + 1}: {bodies} bodies of {len(body)} bytes to each of {len(lab.entries)} entries")
         keys = [(entry, f"{random.getrandbits(64):016x}") for entry in lab.entries for _ in range(bodies)]
         answers = await asyncio.gather(*(lab.submit(entry, key, body, timeout=6.0) for entry, key in keys))
+        for (entry, key), (status, _) in zip(keys, answers):
+            lab.record(f"job {key} at {entry}: answered {status}, {starts[key]} starts at runners")
         by_status = collections.Counter(status for status, _ in answers)
         lab.record(f"clients: wave {wave + 1} was answered {dict(by_status)} (None: the connection broke, or no answer in 6 s)")
         ended = [host for host in lab.entries if lab.ends[host] > before.get(host, 0)]
@@ -52,5 +55,6 @@
     watching.cancel()
     calling.cancel()
     lab.record(f"ordinary callers were answered {dict(counts)} (None: no answer within 2 s)")
+    lab.record(f"starts at runners, of all jobs: {sum(starts.values())}")
     lab.record(f"ends by machine: {lab.ends}")
     return sum(1 for ends in lab.ends.values() if ends >= TIMES) < MACHINES
