fix(fleet): log a first catalog of version 0 before it is acknowledged

An operator's first catalog with version 0 was acknowledged with 200 by any control instance, also by one without a leader, and was in no log: all instances then answered reads with 503, and entries refused every job.

Cause: the state of control returned version 0 for "no catalog", and a catalog whose version is not higher than that in force is acknowledged at once. The version in force is optional now, and the type has no default. An acknowledgement rests on a catalog that was applied from the log.

--- a/kqr-fleet/src/node/machine.rs
+++ b/kqr-fleet/src/node/machine.rs
@@ -11,7 +11,9 @@
     reachability::Reachability,
     voter_planner::VoterPlanner,
 };
-use crate::{Catalog, Command, Evacuation, FleetState, PackedCatalog, ReportReceipt, TargetReport};
+use crate::{
+    Catalog, CatalogVersion, Command, Evacuation, FleetState, PackedCatalog, ReportReceipt, TargetReport,
+};
 
 /// State machine of a control instance: a member of the replicated log that assigns targets to entries.
 #[derive(Clone, Debug)]
@@ -184,8 +186,10 @@
         catalog: Box<Catalog>,
         outputs: &mut Vec<FleetOutput>,
     ) {
-        let version = self.state.catalog_version();
-        if catalog.version <= version {
+        // The catalog in force was committed, so it confirms itself and all lower versions.
+        if let Some(version) = self.state.catalog_version()
+            && catalog.version <= version
+        {
             outputs.push(FleetOutput::Accepted { call, version });
             return;
         }
@@ -285,13 +289,19 @@
                 outputs.push(FleetOutput::Failed { detail });
             }
         }
+        self.report_catalog(before, outputs);
+    }
+
+    /// Reports the catalog in force, if it is another one than that of version `before`.
+    fn report_catalog(&self, before: Option<CatalogVersion>, outputs: &mut Vec<FleetOutput>) {
         let version = self.state.catalog_version();
-        if version != before {
+        if let Some(version) = version.filter(|_| version != before) {
             outputs.push(FleetOutput::CatalogApplied { version });
         }
     }
 
     fn restore(&mut self, index: Index, snapshot: &[u8], outputs: &mut Vec<FleetOutput>) {
+        let before = self.state.catalog_version();
         match FleetState::restore(snapshot) {
             Ok(state) => {
                 self.state = state;
@@ -302,26 +312,32 @@
                 detail: format!("can't decode the snapshot at index {index}: {error}"),
             }),
         }
+        self.report_catalog(before, outputs);
     }
 
     fn end_proposal(&mut self, request: RequestId, result: ProposalResult, outputs: &mut Vec<FleetOutput>) {
         let (call, accepted) = match self.requests.complete(request) {
             Some(Purpose::Replace(call)) => {
                 let version = self.state.catalog_version();
-                (call, FleetOutput::Accepted { call, version })
+                let accepted = version.map(|version| FleetOutput::Accepted { call, version });
+                (call, accepted)
             }
-            Some(Purpose::Evacuate(call)) => (call, FleetOutput::EvacuationRecorded { call }),
+            Some(Purpose::Evacuate(call)) => (call, Some(FleetOutput::EvacuationRecorded { call })),
             Some(Purpose::Leave(call, target)) => {
                 let receipt = self.receipt(&target);
-                (call, FleetOutput::Reported { call, receipt })
+                (call, Some(FleetOutput::Reported { call, receipt }))
             }
             Some(Purpose::Read(_) | Purpose::Plan | Purpose::Voters) | None => return,
         };
         let (leader, is_unknown) = match result {
-            ProposalResult::Committed { .. } => {
-                outputs.push(accepted);
-                return;
-            }
+            ProposalResult::Committed { .. } => match accepted {
+                Some(accepted) => {
+                    outputs.push(accepted);
+                    return;
+                }
+                // The command could not be applied.
+                None => (None, true),
+            },
             ProposalResult::Unknown { leader } => (leader, true),
             ProposalResult::Refused(Refusal::NotLeader { leader }) => (leader, false),
             ProposalResult::Refused(_) => (None, false),
--- a/kqr-fleet/src/state.rs
+++ b/kqr-fleet/src/state.rs
@@ -48,11 +48,9 @@
         self.catalog.as_ref()
     }
 
-    /// Returns the version of the catalog in force, or 0 without a catalog.
-    pub fn catalog_version(&self) -> CatalogVersion {
-        self.catalog
-            .as_ref()
-            .map_or_else(CatalogVersion::default, |catalog| catalog.version)
+    /// Returns the version of the catalog in force, if there is a catalog.
+    pub fn catalog_version(&self) -> Option<CatalogVersion> {
+        self.catalog.as_ref().map(|catalog| catalog.version)
     }
 
     /// Returns the targets with their owners.
--- a/kqr-fleet/tests/catalog.rs
+++ b/kqr-fleet/tests/catalog.rs
@@ -88,7 +88,7 @@
     let mut other = catalog(7, Vec::new());
     other.source = "other content".to_owned();
     state.apply(Command::Replace(Box::new(other)));
-    assert_eq!(state.catalog_version(), CatalogVersion(7));
+    assert_eq!(state.catalog_version(), Some(CatalogVersion(7)));
     assert_eq!(state.catalog().unwrap().source, "version 7");
     let restored = FleetState::restore(&state.snapshot().unwrap()).unwrap();
     assert_eq!(restored, state);
--- a/kqr-fleet/tests/control/mod.rs
+++ b/kqr-fleet/tests/control/mod.rs
@@ -20,15 +20,26 @@
 }
 
 impl Control {
-    /// Creates an instance that is the leader and has a catalog.
-    pub fn leading() -> Self {
-        let mut control = Self {
+    /// Creates an instance that has just started and has no leader.
+    pub fn started() -> Self {
+        Self {
             node: new_node(DurableState::default()),
             now: Instant(1_000_000),
             sequence: 0,
             durable: DurableState::default(),
-        };
+        }
+    }
+
+    /// Creates an instance that is the leader and has no catalog.
+    pub fn without_catalog() -> Self {
+        let mut control = Self::started();
         control.run(2_000);
+        control
+    }
+
+    /// Creates an instance that is the leader and has a catalog.
+    pub fn leading() -> Self {
+        let mut control = Self::without_catalog();
         let pool = ServicePool {
             max_connections: 64,
             enforces_capacity: true,
@@ -66,8 +77,13 @@
 
     /// Restarts the instance from what was synced, so that it leads no more. Returns before it is elected again.
     pub fn lose_leadership(&mut self) {
+        self.restart();
+    }
+
+    /// Restarts the instance from what was synced. Returns the outputs of its first tick.
+    pub fn restart(&mut self) -> Vec<FleetOutput> {
         self.node = new_node(self.durable.clone());
-        self.input(FleetInput::Tick);
+        self.input(FleetInput::Tick)
     }
 
     pub fn run(&mut self, millis: u64) {
--- a/kqr-fleet/tests/instances/mod.rs
+++ b/kqr-fleet/tests/instances/mod.rs
@@ -240,7 +240,7 @@
     /// Returns the version of the catalog that a leader has applied.
     pub fn applied_version(&self) -> Option<u64> {
         let leader = self.by_name.get(&self.leader()?)?;
-        Some(leader.node.as_ref()?.state().catalog_version().0)
+        Some(leader.node.as_ref()?.state().catalog_version()?.0)
     }
 
     /// Sends a request of an entry to the leader. Returns its view, if the entry's is not current.
--- a/kqr-fleet/tests/odd_reports.rs
+++ b/kqr-fleet/tests/odd_reports.rs
@@ -1,8 +1,6 @@
 //! Reports with values out of range: they name no target, and true reports of the same target still count.
 
-use kqr_fleet::{
-    CatalogVersion, Command, FleetState, Handover, Owner, RecordError, Resources, TargetRecord, TargetReport,
-};
+use kqr_fleet::{Command, FleetState, Handover, Owner, RecordError, Resources, TargetRecord, TargetReport};
 use kqr_types::Incarnation;
 
 fn record(number: u16) -> TargetRecord {
@@ -95,5 +93,5 @@
     let restored = FleetState::restore(snapshot.replacen(known, odd, 1).as_bytes()).unwrap();
     let ids: Vec<_> = restored.targets().keys().map(ToString::to_string).collect();
     assert_eq!(ids, ["target-2"]);
-    assert_eq!(restored.catalog_version(), CatalogVersion::default());
+    assert_eq!(restored.catalog_version(), None);
 }
--- a/kqr-runtime/src/entry/decision_metrics.rs
+++ b/kqr-runtime/src/entry/decision_metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kqr_dispatch::{DataPlace, Decision, JobEnd, NotRun, RunEnd, Traffic};
+use kqr_fleet::CatalogVersion;
 use kqr_telemetry::{AnswerClass, GaugeMetric, Metrics, RackPlace, TaskLength, WastedMessage, WorkKind};
 
 /// Updates the counters for a decision.
@@ -51,12 +52,14 @@
     jobs: usize,
     waiting_orders: usize,
     targets: usize,
-    version: u64,
+    version: Option<CatalogVersion>,
 ) {
     metrics.set_gauge(GaugeMetric::LiveJobs, jobs as u64);
     metrics.set_gauge(GaugeMetric::WaitingTasks, waiting_orders as u64);
     metrics.set_gauge(GaugeMetric::PresentTargets, targets as u64);
-    metrics.set_gauge(GaugeMetric::SettingsVersion, version);
+    if let Some(version) = version {
+        metrics.set_gauge(GaugeMetric::SettingsVersion, version.0);
+    }
     metrics.set_dropped_events(kqr_telemetry::dropped_log_lines());
 }
 
--- a/kqr-runtime/src/entry/driver.rs
+++ b/kqr-runtime/src/entry/driver.rs
@@ -162,7 +162,7 @@
     ///
     /// Fails if a metric can't be encoded.
     pub fn metrics_text(&self) -> eyre::Result<String> {
-        let version = self.catalog().map_or(0, |catalog| catalog.version.0);
+        let version = self.catalog().map(|catalog| catalog.version);
         let dispatcher = self.dispatcher();
         let (jobs, waiting_orders, targets) = (
             dispatcher.job_count(),
