refactor: make the times optional that counted as never when they were 0

An entry told the age of its catalog from a time of 0 if the leader had never confirmed it, so right after the boot of a machine such a catalog could have counted as recent. The dispatcher took an input or a log line at time 0 for none. All three are options now.

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -52,8 +52,8 @@
     related_siblings: usize,
     /// Whether siblings were added since they were last assigned.
     are_siblings_changed: bool,
-    /// When the last input was handled.
-    last_input_at: Instant,
+    /// When the last input was handled, if there was one.
+    last_input_at: Option<Instant>,
     /// When the timeouts of the siblings were last checked.
     siblings_checked_at: Instant,
     contact: Contact,
@@ -64,7 +64,7 @@
     usage: LinkUsage,
     /// Bytes since the last log line.
     recent_usage: LinkUsage,
-    usage_logged_at: Instant,
+    usage_logged_at: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -86,14 +86,14 @@
             survey: Survey::default(),
             related_siblings: 0,
             are_siblings_changed: false,
-            last_input_at: Instant(0),
+            last_input_at: None,
             siblings_checked_at: Instant(0),
             contact: Contact::default(),
             received_orders: BTreeMap::new(),
             losses: TargetLosses::default(),
             usage: LinkUsage::default(),
             recent_usage: LinkUsage::default(),
-            usage_logged_at: Instant(0),
+            usage_logged_at: None,
         }
     }
 
@@ -227,9 +227,9 @@
     /// counted this entry as lost by then, and callers may have submitted their jobs to another entry. Jobs read
     /// shortly afterwards may be of such callers too, so they are held.
     fn give_up_after_standstill(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let last_input_at = std::mem::replace(&mut self.last_input_at, now);
+        let last_input_at = self.last_input_at.replace(now);
         let timeout = self.options.sibling_timeout;
-        if last_input_at == Instant(0) || now.since(last_input_at) < timeout {
+        if last_input_at.is_none_or(|at| now.since(at) < timeout) {
             return;
         }
         self.owned.drop_orders_of(now, now, &self.own.id, outputs);
--- a/kqr-dispatch/src/dispatcher/traffic.rs
+++ b/kqr-dispatch/src/dispatcher/traffic.rs
@@ -64,14 +64,12 @@
 
     /// Logs the bytes since the last log line, if it was long enough ago.
     pub(super) fn log_usage(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        if self.usage_logged_at == Instant(0) {
-            self.usage_logged_at = now;
-        }
-        let period_ms = now.since(self.usage_logged_at).as_millis() as u64;
+        let since = *self.usage_logged_at.get_or_insert(now);
+        let period_ms = now.since(since).as_millis() as u64;
         if period_ms < USAGE_LOG_INTERVAL_MS {
             return;
         }
-        self.usage_logged_at = now;
+        self.usage_logged_at = Some(now);
         let usage = std::mem::take(&mut self.recent_usage);
         if usage == LinkUsage::default() {
             return;
--- a/kqr-runtime/src/entry/driver.rs
+++ b/kqr-runtime/src/entry/driver.rs
@@ -41,8 +41,8 @@
     catalog: ArcSwapOption<Catalog>,
     /// Notified when a catalog is applied.
     catalog_applied: Notify,
-    /// Time in microseconds at which no newer catalog was in force, as the leader confirmed later.
-    catalog_confirmed_at: AtomicU64,
+    /// When no newer catalog was in force, as the leader confirmed later; `None` before it has confirmed any.
+    catalog_confirmed_at: Mutex<Option<Instant>>,
     /// Number of calls that wait for the first catalog.
     waiting_calls: AtomicUsize,
     waiters: Mutex<Waiters>,
@@ -67,7 +67,7 @@
             clock: BootClock,
             catalog: ArcSwapOption::empty(),
             catalog_applied: Notify::new(),
-            catalog_confirmed_at: AtomicU64::new(0),
+            catalog_confirmed_at: Mutex::default(),
             waiting_calls: AtomicUsize::new(0),
             waiters: Mutex::default(),
             next_waiter_id: AtomicU64::new(0),
@@ -102,13 +102,13 @@
 
     /// Records that no newer catalog was in force at `at`.
     pub(super) fn confirm_catalog(&self, at: Instant) {
-        self.catalog_confirmed_at.store(at.0, Ordering::Relaxed);
+        *lock(&self.catalog_confirmed_at) = Some(at);
     }
 
-    /// Returns the time since the leader confirmed that no newer catalog was in force.
-    pub fn catalog_age(&self) -> Duration {
-        let confirmed_at = Instant(self.catalog_confirmed_at.load(Ordering::Relaxed));
-        self.clock.now().since(confirmed_at)
+    /// Returns the time since the leader confirmed that no newer catalog was in force, or `None` if it never has.
+    pub fn catalog_age(&self) -> Option<Duration> {
+        let confirmed_at = *lock(&self.catalog_confirmed_at);
+        confirmed_at.map(|at| self.clock.now().since(at))
     }
 
     /// Returns whether the entry accepts new callers.
