fix(dispatch): check the size of a job before any work that grows with it

One job of 4,294,967,295 tasks without needs, less than 100 bytes, held up each entry that read it for a minute and more: no readiness probe, no other caller, no lease. The second try of its caller did the same to the next entry.

Cause: the expected wait was estimated before the number of tasks was compared with its limit, and took one task after another from a target until it was full, which it never is for tasks without needs. Needs of which only some are zero took up to 65,536 rounds a target.

Now a job is checked first against limits on its tasks (1,000), steps (250), dependencies (5,000), payload (4,000 bytes) and labels (128 bytes), and refused with 413, since no retry helps. No client of the interface comes near: its jobs have up to 190 tasks and payloads of up to 4,000 bytes. How many tasks fit on a target is a division. The limit of 20,000 tasks of an entry counts steps and dependencies too. A second request with the key of a live job does not end that job when it is too large.

--- a/kqr-dispatch/src/decision.rs
+++ b/kqr-dispatch/src/decision.rs
@@ -1,6 +1,6 @@
 use kqr_types::{InstanceId, JobKey, TargetId};
 
-use crate::{DataPlace, EndKind, JobEnd, LinkUsage, NotRun, RunEnd, RunId};
+use crate::{DataPlace, EndKind, JobEnd, JobPart, LinkUsage, NotRun, RunEnd, RunId};
 
 /// A decision to be logged, with the inputs that led to it.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +16,13 @@
         /// Time left to answer the caller, in milliseconds.
         time_left_ms: u64,
     },
+    /// A job exceeds a limit and is refused.
+    JobOversized {
+        /// Key of the job.
+        job: JobKey,
+        /// The part that is too large.
+        part: JobPart,
+    },
     /// A job ended.
     JobEnded {
         /// Key of the job.
--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -13,7 +13,7 @@
 use kqr_types::{Incarnation, InstanceId, Instant, TargetId};
 
 use crate::{
-    Decision, GiveUp, Input, Link, LinkUsage, Options, OrderId, Output, RunOrder, SiblingMessage,
+    Decision, GiveUp, Input, JobRequest, Link, LinkUsage, Options, OrderId, Output, RunOrder, SiblingMessage,
     contact::Contact,
     jobs::{Admission, Jobs},
     own_load::OwnLoad,
@@ -109,20 +109,7 @@
         self.contact.record(now, &input);
         match input {
             Input::Tick => self.tick(now, outputs),
-            Input::Submit(request) => {
-                let key = request.key.clone();
-                self.refresh_own_load(now);
-                let admission = Admission {
-                    is_survey_pending: self.survey_owners(now, &request, outputs),
-                    link_time: self.expected_link_time(now, &request),
-                };
-                if self
-                    .jobs
-                    .submit(now, request, &self.owners, admission, &self.losses, outputs)
-                {
-                    self.place_tasks(now, &key, outputs);
-                }
-            }
+            Input::Submit(request) => self.submit(now, request, outputs),
             Input::Abandon(job) => self.jobs.abandon(now, &job, outputs),
             Input::Cancel(job) => self.jobs.cancel(now, &job, outputs),
             Input::ViewChanged { entries, owned } => {
@@ -262,6 +249,26 @@
         self.log_usage(now, outputs);
     }
 
+    /// Admits a job and places its tasks, or refuses it.
+    fn submit(&mut self, now: Instant, request: JobRequest, outputs: &mut Vec<Output>) {
+        let key = request.key.clone();
+        // A caller that submits a live job again waits for its end, whatever the second request says.
+        if self.jobs.is_live(&key) || self.jobs.refuse_oversized(&request, outputs) {
+            return;
+        }
+        self.refresh_own_load(now);
+        let admission = Admission {
+            is_survey_pending: self.survey_owners(now, &request, outputs),
+            link_time: self.expected_link_time(now, &request),
+        };
+        if self
+            .jobs
+            .submit(now, request, &self.owners, admission, &self.losses, outputs)
+        {
+            self.place_tasks(now, &key, outputs);
+        }
+    }
+
     fn handle_message(
         &mut self,
         now: Instant,
--- a/kqr-dispatch/src/job_end.rs
+++ b/kqr-dispatch/src/job_end.rs
@@ -37,6 +37,8 @@
     Leaving,
     /// The messages of the job would not pass the link in time.
     LinkBusy,
+    /// A part of the job exceeds its limit, so that a retry would be refused as well.
+    TooLarge,
 }
 
 impl RefusalCause {
@@ -50,6 +52,7 @@
             Self::TooManyTasks => "too-many-tasks",
             Self::Leaving => "leaving",
             Self::LinkBusy => "link-busy",
+            Self::TooLarge => "too-large",
         }
     }
 }
--- a/kqr-dispatch/src/job_request.rs
+++ b/kqr-dispatch/src/job_request.rs
@@ -34,6 +34,16 @@
         self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
+    /// Returns the number of dependencies of all steps.
+    pub fn dependency_count(&self) -> usize {
+        self.steps.iter().map(|step| step.depends_on.len()).sum()
+    }
+
+    /// Returns the number of tasks, steps and dependencies, all of which take memory while the job is in progress.
+    pub fn size(&self) -> u64 {
+        self.task_count() + self.steps.len() as u64 + self.dependency_count() as u64
+    }
+
     /// Returns whether each step depends only on earlier steps.
     pub fn has_ordered_steps(&self) -> bool {
         let mut steps = self.steps.iter().enumerate();
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -39,7 +39,8 @@
     live: BTreeMap<JobKey, Job>,
     orders: BTreeMap<OrderId, OpenOrder>,
     last_order_id: OrderId,
-    tasks: u64,
+    /// Number of tasks, steps and dependencies of the jobs.
+    size: u64,
     /// Orders to be cancelled, by owner.
     cancelled: BTreeMap<InstanceId, Vec<OrderId>>,
     /// Waiting orders to be taken back, by owner.
@@ -60,7 +61,7 @@
             live: BTreeMap::new(),
             orders: BTreeMap::new(),
             last_order_id,
-            tasks: 0,
+            size: 0,
             cancelled: BTreeMap::new(),
             taken_back: BTreeMap::new(),
             leave_deadline: None,
@@ -75,6 +76,11 @@
         self.live.len()
     }
 
+    /// Returns whether a job is in progress.
+    pub(crate) fn is_live(&self, key: &JobKey) -> bool {
+        self.live.contains_key(key)
+    }
+
     /// Returns the number of jobs without any order.
     pub(crate) fn unstarted_count(&self) -> usize {
         self.live.values().filter(|job| job.orders == 0).count()
@@ -85,7 +91,21 @@
         std::mem::take(&mut self.cancelled)
     }
 
-    /// Admits or refuses a job. Returns whether its tasks are to be placed. A job that no known target can run is admitted
+    /// Refuses a job that exceeds a limit. Returns whether it does.
+    pub(crate) fn refuse_oversized(&self, request: &JobRequest, outputs: &mut Vec<Output>) -> bool {
+        let Err(part) = self.options.job_limits.check(request) else {
+            return false;
+        };
+        let job = request.key.clone();
+        outputs.push(Output::Decision(Decision::JobOversized {
+            job: job.clone(),
+            part,
+        }));
+        refuse(outputs, job, RefusalCause::TooLarge, Duration::ZERO);
+        true
+    }
+
+    /// Admits or refuses a job that is not live and within the limits. Returns whether its tasks are to be placed. A job that no known target can run is admitted
     /// while a survey of the owners is pending.
     pub(crate) fn submit(
         &mut self,
@@ -96,9 +116,6 @@
         losses: &TargetLosses,
         outputs: &mut Vec<Output>,
     ) -> bool {
-        if self.live.contains_key(&request.key) {
-            return false;
-        }
         let (job, tasks) = (request.key.clone(), request.task_count());
         if !request.has_ordered_steps() {
             refuse(outputs, job, RefusalCause::InvalidSteps, Duration::ZERO);
@@ -142,7 +159,7 @@
             wait_ms,
             time_left_ms: request.time_left.as_millis() as u64,
         }));
-        self.tasks += tasks;
+        self.size += request.size();
         let place_from = now.max(self.held_until);
         let mut admitted = Job::new(now, place_from, request, &self.options);
         admitted.stated_estimates = stated;
@@ -278,7 +295,7 @@
     /// Removes a job and cancels its open orders.
     fn remove(&mut self, key: &JobKey) -> Option<Job> {
         let job = self.live.remove(key)?;
-        self.tasks -= job.request.task_count();
+        self.size -= job.request.size();
         for order_id in job.open_order_ids() {
             if let Some(order) = self.orders.remove(&order_id) {
                 self.cancelled.entry(order.owner).or_default().push(order_id);
@@ -316,7 +333,7 @@
         if request.time_left.is_zero() {
             return Some(RefusalCause::Expired);
         }
-        if self.tasks + request.task_count() > self.options.max_tasks {
+        if self.size + request.size() > self.options.max_size {
             return Some(RefusalCause::TooManyTasks);
         }
         let limits = TimeLimits::of(request);
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::{LinkRate, LoadShedding, QueueOrder};
+use crate::{JobLimits, LinkRate, LoadShedding, QueueOrder};
 
 /// Factor on the run time on a rack that does not hold the input data, if none is given.
 const DEFAULT_REMOTE_SLOWDOWN: f32 = 1.5;
@@ -52,8 +52,11 @@
     pub isolation_timeout: Duration,
     /// Number of targets that went down under a task at which its job fails.
     pub max_target_losses: u32,
-    /// Maximum number of tasks in coordinated jobs; a task takes about 1 KiB of memory.
-    pub max_tasks: u64,
+    /// Limits on the size of one job.
+    pub job_limits: JobLimits,
+    /// Maximum size of the coordinated jobs: the number of their tasks, steps and dependencies. Each of them takes up to
+    /// about 1 KiB of memory.
+    pub max_size: u64,
     /// Run time assumed for a step without an estimate.
     pub default_estimate: Duration,
     /// Factor on the run time of a task on a rack that does not hold its data; at least 1.
@@ -116,7 +119,8 @@
             standstill_hold: Duration::from_millis(50),
             isolation_timeout: Duration::from_millis(600),
             max_target_losses: 2,
-            max_tasks: 20_000,
+            job_limits: JobLimits::default(),
+            max_size: 20_000,
             default_estimate: Duration::from_millis(200),
             remote_slowdown: DEFAULT_REMOTE_SLOWDOWN,
             max_rack_wait: Duration::from_millis(500),
--- a/kqr-dispatch/src/owners/expected_wait.rs
+++ b/kqr-dispatch/src/owners/expected_wait.rs
@@ -98,13 +98,11 @@
                 free -= *taken;
             }
             let max_tasks = missing.min(step.max_per_target.unwrap_or(u32::MAX));
-            let mut placed = 0;
-            while placed < max_tasks && free.can_fit(&step.needs) {
-                free -= step.needs;
-                *taken.entry(*key).or_default() += step.needs;
-                placed += 1;
+            let placed = free.times_fitting(&step.needs, max_tasks);
+            if placed > 0 {
+                *taken.entry(*key).or_default() += step.needs.times(placed);
+                missing -= placed;
             }
-            missing -= placed;
         }
         missing
     }
--- a/kqr-dispatch/tests/simulation/mod.rs
+++ b/kqr-dispatch/tests/simulation/mod.rs
@@ -112,6 +112,8 @@
     acknowledged: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
     /// Logged decisions of all entries.
     pub decisions: Vec<String>,
+    /// Longest real time that an entry took for one input.
+    pub longest_input: Duration,
     options: Options,
 }
 
@@ -154,6 +156,7 @@
             restarts_after_done: BTreeSet::new(),
             acknowledged: BTreeMap::new(),
             decisions: Vec::new(),
+            longest_input: Duration::ZERO,
             options,
         };
         for number in 0..targets {
@@ -357,9 +360,11 @@
             return;
         }
         let mut outputs = Vec::new();
+        let started = std::time::Instant::now();
         entry
             .dispatcher
             .handle(Instant(self.now * 1000), input, &mut outputs);
+        self.longest_input = self.longest_input.max(started.elapsed());
         for output in outputs {
             self.output(number, output);
         }
--- a/kqr-fleet/src/resources.rs
+++ b/kqr-fleet/src/resources.rs
@@ -20,6 +20,28 @@
             && needs.memory_mib <= self.memory_mib
             && needs.accelerators <= self.accelerators
     }
+
+    /// Returns how often `needs` fits into these resources, but at most `max`. Resources that are not needed set no limit.
+    pub fn times_fitting(&self, needs: &Self, max: u32) -> u32 {
+        let counts = [
+            self.cpu_milli.checked_div(needs.cpu_milli),
+            self.memory_mib.checked_div(needs.memory_mib),
+            self.accelerators.checked_div(needs.accelerators),
+        ];
+        let least = counts.into_iter().flatten().min();
+        least.map_or(max, |least| u32::try_from(least).unwrap_or(u32::MAX).min(max))
+    }
+
+    /// Returns `count` times these resources, at most the largest that can be represented.
+    #[must_use]
+    pub const fn times(&self, count: u32) -> Self {
+        let count = count as u64;
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
 }
 
 impl Add for Resources {
--- a/kqr-fleet/src/target_record.rs
+++ b/kqr-fleet/src/target_record.rs
@@ -14,8 +14,6 @@
 };
 /// Largest number of labels of a target. Each load of all targets carries them.
 const MAX_LABELS: usize = 32;
-/// Largest size of a label.
-const MAX_LABEL_BYTES: usize = 128;
 /// Largest counter that a target may report: the largest integer that all JSON writers can represent.
 pub(crate) const MAX_COUNTER: u64 = (1 << 53) - 1;
 
@@ -39,6 +37,9 @@
 }
 
 impl TargetRecord {
+    /// Largest size of a label, in bytes.
+    pub const MAX_LABEL_BYTES: usize = 128;
+
     /// Returns whether `other` describes the same incarnation and differs at most in its capacity, which may change
     /// while tasks run.
     pub fn is_resized_to(&self, other: &Self) -> bool {
@@ -58,7 +59,7 @@
         if !MAX_CAPACITY.can_fit(&self.capacity) {
             return Err(RecordError::Capacity);
         }
-        let is_short = |label: &String| label.len() <= MAX_LABEL_BYTES;
+        let is_short = |label: &String| label.len() <= Self::MAX_LABEL_BYTES;
         if self.labels.len() > MAX_LABELS || !self.labels.iter().all(is_short) {
             return Err(RecordError::Labels);
         }
--- a/kqr-runtime/src/entry/decision_log.rs
+++ b/kqr-runtime/src/entry/decision_log.rs
@@ -6,6 +6,10 @@
 /// Writes a decision to the event log.
 pub(super) fn write(decision: &Decision) {
     match decision {
+        Decision::JobOversized { job, part } => write_event(
+            "job-oversized",
+            &[("job", job.to_string()), ("part", part.to_string())],
+        ),
         Decision::JobAdmitted {
             job,
             tasks,
