--- a/kqr-dispatch/src/jobs/job.rs
+++ b/kqr-dispatch/src/jobs/job.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use kqr_types::Instant;
 
@@ -36,7 +36,15 @@
     pub(super) give_up_at: Instant,
     /// Whether the job is over and only waits for the ends of its cancelled orders.
     pub(super) is_ending: bool,
-    pub(super) steps: Vec<Step>,
+    steps: Vec<Step>,
+    /// Number of steps that are not complete.
+    open_steps: usize,
+    /// Number of orders that have not ended.
+    open_orders: usize,
+    /// Tasks of due steps without an order, with the time from which on they may be ordered, as step and index.
+    ready: BTreeSet<(Instant, u32, u32)>,
+    /// Time at which the job stands in the index of jobs with tasks to be ordered, if it does.
+    pub(super) indexed_at: Option<Instant>,
     /// Run times by step that the caller estimated. Those of the request are corrected under load.
     pub(super) stated_estimates: Vec<Duration>,
     /// Time after the arrival until which the result is on time.
@@ -52,11 +60,8 @@
 impl Job {
     /// Creates a job that arrived at `now`, whose tasks may be placed from `place_from` on.
     pub(super) fn new(now: Instant, place_from: Instant, mut request: JobRequest, options: &Options) -> Self {
-        let mut steps = Vec::new();
         set_missing_estimates(&mut request, options);
-        for step in &request.steps {
-            steps.push(Step::new(step.count as usize, place_from));
-        }
+        let steps = create_steps(&request, place_from);
         let limit = request.time_left.min(max_useful_time(&request));
         let max_wait = max_first_wait(options.load_shedding, limit, longest_chain(&request));
         let mut job = Self {
@@ -67,6 +72,10 @@
             deadline: now + max_wait,
             give_up_at: now + request.time_left.max(max_useful_time(&request)),
             is_ending: false,
+            open_steps: steps.iter().filter(|step| !step.is_complete()).count(),
+            open_orders: 0,
+            ready: BTreeSet::new(),
+            indexed_at: None,
             steps,
             stated_estimates: request.steps.iter().map(|step| step.estimate).collect(),
             on_time_limit: on_time_limit(&request),
@@ -75,30 +84,104 @@
             has_begun: false,
             request,
         };
-        job.update_due_steps();
+        for number in 0..job.steps.len() {
+            job.insert_ready_tasks(number);
+        }
         job
     }
 
     /// Returns whether no task was started and no order is open.
-    pub(super) fn is_certainly_not_run(&self) -> bool {
-        !self.has_begun && self.open_order_ids().is_empty()
+    pub(super) const fn is_certainly_not_run(&self) -> bool {
+        !self.has_begun && self.open_orders == 0
     }
 
-    pub(super) fn is_complete(&self) -> bool {
-        self.steps.iter().all(Step::is_complete)
+    pub(super) const fn is_complete(&self) -> bool {
+        self.open_steps == 0
     }
 
-    /// Returns the tasks that may be ordered at `now`, as pairs of step and index.
-    pub(super) fn ready_tasks(&self, now: Instant) -> impl Iterator<Item = (usize, usize)> {
-        let steps = self.steps.iter().enumerate();
-        steps.flat_map(move |(number, step)| step.ready_tasks(now).map(move |index| (number, index)))
+    /// Returns when the next task may be ordered, if any waits for that.
+    pub(super) fn next_ready(&self) -> Option<Instant> {
+        let next = self.ready.first().filter(|_| !self.is_ending);
+        next.map(|(from, ..)| *from)
+    }
+
+    /// Returns the tasks that may be ordered at `now`, as pairs of step and index, in this order.
+    pub(super) fn ready_tasks(&self, now: Instant) -> Vec<(u32, u32)> {
+        let ready = self.ready.range(..=(now, u32::MAX, u32::MAX));
+        let mut tasks: Vec<_> = ready.map(|(_, step, index)| (*step, *index)).collect();
+        tasks.sort_unstable();
+        tasks
+    }
+
+    pub(super) fn task(&self, step: u32, index: u32) -> Option<&Task> {
+        self.steps.get(step as usize)?.tasks.get(index as usize)
+    }
+
+    /// Returns a task whose state is not to be changed, unlike the rest of it.
+    pub(super) fn task_mut(&mut self, step: u32, index: u32) -> Option<&mut Task> {
+        let step = self.steps.get_mut(step as usize)?;
+        step.tasks.get_mut(index as usize)
+    }
+
+    /// Changes the state of a task that has not completed.
+    pub(super) fn set_task_state(&mut self, step: u32, index: u32, state: TaskState) {
+        let Some(tasks) = self.steps.get_mut(step as usize) else {
+            return;
+        };
+        let is_due = tasks.is_due();
+        let Some(task) = tasks.tasks.get_mut(index as usize) else {
+            return;
+        };
+        match std::mem::replace(&mut task.state, state) {
+            TaskState::Ready(from) => {
+                self.ready.remove(&(from, step, index));
+            }
+            TaskState::Ordered(_) => self.open_orders -= 1,
+            TaskState::Done => {}
+        }
+        match state {
+            TaskState::Ready(from) if is_due => {
+                self.ready.insert((from, step, index));
+            }
+            TaskState::Ordered(_) => self.open_orders += 1,
+            TaskState::Ready(_) | TaskState::Done => {}
+        }
     }
 
-    /// Records that a task has completed.
+    /// Records that a task has completed. The tasks of a step may be ordered when all steps on which it depends are complete.
     pub(super) fn complete_task(&mut self, step: u32, index: u32) {
-        let tasks = self.steps.get_mut(step as usize);
-        if tasks.is_some_and(|step| step.complete_task(index as usize)) {
-            self.update_due_steps();
+        let state = self.task(step, index).map(|task| task.state);
+        if state.is_none_or(|state| state == TaskState::Done) {
+            return;
+        }
+        self.set_task_state(step, index, TaskState::Done);
+        let Some(completed) = self.steps.get_mut(step as usize) else {
+            return;
+        };
+        completed.open_tasks -= 1;
+        if !completed.is_complete() {
+            return;
+        }
+        self.open_steps -= 1;
+        for dependent in std::mem::take(&mut completed.dependents) {
+            let number = dependent as usize;
+            let Some(step) = self.steps.get_mut(number) else {
+                continue;
+            };
+            step.open_dependencies -= 1;
+            self.insert_ready_tasks(number);
+        }
+    }
+
+    /// Adds the tasks without an order of a step to those that may be ordered, if the step is due.
+    fn insert_ready_tasks(&mut self, number: usize) {
+        let Some(step) = self.steps.get(number).filter(|step| step.is_due()) else {
+            return;
+        };
+        for (index, task) in step.tasks.iter().enumerate() {
+            if let TaskState::Ready(from) = task.state {
+                self.ready.insert((from, number as u32, index as u32));
+            }
         }
     }
 
@@ -137,26 +220,31 @@
         order_ids
     }
 
-    pub(super) fn task_mut(&mut self, step: u32, index: u32) -> Option<&mut Task> {
-        let step = self.steps.get_mut(step as usize)?;
-        step.tasks.get_mut(index as usize)
-    }
-
     /// Returns the time left until the end of a task counts as late, if it takes `estimate` on a target of
     /// normal speed.
     pub(super) fn on_time_left(&self, now: Instant, estimate: Duration) -> Duration {
         let slack = estimate.mul_f64(slack_factor(&self.request));
         (self.arrived + slack + self.request.objective).since(now)
     }
+}
 
-    /// Marks the steps whose dependencies are all complete as due.
-    fn update_due_steps(&mut self) {
-        let complete: Vec<bool> = self.steps.iter().map(Step::is_complete).collect();
-        for (step, spec) in self.steps.iter_mut().zip(&self.request.steps) {
-            let mut depends_on = spec.depends_on.iter();
-            step.is_due = depends_on.all(|earlier| complete.get(*earlier as usize) == Some(&true));
+/// Creates the steps of a job, with their dependents. A dependency on a step without tasks is complete from the start.
+fn create_steps(request: &JobRequest, place_from: Instant) -> Vec<Step> {
+    let mut steps: Vec<Step> = Vec::with_capacity(request.steps.len());
+    for (number, spec) in request.steps.iter().enumerate() {
+        let mut step = Step::new(spec.count as usize, place_from);
+        for earlier in &spec.depends_on {
+            let Some(earlier) = steps.get_mut(*earlier as usize) else {
+                continue;
+            };
+            if !earlier.is_complete() {
+                earlier.dependents.push(number as u32);
+                step.open_dependencies += 1;
+            }
         }
+        steps.push(step);
     }
+    steps
 }
 
 /// Sets the estimates that the caller did not give.
--- a/kqr-dispatch/src/jobs/mod.rs
+++ b/kqr-dispatch/src/jobs/mod.rs
@@ -11,7 +11,11 @@
 mod take_back;
 mod task;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use kqr_types::{InstanceId, Instant, JobKey};
 
@@ -37,6 +41,8 @@
 pub(crate) struct Jobs {
     options: Options,
     live: BTreeMap<JobKey, Job>,
+    /// Jobs with tasks to be ordered, by the time from which on the next one may be.
+    ready: BTreeSet<(Instant, JobKey)>,
     orders: BTreeMap<OrderId, OpenOrder>,
     last_order_id: OrderId,
     /// Number of tasks, steps and dependencies of the jobs.
@@ -59,6 +65,7 @@
         Self {
             options,
             live: BTreeMap::new(),
+            ready: BTreeSet::new(),
             orders: BTreeMap::new(),
             last_order_id,
             size: 0,
@@ -165,15 +172,39 @@
         admitted.stated_estimates = stated;
         admitted.expected_wait = wait;
         admitted.is_returning = self.refused.contains(now, &job);
-        self.live.insert(job, admitted);
+        self.live.insert(job.clone(), admitted);
+        self.update_ready(&job);
         true
     }
 
+    /// Updates the index of jobs with tasks to be ordered after a change of a job.
+    fn update_ready(&mut self, key: &JobKey) {
+        let Some(job) = self.live.get_mut(key) else {
+            return;
+        };
+        let next = job.next_ready();
+        let before = std::mem::replace(&mut job.indexed_at, next);
+        if before == next {
+            return;
+        }
+        if let Some(before) = before {
+            self.ready.remove(&(before, key.clone()));
+        }
+        if let Some(next) = next {
+            self.ready.insert((next, key.clone()));
+        }
+    }
+
+    /// Returns the jobs with tasks that may be ordered at `now`.
+    fn ready_at(&self, now: Instant) -> impl Iterator<Item = (&JobKey, &Job)> {
+        let ready = self.ready.iter().take_while(move |(from, _)| *from <= now);
+        ready.filter_map(|(_, key)| self.live.get_key_value(key))
+    }
+
     /// Returns the estimated size of the orders that may be placed now.
     pub(crate) fn held_bytes(&self, now: Instant) -> u64 {
-        let ready = self.live.values();
-        let ready = ready.filter(|job| !job.is_ending && job.ready_tasks(now).next().is_some());
-        ready.map(|job| job.request.order_bytes(u64::MAX)).sum()
+        let ready = self.ready_at(now);
+        ready.map(|(_, job)| job.request.order_bytes(u64::MAX)).sum()
     }
 
     /// Returns the payload of a job.
@@ -265,6 +296,7 @@
                         .push(order_id);
                 }
             }
+            self.update_ready(key);
             return;
         }
         if is_uncertain && now < job.give_up_at {
@@ -295,6 +327,9 @@
     /// Removes a job and cancels its open orders.
     fn remove(&mut self, key: &JobKey) -> Option<Job> {
         let job = self.live.remove(key)?;
+        if let Some(at) = job.indexed_at {
+            self.ready.remove(&(at, key.clone()));
+        }
         self.size -= job.request.size();
         for order_id in job.open_order_ids() {
             if let Some(order) = self.orders.remove(&order_id) {
--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -42,13 +42,8 @@
     /// Returns the jobs with tasks that may be ordered now, sorted by priority and arrival.
     pub(crate) fn ready_jobs(&self, now: Instant) -> Vec<JobKey> {
         let mut ready = Vec::new();
-        for (key, job) in &self.live {
-            if job.is_ending {
-                continue;
-            }
-            if job.ready_tasks(now).next().is_some() {
-                ready.push((job.request.priority, job.arrived, key));
-            }
+        for (key, job) in self.ready_at(now) {
+            ready.push((job.request.priority, job.arrived, key));
         }
         ready.sort_unstable();
         ready.into_iter().map(|(.., key)| key.clone()).collect()
@@ -67,7 +62,7 @@
         let Some(job) = self.live.get_mut(key) else {
             return placed;
         };
-        let ready: Vec<(usize, usize)> = job.ready_tasks(now).collect();
+        let ready = job.ready_tasks(now);
         let slowness = owners.usual_slowness(&job.request.service);
         for (step, index) in ready {
             let order_id = OrderId(self.last_order_id.0 + 1);
@@ -86,8 +81,8 @@
             let open = OpenOrder {
                 owner: owner.clone(),
                 job: key.clone(),
-                step: step as u32,
-                index: index as u32,
+                step,
+                index,
                 placed_at: now,
                 has_begun: false,
                 taken_back_at: None,
@@ -96,6 +91,7 @@
             self.orders.insert(order_id, open);
             placed.push(Placement { owner, order });
         }
+        self.update_ready(key);
         placed
     }
 
@@ -104,10 +100,14 @@
     pub(crate) fn handle_begun(&mut self, order_ids: &[OrderId]) -> BTreeMap<InstanceId, Vec<OrderId>> {
         let mut waiting: BTreeMap<InstanceId, Vec<OrderId>> = BTreeMap::new();
         for order_id in order_ids {
-            let Some(order) = self.orders.get_mut(order_id) else {
+            if let Some(order) = self.orders.get_mut(order_id) {
+                order.has_begun = true;
+            }
+        }
+        for order_id in order_ids {
+            let Some(order) = self.orders.get(order_id) else {
                 continue;
             };
-            order.has_begun = true;
             let Some(job) = self.live.get_mut(&order.job) else {
                 continue;
             };
@@ -116,7 +116,7 @@
                 continue;
             }
             for other in job.open_order_ids() {
-                let order = self.orders.get(&other).filter(|_| !order_ids.contains(&other));
+                let order = self.orders.get(&other).filter(|order| !order.has_begun);
                 if let Some(order) = order {
                     waiting.entry(order.owner.clone()).or_default().push(other);
                 }
@@ -158,6 +158,7 @@
         job.has_begun |= !matches!(end, RunEnd::NotRun(_));
         let (max_attempts, is_ending) = (job.request.max_attempts, job.is_ending);
         let is_continued = job.has_begun && now < job.give_up_at;
+        job.set_task_state(order.step, order.index, TaskState::Ready(now));
         let Some(task) = job.task_mut(order.step, order.index) else {
             return;
         };
@@ -170,7 +171,6 @@
                 target: target.clone(),
             }));
         }
-        task.state = TaskState::Ready(now);
         if is_ending {
             self.give_up(now, &key, outputs);
             return;
@@ -196,21 +196,24 @@
                     return;
                 }
             }
-            RunEnd::NotRun(NotRun::Superseded) => task.attempt *= ATTEMPT_FACTOR,
+            RunEnd::NotRun(NotRun::Superseded) => task.attempt = task.attempt.saturating_mul(ATTEMPT_FACTOR),
             // Another task has begun since the order was placed, so the job is continued.
             RunEnd::NotRun(NotRun::Expired) if is_continued => {
-                task.state = TaskState::Ready(now + REORDER_DELAY);
+                job.set_task_state(order.step, order.index, TaskState::Ready(now + REORDER_DELAY));
             }
             RunEnd::NotRun(NotRun::Expired) => {
                 self.give_up(now, &key, outputs);
                 return;
             }
             RunEnd::NotRun(NotRun::Cancelled) if order.taken_back_at.is_some() => {}
-            RunEnd::NotRun(_) => task.state = TaskState::Ready(now + REORDER_DELAY),
+            RunEnd::NotRun(_) => {
+                job.set_task_state(order.step, order.index, TaskState::Ready(now + REORDER_DELAY));
+            }
         }
         if self.live.get(&key).is_some_and(Job::is_complete) {
             self.finish(now, &key, JobEnd::Completed, outputs);
         }
+        self.update_ready(&key);
     }
 
     /// Records the loss of an owner: the runs of its orders have ended by `ended_by`.
@@ -265,14 +268,15 @@
     now: Instant,
     job: &Job,
     order_id: OrderId,
-    step: usize,
-    index: usize,
+    step: u32,
+    index: u32,
     losses: &TargetLosses,
     slowness: f32,
 ) -> Option<RunOrder> {
-    let spec = job.request.steps.get(step)?;
-    let task = job.steps.get(step)?.tasks.get(index)?;
-    let run = run_id(&job.request.key, step as u32, index as u32, task.attempt + 1);
+    let spec = job.request.steps.get(step as usize)?;
+    let task = job.task(step, index)?;
+    let run = run_id(&job.request.key, step, index, task.attempt.saturating_add(1));
+    let step = step as usize;
     Some(RunOrder {
         id: order_id,
         target_losses: losses.count(&run.task),
@@ -300,17 +304,17 @@
 /// Marks a task as ordered and logs the decision.
 fn record_order(
     job: &mut Job,
-    step: usize,
-    index: usize,
+    step: u32,
+    index: u32,
     owner: &InstanceId,
     order: &RunOrder,
     outputs: &mut Vec<Output>,
 ) {
     job.orders += 1;
-    if let Some(task) = job.task_mut(step as u32, index as u32) {
+    if let Some(task) = job.task_mut(step, index) {
         task.attempt = order.run.attempt;
-        task.state = TaskState::Ordered(order.id);
     }
+    job.set_task_state(step, index, TaskState::Ordered(order.id));
     outputs.push(Output::Decision(Decision::TaskOrdered {
         run: order.run.clone(),
         owner: owner.clone(),
@@ -319,9 +323,9 @@
 }
 
 /// Clears the avoided targets of a task, because no other target is left, and delays its next order.
-fn clear_avoided_targets(now: Instant, job: &mut Job, step: usize, index: usize) {
-    if let Some(task) = job.task_mut(step as u32, index as u32) {
+fn clear_avoided_targets(now: Instant, job: &mut Job, step: u32, index: u32) {
+    if let Some(task) = job.task_mut(step, index) {
         task.avoided_targets.clear();
-        task.state = TaskState::Ready(now + REORDER_DELAY);
     }
+    job.set_task_state(step, index, TaskState::Ready(now + REORDER_DELAY));
 }
--- a/kqr-dispatch/src/jobs/rebalance.rs
+++ b/kqr-dispatch/src/jobs/rebalance.rs
@@ -25,6 +25,8 @@
 pub(super) const MAX_PENDING: usize = 8;
 /// Time after which an unanswered order no longer counts as pending: its owner has started or ended it by then, or is lost.
 pub(super) const PENDING_TIME: Duration = Duration::from_millis(200);
+/// Maximum number of orders compared in one tick, the oldest of those that may wait.
+pub(super) const MAX_CANDIDATES: usize = 2_000;
 /// Maximum number of orders examined in one tick.
 pub(super) const MAX_EXAMINED: usize = 16;
 
--- a/kqr-dispatch/src/jobs/step.rs
+++ b/kqr-dispatch/src/jobs/step.rs
@@ -1,15 +1,17 @@
 use kqr_types::Instant;
 
-use super::task::{Task, TaskState};
+use super::task::Task;
 
 /// The tasks of a step of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Step {
     pub(super) tasks: Vec<Task>,
     /// Number of tasks that have not completed.
-    open_tasks: usize,
-    /// Whether all steps on which this one depends are complete.
-    pub(super) is_due: bool,
+    pub(super) open_tasks: usize,
+    /// Number of dependencies whose steps are not complete.
+    pub(super) open_dependencies: usize,
+    /// Steps that depend on this one, once for each dependency.
+    pub(super) dependents: Vec<u32>,
 }
 
 impl Step {
@@ -18,7 +20,8 @@
         Self {
             tasks: vec![Task::new(place_from); count],
             open_tasks: count,
-            is_due: false,
+            open_dependencies: 0,
+            dependents: Vec::new(),
         }
     }
 
@@ -26,23 +29,8 @@
         self.open_tasks == 0
     }
 
-    /// Returns the indices of the tasks that may be ordered at `now`.
-    pub(super) fn ready_tasks(&self, now: Instant) -> impl Iterator<Item = usize> {
-        let due = if self.is_due { self.tasks.as_slice() } else { &[] };
-        let tasks = due.iter().enumerate();
-        tasks.filter_map(move |(index, task)| task.is_ready(now).then_some(index))
-    }
-
-    /// Records that a task has completed. Returns whether that completes the step.
-    pub(super) fn complete_task(&mut self, index: usize) -> bool {
-        let Some(task) = self.tasks.get_mut(index) else {
-            return false;
-        };
-        if task.state == TaskState::Done {
-            return false;
-        }
-        task.state = TaskState::Done;
-        self.open_tasks -= 1;
-        self.is_complete()
+    /// Returns whether all steps on which this one depends are complete.
+    pub(super) const fn is_due(&self) -> bool {
+        self.open_dependencies == 0
     }
 }
--- a/kqr-dispatch/src/jobs/take_back.rs
+++ b/kqr-dispatch/src/jobs/take_back.rs
@@ -11,8 +11,8 @@
     Jobs,
     orders::{OpenOrder, new_order},
     rebalance::{
-        FreePlace, MAX_EXAMINED, MAX_PENDING, MAX_PER_TICK, MIN_WAIT, PENDING_TIME, QueuedOrder,
-        does_move_pay, may_move,
+        FreePlace, MAX_CANDIDATES, MAX_EXAMINED, MAX_PENDING, MAX_PER_TICK, MIN_WAIT, PENDING_TIME,
+        QueuedOrder, does_move_pay, may_move,
     },
 };
 use crate::{
@@ -60,8 +60,10 @@
     /// longer be on time come last.
     fn waiting_orders(&self, now: Instant, owners: &Owners) -> Vec<OrderId> {
         let mut waiting = Vec::new();
-        for (&order_id, order) in &self.orders {
-            if !order.may_be_taken_back(now) || !owners.includes_order(&order.owner, order_id) {
+        let orders = self.orders.iter();
+        let candidates = orders.filter(|(_, order)| order.may_be_taken_back(now));
+        for (&order_id, order) in candidates.take(MAX_CANDIDATES) {
+            if !owners.includes_order(&order.owner, order_id) {
                 continue;
             }
             let Some(job) = self.live.get(&order.job).filter(|job| !job.is_ending) else {
@@ -95,7 +97,7 @@
         let Some(job) = self.live.get_mut(&open.job) else {
             return false;
         };
-        let (step, index) = (open.step as usize, open.index as usize);
+        let (step, index) = (open.step, open.index);
         let slowness = owners.usual_slowness(&job.request.service);
         let order = new_order(now, job, order_id, step, index, losses, slowness);
         let Some(order) = order else {
--- a/kqr-dispatch/src/jobs/task.rs
+++ b/kqr-dispatch/src/jobs/task.rs
@@ -37,9 +37,4 @@
             avoided_targets: Vec::new(),
         }
     }
-
-    /// Returns whether the task may be ordered at `now`, if its step is due.
-    pub(super) fn is_ready(&self, now: Instant) -> bool {
-        matches!(self.state, TaskState::Ready(from) if from <= now)
-    }
 }
--- a/kqr-dispatch/src/load_update.rs
+++ b/kqr-dispatch/src/load_update.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use kqr_fleet::Resources;
 use serde::{Deserialize, Serialize};
 
@@ -77,7 +79,8 @@
                 since,
                 changes: mut merged,
             } => {
-                merged.retain(|earlier| changes.iter().all(|change| change.position != earlier.position));
+                let changed: BTreeSet<u32> = changes.iter().map(|change| change.position).collect();
+                merged.retain(|earlier| !changed.contains(&earlier.position));
                 merged.extend(changes);
                 LoadTargets::Changed {
                     since,
--- a/kqr-dispatch/src/options.rs
+++ b/kqr-dispatch/src/options.rs
@@ -12,6 +12,8 @@
 pub struct Options {
     /// Lease of the runs on a target. It bounds how long a task outlives the loss of its owner.
     pub lease: Duration,
+    /// Maximum number of starts, and of stops, of a target that are not answered. Each takes a connection.
+    pub max_open_calls: usize,
     /// Longest wait of a poll. Several polls must fit into a lease, and an unanswered poll delays the
     /// detection of ended runs by this time.
     pub max_poll_wait: Duration,
@@ -102,6 +104,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(700),
+            max_open_calls: 32,
             max_poll_wait: Duration::from_millis(150),
             poll_retry_delay: Duration::from_millis(100),
             target_timeout: Duration::from_millis(550),
--- a/kqr-dispatch/src/outbox.rs
+++ b/kqr-dispatch/src/outbox.rs
@@ -1,7 +1,9 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
-use crate::SiblingMessage;
+use crate::{OrderId, SiblingMessage};
 
+/// Maximum size of the messages in one call, below that of a frame.
+const MAX_BATCH_BYTES: u64 = 4 << 20;
 /// Maximum number of messages kept for an unreachable sibling, about 200 bytes each.
 const MAX_KEPT_MESSAGES: usize = 4096;
 
@@ -54,13 +56,15 @@
         if !self.has_priorities || matches!(message, SiblingMessage::Run { .. }) {
             return position;
         }
+        let cancelled: BTreeSet<OrderId> = match message {
+            SiblingMessage::Cancel(order_ids) => order_ids.iter().copied().collect(),
+            _ => BTreeSet::new(),
+        };
         while position > self.sending {
             let Some(SiblingMessage::Run { orders, .. }) = self.messages.get(position - 1) else {
                 break;
             };
-            if let SiblingMessage::Cancel(cancelled) = message
-                && orders.iter().any(|order| cancelled.contains(&order.id))
-            {
+            if orders.iter().any(|order| cancelled.contains(&order.id)) {
                 break;
             }
             position -= 1;
@@ -68,11 +72,19 @@
         position
     }
 
-    /// Returns up to `max_messages` messages to deliver. They are kept until they are acknowledged or the
-    /// link is lost.
+    /// Returns up to `max_messages` messages to deliver, and no more than fit in one call unless it is a single one. They
+    /// are kept until they are acknowledged or the link is lost.
     pub fn next_batch(&mut self, max_messages: usize) -> Vec<SiblingMessage> {
-        self.sending = self.messages.len().min(max_messages);
-        self.messages.iter().take(self.sending).cloned().collect()
+        let (mut batch, mut bytes) = (Vec::new(), 0);
+        for message in self.messages.iter().take(max_messages) {
+            bytes += message.link_bytes();
+            if bytes > MAX_BATCH_BYTES && !batch.is_empty() {
+                break;
+            }
+            batch.push(message.clone());
+        }
+        self.sending = batch.len();
+        batch
     }
 
     /// Removes the messages of the last batch, which the sibling has accepted.
--- a/kqr-dispatch/src/owned/answers.rs
+++ b/kqr-dispatch/src/owned/answers.rs
@@ -35,14 +35,15 @@
         if let Ok(clock) = &answer {
             target.update_clock(now, *clock);
         }
-        let Some(state) = target.runs.get_mut(&run) else {
+        let answered = target.runs.update(&run, |state| {
+            if state.state == RunState::Starting {
+                state.record_start_answer(now, &answer);
+            }
+        });
+        if answered.is_none() {
             return;
-        };
+        }
         match answer {
-            Ok(clock) if state.state == RunState::Starting => {
-                state.progressed_at = Some(clock);
-                state.set_state(now, RunState::Running);
-            }
             Ok(_) => {}
             Err(CallFailure::Refused(refusal)) => self.handle_start_refusal(now, &id, &run, refusal, outputs),
             Err(failure @ (CallFailure::NotSent(_) | CallFailure::ConnectionRefused(_))) => {
@@ -54,9 +55,6 @@
                 self.record_missed_poll(now, &id, cause, outputs);
             }
             Err(CallFailure::NoAnswer(cause)) => {
-                if state.state == RunState::Starting {
-                    state.set_state(now, RunState::Uncertain);
-                }
                 log_target_change(outputs, target, "start-unanswered", format!("{run}: {cause}"));
                 self.probe(now, &id, outputs);
             }
@@ -77,11 +75,12 @@
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
+        target.open_stops = target.open_stops.saturating_sub(1);
         match answer {
             Ok(clock) => {
                 target.update_clock(now, clock);
-                if let Some(state) = target.runs.get_mut(&run) {
-                    state.stop_confirmed_at = Some(now);
+                let confirm = |state: &mut Run| state.stop_confirmed_at = Some(now);
+                if target.runs.update(&run, confirm).is_some() {
                     self.probe(now, &id, outputs);
                 }
             }
@@ -91,6 +90,7 @@
                 log_target_change(outputs, target, "stop-unanswered", format!("{run}: {failure}"));
             }
         }
+        self.send_pending_stops(now, &id, outputs);
     }
 
     /// Handles the answer to a poll.
@@ -329,14 +329,14 @@
         let mut unknown = Vec::new();
         for row in running {
             listed.insert(row.run.clone());
-            match target.runs.get_mut(&row.run) {
-                Some(run) => run.update_progress(now, clock, row),
-                None => unknown.push(row.run.clone()),
+            let update = |run: &mut Run| run.update_progress(now, clock, row);
+            if target.runs.update(&row.run, update).is_none() {
+                unknown.push(row.run.clone());
             }
         }
         let mut cleared = Vec::new();
         let mut uncertain = Vec::new();
-        for (id, run) in &target.runs {
+        for (id, run) in target.runs.iter() {
             if listed.contains(id) {
                 continue;
             }
--- a/kqr-dispatch/src/owned/hanging.rs
+++ b/kqr-dispatch/src/owned/hanging.rs
@@ -19,16 +19,18 @@
             return;
         };
         let mut hanging = Vec::new();
-        for (run, state) in &mut target.runs {
+        for (run, state) in target.runs.iter() {
             let is_hanging = state.progressed_at.is_some_and(|at| clock.since(at) >= timeout);
             if state.state == RunState::Running && is_hanging {
-                state.require_end(now);
                 hanging.push(run.clone());
             }
         }
         if hanging.is_empty() {
             return;
         }
+        for run in &hanging {
+            target.runs.update(run, |state| state.require_end(now));
+        }
         target.health.quarantine(now, &self.options);
         log_target_change(
             outputs,
--- a/kqr-dispatch/src/owned/mod.rs
+++ b/kqr-dispatch/src/owned/mod.rs
@@ -16,6 +16,7 @@
 mod queue_place;
 mod rack_waits;
 mod run;
+mod runs;
 mod starts;
 mod target;
 mod waiting_order;
@@ -33,7 +34,7 @@
     CallId, Decision, LostRun, Options, OrderId, Output, RunEnd, RunId, TargetCall, bulk_budget::BulkBudget,
 };
 use open_call::OpenCall;
-use pass_inputs::PassInputs;
+use pass_inputs::{CheckedTargets, PassInputs};
 use phase::Phase;
 use run::Run;
 use target::Target;
@@ -60,6 +61,8 @@
     /// Number of times that targets were added, removed or resized.
     list_number: u64,
     waiting: WaitingOrders,
+    /// Targets that could run the waiting orders when that was last checked.
+    checked_targets: CheckedTargets,
     /// State after the last pass over the waiting orders.
     last_pass: PassInputs,
     /// When the first of the orders that waited for their rack in that pass takes any target.
@@ -93,6 +96,7 @@
             former: Vec::new(),
             list_number: 0,
             waiting,
+            checked_targets: CheckedTargets::default(),
             last_pass: PassInputs::default(),
             rack_wait_ends_at: None,
             calls: BTreeMap::new(),
@@ -164,9 +168,9 @@
                 Some(target) if target.token >= grant.token => target,
                 Some(target) => {
                     self.former.push(target);
-                    new_target(now, grant, outputs)
+                    new_target(now, grant, &self.options, outputs)
                 }
-                None => new_target(now, grant, outputs),
+                None => new_target(now, grant, &self.options, outputs),
             };
             kept.insert(id, target);
         }
@@ -257,10 +261,11 @@
 
     /// Returns the coordinators whose orders wait or run here.
     pub(crate) fn coordinators(&self) -> BTreeSet<&InstanceId> {
-        let runs = self.targets.values().flat_map(|target| target.runs.values());
-        let running = runs.filter_map(|run| run.ordered_by.as_ref());
-        let waiting = self.waiting.iter().map(|(_, waiting)| &waiting.coordinator);
-        running.map(|(by, _)| by).chain(waiting).collect()
+        let running = self
+            .targets
+            .values()
+            .flat_map(|target| target.runs.coordinators());
+        running.chain(self.waiting.coordinators()).collect()
     }
 
     /// Handles timeouts: expired leases and orders, stops to resend, and polls that are due.
@@ -309,8 +314,7 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        let runs: Vec<RunId> = target.runs.keys().cloned().collect();
-        for run in runs {
+        for run in target.runs.ids() {
             self.clear_run(id, &run, proof, outputs);
         }
     }
@@ -356,8 +360,8 @@
     true
 }
 
-fn new_target(now: Instant, grant: &TargetGrant, outputs: &mut Vec<Output>) -> Target {
-    let target = Target::new(now, grant);
+fn new_target(now: Instant, grant: &TargetGrant, options: &Options, outputs: &mut Vec<Output>) -> Target {
+    let target = Target::new(now, grant, options);
     log_target_change(outputs, &target, "owned", format!("token {}", grant.token));
     log_evacuation(outputs, &target, false);
     target
--- a/kqr-dispatch/src/owned/orders.rs
+++ b/kqr-dispatch/src/owned/orders.rs
@@ -5,12 +5,8 @@
 use kqr_types::{InstanceId, Instant, TargetId};
 
 use super::{
-    OwnedTargets,
-    open_call::OpenCall,
-    phase::Phase,
-    run::{Run, RunState},
-    target::Target,
-    waiting_order::WaitingOrder,
+    OwnedTargets, open_call::OpenCall, pass_inputs::CheckedTargets, phase::Phase, run::RunState,
+    target::Target, waiting_order::WaitingOrder,
 };
 use crate::{Decision, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, StopCall, TargetCall};
 
@@ -59,8 +55,8 @@
             self.end_order(coordinator.clone(), order_id, end, None);
             return;
         }
-        let is_selected = |run: &Run| run.ordered_by.as_ref() == Some(&(coordinator.clone(), order_id));
-        self.stop_runs_where(now, since, "cancelled", is_selected, outputs);
+        let runs = |target: &Target| target.runs.of_order(coordinator, order_id);
+        self.stop_runs(now, since, "cancelled", runs, outputs);
     }
 
     /// Ends an order that its coordinator takes back if it still waits. An order that has begun is not affected: a stop
@@ -89,19 +85,21 @@
         outputs: &mut Vec<Output>,
     ) {
         self.waiting.remove_all_of(coordinator);
-        let is_selected = |run: &Run| run.ordered_by.as_ref().is_some_and(|(by, _)| by == coordinator);
-        self.stop_runs_where(now, since, "coordinator-lost", is_selected, outputs);
+        let runs = |target: &Target| target.runs.of_coordinator(coordinator);
+        self.stop_runs(now, since, "coordinator-lost", runs, outputs);
         for target in self.targets.values_mut().chain(&mut self.former) {
-            for run in target.runs.values_mut() {
-                if is_selected(run) {
-                    run.ordered_by = None;
-                }
-            }
+            target.runs.forget_coordinator(coordinator);
         }
     }
 
     /// Refuses the waiting orders that have expired, or that no target can run any more.
     pub(super) fn expire_waiting_orders(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        let usable = CheckedTargets {
+            list_number: self.list_number,
+            are_usable: self.targets.values().map(Target::is_usable).collect(),
+        };
+        let are_targets_changed = self.checked_targets != usable;
+        self.checked_targets = usable;
         let mut expired = Vec::new();
         for (place, waiting) in self.waiting.iter() {
             if self.is_leaving {
@@ -110,10 +108,11 @@
                 expired.push((place, NotRun::Expired));
             } else if self.are_starts_held(now) && now.since(waiting.sent_at) >= MAX_LINK_WAIT {
                 expired.push((place, NotRun::Refused));
-            } else if !self
-                .targets
-                .values()
-                .any(|target| may_run(target, &waiting.order))
+            } else if are_targets_changed
+                && !self
+                    .targets
+                    .values()
+                    .any(|target| may_run(target, &waiting.order))
             {
                 expired.push((place, NotRun::NoTarget));
             }
@@ -125,7 +124,8 @@
         }
     }
 
-    /// Sends a stop for a run, which is resent until the target confirms it.
+    /// Sends a stop for a run, which is resent until the target confirms it. If too many stops are not answered, it is sent
+    /// after one of them.
     pub(super) fn stop_run(
         &mut self,
         now: Instant,
@@ -134,21 +134,30 @@
         cause: &'static str,
         outputs: &mut Vec<Output>,
     ) {
+        let max_open_calls = self.options.max_open_calls;
         let Some(owned) = self.targets.get_mut(target) else {
             return;
         };
-        let Some(state) = owned.runs.get_mut(run) else {
-            return;
-        };
-        if state.state != RunState::Stopping {
+        let stopped = owned.runs.update(run, |state| {
+            let before = std::mem::replace(&mut state.state, RunState::Stopping);
+            state.state_since = now;
+            (before, state.percent)
+        });
+        let Some((before, percent)) = stopped else { return };
+        if before != RunState::Stopping {
             outputs.push(Output::Decision(Decision::RunStopped {
                 run: run.clone(),
                 target: target.clone(),
                 cause,
-                percent: state.percent,
+                percent,
             }));
         }
-        state.set_state(now, RunState::Stopping);
+        if owned.open_stops >= max_open_calls {
+            owned.pending_stops.insert(run.clone());
+            return;
+        }
+        owned.pending_stops.remove(run);
+        owned.open_stops += 1;
         let token = owned.token;
         let open = OpenCall::Stop {
             target: target.clone(),
@@ -159,11 +168,25 @@
         self.send_call(open, TargetCall::Stop(call), outputs);
     }
 
+    /// Sends stops that were held back while too many others were not answered. Those of runs that have ended are dropped.
+    pub(super) fn send_pending_stops(&mut self, now: Instant, id: &TargetId, outputs: &mut Vec<Output>) {
+        let max_open_calls = self.options.max_open_calls;
+        while let Some(target) = self.targets.get_mut(id)
+            && target.open_stops < max_open_calls
+            && let Some(run) = target.pending_stops.pop_first()
+        {
+            self.stop_run(now, id, &run, "pending", outputs);
+        }
+    }
+
     /// Resends the stops that the target has not confirmed.
     pub(super) fn resend_stops(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let mut due = Vec::new();
         for (id, target) in &self.targets {
-            for (run, state) in &target.runs {
+            if !target.runs.has_stopping() {
+                continue;
+            }
+            for (run, state) in target.runs.iter() {
                 let is_due = state.state == RunState::Stopping
                     && state.stop_confirmed_at.is_none()
                     && now.since(state.state_since) >= self.options.stop_retry_delay;
@@ -177,25 +200,26 @@
         }
     }
 
-    fn stop_runs_where<Selector>(
+    /// Stops the `runs` of each target.
+    fn stop_runs<Selector>(
         &mut self,
         now: Instant,
         since: Instant,
         cause: &'static str,
-        is_selected: Selector,
+        runs: Selector,
         outputs: &mut Vec<Output>,
     ) where
-        Selector: Fn(&Run) -> bool,
+        Selector: Fn(&Target) -> Vec<RunId>,
     {
         let mut selected = Vec::new();
         for (id, target) in &mut self.targets {
-            for (run, state) in &mut target.runs {
-                if !is_selected(state) {
-                    continue;
-                }
-                state.require_end(since);
-                if state.state != RunState::Stopping {
-                    selected.push((id.clone(), run.clone()));
+            for run in runs(target) {
+                let state = target.runs.update(&run, |state| {
+                    state.require_end(since);
+                    state.state
+                });
+                if state.is_some_and(|state| state != RunState::Stopping) {
+                    selected.push((id.clone(), run));
                 }
             }
         }
@@ -221,13 +245,11 @@
 
 /// Returns whether the target could run the order, regardless of its free capacity.
 pub(super) fn may_run(target: &Target, order: &RunOrder) -> bool {
-    let is_granted = matches!(target.phase, Phase::Attaching | Phase::Attached);
-    let is_usable = is_granted && !target.is_leaving && !target.is_evacuated && !target.must_release;
     let has_label = order
         .label
         .as_ref()
         .is_none_or(|label| target.record.has_label(label));
-    is_usable
+    target.is_usable()
         && has_label
         && target.record.service == order.service
         && target.record.capacity.can_fit(&order.needs)
--- a/kqr-dispatch/src/owned/polling.rs
+++ b/kqr-dispatch/src/owned/polling.rs
@@ -75,7 +75,7 @@
 
     fn end_former_runs(&mut self, mut target: Target) {
         let id = target.record.id.clone();
-        for (run, removed) in std::mem::take(&mut target.runs) {
+        for (run, removed) in target.runs.take() {
             let end = target.end_of(&removed);
             self.end_unlisted_run(&id, run, removed, end);
         }
@@ -90,7 +90,7 @@
         // a stop, is not extended, so that its runs end.
         let may_extend = target.phase == Phase::Attached
             && target.missed_polls == 0
-            && target.has_work()
+            && target.runs.has_work()
             && target.overdue_run(now, &options).is_none();
         let lease_until = if may_extend {
             target.extend_lease(now, &options)
--- a/kqr-dispatch/src/owned/rack_waits.rs
+++ b/kqr-dispatch/src/owned/rack_waits.rs
@@ -7,6 +7,9 @@
 use super::{OwnedTargets, orders::may_run, run::Run, target::Target, waiting_order::RackWait};
 use crate::{RunOrder, load_report::RANKS, locality::RackChoice, suitability::on_time_budget};
 
+/// Maximum number of runs of a target that are examined for each order that names its rack.
+const MAX_EXAMINED_RUNS: usize = 64;
+
 impl OwnedTargets {
     /// Returns how long an order that was sent at `sent_at` waits for a target on its rack, if that pays.
     pub(super) fn rack_wait(&self, now: Instant, sent_at: Instant, order: &RunOrder) -> Option<RackWait> {
@@ -37,10 +40,7 @@
             next_end = Some(next_end.map_or(free_after, |least| least.min(free_after)));
         }
         let next_end = next_end?;
-        let waiting = self.waiting.iter().filter(|(_, waiting)| {
-            waiting.order.priority <= order.priority && waiting.order.data_rack.as_deref() == Some(rack)
-        });
-        let ahead: Duration = waiting.map(|(_, waiting)| waiting.order.estimate).sum();
+        let ahead = self.waiting.run_time_for_rack(rack, order.priority);
         Some(next_end + ahead / u32::try_from(places).unwrap_or(u32::MAX).max(1))
     }
 
@@ -63,12 +63,16 @@
     }
 }
 
-/// Returns the time until the order fits on the target, if its runs end as estimated.
+/// Returns the time until the order fits on the target, if its runs end as estimated. With many runs it is taken to be the run
+/// time of the order.
 fn time_until_free(now: Instant, target: &Target, order: &RunOrder) -> Duration {
     let mut free = target.free();
     if free.can_fit(&order.needs) {
         return Duration::ZERO;
     }
+    if target.runs.len() > MAX_EXAMINED_RUNS {
+        return order.estimate;
+    }
     let slowness = target.health.slowness().clamp(0.0, 1000.0);
     let left = |run: &Run| {
         run.estimate
--- a/kqr-dispatch/src/owned/run.rs
+++ b/kqr-dispatch/src/owned/run.rs
@@ -3,7 +3,7 @@
 use kqr_fleet::Resources;
 use kqr_types::{Incarnation, InstanceId, Instant};
 
-use crate::{Options, OrderId, RunProgress, TargetTime};
+use crate::{CallFailure, Options, OrderId, RunProgress, TargetTime};
 
 /// State of a run on a target, as known to the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,11 +83,29 @@
     /// Returns whether the run must end and its stop was not confirmed in time. A late confirmation does not
     /// count, because the target may take a while to end the run.
     pub(super) fn is_overdue(&self, now: Instant, options: &Options) -> bool {
-        let Some(since) = self.must_end_since else {
-            return false;
-        };
-        let due = since + options.max_unconfirmed_stop;
-        due <= now && self.stop_confirmed_at.is_none_or(|at| at > due)
+        let max_unconfirmed_stop = options.max_unconfirmed_stop;
+        let is_due = self
+            .must_end_since
+            .is_some_and(|since| since + max_unconfirmed_stop <= now);
+        is_due && (self.stop_confirmed_at.is_none() || self.is_confirmed_late(max_unconfirmed_stop))
+    }
+
+    /// Returns whether the run must end and its stop was confirmed later than `max_unconfirmed_stop` after that.
+    pub(super) fn is_confirmed_late(&self, max_unconfirmed_stop: Duration) -> bool {
+        let due = self.must_end_since.map(|since| since + max_unconfirmed_stop);
+        due.is_some_and(|due| self.stop_confirmed_at.is_some_and(|at| at > due))
+    }
+
+    /// Applies the answer to the start. Without one the run may have begun.
+    pub(super) fn record_start_answer(&mut self, now: Instant, answer: &Result<TargetTime, CallFailure>) {
+        match answer {
+            Ok(clock) => {
+                self.progressed_at = Some(*clock);
+                self.set_state(now, RunState::Running);
+            }
+            Err(CallFailure::NoAnswer(_)) => self.set_state(now, RunState::Uncertain),
+            Err(_) => {}
+        }
     }
 
     /// Applies the progress that the target listed at `clock`.
--- a/kqr-dispatch/src/owned/starts.rs
+++ b/kqr-dispatch/src/owned/starts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use kqr_fleet::Resources;
 use kqr_types::{Instant, TargetId};
 
 use super::{
@@ -40,11 +41,15 @@
         let mut full_racks = FullRacks::default();
         let mut misfits = Misfits::default();
         let (mut last, mut has_moved, mut is_held) = (None, false, false);
+        let mut room = self.largest_room(now);
         while let Some((place, waiting)) = self.waiting.next_after(last) {
             if !self.bulk.has_room() {
                 is_held = true;
                 break;
             }
+            if !self.waiting.may_fit(room) {
+                break;
+            }
             last = Some(place);
             if misfits.covers(&waiting.order) {
                 continue;
@@ -62,6 +67,7 @@
                     if let Some(waiting) = self.waiting.remove(place) {
                         has_moved |= self.waiting.mark_job_begun(&waiting.order.run.task.job);
                         self.start_run(now, &target, &waiting, outputs);
+                        room = self.largest_room(now);
                     }
                 }
                 // An order that waits for its rack says nothing about the orders behind it.
@@ -81,11 +87,23 @@
         self.last_pass = self.pass_inputs(now);
     }
 
+    /// Returns the largest amount of each resource that is free on a target to which a start may be sent, or `None` without such
+    /// a target.
+    fn largest_room(&self, now: Instant) -> Option<Resources> {
+        let targets = self.targets.values();
+        let open = targets.filter(|target| self.may_start(now, target));
+        open.map(Target::free).reduce(Resources::max_of_each)
+    }
+
+    fn may_start(&self, now: Instant, target: &Target) -> bool {
+        !self.is_leaving && target.may_start(now, &self.options)
+    }
+
     /// Returns what decides whether a waiting order can start.
     fn pass_inputs(&self, now: Instant) -> PassInputs {
         let mut open = Vec::new();
         for (position, target) in self.targets.values().enumerate() {
-            if self.is_open(now, target) {
+            if self.may_start(now, target) {
                 open.push((position, target.free(), target.runs.len()));
             }
         }
@@ -128,9 +146,9 @@
         let (order, waited) = (&waiting.order, now.since(waiting.sent_at));
         let mut best: Option<(Suitability, &TargetId)> = None;
         for (id, target) in &self.targets {
-            let has_capacity = self.is_open(now, target)
+            let has_capacity = self.may_start(now, target)
                 && is_eligible(target)
-                && !(order.is_suspect() && target.runs.values().any(|run| run.is_suspect))
+                && !(order.is_suspect() && target.runs.has_suspect())
                 && may_run(target, order)
                 && target.free().can_fit(&order.needs)
                 && is_within_spread(target, order);
@@ -234,9 +252,5 @@
     let Some(max_per_target) = order.max_per_target else {
         return true;
     };
-    let task = &order.run.task;
-    let same_step = target.runs.keys().filter(|run| {
-        run.task.job == task.job && run.task.occurrence == task.occurrence && run.task.step == task.step
-    });
-    same_step.count() < max_per_target as usize
+    target.runs.are_fewer_of_step(order, max_per_target as usize)
 }
--- a/kqr-dispatch/src/owned/target.rs
+++ b/kqr-dispatch/src/owned/target.rs
@@ -1,15 +1,9 @@
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use kqr_fleet::{FencingToken, Resources, TargetGrant, TargetRecord};
 use kqr_types::{Incarnation, Instant};
 
-use super::{
-    health::Health,
-    next_poll::NextPoll,
-    phase::Phase,
-    probe::ProbeState,
-    run::{Run, RunState},
-};
+use super::{health::Health, next_poll::NextPoll, phase::Phase, probe::ProbeState, run::Run, runs::Runs};
 use crate::{Options, RunEnd, RunId, TargetEndpoint, TargetTime};
 
 /// A target that this entry owns.
@@ -26,7 +20,11 @@
     pub(super) phase: Phase,
     /// Sequence number of the last report to this entry since it became the owner, if there was one.
     pub(super) last_report: Option<(Incarnation, u64)>,
-    pub(super) runs: BTreeMap<RunId, Run>,
+    pub(super) runs: Runs,
+    /// Number of stops that are not answered yet.
+    pub(super) open_stops: usize,
+    /// Runs whose stops are sent when others are answered.
+    pub(super) pending_stops: BTreeSet<RunId>,
     /// Number of the last processed end.
     pub(super) cursor: u64,
     pub(super) next_poll: NextPoll,
@@ -49,7 +47,7 @@
 }
 
 impl Target {
-    pub(super) fn new(now: Instant, grant: &TargetGrant) -> Self {
+    pub(super) fn new(now: Instant, grant: &TargetGrant, options: &Options) -> Self {
         Self {
             record: grant.record.clone(),
             granted: grant.clone(),
@@ -59,7 +57,9 @@
             must_release: grant.must_release,
             phase: Phase::Attaching,
             last_report: None,
-            runs: BTreeMap::new(),
+            runs: Runs::new(options.max_unconfirmed_stop),
+            open_stops: 0,
+            pending_stops: BTreeSet::new(),
             cursor: 0,
             next_poll: NextPoll::At(now),
             probe: ProbeState::Idle,
@@ -70,7 +70,7 @@
             clock: None,
             lease_ends_at: now,
             withheld_for: None,
-            health: Health::new(&Options::default()),
+            health: Health::new(options),
         }
     }
 
@@ -104,11 +104,7 @@
     /// Returns the free resources. Runs of an earlier owner have unknown needs, so nothing is free until they
     /// have ended.
     pub(super) fn free(&self) -> Resources {
-        let mut free = self.record.capacity;
-        for run in self.runs.values() {
-            free -= run.needs;
-        }
-        free
+        self.record.capacity - self.runs.needs()
     }
 
     /// Returns the capacity and the free resources that coordinators may place tasks on. While the data centre is evacuated there
@@ -127,13 +123,24 @@
             && !self.is_evacuated
             && !self.must_release
             && self.missed_polls == 0
-            && !self.runs.values().any(Run::is_end_unconfirmed)
-            && self.overdue_run(now, options).is_none()
+            && !self.runs.has_unconfirmed_end()
+            && !self.runs.has_late_confirmation()
             && now.since(self.last_answer_at) < options.target_timeout;
         let max_runs = self.health.max_runs(now);
         is_usable && max_runs.is_none_or(|max| self.runs.len() < max)
     }
 
+    /// Returns whether one more start may be sent now. Each takes a connection until it is answered.
+    pub(super) fn may_start(&self, now: Instant, options: &Options) -> bool {
+        self.is_open(now, options) && self.runs.starting() < options.max_open_calls
+    }
+
+    /// Returns whether the target could run tasks, whatever runs there.
+    pub(super) const fn is_usable(&self) -> bool {
+        let is_granted = matches!(self.phase, Phase::Attaching | Phase::Attached);
+        is_granted && !self.is_leaving && !self.is_evacuated && !self.must_release
+    }
+
     /// Returns whether the target has not answered at least two polls in a row.
     pub(super) fn is_unresponsive(&self) -> bool {
         self.missed_polls > 1
@@ -193,16 +200,14 @@
     /// Returns a run that must end and whose stop was not confirmed in time. The lease of the target is not
     /// extended until it is gone, so that the end of the lease ends it.
     pub(super) fn overdue_run(&self, now: Instant, options: &Options) -> Option<&RunId> {
+        if !self.runs.has_unconfirmed_end() && !self.runs.has_late_confirmation() {
+            return None;
+        }
         let mut runs = self.runs.iter();
         runs.find(|(_, run)| run.is_overdue(now, options))
             .map(|(id, _)| id)
     }
 
-    /// Returns whether there are runs other than those being stopped.
-    pub(super) fn has_work(&self) -> bool {
-        self.runs.values().any(|run| run.state != RunState::Stopping)
-    }
-
     /// Returns how a run of this target ended of which the target lists no end.
     pub(super) fn end_of(&self, run: &Run) -> RunEnd {
         if self.refused_at.is_some() || run.life != self.record.life {
--- a/kqr-dispatch/src/owned/waiting_orders.rs
+++ b/kqr-dispatch/src/owned/waiting_orders.rs
@@ -3,15 +3,18 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Bound,
+    time::Duration,
 };
 
+use kqr_fleet::Resources;
 use kqr_types::{InstanceId, Instant, JobKey};
 
 use super::{
     queue_place::{QueuePlace, Standing},
+    runs::distinct_coordinators,
     waiting_order::WaitingOrder,
 };
-use crate::{OrderId, QueueOrder, QueuedWork, load_report::RANKS, queued_work::QueuedKind};
+use crate::{OrderId, QueueOrder, QueuedWork, RunOrder, load_report::RANKS, queued_work::QueuedKind};
 
 /// Orders that wait for capacity.
 #[derive(Clone, Debug, Default)]
@@ -20,9 +23,15 @@
     orders: BTreeMap<QueuePlace, WaitingOrder>,
     /// Places by order, so that a cancelled order is found without a search.
     places: BTreeMap<(InstanceId, OrderId), QueuePlace>,
-    /// Places by job, so that the orders of a job that begins are found without a search.
-    jobs: BTreeMap<JobKey, BTreeSet<QueuePlace>>,
+    /// Places by job of the orders whose job is not known to have begun, so that they are found without a search when it
+    /// does, and each of them once.
+    unbegun: BTreeMap<JobKey, BTreeSet<QueuePlace>>,
     work: QueuedWork,
+    /// Estimated run times by rack of the data and priority, with the number of orders.
+    rack_run_times: BTreeMap<String, BTreeMap<u32, (usize, Duration)>>,
+    /// Numbers of orders by the processors and by the memory that they need.
+    cpu_needs: BTreeMap<u64, usize>,
+    memory_needs: BTreeMap<u64, usize>,
     last_arrival: u64,
 }
 
@@ -92,7 +101,7 @@
     /// Records that a job has begun. Its late orders move ahead of those of jobs that have not. Returns whether orders have
     /// moved.
     pub(super) fn mark_job_begun(&mut self, job: &JobKey) -> bool {
-        let Some(places) = self.jobs.get(job).cloned() else {
+        let Some(places) = self.unbegun.remove(job) else {
             return false;
         };
         let mut has_moved = false;
@@ -100,7 +109,8 @@
             let Some(waiting) = self.orders.get_mut(&place) else {
                 continue;
             };
-            if std::mem::replace(&mut waiting.order.has_job_begun, true) || !place.is_late {
+            waiting.order.has_job_begun = true;
+            if !place.is_late {
                 continue;
             }
             if let Some(waiting) = self.remove(place) {
@@ -131,12 +141,17 @@
         self.places
             .remove(&(waiting.coordinator.clone(), waiting.order.id));
         let job = &waiting.order.run.task.job;
-        if let Some(places) = self.jobs.get_mut(job) {
+        if !waiting.order.has_job_begun
+            && let Some(places) = self.unbegun.get_mut(job)
+        {
             places.remove(&place);
             if places.is_empty() {
-                self.jobs.remove(job);
+                self.unbegun.remove(job);
             }
         }
+        self.remove_run_time(&waiting.order);
+        decrement(&mut self.cpu_needs, waiting.order.needs.cpu_milli);
+        decrement(&mut self.memory_needs, waiting.order.needs.memory_mib);
         Some(waiting)
     }
 
@@ -157,6 +172,30 @@
         }
     }
 
+    /// Returns the estimated run time of the orders of at least `priority` whose data is on `rack`.
+    pub(super) fn run_time_for_rack(&self, rack: &str, priority: u32) -> Duration {
+        let priorities = self.rack_run_times.get(rack);
+        let ahead = priorities.map(|priorities| priorities.range(..=priority));
+        let run_times = ahead.into_iter().flatten().map(|(_, (_, total))| *total);
+        run_times.fold(Duration::ZERO, Duration::saturating_add)
+    }
+
+    /// Returns whether an order may fit where `room` is free. Without room none does.
+    pub(super) fn may_fit(&self, room: Option<Resources>) -> bool {
+        let fits = |needs: &BTreeMap<u64, usize>, free| {
+            let least = needs.first_key_value();
+            least.is_some_and(|(least, _)| *least <= free)
+        };
+        room.is_some_and(|room| {
+            fits(&self.cpu_needs, room.cpu_milli) && fits(&self.memory_needs, room.memory_mib)
+        })
+    }
+
+    /// Returns the coordinators of the orders.
+    pub(super) fn coordinators(&self) -> impl Iterator<Item = &InstanceId> {
+        distinct_coordinators(&self.places)
+    }
+
     /// Returns the work of the orders.
     pub(super) const fn work(&self) -> QueuedWork {
         self.work
@@ -181,10 +220,48 @@
         self.work.add(kind, rank_of(place), work);
         self.places
             .insert((waiting.coordinator.clone(), waiting.order.id), place);
-        let job = waiting.order.run.task.job.clone();
-        self.jobs.entry(job).or_default().insert(place);
+        if !waiting.order.has_job_begun {
+            let job = waiting.order.run.task.job.clone();
+            self.unbegun.entry(job).or_default().insert(place);
+        }
+        if let Some(rack) = &waiting.order.data_rack {
+            let racks = self.rack_run_times.entry(rack.clone()).or_default();
+            let (count, total) = racks.entry(waiting.order.priority).or_default();
+            *count += 1;
+            *total = total.saturating_add(waiting.order.estimate);
+        }
+        let needs = waiting.order.needs;
+        *self.cpu_needs.entry(needs.cpu_milli).or_default() += 1;
+        *self.memory_needs.entry(needs.memory_mib).or_default() += 1;
         self.orders.insert(place, waiting);
     }
+
+    fn remove_run_time(&mut self, order: &RunOrder) {
+        let Some(rack) = &order.data_rack else { return };
+        let Some(priorities) = self.rack_run_times.get_mut(rack) else {
+            return;
+        };
+        if let Some((count, total)) = priorities.get_mut(&order.priority) {
+            *count -= 1;
+            *total = total.saturating_sub(order.estimate);
+            if *count == 0 {
+                priorities.remove(&order.priority);
+            }
+        }
+        if priorities.is_empty() {
+            self.rack_run_times.remove(rack);
+        }
+    }
+}
+
+/// Removes one order from the number of those with `need`.
+fn decrement(counts: &mut BTreeMap<u64, usize>, need: u64) {
+    if let Some(count) = counts.get_mut(&need) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&need);
+        }
+    }
 }
 
 fn rank_of(place: QueuePlace) -> usize {
--- a/kqr-dispatch/src/owners/owner_load.rs
+++ b/kqr-dispatch/src/owners/owner_load.rs
@@ -1,4 +1,7 @@
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use kqr_fleet::Resources;
 use kqr_types::ServiceName;
@@ -69,6 +72,8 @@
     /// Work of waiting orders, including reservations.
     queued: QueuedWork,
     reservations: Vec<Reservation>,
+    /// Total needs of the reservations on each target.
+    reserved: Vec<Resources>,
     /// Total processors of the targets by service.
     cpu_milli: BTreeMap<ServiceName, u64>,
 }
@@ -94,6 +99,7 @@
             number: 0,
             last_order: OrderId::default(),
             free: targets.iter().map(|target| target.free).collect(),
+            reserved: vec![Resources::default(); targets.len()],
             targets,
             spreads,
             queued: QueuedWork::default(),
@@ -139,8 +145,7 @@
 
     /// Returns the queued work of at least the priority `rank`, in core-milliseconds.
     pub(super) fn queued_work(&self, rank: usize) -> u64 {
-        let late: u64 = self.queued.late.iter().take(rank + 1).sum();
-        self.queued.ahead(rank, true).saturating_add(late)
+        self.queued.up_to(rank)
     }
 
     /// Marks a target as closed, so that it leaves the index.
@@ -160,14 +165,8 @@
         let (Some(free), Some(target)) = (self.free.get_mut(position), self.targets.get(position)) else {
             return;
         };
-        *free = target.free;
-        for reservation in &self.reservations {
-            if let Place::Target { position: at, needs } = reservation.place
-                && at == position
-            {
-                *free -= needs;
-            }
-        }
+        let reserved = self.reserved.get(position).copied().unwrap_or_default();
+        *free = target.free - reserved;
     }
 
     /// Replaces the queued work. Reservations remain added.
@@ -184,8 +183,11 @@
     pub(super) fn reserve(&mut self, reservation: Reservation) {
         match reservation.place {
             Place::Target { position, needs } => {
-                if let Some(free) = self.free.get_mut(position) {
+                if let (Some(free), Some(reserved)) =
+                    (self.free.get_mut(position), self.reserved.get_mut(position))
+                {
                     *free -= needs;
+                    *reserved += needs;
                 }
             }
             Place::Queue { kind, rank, work } => self.queued.add(kind, rank, work),
@@ -194,12 +196,17 @@
     }
 
     /// Ends the reservations up to the order `last`. Returns the positions of their targets.
-    pub(super) fn end_reservations(&mut self, last: OrderId) -> Vec<usize> {
-        let mut positions = Vec::new();
+    pub(super) fn end_reservations(&mut self, last: OrderId) -> BTreeSet<usize> {
+        let mut positions = BTreeSet::new();
+        let reserved = &mut self.reserved;
         self.reservations.retain(|reservation| {
             let is_included = reservation.order <= last;
-            if is_included && let Place::Target { position, .. } = reservation.place {
-                positions.push(position);
+            if is_included
+                && let Place::Target { position, needs } = reservation.place
+                && let Some(reserved) = reserved.get_mut(position)
+            {
+                *reserved -= needs;
+                positions.insert(position);
             }
             !is_included
         });
@@ -207,7 +214,7 @@
     }
 
     /// Ends all reservations. Returns the positions of their targets.
-    pub(super) fn end_all_reservations(&mut self) -> Vec<usize> {
+    pub(super) fn end_all_reservations(&mut self) -> BTreeSet<usize> {
         self.end_reservations(OrderId(u64::MAX))
     }
 }
--- a/kqr-dispatch/src/owners/placement.rs
+++ b/kqr-dispatch/src/owners/placement.rs
@@ -136,7 +136,7 @@
             } else {
                 FAR_WAIT.as_millis() as u64
             };
-            let wait_ms = owner.queued_work(rank) * 1000 / cpu + far_ms;
+            let wait_ms = (owner.queued_work(rank).saturating_mul(1000) / cpu).saturating_add(far_ms);
             waits.push((wait_ms, owner.spread, id));
         }
         waits.sort_unstable();
--- a/kqr-dispatch/src/queued_work.rs
+++ b/kqr-dispatch/src/queued_work.rs
@@ -37,6 +37,12 @@
 }
 
 impl QueuedWork {
+    /// Returns all work of at least the priority `rank`, in core-milliseconds.
+    pub(crate) fn up_to(&self, rank: usize) -> u64 {
+        let late = self.late.iter().take(rank + 1);
+        self.ahead(rank, true).saturating_add(sum(late))
+    }
+
     /// Returns the work ahead of an order of priority `rank` that can be on time.
     pub(crate) fn ahead(&self, rank: usize, has_label: bool) -> u64 {
         let labelled = if has_label { self.labelled.as_slice() } else { &[] };
--- a/kqr-dispatch/src/target_losses.rs
+++ b/kqr-dispatch/src/target_losses.rs
@@ -15,7 +15,7 @@
 /// Lost runs of one job.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct JobLosses {
-    runs: BTreeSet<LostRun>,
+    runs: BTreeMap<TaskId, BTreeSet<LostRun>>,
     last_at: Instant,
 }
 
@@ -35,26 +35,20 @@
             return;
         }
         let job = self.jobs.entry(key.clone()).or_default();
-        job.runs.insert(lost);
+        job.runs.entry(lost.run.task.clone()).or_default().insert(lost);
         job.last_at = now;
     }
 
     /// Returns the number of targets that went down under `task`.
     pub(crate) fn count(&self, task: &TaskId) -> u32 {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return 0;
-        };
-        let targets = job.runs.iter().filter(|lost| lost.run.task == *task);
-        targets.count() as u32
+        let runs = self.jobs.get(&task.job).and_then(|job| job.runs.get(task));
+        runs.map_or(0, |runs| runs.len() as u32)
     }
 
     /// Returns the largest number of targets that went down under one task of `job`.
     pub(crate) fn max_count(&self, job: &JobKey) -> u32 {
-        let mut counts: BTreeMap<&TaskId, u32> = BTreeMap::new();
-        for lost in self.jobs.get(job).iter().flat_map(|job| &job.runs) {
-            *counts.entry(&lost.run.task).or_default() += 1;
-        }
-        counts.into_values().max().unwrap_or(0)
+        let tasks = self.jobs.get(job).into_iter().flat_map(|job| job.runs.values());
+        tasks.map(|runs| runs.len() as u32).max().unwrap_or(0)
     }
 
     /// Drops the losses of jobs that callers no longer submit.
--- a/kqr-dispatch/tests/outbox.rs
+++ b/kqr-dispatch/tests/outbox.rs
@@ -244,3 +244,24 @@
     }
     assert_eq!(outbox.next_batch(10), [orders(1), end(7), cancellation(1)]);
 }
+
+/// Guards against batches that exceed the size of a frame, which would fail however often they are sent again.
+#[test]
+fn a_batch_of_large_messages_fits_in_one_call() {
+    let mut outbox = Outbox::default();
+    let cancelled = |first: u64| SiblingMessage::Cancel((first..first + 100_000).map(OrderId).collect());
+    for number in 0..30 {
+        outbox.push(cancelled(number));
+    }
+    let batch = outbox.next_batch(256);
+    let bytes: u64 = batch.iter().map(SiblingMessage::link_bytes).sum();
+    assert!(
+        batch.len() > 1 && bytes <= 4 << 20,
+        "{} messages, {bytes} bytes",
+        batch.len()
+    );
+    let larger = (0..1_000_000).map(OrderId).collect();
+    let mut outbox = Outbox::default();
+    outbox.push(SiblingMessage::Cancel(larger));
+    assert_eq!(outbox.next_batch(256).len(), 1);
+}
--- a/kqr-fleet/src/resources.rs
+++ b/kqr-fleet/src/resources.rs
@@ -21,6 +21,16 @@
             && needs.accelerators <= self.accelerators
     }
 
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub fn max_of_each(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns how often `needs` fits into these resources, but at most `max`. Resources that are not needed set no limit.
     pub fn times_fitting(&self, needs: &Self, max: u32) -> u32 {
         let counts = [
