fix(dispatch): ignore the name of a rack that is longer than any label

The rack that a step names was kept whatever its size: once in the index of racks, for ever, and once in each order of a task and its message to the owner. Eight jobs of 190 tasks with a name of 262 KB, or a thousand jobs with different names, exceeded the memory of an entry of 260 MB.

No target can be on a rack with a longer name than its labels may have, 128 bytes, so the preference can't be met: it is dropped when the job is submitted, and the job is served. a_rack_with_a_longer_name_than_any_label_is_ignored fails without the change.

--- a/kqr-dispatch/src/dispatcher/mod.rs
+++ b/kqr-dispatch/src/dispatcher/mod.rs
@@ -250,12 +250,13 @@
     }
 
     /// Admits a job and places its tasks, or refuses it.
-    fn submit(&mut self, now: Instant, request: JobRequest, outputs: &mut Vec<Output>) {
+    fn submit(&mut self, now: Instant, mut request: JobRequest, outputs: &mut Vec<Output>) {
         let key = request.key.clone();
         // A caller that submits a live job again waits for its end, whatever the second request says.
         if self.jobs.is_live(&key) || self.jobs.refuse_oversized(&request, outputs) {
             return;
         }
+        request.drop_impossible_racks();
         self.refresh_own_load(now);
         let admission = Admission {
             is_survey_pending: self.survey_owners(now, &request, outputs),
--- a/kqr-dispatch/src/job_request.rs
+++ b/kqr-dispatch/src/job_request.rs
@@ -1,5 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
+use kqr_fleet::TargetRecord;
 use kqr_types::{JobKey, ServiceName};
 use serde::{Deserialize, Serialize};
 
@@ -44,6 +45,15 @@
         self.task_count() + self.steps.len() as u64 + self.dependency_count() as u64
     }
 
+    /// Drops the racks that no target can be on, because their names are longer than any label of a target. Their copies in
+    /// each order would take memory for nothing.
+    pub(crate) fn drop_impossible_racks(&mut self) {
+        for step in &mut self.steps {
+            step.data_rack
+                .take_if(|rack| rack.len() > TargetRecord::MAX_LABEL_BYTES);
+        }
+    }
+
     /// Returns whether each step depends only on earlier steps.
     pub fn has_ordered_steps(&self) -> bool {
         let mut steps = self.steps.iter().enumerate();
--- a/kqr-dispatch/tests/oversized_jobs.rs
+++ b/kqr-dispatch/tests/oversized_jobs.rs
@@ -172,3 +172,26 @@
     sim.run_for(200);
     assert_eq!(sim.end_of("shared"), Some(&JobEnd::Completed));
 }
+
+/// Guards against names of racks that take memory in each order, or stay in the index of racks, although no target has them.
+#[test]
+fn a_rack_with_a_longer_name_than_any_label_is_ignored() {
+    let mut sim = Simulation::new(2, 4, BEHAVIOUR);
+    for (key, length) in [
+        ("longest", TargetRecord::MAX_LABEL_BYTES),
+        ("longer", TargetRecord::MAX_LABEL_BYTES + 1),
+        ("huge", 262_000),
+    ] {
+        let mut request = job(key, 8, 30);
+        request.steps[0].data_rack = Some("x".repeat(length));
+        sim.submit(0, request);
+        sim.run_for(400);
+        assert_eq!(sim.end_of(key), Some(&JobEnd::Completed), "{key}");
+        let started = sim
+            .decisions
+            .iter()
+            .find(|line| line.contains("RunStarted") && line.contains(key));
+        let has_rack = length <= TargetRecord::MAX_LABEL_BYTES;
+        assert_eq!(started.unwrap().contains("NoRack"), !has_rack, "{started:?}");
+    }
+}
