fix(dispatch): search once for the orders of a step that find no room

An order that finds no room compared all known targets with its label, and then again to find the owners that may run it at all, for each task of a step.

Capacity only shrinks while the orders of a job are placed, and usual orders of a step differ in nothing that decides where they fit.

--- a/kqr-dispatch/src/jobs/orders.rs
+++ b/kqr-dispatch/src/jobs/orders.rs
@@ -6,7 +6,8 @@
 
 use super::{Jobs, job::Job, task::TaskState};
 use crate::{
-    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId, owners::Owners,
+    Decision, JobEnd, LostRun, NotRun, OrderId, Output, RunEnd, RunId, RunOrder, TaskId,
+    owners::{Owners, StepSearch},
     target_losses::TargetLosses,
 };
 
@@ -64,10 +65,11 @@
         };
         let ready = job.ready_tasks(now);
         let slowness = owners.usual_slowness(&job.request.service);
+        let mut search = StepSearch::default();
         for (step, index) in ready {
             let order_id = OrderId(self.last_order_id.0 + 1);
             let order = new_order(now, job, order_id, step, index, losses, slowness);
-            let picked = order.and_then(|order| Some((owners.pick_owner(&order)?, order)));
+            let picked = order.and_then(|order| Some((owners.pick_owner(&order, &mut search)?, order)));
             let Some(((owner, preferred_target), order)) = picked else {
                 clear_avoided_targets(now, job, step, index);
                 continue;
--- a/kqr-dispatch/src/owners/mod.rs
+++ b/kqr-dispatch/src/owners/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod racks;
 mod spare;
+mod step_search;
 
 use std::{
     collections::BTreeMap,
@@ -26,6 +27,7 @@
 use free_targets::FreeTargets;
 use owner_load::OwnerLoad;
 pub(crate) use spare::{SpareCapacity, Turns};
+pub(crate) use step_search::StepSearch;
 
 /// The known owners, with their free capacity. Each placed order is deducted until a load of its owner includes it.
 ///
--- a/kqr-dispatch/src/owners/placement.rs
+++ b/kqr-dispatch/src/owners/placement.rs
@@ -5,7 +5,7 @@
 use kqr_types::{InstanceId, TargetId};
 
 use super::{
-    Owners,
+    Owners, StepSearch,
     free_index::{FreeIndex, FreeKey},
     owner_load::{OwnerLoad, Reservation},
 };
@@ -21,19 +21,30 @@
 impl Owners {
     /// Picks the owner for an order: the one with free capacity on the most suitable target, which is returned as
     /// well, or else the one with the shortest expected wait. A suspect gets an idle target, if there is one.
-    pub(crate) fn pick_owner(&mut self, order: &RunOrder) -> Option<(InstanceId, Option<TargetId>)> {
+    ///
+    /// Orders of a step that are placed one after the other share a `search`.
+    pub(crate) fn pick_owner(
+        &mut self,
+        order: &RunOrder,
+        search: &mut StepSearch,
+    ) -> Option<(InstanceId, Option<TargetId>)> {
+        search.begin(order);
         let is_idle = |target: &TargetLoad, owner: &OwnerLoad, position: usize| {
             owner.free_of(position) == Some(target.capacity)
         };
         let mut free = order.is_suspect().then(|| self.scan(order, is_idle)).flatten();
         let rack = order.data_rack.as_deref();
         if free.is_none()
+            && !search.is_full
             && let Some(rack) = rack
         {
             free = self.free_on_rack(order, rack);
         }
         if free.is_none() {
-            free = self.most_suitable(order);
+            if !search.is_full {
+                free = self.most_suitable(order);
+                search.is_full = free.is_none();
+            }
             if let Some(rack) = rack
                 && !self.is_on_rack(free.as_ref(), rack)
                 && let Some(owner) = self.pick_rack_queue(order, rack, free.is_some())
@@ -42,7 +53,7 @@
             }
         }
         let Some((owner, position)) = free else {
-            return self.pick_shortest_queue(order).map(|owner| (owner, None));
+            return self.pick_shortest_queue(order, search).map(|owner| (owner, None));
         };
         let target = self.loads.get(&owner)?.targets.get(position)?.id.clone();
         self.update_target(&owner, position, |known| {
@@ -123,37 +134,42 @@
 
     /// Picks the owner with the shortest expected wait, and adds the order to its queue. Of equal ones, coordinators
     /// pick different owners, so that they don't fill one queue together before its owner reports it.
-    fn pick_shortest_queue(&mut self, order: &RunOrder) -> Option<InstanceId> {
+    fn pick_shortest_queue(&mut self, order: &RunOrder, search: &mut StepSearch) -> Option<InstanceId> {
+        let able_owners = search.able_owners.get_or_insert_with(|| self.able_owners(order));
         let rank = (order.priority as usize).min(RANKS - 1);
-        let mut waits = Vec::new();
-        for (id, owner) in &self.loads {
-            let cpu = owner.service_cpu_milli(&order.service);
-            if owner.is_leaving || cpu == 0 {
-                continue;
-            }
+        let mut shortest: Option<(u64, u32, &InstanceId)> = None;
+        for id in able_owners.iter() {
+            let Some(owner) = self.loads.get(id) else { continue };
+            let cpu = owner.service_cpu_milli(&order.service).max(1);
             let far_ms = if owner.is_near() {
                 0
             } else {
                 FAR_WAIT.as_millis() as u64
             };
             let wait_ms = (owner.queued_work(rank).saturating_mul(1000) / cpu).saturating_add(far_ms);
-            waits.push((wait_ms, owner.spread, id));
+            let place = (wait_ms, owner.spread, id);
+            if shortest.is_none_or(|shortest| place < shortest) {
+                shortest = Some(place);
+            }
         }
-        waits.sort_unstable();
-        let can_run = |id: &InstanceId| {
-            let owner = self.loads.get(id);
-            owner.is_some_and(|owner| owner.targets.iter().any(|target| may_run(target, order)))
-        };
-        let id = waits
-            .into_iter()
-            .map(|(.., id)| id)
-            .find(|id| can_run(id))?
-            .clone();
+        let id = shortest.map(|(.., id)| id.clone())?;
         let owner = self.loads.get_mut(&id)?;
         owner.reserve(Reservation::in_queue(order, rank));
         Some(id)
     }
 
+    /// Returns the owners with a target that may run the order, free or not.
+    fn able_owners(&self, order: &RunOrder) -> Vec<InstanceId> {
+        let mut able = Vec::new();
+        for (id, owner) in &self.loads {
+            let has_capacity = !owner.is_leaving && owner.service_cpu_milli(&order.service) > 0;
+            if has_capacity && owner.targets.iter().any(|target| may_run(target, order)) {
+                able.push(id.clone());
+            }
+        }
+        able
+    }
+
     fn can_take(&self, key: &FreeKey, order: &RunOrder) -> bool {
         let free = self.free_at(key);
         let target = self.target_at(key);
--- a/kqr-dispatch/tests/large_jobs.rs
+++ b/kqr-dispatch/tests/large_jobs.rs
@@ -26,6 +26,10 @@
 }
 
 fn simulation_with(load_shedding: LoadShedding) -> Simulation {
+    simulation_of(2, TARGETS, load_shedding)
+}
+
+fn simulation_of(entries: usize, targets: usize, load_shedding: LoadShedding) -> Simulation {
     let options = Options {
         load_shedding,
         job_limits: JobLimits {
@@ -38,7 +42,7 @@
         max_open_calls: usize::MAX,
         ..Options::default()
     };
-    let mut sim = Simulation::with_options(2, TARGETS, BEHAVIOUR, options);
+    let mut sim = Simulation::with_options(entries, targets, BEHAVIOUR, options);
     sim.longest_input = Duration::ZERO;
     sim
 }
@@ -107,6 +111,20 @@
     assert_completes(&mut sim, patient_job("near", vec![on_rack]), 1_500);
 }
 
+/// Guards against orders that each compare all known targets, when few have the label that they need and none has room.
+#[test]
+fn many_tasks_that_wait_for_few_of_many_targets_do_not_hold_up_their_entry() {
+    let mut sim = simulation_of(20, 304, LoadShedding::AtDeadline);
+    let labelled = StepSpec {
+        label: Some("rack-37".to_owned()),
+        ..step(4 * TASKS, 8_000, Vec::new())
+    };
+    sim.submit(0, patient_job("labelled", vec![labelled]));
+    assert_short_inputs(&sim);
+    sim.run_for(50);
+    assert_short_inputs(&sim);
+}
+
 /// Guards against ends of tasks that visit all steps of their job.
 #[test]
 fn many_steps_do_not_hold_up_their_entry_whether_they_depend_on_one_or_on_none() {
