--- a/kqr-dispatch/tests/oversized_jobs.rs
+++ b/kqr-dispatch/tests/oversized_jobs.rs
@@ -94,7 +94,7 @@
     }
 }
 
-/// Guards against sums of counts that wrap and pass a limit.
+/// Counts that fit in 32 bits may have a sum that does not, which must not pass a limit.
 #[test]
 fn counts_whose_sum_exceeds_32_bits_are_refused() {
     let mut sim = Simulation::new(1, 2, BEHAVIOUR);
--- a/kqr-fleet/tests/catalog_versions.rs
+++ b/kqr-fleet/tests/catalog_versions.rs
@@ -129,7 +129,7 @@
     assert!(outputs.iter().any(is_applied), "{outputs:?}");
 }
 
-/// Guards against versions near the largest one that wrap or are mixed up with smaller ones.
+/// Versions near the largest one must neither wrap nor be mixed up with smaller ones.
 #[test]
 fn the_largest_versions_are_told_apart_and_never_reverted() {
     let mut control = Control::without_catalog();
